Agree the interfaces of each layer and set up the checks

Cause: several people start on separate folders at once and need one frame. Ruled out: decorators for injection; house style asks for option objects, and the container can bind with factories.

--- /dev/null
+++ b/demo/main.ts
@@ -0,0 +1,7 @@
+/**
+ * Shows the real programs at work.
+ *
+ * @module
+ */
+
+console.log("demo: not built yet");
--- /dev/null
+++ b/src/common/emitter.ts
@@ -0,0 +1,29 @@
+/**
+ * Typed events: a class keeps an `Emitter` private and shows its `event` as
+ * `onSomething`.
+ *
+ * @module
+ */
+
+import { type Disposable, toDisposable } from "./lifecycle.ts";
+
+/** Subscribes a listener; disposing the result ends the subscription. */
+export type Event<T> = (listener: (value: T) => void) => Disposable;
+
+/** The sending side of one event. */
+export class Emitter<T> implements Disposable {
+  #listeners = new Set<(value: T) => void>();
+
+  readonly event: Event<T> = (listener) => {
+    this.#listeners.add(listener);
+    return toDisposable(() => this.#listeners.delete(listener));
+  };
+
+  fire(value: T): void {
+    for (const listener of [...this.#listeners]) listener(value);
+  }
+
+  dispose(): void {
+    this.#listeners.clear();
+  }
+}
--- /dev/null
+++ b/src/config/schema.ts
@@ -0,0 +1,97 @@
+/**
+ * The configuration document: customers, pipelines, services and targets.
+ * The schema rejects unknown fields; rules that span several fields are in
+ * `validate.ts`.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+
+const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/);
+const layerSpan = { first: z.int().min(0), end: z.int().min(1) };
+
+const customerSchema = z.strictObject({
+  /** SHA-256 digests of the customer's keys, in hexadecimal. */
+  keyDigests: z.array(z.string().regex(/^[0-9a-f]{64}$/)).max(8),
+  requestsPerS: z.number().positive(),
+  concurrentRequests: z.int().positive(),
+  /** Higher goes first; requests of one priority share by customer. */
+  priority: z.int().min(0).max(9).default(5),
+  /** Whether prefix caches may be shared with this customer's other requests. */
+  sharesPrefixCache: z.boolean().default(true),
+});
+
+const stageSchema = z.strictObject({
+  ...layerSpan,
+  /** Targets that hold this span when nothing has failed. */
+  targets: z.array(name).min(1),
+});
+
+const pipelineSchema = z.strictObject({
+  model: name,
+  version: name,
+  adapter: name.optional(),
+  layerCount: z.int().min(1).max(4096),
+  customers: z.array(name),
+  stages: z.array(stageSchema).min(1),
+  /** Targets that take over a stage which has lost capacity. */
+  standbys: z.array(name).default([]),
+  /** Longest time a whole answer may take. */
+  answerWithinMs: z.int().min(1).max(3_600_000).default(60_000),
+  maxTokens: z.int().min(1).max(131_072).default(4_096),
+});
+
+const serviceSchema = z.strictObject({
+  customers: z.array(name),
+  targets: z.array(name).min(1),
+  /** Calls that a `GET` or the caller does not mark are taken as this. */
+  idempotent: z.boolean().default(false),
+  /** True when the service itself rejects a repeated idempotency key. */
+  rejectsRepeatedKeys: z.boolean().default(false),
+  answerWithinMs: z.int().min(1).max(3_600_000).default(10_000),
+});
+
+const targetSchema = z.strictObject({
+  kind: z.enum(["engine", "service"]),
+  url: z.url({ protocol: /^https?$/ }),
+  failureDomain: name,
+  region: name.default("default"),
+  accelerator: name.optional(),
+  /** Layer-tokens a second that the target computes. */
+  layerTokensPerS: z.number().positive().optional(),
+  /** Whether the engine refuses an order with an old fencing number. */
+  checksFence: z.boolean().default(false),
+  /** Operators set this to empty a target. */
+  draining: z.boolean().default(false),
+});
+
+const linkSchema = z.strictObject({
+  from: name,
+  to: name,
+  tokensPerS: z.number().positive(),
+  delayMs: z.number().min(0),
+});
+
+export const configSchema = z.strictObject({
+  customers: z.record(name, customerSchema).default({}),
+  pipelines: z.record(name, pipelineSchema).default({}),
+  services: z.record(name, serviceSchema).default({}),
+  targets: z.record(name, targetSchema).default({}),
+  /** Links between failure domains; a pair not listed counts as unlimited. */
+  links: z.array(linkSchema).default([]),
+});
+
+/** A configuration as operators write it, defaults left out. */
+export type ConfigDocument = z.input<typeof configSchema>;
+/** A checked configuration, defaults filled in. */
+export type Config = z.output<typeof configSchema>;
+export type CustomerConfig = Config["customers"][string];
+export type PipelineConfig = Config["pipelines"][string];
+export type ServiceConfig = Config["services"][string];
+export type TargetConfig = Config["targets"][string];
+export type StageConfig = PipelineConfig["stages"][number];
+export type LinkConfig = Config["links"][number];
+
+/** The configuration before the first change. */
+export const EMPTY_CONFIG: Config = configSchema.parse({});
