--- /dev/null
+++ b/src/common/logging_test.ts
@@ -0,0 +1,27 @@
+import { expect, test } from "vitest";
+import { createLog } from "./logging.ts";
+
+test("a line is one JSON object, below the level nothing is written, secrets are masked", () => {
+  const lines: string[] = [];
+  const log = createLog({
+    host: "host-1",
+    level: "info",
+    write: (line) => lines.push(line),
+  });
+  log.debug("hidden");
+  log.info("started", {
+    requestId: "r-1",
+    peerSecret: "s3cr3t",
+    nested: { token: "abc" },
+  });
+  expect(lines).toHaveLength(1);
+  const line = JSON.parse(lines[0]);
+  expect(line).toMatchObject({
+    host: "host-1",
+    level: "info",
+    message: "started",
+    requestId: "r-1",
+  });
+  expect(lines[0]).not.toContain("s3cr3t");
+  expect(lines[0]).not.toContain("abc");
+});
--- /dev/null
+++ b/src/common/supervisor_test.ts
@@ -0,0 +1,28 @@
+import { expect, test } from "vitest";
+import { ManualClock } from "../../test/manual_clock.ts";
+import { Supervisor } from "./supervisor.ts";
+
+test("a failed task is restarted with a growing back-off and its sibling goes on", async () => {
+  const clock = new ManualClock();
+  const supervisor = new Supervisor({ name: "root", clock, random: () => 0.5 });
+  const backOffs: number[] = [];
+  let siblingTicks = 0;
+  supervisor.onFailure((failure) => backOffs.push(failure.backOffMs));
+  supervisor.child("pool").start(
+    "failing",
+    () => Promise.reject(new Error("no")),
+  );
+  supervisor.start("sibling", async (signal) => {
+    while (!signal.aborted) {
+      siblingTicks++;
+      await clock.sleep(100, signal);
+    }
+  });
+  await clock.advance(1_000);
+  expect(backOffs.slice(0, 4)).toEqual([50, 100, 200, 400]);
+  expect(siblingTicks).toBe(11);
+  await clock.runUntil(supervisor.stop());
+  const failures = backOffs.length;
+  await clock.advance(60_000);
+  expect(backOffs.length).toBe(failures);
+});
