--- /dev/null
+++ b/src/http/caller_gate.ts
@@ -0,0 +1,158 @@
+/**
+ * What every caller's request passes before it is parsed: readiness, the
+ * host's own bound on requests in flight, authentication and the customer's
+ * limits.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import type { Request, Response } from "restify";
+import { Ok } from "ts-results-es";
+import type { Clock } from "../common/clock.ts";
+import {
+  type Disposable,
+  DisposableStore,
+  toDisposable,
+} from "../common/lifecycle.ts";
+import type { IMetrics } from "../common/metrics.ts";
+import { type Failure, notRun, type Outcome } from "../common/verdict.ts";
+import type { IConfigService } from "../config/services.ts";
+import type { ILimitService } from "../fleet/services.ts";
+import type { IRequestJournal } from "../requests/services.ts";
+import type { Authenticator } from "./authenticator.ts";
+import { sendFailure } from "./http_server.ts";
+
+const REQUEST_ID = /^[A-Za-z0-9._-]{1,64}$/;
+const DEADLINE_HEADER = "jackdawshift-deadline";
+const RETRY_WHEN_FULL_MS = 1_000;
+
+/** A request that passed the gate. Disposing it ends its share of the limits. */
+export interface AdmittedRequest extends Disposable {
+  readonly requestId: string;
+  readonly customer: string;
+  /** Aborts when the caller hangs up before the answer has ended. */
+  readonly signal: AbortSignal;
+  readonly abort: () => void;
+}
+
+/** Options of the gate. */
+export interface CallerGateOptions {
+  readonly clock: Clock;
+  readonly metrics: IMetrics;
+  readonly config: IConfigService;
+  readonly limits: ILimitService;
+  readonly journal: IRequestJournal;
+  readonly authenticator: Authenticator;
+  readonly maxConcurrentRequests: number;
+}
+
+/** Admits callers' requests. */
+export class CallerGate {
+  readonly #options: CallerGateOptions;
+  #inFlight = 0;
+
+  constructor(options: CallerGateOptions) {
+    this.#options = options;
+    options.metrics.gauge(
+      "jackdawshift_requests_in_flight",
+      () => this.#inFlight,
+    );
+  }
+
+  get inFlightCount(): number {
+    return this.#inFlight;
+  }
+
+  /** Admits a request, or answers it with the refusal and returns undefined. */
+  enter(request: Request, response: Response): AdmittedRequest | undefined {
+    const requestId = readRequestId(request);
+    response.setHeader("x-request-id", requestId);
+    const outcome = this.#admit(request);
+    if (outcome.isErr()) {
+      this.refuse(response, outcome.error, requestId);
+      return undefined;
+    }
+    const { customer, admission } = outcome.value;
+    return this.#track({ requestId, customer, admission, response });
+  }
+
+  /** Answers with a problem document and counts it. */
+  refuse(response: Response, failure: Failure, requestId: string): void {
+    const { clock, metrics, journal } = this.#options;
+    metrics.count("jackdawshift_answers_total", {
+      verdict: failure.verdict,
+      code: failure.code,
+    });
+    journal.note(requestId, "refused", {
+      verdict: failure.verdict,
+      code: failure.code,
+    });
+    sendFailure(response, failure, clock, { requestId });
+  }
+
+  /** The earlier of the caller's deadline header and the configured limit, monotonic. */
+  deadlineMs(request: Request, withinMs: number): number {
+    const { clock } = this.#options;
+    const wallMs = Number(request.headers[DEADLINE_HEADER] ?? Number.NaN);
+    const askedWithinMs = Number.isFinite(wallMs)
+      ? wallMs - clock.wallMs()
+      : withinMs;
+    return clock.nowMs() + Math.min(withinMs, askedWithinMs);
+  }
+
+  #admit(
+    request: Request,
+  ): Outcome<{ customer: string; admission: Disposable }> {
+    const { clock, config, limits, authenticator, maxConcurrentRequests } =
+      this.#options;
+    const retryAtWallMs = clock.wallMs() + RETRY_WHEN_FULL_MS;
+    if (!config.isReady) {
+      return notRun(
+        "shutting-down",
+        "this host has no confirmed configuration",
+        { retryAtWallMs },
+      );
+    }
+    if (this.#inFlight >= maxConcurrentRequests) {
+      const message =
+        `this host serves ${maxConcurrentRequests} requests already`;
+      return notRun("overloaded", message, { retryAtWallMs });
+    }
+    const customer = authenticator.authenticate(request);
+    if (customer.isErr()) return customer;
+    const admission = limits.admit(customer.value);
+    if (admission.isErr()) return admission;
+    return new Ok({ customer: customer.value, admission: admission.value });
+  }
+
+  #track(entry: {
+    readonly requestId: string;
+    readonly customer: string;
+    readonly admission: Disposable;
+    readonly response: Response;
+  }): AdmittedRequest {
+    const hangUp = new AbortController();
+    const owned = new DisposableStore();
+    owned.add(entry.admission);
+    this.#inFlight++;
+    owned.add(toDisposable(() => this.#inFlight--));
+    entry.response.on("close", () => {
+      if (!entry.response.writableFinished) hangUp.abort();
+    });
+    return {
+      requestId: entry.requestId,
+      customer: entry.customer,
+      signal: hangUp.signal,
+      abort: () => hangUp.abort(),
+      dispose: () => owned.dispose(),
+    };
+  }
+}
+
+function readRequestId(request: Request): string {
+  const given = request.headers["x-request-id"];
+  return typeof given === "string" && REQUEST_ID.test(given)
+    ? given
+    : randomUUID();
+}
--- /dev/null
+++ b/src/http/completion_body.ts
@@ -0,0 +1,115 @@
+/**
+ * Bodies of completion requests and answers, in the form that OpenAI clients
+ * use. Unknown members are ignored, since those clients send many.
+ *
+ * @module
+ */
+
+import { Ok } from "ts-results-es";
+import { z } from "zod";
+import { notRun, type Outcome } from "../common/verdict.ts";
+
+const DEFAULT_MAX_TOKENS = 256;
+
+const common = {
+  model: z.string().min(1).max(63),
+  max_tokens: z.int().min(1).max(131_072).default(DEFAULT_MAX_TOKENS),
+  stream: z.boolean().default(false),
+  n: z.literal(1).optional(),
+};
+
+const textSchema = z.object({ ...common, prompt: z.string() });
+const chatSchema = z.object({
+  ...common,
+  messages: z.array(z.object({
+    role: z.enum(["system", "user", "assistant"]),
+    content: z.string(),
+  })).min(1),
+});
+
+/** Which of the two interfaces a caller used. */
+export type CompletionKind = "text" | "chat";
+
+/** A completion request as parsed from a body. */
+export interface CompletionBody {
+  readonly kind: CompletionKind;
+  readonly pipeline: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly stream: boolean;
+}
+
+/** Checks a parsed JSON body. */
+export function parseCompletionBody(
+  kind: CompletionKind,
+  json: unknown,
+): Outcome<CompletionBody> {
+  const parsed = kind === "text"
+    ? textSchema.safeParse(json)
+    : chatSchema.safeParse(json);
+  if (!parsed.success) {
+    const fault = parsed.error.issues[0];
+    return notRun(
+      "bad-request",
+      `${fault.path.join(".") || "body"}: ${fault.message}`,
+    );
+  }
+  const body = parsed.data;
+  return new Ok({
+    kind,
+    pipeline: body.model,
+    prompt: "prompt" in body ? body.prompt : renderChat(body.messages),
+    maxTokens: body.max_tokens,
+    stream: body.stream,
+  });
+}
+
+/** The document of a whole answer. */
+export function wholeAnswer(
+  kind: CompletionKind,
+  answer: {
+    readonly id: string;
+    readonly model: string;
+    readonly text: string;
+    readonly finishReason: string;
+    readonly tokenCount: number;
+  },
+): unknown {
+  const content = kind === "text"
+    ? { text: answer.text }
+    : { message: { role: "assistant", content: answer.text } };
+  return {
+    id: answer.id,
+    object: kind === "text" ? "text_completion" : "chat.completion",
+    model: answer.model,
+    choices: [{ index: 0, ...content, finish_reason: answer.finishReason }],
+    usage: { completion_tokens: answer.tokenCount },
+  };
+}
+
+/** The constant parts of a stream's events, so that each event costs one string. */
+export function streamFrame(
+  kind: CompletionKind,
+  answer: { readonly id: string; readonly model: string },
+): (text: string, finishReason: string | null) => string {
+  const object = kind === "text" ? "text_completion" : "chat.completion.chunk";
+  const head = `data: ${
+    JSON.stringify({ id: answer.id, object, model: answer.model }).slice(0, -1)
+  },"choices":[{"index":0,`;
+  return (text, finishReason) => {
+    const content = kind === "text"
+      ? `"text":${JSON.stringify(text)}`
+      : `"delta":{"content":${JSON.stringify(text)}}`;
+    return `${head}${content},"finish_reason":${
+      JSON.stringify(finishReason)
+    }}]}\n\n`;
+  };
+}
+
+function renderChat(
+  messages: readonly { role: string; content: string }[],
+): string {
+  return messages.map((message) => `${message.role}: ${message.content}`).join(
+    "\n",
+  );
+}
--- /dev/null
+++ b/src/http/http_server.ts
@@ -0,0 +1,188 @@
+/**
+ * A restify server with this project's limits: problem documents for every
+ * error, bounded headers, and a stop that ends idle connections and lets
+ * requests in flight finish.
+ *
+ * @module
+ */
+
+import type { AddressInfo } from "node:net";
+import restify, { type Request, type Response, type Server } from "restify";
+import type { Clock } from "../common/clock.ts";
+import type { ILog } from "../common/logging.ts";
+import type { Failure } from "../common/verdict.ts";
+import { toProblem } from "./problem.ts";
+
+const MAX_HEADER_MS = 10_000;
+const KEEP_ALIVE_MS = 65_000;
+const MAX_CONNECTIONS = 20_000;
+
+/** Certificate and key in PEM; a server without them speaks plain HTTP. */
+export interface TlsMaterial {
+  readonly certificate: Buffer;
+  readonly key: Buffer;
+}
+
+/** Options of a server. */
+export interface HttpServerOptions {
+  readonly name: string;
+  readonly address: string;
+  readonly port: number;
+  readonly clock: Clock;
+  readonly log: ILog;
+  readonly tls?: TlsMaterial;
+}
+
+/** Handles one request and answers it itself. */
+export type Handler = (request: Request, response: Response) => Promise<void>;
+
+/** One listening server. */
+export class HttpServer {
+  readonly #options: HttpServerOptions;
+  readonly #server: Server;
+  #closing = false;
+
+  constructor(options: HttpServerOptions) {
+    this.#options = options;
+    this.#server = restify.createServer({
+      name: "",
+      certificate: options.tls?.certificate,
+      key: options.tls?.key,
+      handleUncaughtExceptions: false,
+    });
+    const inner = innerServer(this.#server);
+    inner.headersTimeout = MAX_HEADER_MS;
+    inner.requestTimeout = 0;
+    inner.keepAliveTimeout = KEEP_ALIVE_MS;
+    inner.maxConnections = MAX_CONNECTIONS;
+    this.#server.on(
+      "restifyError",
+      (_request, response: Response, error, callback) => {
+        sendFailure(response, restifyFailure(error), options.clock);
+        callback();
+      },
+    );
+  }
+
+  /** Adds a route. A handler that throws answers 500 if nothing was sent yet. */
+  route(
+    method: "get" | "post" | "put" | "patch" | "del" | "head",
+    path: string,
+    handler: Handler,
+  ) {
+    this.#server[method](path, async (request: Request, response: Response) => {
+      if (this.#closing) response.setHeader("connection", "close");
+      try {
+        await handler(request, response);
+      } catch (error) {
+        this.#options.log.error("a handler failed", { path, error });
+        this.#abandon(response);
+      }
+    });
+  }
+
+  /** Listens and returns the base URL. */
+  async listen(): Promise<string> {
+    await new Promise<void>((resolve, reject) => {
+      innerServer(this.#server).once("error", reject);
+      this.#server.listen(
+        this.#options.port,
+        this.#options.address,
+        () => resolve(),
+      );
+    });
+    const address = innerServer(this.#server).address() as AddressInfo;
+    const scheme = this.#options.tls === undefined ? "http" : "https";
+    return `${scheme}://${this.#options.address}:${address.port}`;
+  }
+
+  /** Answers ask for the connection to be closed from now on. */
+  discourageReuse(): void {
+    this.#closing = true;
+  }
+
+  /** Stops accepting and resolves when every request in flight has ended. */
+  close(): Promise<void> {
+    this.#closing = true;
+    const inner = innerServer(this.#server);
+    return new Promise((resolve) => {
+      inner.close(() => resolve());
+      inner.closeIdleConnections();
+    });
+  }
+
+  /** Cuts every connection. */
+  destroy(): void {
+    innerServer(this.#server).closeAllConnections();
+  }
+
+  #abandon(response: Response): void {
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    const failure: Failure = {
+      verdict: "may-have-run",
+      code: "internal",
+      message: "the host failed to handle the request",
+    };
+    sendFailure(response, failure, this.#options.clock);
+  }
+}
+
+/** Sends a failure as a problem document. */
+export function sendFailure(
+  response: Response,
+  failure: Failure,
+  clock: Clock,
+  extra: Readonly<Record<string, unknown>> = {},
+): void {
+  const problem = toProblem(failure, { clock, extra });
+  if (failure.code === "body-too-large" || failure.code === "bad-request") {
+    response.setHeader("connection", "close");
+  }
+  sendBytes(
+    response,
+    problem.status,
+    problem.headers,
+    JSON.stringify(problem.body),
+  );
+}
+
+/** Sends a JSON document. */
+export function sendJson(
+  response: Response,
+  status: number,
+  document: unknown,
+): void {
+  const headers = { "content-type": "application/json" };
+  sendBytes(response, status, headers, JSON.stringify(document));
+}
+
+/** Sends a whole body. */
+export function sendBytes(
+  response: Response,
+  status: number,
+  headers: Readonly<Record<string, string>>,
+  body: string | Uint8Array,
+): void {
+  if (response.headersSent || response.destroyed) return;
+  const length = typeof body === "string"
+    ? Buffer.byteLength(body)
+    : body.length;
+  response.writeHead(status, { ...headers, "content-length": String(length) });
+  response.end(body);
+}
+
+function restifyFailure(
+  error: { readonly statusCode?: number; readonly message: string },
+): Failure {
+  const isMissing = error.statusCode === 404 || error.statusCode === 405;
+  const code = isMissing ? "not-found" : "bad-request";
+  return { verdict: "not-run", code, message: error.message };
+}
+
+function innerServer(server: Server): import("node:http").Server {
+  return (server as unknown as { readonly server: import("node:http").Server })
+    .server;
+}
