Pick chains from published spans

A request needs a chain of targets that holds the model once, and targets that leave, load or fail must get no new work.

--- /dev/null
+++ b/src/pipelines/chain_picker_test.ts
@@ -0,0 +1,111 @@
+import { expect, test } from "vitest";
+import { FakeConfig } from "../../test/pipelines_fakes.ts";
+import { ManualClock } from "../../test/manual_clock.ts";
+import { seededRandom } from "../common/random.ts";
+import type { ConfigDocument } from "../config/schema.ts";
+import { ChainPicker } from "./chain_picker.ts";
+import { TargetDirectory } from "./target_directory.ts";
+
+const SPANS = {
+  a: [0, 4],
+  b: [4, 8],
+  c: [0, 4],
+  d: [4, 8],
+  e: [2, 8],
+} as const;
+
+function setUp() {
+  const clock = new ManualClock();
+  const targets: ConfigDocument["targets"] = {};
+  for (const name of Object.keys(SPANS)) {
+    targets[name] = {
+      kind: "engine",
+      url: `http://${name}`,
+      failureDomain: "fd-1",
+    };
+  }
+  const config = new FakeConfig({
+    targets,
+    pipelines: {
+      p: {
+        model: "m",
+        version: "v1",
+        layerCount: 8,
+        customers: [],
+        stages: [
+          { first: 0, end: 4, targets: ["a", "c"] },
+          { first: 4, end: 8, targets: ["b", "d"] },
+        ],
+        standbys: ["e"],
+      },
+    },
+  });
+  const directory = new TargetDirectory({ config, clock });
+  const picker = new ChainPicker({
+    config,
+    directory,
+    clock,
+    random: seededRandom(1),
+  });
+  for (const name of Object.keys(SPANS) as (keyof typeof SPANS)[]) {
+    publish(name, {});
+  }
+  return { config, directory, picker, publish, clock };
+
+  function publish(target: keyof typeof SPANS, change: object): void {
+    const [first, end] = SPANS[target];
+    directory.noteState({
+      target,
+      first,
+      end,
+      model: "m",
+      version: "v1",
+      adapters: [],
+      role: "both",
+      generation: 1,
+      fence: 0,
+      leaving: false,
+      loading: false,
+      load: { running: 0, queued: 0, asOfWallMs: 0 },
+      ...change,
+    });
+  }
+}
+
+const REQUEST = { pipeline: "p", prefixHash: 1, avoid: new Set<string>() };
+
+test("a chain covers the model once and spreads over own work in flight", () => {
+  const { picker } = setUp();
+  const picks = [1, 2, 3, 4].map(() => picker.pick(REQUEST).unwrap());
+  for (const { chain } of picks) {
+    expect(chain.map(({ first, end }) => [first, end])).toEqual([[0, 4], [
+      4,
+      8,
+    ]]);
+  }
+  const used = picks.flatMap(({ chain }) => chain.map(({ target }) => target));
+  expect(used.sort()).toEqual(["a", "a", "b", "b", "c", "c", "d", "d"]);
+});
+
+test.each([
+  ["leaving", { leaving: true }],
+  ["loading", { loading: true }],
+  ["of another version", { version: "v2" }],
+  ["of another span", { first: 5 }],
+])("a target that is %s is not picked", (_name, change) => {
+  const { picker, publish } = setUp();
+  publish("b", change);
+  for (let count = 0; count < 20; count++) {
+    const { chain } = picker.pick(REQUEST).unwrap();
+    expect(chain.map(({ target }) => target)).not.toContain("b");
+  }
+});
+
+test("without a whole chain the refusal says when to come back", () => {
+  const { picker, directory, clock } = setUp();
+  directory.noteLost("b");
+  const failure = picker.pick({ ...REQUEST, avoid: new Set(["d"]) })
+    .unwrapErr();
+  expect(failure).toMatchObject({ verdict: "not-run", code: "no-target" });
+  expect(failure.retryAtWallMs).toBeGreaterThan(clock.wallMs());
+});
--- /dev/null
+++ b/src/pipelines/target_directory.ts
@@ -0,0 +1,205 @@
+/**
+ * What this host knows of each target: the state it published last, signs
+ * that it leaves, and whether it is suspected or lost. The earliest sign of
+ * leaving counts, whoever brings it, and is spread to the other hosts.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import { systemClock } from "../common/clock.ts";
+import { Emitter } from "../common/emitter.ts";
+import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
+import type { IConfigService } from "../config/services.ts";
+import type { Fact, IDissemination } from "../fleet/services.ts";
+import type { EngineState } from "../platform/types.ts";
+import type { ITargetDirectory } from "./services.ts";
+
+/** How long a peer's notice of leaving holds after it was last repeated. */
+const PEER_NOTICE_HOLD_MS = 30_000;
+/** Notices of one period are one fact, whichever host publishes it. */
+const NOTICE_PERIOD_MS = 10_000;
+
+/** Where a sign of leaving came from. */
+export type LeavingSource = Parameters<ITargetDirectory["noteLeaving"]>[1];
+
+/** Collaborators of a `TargetDirectory`. */
+export interface TargetDirectoryOptions {
+  readonly config: IConfigService;
+  /** Left out, signs stay on this host. */
+  readonly dissemination?: IDissemination;
+  readonly clock?: Clock;
+  readonly peerNoticeHoldMs?: number;
+}
+
+interface TargetEntry {
+  state?: EngineState;
+  isSuspected: boolean;
+  isLost: boolean;
+  /** Signs that hold until the same source takes them back. */
+  readonly leavingSources: Set<LeavingSource>;
+  peerNoticeUntilMs: number;
+  /** Period of the last notice heard or published. */
+  noticePeriod: number;
+}
+
+/** Holds what is known of each target; one owner for each daemon. */
+export class TargetDirectory implements ITargetDirectory, Disposable {
+  readonly #config: IConfigService;
+  readonly #dissemination: IDissemination | undefined;
+  readonly #clock: Clock;
+  readonly #peerNoticeHoldMs: number;
+  readonly #entries = new Map<string, TargetEntry>();
+  readonly #store = new DisposableStore();
+  readonly #changed = this.#store.add(new Emitter<string>());
+  readonly onChange = this.#changed.event;
+
+  constructor(options: TargetDirectoryOptions) {
+    this.#config = options.config;
+    this.#dissemination = options.dissemination;
+    this.#clock = options.clock ?? systemClock;
+    this.#peerNoticeHoldMs = options.peerNoticeHoldMs ?? PEER_NOTICE_HOLD_MS;
+    this.#store.add(
+      this.#config.onChange(({ config }) => this.#forget(config.targets)),
+    );
+    if (this.#dissemination) {
+      this.#store.add(
+        this.#dissemination.onFact((fact) => this.#hearFact(fact)),
+      );
+    }
+  }
+
+  engineState(target: string): EngineState | undefined {
+    const entry = this.#entries.get(target);
+    return entry?.isLost ? undefined : entry?.state;
+  }
+
+  takesNewWork(target: string): boolean {
+    if (this.isLeaving(target)) return false;
+    const entry = this.#entries.get(target);
+    return !entry || (!entry.isLost && !entry.isSuspected);
+  }
+
+  /** True while any sign of leaving holds, an operator's drain included. */
+  isLeaving(target: string): boolean {
+    if (this.#config.state.config.targets[target]?.draining) return true;
+    const entry = this.#entries.get(target);
+    if (!entry) return false;
+    return entry.leavingSources.size > 0 ||
+      entry.peerNoticeUntilMs > this.#clock.nowMs();
+  }
+
+  /** True when the target is known not to answer. */
+  isLost(target: string): boolean {
+    return this.#entries.get(target)?.isLost ?? false;
+  }
+
+  noteLeaving(target: string, source: LeavingSource): void {
+    const wasLeaving = this.isLeaving(target);
+    const entry = this.#entry(target);
+    if (source === "peer") {
+      entry.peerNoticeUntilMs = this.#clock.nowMs() + this.#peerNoticeHoldMs;
+    } else {
+      entry.leavingSources.add(source);
+      this.#spread(target, entry);
+    }
+    if (!wasLeaving) this.#changed.fire(target);
+  }
+
+  /** Takes back a sign of leaving; those of other sources still hold. */
+  noteStaying(target: string, source: LeavingSource): void {
+    const entry = this.#entries.get(target);
+    if (!entry?.leavingSources.delete(source)) return;
+    if (!this.isLeaving(target)) this.#changed.fire(target);
+  }
+
+  /** Repeats the notices whose signs still hold; called about once a second. */
+  repeatNotices(): void {
+    for (const [target, entry] of this.#entries) {
+      if (entry.leavingSources.size > 0) this.#spread(target, entry);
+    }
+  }
+
+  noteState(state: EngineState): void {
+    const entry = this.#entry(state.target);
+    const changed = entry.isLost || entry.isSuspected || !entry.state ||
+      !isSameOffer(entry.state, state);
+    entry.state = state;
+    entry.isSuspected = false;
+    entry.isLost = false;
+    if (state.leaving) this.noteLeaving(state.target, "target");
+    else this.noteStaying(state.target, "target");
+    if (changed) this.#changed.fire(state.target);
+  }
+
+  /** Keeps new work away until the target publishes its state again. */
+  noteSuspected(target: string): void {
+    const entry = this.#entry(target);
+    if (entry.isSuspected) return;
+    entry.isSuspected = true;
+    this.#changed.fire(target);
+  }
+
+  noteLost(target: string): void {
+    const entry = this.#entry(target);
+    if (entry.isLost) return;
+    entry.isLost = true;
+    this.#changed.fire(target);
+  }
+
+  dispose(): void {
+    this.#store.dispose();
+  }
+
+  #entry(target: string): TargetEntry {
+    let entry = this.#entries.get(target);
+    if (!entry) {
+      entry = {
+        isSuspected: false,
+        isLost: false,
+        leavingSources: new Set(),
+        peerNoticeUntilMs: 0,
+        noticePeriod: -1,
+      };
+      this.#entries.set(target, entry);
+    }
+    return entry;
+  }
+
+  #forget(known: Readonly<Record<string, unknown>>): void {
+    for (const target of this.#entries.keys()) {
+      if (!(target in known)) this.#entries.delete(target);
+    }
+  }
+
+  #spread(target: string, entry: TargetEntry): void {
+    const wallMs = this.#clock.wallMs();
+    const period = Math.floor(wallMs / NOTICE_PERIOD_MS);
+    if (!this.#dissemination || period <= entry.noticePeriod) return;
+    entry.noticePeriod = period;
+    this.#dissemination.publish({
+      topic: "leaving",
+      key: target,
+      sequence: period,
+      data: {},
+      expiresAtWallMs: wallMs + this.#peerNoticeHoldMs,
+    });
+  }
+
+  #hearFact(fact: Fact): void {
+    if (fact.topic !== "leaving") return;
+    if (fact.expiresAtWallMs <= this.#clock.wallMs()) return;
+    if (!(fact.key in this.#config.state.config.targets)) return;
+    const entry = this.#entry(fact.key);
+    entry.noticePeriod = Math.max(entry.noticePeriod, fact.sequence);
+    this.noteLeaving(fact.key, "peer");
+  }
+}
+
+/** True when two states offer the same work; the load does not count. */
+export function isSameOffer(a: EngineState, b: EngineState): boolean {
+  return a.generation === b.generation && a.first === b.first &&
+    a.end === b.end && a.model === b.model && a.version === b.version &&
+    a.role === b.role && a.loading === b.loading && a.leaving === b.leaving &&
+    a.adapters.join() === b.adapters.join();
+}
--- /dev/null
+++ b/src/pipelines/target_watcher.ts
@@ -0,0 +1,151 @@
+/**
+ * Keeps the target directory fresh: one task a watched engine polls its
+ * published state, and the platform's list and the configuration are heard.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import { systemClock } from "../common/clock.ts";
+import { DisposableStore } from "../common/lifecycle.ts";
+import type { Random } from "../common/random.ts";
+import type { IConfigService } from "../config/services.ts";
+import type { IHostListWatcher } from "../fleet/services.ts";
+import type { IEngineClient } from "../platform/services.ts";
+import type { ListedHost } from "../platform/types.ts";
+import type { TargetDirectory } from "./target_directory.ts";
+
+const POLL_INTERVAL_MS = 1_000;
+const POLL_TIMEOUT_MS = 800;
+/** Failed polls in a row after which a target counts as lost. */
+const LOST_AFTER_POLLS = 3;
+/** Spread of poll times, so that hosts started together do not poll together. */
+const POLL_JITTER = 0.2;
+
+/** Collaborators of a `TargetWatcher`. */
+export interface TargetWatcherOptions {
+  readonly config: IConfigService;
+  readonly engines: IEngineClient;
+  readonly directory: TargetDirectory;
+  readonly hostList?: IHostListWatcher;
+  readonly clock?: Clock;
+  readonly random?: Random;
+  readonly pollIntervalMs?: number;
+  readonly pollTimeoutMs?: number;
+  readonly lostAfterPolls?: number;
+  /** Chooses the engines that this host polls, all by default. */
+  readonly watches?: (target: string) => boolean;
+}
+
+interface Poller {
+  readonly url: string;
+  readonly abort: AbortController;
+  readonly done: Promise<void>;
+}
+
+/** Polls engines while `run` runs. */
+export class TargetWatcher {
+  readonly #options: TargetWatcherOptions;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #pollIntervalMs: number;
+  readonly #pollers = new Map<string, Poller>();
+
+  constructor(options: TargetWatcherOptions) {
+    this.#options = options;
+    this.#clock = options.clock ?? systemClock;
+    this.#random = options.random ?? Math.random;
+    this.#pollIntervalMs = options.pollIntervalMs ?? POLL_INTERVAL_MS;
+  }
+
+  /** Watches until `signal` aborts; resolves once every poll has ended. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { config, hostList } = this.#options;
+    const store = new DisposableStore();
+    store.add(config.onChange(() => this.#follow()));
+    if (hostList) store.add(hostList.onList((list) => this.#hearList(list)));
+    this.#follow();
+    while (!signal.aborted) {
+      await this.#clock.sleep(this.#pollIntervalMs, signal);
+      this.#follow();
+      this.#options.directory.repeatNotices();
+    }
+    store.dispose();
+    const ending = [...this.#pollers.values()].map((poller) => poller.done);
+    for (const target of [...this.#pollers.keys()]) this.#stop(target);
+    await Promise.all(ending);
+  }
+
+  /** Polls one engine now; the directory holds the result. */
+  async poll(target: string, signal?: AbortSignal): Promise<boolean> {
+    const url = this.#options.config.state.config.targets[target]?.url;
+    if (url === undefined) return false;
+    const timeoutMs = this.#options.pollTimeoutMs ?? POLL_TIMEOUT_MS;
+    const answer = await this.#options.engines.readState(url, {
+      deadlineMs: this.#clock.nowMs() + timeoutMs,
+      signal,
+    });
+    if (signal?.aborted) return true;
+    if (answer.isOk() && answer.value.target === target) {
+      this.#options.directory.noteState(answer.value);
+      return true;
+    }
+    if (answer.isOk() || answer.error.code === "connection-failed") {
+      this.#options.directory.noteSuspected(target);
+    }
+    return false;
+  }
+
+  #follow(): void {
+    const { targets } = this.#options.config.state.config;
+    const watches = this.#options.watches ?? (() => true);
+    for (const [target, poller] of [...this.#pollers]) {
+      const isWanted = targets[target]?.url === poller.url && watches(target);
+      if (!isWanted) this.#stop(target);
+    }
+    for (const [target, { kind, url }] of Object.entries(targets)) {
+      if (kind !== "engine" || this.#pollers.has(target)) continue;
+      if (watches(target)) this.#start(target, url);
+    }
+  }
+
+  #start(target: string, url: string): void {
+    const abort = new AbortController();
+    const done = this.#pollForever(target, abort.signal);
+    this.#pollers.set(target, { url, abort, done });
+  }
+
+  #stop(target: string): void {
+    this.#pollers.get(target)?.abort.abort();
+    this.#pollers.delete(target);
+  }
+
+  async #pollForever(target: string, signal: AbortSignal): Promise<void> {
+    const lostAfterPolls = this.#options.lostAfterPolls ?? LOST_AFTER_POLLS;
+    let failedPolls = 0;
+    while (!signal.aborted) {
+      const answered = await this.poll(target, signal);
+      if (signal.aborted) return;
+      failedPolls = answered ? 0 : failedPolls + 1;
+      if (failedPolls === 2) this.#options.directory.noteSuspected(target);
+      if (failedPolls >= lostAfterPolls) {
+        this.#options.directory.noteLost(target);
+      }
+      await this.#clock.sleep(this.#nextWaitMs(), signal);
+    }
+  }
+
+  #nextWaitMs(): number {
+    const spread = (this.#random() - 0.5) * 2 * POLL_JITTER;
+    return this.#pollIntervalMs * (1 + spread);
+  }
+
+  #hearList(list: readonly ListedHost[]): void {
+    const { directory } = this.#options;
+    for (const { name, role, state } of list) {
+      if (role !== "target") continue;
+      if (state === "leaving") directory.noteLeaving(name, "list");
+      else directory.noteStaying(name, "list");
+    }
+  }
+}
