--- /dev/null
+++ b/src/fleet/host_list_watcher.ts
@@ -0,0 +1,87 @@
+/**
+ * Polls the platform's list of hosts and targets once for everybody on this
+ * host. An outage of the list changes nothing: the last list stays.
+ *
+ * @module
+ */
+
+import { type Clock, systemClock } from "../common/clock.ts";
+import { Emitter } from "../common/emitter.ts";
+import type { Disposable } from "../common/lifecycle.ts";
+import type { Random } from "../common/random.ts";
+import type { IHostListClient } from "../platform/services.ts";
+import type { ListedHost } from "../platform/types.ts";
+import type { IHostListWatcher } from "./services.ts";
+
+const DEFAULT_POLL_MS = 1_000;
+const DEFAULT_CALL_TIMEOUT_MS = 2_000;
+const JITTER_FRACTION = 0.25;
+const MAX_BACKOFF_FACTOR = 8;
+
+/** Collaborators and defaults of a {@link HostListWatcher}. */
+export interface HostListWatcherOptions {
+  readonly client: IHostListClient;
+  readonly clock?: Clock;
+  readonly random?: Random;
+  /** Mean time between two reads, asked again before each wait. */
+  readonly pollMs?: () => number;
+  readonly callTimeoutMs?: number;
+}
+
+/** Reads the list at jittered intervals and backs off while it fails. */
+export class HostListWatcher implements IHostListWatcher, Disposable {
+  readonly #client: IHostListClient;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #pollMs: () => number;
+  readonly #callTimeoutMs: number;
+  readonly #lists = new Emitter<readonly ListedHost[]>();
+  #last: readonly ListedHost[] = [];
+  #failureCount = 0;
+
+  readonly onList = this.#lists.event;
+
+  constructor(options: HostListWatcherOptions) {
+    this.#client = options.client;
+    this.#clock = options.clock ?? systemClock;
+    this.#random = options.random ?? Math.random;
+    this.#pollMs = options.pollMs ?? (() => DEFAULT_POLL_MS);
+    this.#callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
+  }
+
+  /** The last list read; empty before the first. */
+  get last(): readonly ListedHost[] {
+    return this.#last;
+  }
+
+  /** Polls until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.poll(signal);
+      await this.#clock.sleep(this.#nextWaitMs(), signal);
+    }
+  }
+
+  /** Reads the list once; a failure keeps the last one. */
+  async poll(signal?: AbortSignal): Promise<void> {
+    const deadlineMs = this.#clock.nowMs() + this.#callTimeoutMs;
+    const outcome = await this.#client.list({ deadlineMs, signal });
+    if (outcome.isErr()) {
+      this.#failureCount += 1;
+      return;
+    }
+    this.#failureCount = 0;
+    this.#last = outcome.value;
+    this.#lists.fire(outcome.value);
+  }
+
+  dispose(): void {
+    this.#lists.dispose();
+  }
+
+  #nextWaitMs(): number {
+    const jitter = 1 + JITTER_FRACTION * (2 * this.#random() - 1);
+    const backoff = Math.min(MAX_BACKOFF_FACTOR, 2 ** this.#failureCount);
+    return this.#pollMs() * jitter * backoff;
+  }
+}
