--- /dev/null
+++ b/src/platform/refusals.ts
@@ -0,0 +1,74 @@
+/**
+ * Answers by which a target or the platform proves that it did nothing.
+ * Anything else that is not a success may have run.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import {
+  type FailureCode,
+  type FailureDetails,
+  mayHaveRun,
+  notRun,
+  type Outcome,
+} from "../common/verdict.ts";
+import type { HttpAnswer } from "./http_client.ts";
+
+/** Agreed error words by status; only these prove that nothing started. */
+const CODE_OF_REFUSAL: Readonly<
+  Record<number, Readonly<Record<string, FailureCode>>>
+> = {
+  404: { "unknown-attempt": "not-found" },
+  409: {
+    "stale-generation": "stale-generation",
+    "stale-fence": "target-refused",
+  },
+  413: { "body-too-large": "body-too-large" },
+  429: { "rate-limited": "rate-limited" },
+  503: {
+    "leaving": "shutting-down",
+    "overloaded": "overloaded",
+    "loading": "target-refused",
+    "unavailable": "log-unavailable",
+  },
+};
+
+/** The error word of an answer's JSON body, if it has one. */
+export function errorWord(body: Buffer): string | undefined {
+  try {
+    const data: unknown = JSON.parse(body.toString("utf8"));
+    if (typeof data !== "object" || data === null) return undefined;
+    const { error } = data as { error?: unknown };
+    return typeof error === "string" ? error : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** The code of a refusal that proves that nothing started, if it does. */
+export function refusalCode(answer: HttpAnswer): FailureCode | undefined {
+  const words = CODE_OF_REFUSAL[answer.status];
+  if (!words) return undefined;
+  const word = errorWord(answer.body);
+  if (word === undefined || !Object.hasOwn(words, word)) return undefined;
+  return words[word];
+}
+
+/** The failure that an answer without success stands for. */
+export function failureOf<T>(
+  answer: HttpAnswer,
+  options: { readonly url: string; readonly clock: Clock },
+): Outcome<T> {
+  const word = errorWord(answer.body) ?? "no error word";
+  const message = `${options.url}: status ${answer.status}, ${word}`;
+  const code = refusalCode(answer);
+  if (code === undefined) return mayHaveRun("target-failed", message);
+  return notRun(code, message, retryAt(answer, options.clock));
+}
+
+function retryAt(answer: HttpAnswer, clock: Clock): FailureDetails {
+  const waitS = Number(answer.headers["retry-after"]);
+  if (!(waitS >= 0)) return {};
+  return { retryAtWallMs: clock.wallMs() + waitS * 1_000 };
+}
--- /dev/null
+++ b/src/platform/service_client.ts
@@ -0,0 +1,60 @@
+/**
+ * Client of plain services. A service's own answer is passed on whatever its
+ * status, except for the refusals that prove that it did nothing.
+ *
+ * @module
+ */
+
+import { Ok } from "ts-results-es";
+import { type Clock, systemClock } from "../common/clock.ts";
+import type { Outcome } from "../common/verdict.ts";
+import type { HttpClient } from "./http_client.ts";
+import { joinUrl } from "./json_call.ts";
+import { failureOf, refusalCode } from "./refusals.ts";
+import type { IServiceClient } from "./services.ts";
+import type { CallOptions, ServiceAnswer, ServiceRequest } from "./types.ts";
+
+export interface ServiceClientOptions {
+  readonly http: HttpClient;
+  readonly clock?: Clock;
+}
+
+/** Plain services over HTTP. */
+export class ServiceClient implements IServiceClient {
+  readonly #http: HttpClient;
+  readonly #clock: Clock;
+
+  constructor(options: ServiceClientOptions) {
+    this.#http = options.http;
+    this.#clock = options.clock ?? systemClock;
+  }
+
+  async call(
+    url: string,
+    request: ServiceRequest,
+    options: CallOptions,
+  ): Promise<Outcome<ServiceAnswer>> {
+    const target = joinUrl(url, request.path);
+    const outcome = await this.#http.exchange({
+      method: request.method,
+      url: target,
+      headers: headersOf(request),
+      body: request.body.length > 0 ? request.body : undefined,
+    }, options);
+    if (outcome.isErr()) return outcome;
+    const { status, headers, body } = outcome.value;
+    if (status === 503 && refusalCode(outcome.value) !== undefined) {
+      return failureOf(outcome.value, { url: target, clock: this.#clock });
+    }
+    return new Ok({ status, contentType: headers["content-type"], body });
+  }
+}
+
+function headersOf(request: ServiceRequest): Record<string, string> {
+  const headers: Record<string, string> = { "x-attempt-id": request.attemptId };
+  if (request.contentType) headers["content-type"] = request.contentType;
+  if (request.idempotencyKey) {
+    headers["idempotency-key"] = request.idempotencyKey;
+  }
+  return headers;
+}
