Name the target at fault in a failure

Resuming a request needs to know which stage of a chain failed; the message alone cannot be read by a program. Failure gains an optional target, and the engine's error events and refusals carry it. The engine stand-in counts an attempt as started only once it computed for it, so that a refusal by a later stage is seen to have started nothing.

--- a/src/common/verdict.ts
+++ b/src/common/verdict.ts
@@ -45,6 +45,8 @@
   readonly message: string;
   /** Wall-clock time at which a new try may succeed, if one is worth telling. */
   readonly retryAtWallMs?: number;
+  /** The target at fault, where a stage of a chain named it. */
+  readonly target?: string;
   /** Each fault of a document that was refused whole. */
   readonly faults?: readonly Fault[];
 }
@@ -56,7 +58,10 @@
 }
 
 /** What a failure may carry besides its code and message. */
-export type FailureDetails = Pick<Failure, "retryAtWallMs" | "faults">;
+export type FailureDetails = Pick<
+  Failure,
+  "retryAtWallMs" | "target" | "faults"
+>;
 
 /** A value or the failure that took its place. */
 export type Outcome<T> = Result<T, Failure>;
--- a/src/platform/refusals.ts
+++ b/src/platform/refusals.ts
@@ -34,15 +34,22 @@
   },
 };
 
-/** The error word of an answer's JSON body, if it has one. */
-export function errorWord(body: Buffer): string | undefined {
+/** What an answer's JSON body says of an error. */
+interface ErrorBody {
+  readonly error?: string;
+  readonly target?: string;
+}
+
+function readErrorBody(body: Buffer): ErrorBody {
   try {
     const data: unknown = JSON.parse(body.toString("utf8"));
-    if (typeof data !== "object" || data === null) return undefined;
-    const { error } = data as { error?: unknown };
-    return typeof error === "string" ? error : undefined;
+    const { error, target } = Object(data) as Record<string, unknown>;
+    return {
+      error: typeof error === "string" ? error : undefined,
+      target: typeof target === "string" ? target : undefined,
+    };
   } catch {
-    return undefined;
+    return {};
   }
 }
 
@@ -50,9 +57,9 @@
 export function refusalCode(answer: HttpAnswer): FailureCode | undefined {
   const words = CODE_OF_REFUSAL[answer.status];
   if (!words) return undefined;
-  const word = errorWord(answer.body);
-  if (word === undefined || !Object.hasOwn(words, word)) return undefined;
-  return words[word];
+  const { error } = readErrorBody(answer.body);
+  if (error === undefined || !Object.hasOwn(words, error)) return undefined;
+  return words[error];
 }
 
 /** The failure that an answer without success stands for. */
@@ -60,11 +67,14 @@
   answer: HttpAnswer,
   options: { readonly url: string; readonly clock: Clock },
 ): Outcome<T> {
-  const word = errorWord(answer.body) ?? "no error word";
-  const message = `${options.url}: status ${answer.status}, ${word}`;
+  const { error = "no error word", target } = readErrorBody(answer.body);
+  const message = `${options.url}: status ${answer.status}, ${error}`;
   const code = refusalCode(answer);
-  if (code === undefined) return mayHaveRun("target-failed", message);
-  return notRun(code, message, retryAt(answer, options.clock));
+  if (code === undefined) {
+    return mayHaveRun("target-failed", message, { target });
+  }
+  const details = { ...retryAt(answer, options.clock), target };
+  return notRun(code, message, details);
 }
 
 function retryAt(answer: HttpAnswer, clock: Clock): FailureDetails {
--- a/src/platform/token_reader.ts
+++ b/src/platform/token_reader.ts
@@ -114,7 +114,9 @@
   #takeError(data: unknown): void {
     const { error, target } = data as { error?: unknown; target?: unknown };
     const code = CODE_OF_ERROR[String(error)] ?? "target-failed";
-    this.#failure = mayHaveRun(code, `target ${target}: ${error}`).error;
+    const details = typeof target === "string" ? { target } : {};
+    const message = `target ${target}: ${error}`;
+    this.#failure = mayHaveRun(code, message, details).error;
   }
 
   #fail(message: string): void {
--- a/standins/engine/stage.ts
+++ b/standins/engine/stage.ts
@@ -35,9 +35,8 @@
 }
 
 interface OpenAttempt extends OpenMessage {
-  /** Layers of the prompt still to be computed here, in tokens. */
-  prefillTokens: number;
-  readonly crashes: boolean;
+  /** False until this stage computed anything for it. */
+  isStarted: boolean;
 }
 
 /** The stage. */
@@ -55,7 +54,7 @@
     return this.#open.size;
   }
 
-  /** Attempts that ever ran a token here. */
+  /** Attempts for which this stage computed anything. */
   get startedCount(): number {
     return this.#startedCount;
   }
@@ -70,7 +69,7 @@
     const refused = this.#refusal(message);
     if (refused !== undefined) return this.#error(refused);
     const { request, stageIndex } = message;
-    this.#open.set(request.attemptId, this.#admit(message));
+    this.#open.set(request.attemptId, { ...message, isStarted: false });
     const next = request.chain[stageIndex + 1];
     if (!next) return undefined;
     const failure = await this.#options.link.open(next, {
@@ -111,15 +110,25 @@
   }
 
   async #compute(attempt: OpenAttempt): Promise<void> {
-    const prefillMs = attempt.prefillTokens * this.#options.prefillMsPerToken;
-    attempt.prefillTokens = 0;
+    const { prompt, priority } = attempt.request;
+    const { crashMarker, prefillMsPerToken } = this.#options;
+    const prefillTokens = attempt.isStarted ? 0 : this.#startPrefill(attempt);
     await this.#options.batcher.run({
-      priority: attempt.request.priority,
-      prefillMs,
-      crashes: attempt.crashes,
+      priority,
+      prefillMs: prefillTokens * prefillMsPerToken,
+      crashes: crashMarker !== "" && prompt.includes(crashMarker),
     });
   }
 
+  /** Notes that an attempt starts; returns the tokens to be computed first. */
+  #startPrefill(attempt: OpenAttempt): number {
+    const { prompt, cacheScope, generated } = attempt.request;
+    attempt.isStarted = true;
+    this.#startedCount++;
+    const words = prompt.split(/\s+/).filter(Boolean);
+    return this.#options.cache.admit(cacheScope, words) + generated.length;
+  }
+
   #pass(
     attempt: OpenAttempt,
     step: StageStep,
@@ -145,16 +154,6 @@
     return holder.refusal(message.request, message.stageIndex);
   }
 
-  #admit(message: OpenMessage): OpenAttempt {
-    const { prompt, cacheScope, generated } = message.request;
-    const { cache, crashMarker } = this.#options;
-    const words = prompt.split(/\s+/).filter(Boolean);
-    const prefillTokens = cache.admit(cacheScope, words) + generated.length;
-    const crashes = crashMarker !== "" && prompt.includes(crashMarker);
-    this.#startedCount++;
-    return { ...message, prefillTokens, crashes };
-  }
-
   #error(error: string): StageError {
     return { error, target: this.#options.target };
   }
