Add the configuration ledger, its service, the tool and the examples

Cause: the whole path needs one configuration in force on every host and a tool that submits it. Change: records of the log's stream "config" reduce to one state, a change counting only against the version that it names; ConfigService follows the log, submits patches and settles a lost answer by the record's own id. Patches parse only the entries that they touch. jackdawshift plans and applies directories of declarations; examples of both users and the demo. Ruled out: merging a stale patch; trusting the answer to an append. vitest inlines clipanion, whose module build imports a directory.

--- a/src/config/schema.ts
+++ b/src/config/schema.ts
@@ -8,7 +8,8 @@
 
 import { z } from "zod";
 
-const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/);
+const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/)
+  .refine((value) => value !== "constructor", "a reserved name");
 const layerSpan = { first: z.int().min(0), end: z.int().min(1) };
 
 const customerSchema = z.strictObject({
@@ -54,7 +55,8 @@
 
 const targetSchema = z.strictObject({
   kind: z.enum(["engine", "service"]),
-  url: z.url({ protocol: /^https?$/ }),
+  url: z.url({ protocol: /^https?$/ })
+    .refine((url) => !/^[^/]*\/\/[^/]*@/.test(url), "must hold no credentials"),
   failureDomain: name,
   region: name.default("default"),
   accelerator: name.optional(),
@@ -73,6 +75,17 @@
   delayMs: z.number().min(0),
 });
 
+/** Schemas of the sections that map a name to an entry. */
+export const entrySchemas = {
+  customers: customerSchema,
+  pipelines: pipelineSchema,
+  services: serviceSchema,
+  targets: targetSchema,
+};
+
+/** The schema of the names in those sections. */
+export const nameSchema = name;
+
 export const configSchema = z.strictObject({
   customers: z.record(name, customerSchema).default({}),
   pipelines: z.record(name, pipelineSchema).default({}),
--- /dev/null
+++ b/src/tool/config_diff.ts
@@ -0,0 +1,62 @@
+/**
+ * The difference between two configurations, for people.
+ *
+ * @module
+ */
+
+import type { Config } from "../config/schema.ts";
+import { jsonPointer } from "../config/validate.ts";
+
+const DIGEST_CHARS_SHOWN = 8;
+
+/** One changed field. */
+export interface Difference {
+  readonly change: "added" | "removed" | "changed";
+  /** JSON Pointer of the field. */
+  readonly path: string;
+  readonly before?: unknown;
+  readonly after?: unknown;
+}
+
+/** Lists what changes from `before` to `after`; a list counts as one field. */
+export function diffConfig(before: Config, after: Config): Difference[] {
+  const differences: Difference[] = [];
+  compare(before, after, []);
+  return differences;
+
+  function compare(from: unknown, to: unknown, path: string[]): void {
+    if (JSON.stringify(from) === JSON.stringify(to)) return;
+    if (isObject(from) && isObject(to)) {
+      const keys = new Set([...Object.keys(from), ...Object.keys(to)]);
+      for (const key of keys) compare(from[key], to[key], [...path, key]);
+      return;
+    }
+    differences.push(describe(from, to, jsonPointer(path)));
+  }
+}
+
+function describe(before: unknown, after: unknown, path: string): Difference {
+  if (before === undefined) return { change: "added", path, after };
+  if (after === undefined) return { change: "removed", path, before };
+  return { change: "changed", path, before, after };
+}
+
+/** Writes one line for each difference. */
+export function formatDifference(difference: Difference): string {
+  const { change, path, before, after } = difference;
+  if (change === "added") return `+ ${path}: ${show(after)}`;
+  if (change === "removed") return `- ${path}: ${show(before)}`;
+  return `~ ${path}: ${show(before)} -> ${show(after)}`;
+}
+
+/** Digests of keys are shortened: they identify a key without giving it away. */
+function show(value: unknown): string {
+  return JSON.stringify(value).replaceAll(
+    /"([0-9a-f]{64})"/g,
+    (_, digest: string) => `"${digest.slice(0, DIGEST_CHARS_SHOWN)}..."`,
+  );
+}
+
+function isObject(value: unknown): value is Record<string, unknown> {
+  return typeof value === "object" && value !== null && !Array.isArray(value);
+}
--- /dev/null
+++ b/src/tool/run_tool_test.ts
@@ -0,0 +1,157 @@
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { Writable } from "node:stream";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { applyPatch } from "../config/patch.ts";
+import { type Config, EMPTY_CONFIG } from "../config/schema.ts";
+import { runTool } from "./run_tool.ts";
+
+const TOKEN = "operator-token-of-the-test";
+
+let server: Server;
+let version: number;
+let config: Config;
+/** Set to let another operator win between reading and patching. */
+let overtaken: boolean;
+
+beforeEach(async () => {
+  version = 0;
+  config = EMPTY_CONFIG;
+  overtaken = false;
+  server = createServer(async (request, response) => {
+    const { status, document } = await answer(request);
+    response.writeHead(status, { "content-type": "application/json" });
+    response.end(JSON.stringify(document));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+});
+
+afterEach(() => new Promise((resolve) => server.close(resolve)));
+
+async function answer(request: IncomingMessage) {
+  const route = `${request.method} ${request.url?.split("?")[0]}`;
+  if (request.headers.authorization !== `Bearer ${TOKEN}`) {
+    return problem(401, "unauthorized");
+  }
+  if (route === "GET /operator/config") {
+    return { status: 200, document: { version, offset: version - 1, config } };
+  }
+  if (route === "GET /operator/status") {
+    const targets = [{ name: "etapa-a", state: "live" }];
+    return { status: 200, document: { host: "h1", version, targets } };
+  }
+  if (route === "GET /operator/audit") {
+    const entry = { offset: 0, atWallMs: 0, operator: "ana", patch: {} };
+    const entries = [
+      { ...entry, baseVersion: 0, result: "superseded" },
+      { ...entry, baseVersion: 0, result: "accepted", version: 1, note: "n" },
+    ];
+    return { status: 200, document: { entries } };
+  }
+  const plans = route === "POST /operator/config/plan";
+  if (!plans && route !== "PATCH /operator/config") {
+    return problem(404, "not-found");
+  }
+  if (overtaken) version += 1;
+  if (request.headers["if-match"] !== `"${version}"`) {
+    return problem(409, "stale-version", { currentVersion: version });
+  }
+  const chunks = await request.toArray();
+  const patch = JSON.parse(Buffer.concat(chunks).toString());
+  const patched = applyPatch(config, { format: "merge-patch", patch });
+  if (patched.isErr()) {
+    return problem(422, "bad-request", { faults: patched.error.faults });
+  }
+  if (plans) return { status: 200, document: { config: patched.value } };
+  config = patched.value;
+  version += 1;
+  return { status: 200, document: { version, offset: version - 1 } };
+}
+
+function problem(status: number, code: string, more: object = {}) {
+  return { status, document: { code, detail: "refused", ...more } };
+}
+
+async function run(args: string[], env: Record<string, string> = {}) {
+  const { port } = server.address() as AddressInfo;
+  const output = { stdout: "", stderr: "" };
+  const sink = (name: keyof typeof output) =>
+    new Writable({
+      write(chunk, _encoding, done) {
+        output[name] += chunk;
+        done();
+      },
+    });
+  const code = await runTool(args, {
+    env: {
+      JACKDAWSHIFT_OPERATOR_URL: `http://127.0.0.1:${port}`,
+      JACKDAWSHIFT_OPERATOR_TOKEN: TOKEN,
+      ...env,
+    },
+    stdout: sink("stdout"),
+    stderr: sink("stderr"),
+  });
+  return { code, ...output };
+}
+
+test("plan changes nothing; apply puts the declarations in force", async () => {
+  const planned = await run(["config", "plan", "examples/demo"]);
+  expect(planned).toMatchObject({ code: 0, stderr: "" });
+  expect(planned.stdout).toContain("+ /pipelines/escriba");
+  expect(planned.stdout).not.toMatch(/[0-9a-f]{64}/);
+  expect(version).toBe(0);
+  const applied = await run(["config", "apply", "examples/demo"]);
+  expect(applied.stdout).toContain("version 1 is in force");
+  const again = await run(["config", "apply", "examples/demo", "--json"]);
+  expect(JSON.parse(again.stdout)).toMatchObject({
+    version: 1,
+    differences: [],
+  });
+});
+
+test("drain of a target is a change of the configuration", async () => {
+  await run(["config", "apply", "examples/demo"]);
+  const drained = await run(["drain", "target", "etapa-b"]);
+  expect(drained).toMatchObject({ code: 0 });
+  expect(config.targets["etapa-b"].draining).toBe(true);
+  await run(["drain", "target", "etapa-b", "--undo"]);
+  expect(config.targets["etapa-b"].draining).toBe(false);
+});
+
+test("an overtaken apply is refused as stale", async () => {
+  overtaken = true;
+  const refused = await run(["config", "apply", "examples/demo"]);
+  expect(refused.code).toBe(4);
+  expect(refused.stderr).toContain("version 1 is in force");
+});
+
+const READS: [string[], RegExp][] = [
+  [["status"], /host +h1\n[^]*targets\nNAME +STATE\netapa-a +live/],
+  [["audit"], /ana +0 +superseded[^]*ana +0 +accepted/],
+  [["config", "history"], /^VERSION.*\n1 +1970\S+ +ana +n\n$/],
+  [["config", "get"], /^version 0 \(log offset -1\)/],
+];
+
+test.each(READS)("%s prints text, and JSON with --json", async (args, text) => {
+  expect((await run(args)).stdout).toMatch(text);
+  expect(JSON.parse((await run([...args, "--json"])).stdout)).toBeTypeOf(
+    "object",
+  );
+});
+
+const ENDS: [string, string[], Record<string, string>, number][] = [
+  ["unknown command", ["fly"], {}, 2],
+  ["wrong limit", ["audit", "--limit", "none"], {}, 2],
+  ["wrong URL", ["status", "--operator-url", "ftp://x"], {}, 2],
+  ["no such directory", ["config", "plan", "/nowhere"], {}, 2],
+  ["unreachable", ["status", "--operator-url", "http://127.0.0.1:1"], {}, 3],
+  ["wrong token", ["status"], { JACKDAWSHIFT_OPERATOR_TOKEN: "x" }, 1],
+  ["unknown request", ["explain", "r-1"], {}, 1],
+  ["unknown target", ["drain", "target", "nobody"], {}, 1],
+];
+
+test.each(ENDS)("%s has its exit code", async (_, args, env, code) => {
+  const ended = await run(args, env);
+  expect(ended.code).toBe(code);
+  expect(ended.stdout + ended.stderr).not.toContain(TOKEN);
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,5 +6,7 @@
     testTimeout: 30_000,
     hookTimeout: 30_000,
     reporters: ["default"],
+    // Its module build imports a directory, which Node.js does not resolve.
+    server: { deps: { inline: ["clipanion"] } },
   },
 });
