Serve completions and calls, and claim non-idempotent keys

The thin path of the requests layer: completions resume at the next token over another chain after a loss, calls pick the better of two targets, and non-idempotent calls run under a claim seen first in the log's order. Claims already go through a grouping host per partition with stand-ins.

--- /dev/null
+++ b/src/requests/call_service.ts
@@ -0,0 +1,238 @@
+/**
+ * Serves calls to plain services. An idempotent call may be tried again; any
+ * other runs at most once, under a claim on its idempotency key.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { Err } from "ts-results-es";
+import { type Clock, systemClock } from "../common/clock.ts";
+import { type Random, seededRandom } from "../common/random.ts";
+import {
+  type Failure,
+  mayHaveRun,
+  notRun,
+  type Outcome,
+} from "../common/verdict.ts";
+import type { Config, ServiceConfig } from "../config/schema.ts";
+import type { IConfigService } from "../config/services.ts";
+import type { ITargetDirectory } from "../pipelines/services.ts";
+import type { IServiceClient } from "../platform/services.ts";
+import type { ServiceAnswer } from "../platform/types.ts";
+import { RetryBudget } from "./retry_budget.ts";
+import type {
+  ICallService,
+  IClaim,
+  IClaimService,
+  IRequestJournal,
+} from "./services.ts";
+import { ServiceTargets } from "./service_targets.ts";
+import type { CallRequest } from "./types.ts";
+import { VerdictTally } from "./verdict_tally.ts";
+
+/** Options of `CallService`. */
+export interface CallServiceOptions {
+  readonly config: IConfigService;
+  readonly directory: ITargetDirectory;
+  readonly services: IServiceClient;
+  readonly claims: IClaimService;
+  readonly journal: IRequestJournal;
+  readonly clock?: Clock;
+  readonly random?: Random;
+  readonly retryBudget?: RetryBudget;
+  /** Makes identifiers of attempts, each unique over the fleet. */
+  readonly newId?: () => string;
+  readonly maxAttempts?: number;
+  /** When to tell a caller to come back after a failure without a better time. */
+  readonly comeBackAfterMs?: number;
+}
+
+/** A call with what the configuration says of its service. */
+interface PlannedCall {
+  readonly request: CallRequest;
+  readonly service: ServiceConfig;
+  readonly config: Config;
+  readonly mayRepeat: boolean;
+  readonly claim?: IClaim;
+}
+
+/** Serves calls to plain services. */
+export class CallService implements ICallService {
+  readonly #options: Required<CallServiceOptions>;
+  readonly #targets: ServiceTargets;
+
+  constructor(options: CallServiceOptions) {
+    this.#options = {
+      clock: systemClock,
+      random: seededRandom(Date.now()),
+      retryBudget: new RetryBudget(),
+      newId: randomUUID,
+      maxAttempts: 4,
+      comeBackAfterMs: 1_000,
+      ...options,
+    };
+    this.#targets = new ServiceTargets({
+      directory: options.directory,
+      random: this.#options.random,
+    });
+  }
+
+  async call(request: CallRequest): Promise<Outcome<ServiceAnswer>> {
+    const { config } = this.#options.config.state;
+    const service = config.services[request.service];
+    if (service === undefined) {
+      return notRun("not-found", `no service ${request.service}`);
+    }
+    if (!service.customers.includes(request.customer)) {
+      const message = `service ${request.service} is not open to the caller`;
+      return notRun("forbidden", message);
+    }
+    this.#options.retryBudget.noteFirstTry();
+    const mayRepeat = request.idempotent;
+    const planned = { request, service, config, mayRepeat };
+    const outcome = mayRepeat || request.idempotencyKey === undefined
+      ? await this.#dispatch(planned)
+      : await this.#callOnce(planned, request.idempotencyKey);
+    this.#noteEnd(request, outcome);
+    return outcome;
+  }
+
+  /** Calls under a claim, or without one where the service itself suffices. */
+  async #callOnce(
+    planned: PlannedCall,
+    idempotencyKey: string,
+  ): Promise<Outcome<ServiceAnswer>> {
+    const { request, service } = planned;
+    const acquired = await this.#options.claims.acquire(
+      {
+        customer: request.customer,
+        service: request.service,
+        idempotencyKey,
+      },
+      { deadlineMs: request.deadlineMs, signal: request.signal },
+    );
+    if (acquired.isOk()) return this.#callUnder(acquired.value, planned);
+    const { code, verdict } = acquired.error;
+    const isLogDown = code === "log-unavailable" && verdict === "not-run";
+    if (!isLogDown || !service.rejectsRepeatedKeys) return acquired;
+    this.#options.journal.note(request.requestId, "without-claim");
+    return await this.#dispatch(planned);
+  }
+
+  async #callUnder(
+    claim: IClaim,
+    planned: PlannedCall,
+  ): Promise<Outcome<ServiceAnswer>> {
+    const outcome = await this.#dispatch({ ...planned, claim });
+    if (outcome.isOk()) claim.settle("ran");
+    else if (outcome.error.verdict === "not-run") claim.release();
+    else claim.settle("may-have-run");
+    return outcome;
+  }
+
+  async #dispatch(planned: PlannedCall): Promise<Outcome<ServiceAnswer>> {
+    const { retryBudget, maxAttempts } = this.#options;
+    const tally = new VerdictTally();
+    const avoid = new Set<string>();
+    for (let attempt = 1;; attempt += 1) {
+      const outcome = await this.#attempt(planned, avoid);
+      if (outcome.isOk()) return outcome;
+      tally.note(outcome.error.verdict);
+      const isFinal = !this.#mayTryAgain(planned, outcome.error) ||
+        attempt >= maxAttempts || !retryBudget.takeRetry();
+      if (isFinal) {
+        return new Err(this.#withRetryTime(tally.finish(outcome.error)));
+      }
+    }
+  }
+
+  async #attempt(
+    planned: PlannedCall,
+    avoid: Set<string>,
+  ): Promise<Outcome<ServiceAnswer>> {
+    const { request, service, config, claim } = planned;
+    const { clock, services, newId, journal } = this.#options;
+    const target = this.#targets.pick(service.targets, avoid);
+    if (target === undefined) {
+      return notRun("no-target", `service ${request.service} has no target`);
+    }
+    avoid.add(target);
+    const url = config.targets[target]?.url;
+    if (url === undefined) {
+      return notRun("no-target", `target ${target} is not configured`);
+    }
+    const inFlight = this.#targets.begin(target);
+    const attemptId = newId();
+    journal.note(request.requestId, "attempt", { attemptId, target });
+    const blocked = blockedBy(request, claim, clock);
+    if (blocked !== undefined) {
+      inFlight.dispose();
+      return new Err(blocked);
+    }
+    const called = services.call(url, { ...request, attemptId }, {
+      deadlineMs: request.deadlineMs,
+      signal: request.signal,
+    });
+    const stop = new AbortController();
+    const outcome = await Promise.race([
+      called,
+      clock.sleep(request.deadlineMs - clock.nowMs(), stop.signal),
+    ]);
+    stop.abort();
+    inFlight.dispose();
+    if (outcome !== undefined) return outcome;
+    return mayHaveRun("deadline-exceeded", `no answer of ${target} in time`);
+  }
+
+  #mayTryAgain(planned: PlannedCall, failure: Failure): boolean {
+    const { request, mayRepeat } = planned;
+    if (request.signal.aborted) return false;
+    if (this.#options.clock.nowMs() >= request.deadlineMs) return false;
+    switch (failure.code) {
+      case "no-target":
+      case "cancelled":
+      case "deadline-exceeded":
+      case "bad-request":
+        return false;
+      default:
+        return mayRepeat || failure.verdict === "not-run";
+    }
+  }
+
+  #withRetryTime(failure: Failure): Failure {
+    const { clock, comeBackAfterMs } = this.#options;
+    const retryAtWallMs = failure.retryAtWallMs ??
+      clock.wallMs() + comeBackAfterMs;
+    return { ...failure, retryAtWallMs };
+  }
+
+  #noteEnd(request: CallRequest, outcome: Outcome<ServiceAnswer>): void {
+    const { journal } = this.#options;
+    if (outcome.isOk()) {
+      const { status } = outcome.value;
+      journal.note(request.requestId, "complete", { status });
+      return;
+    }
+    const { verdict, code } = outcome.error;
+    journal.note(request.requestId, "given-up", { verdict, code });
+  }
+}
+
+/** Checked right before the request is sent, with no wait in between. */
+function blockedBy(
+  request: CallRequest,
+  claim: IClaim | undefined,
+  clock: Clock,
+): Failure | undefined {
+  if (request.signal.aborted) {
+    return notRun("cancelled", "the caller cancelled the request").error;
+  }
+  if (clock.nowMs() >= request.deadlineMs) {
+    return notRun("deadline-exceeded", "the request's deadline passed").error;
+  }
+  if (claim !== undefined && !claim.mayDispatch()) {
+    return notRun("deadline-exceeded", "the claim may no longer be used").error;
+  }
+  return undefined;
+}
--- /dev/null
+++ b/src/requests/claim_grouper.ts
@@ -0,0 +1,205 @@
+/**
+ * Gathers the ops of one claim stream into few appends and reads their fates
+ * from the log's order. Any host may run one for any partition at any time.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import { type Failure, mayHaveRun, type Outcome } from "../common/verdict.ts";
+import type { ILogClient } from "../platform/services.ts";
+import type { AppendBudget } from "./append_budget.ts";
+import { ClaimLedger } from "./claim_ledger.ts";
+import { type ClaimFate, type ClaimOp, claimStream } from "./claim_records.ts";
+import { type Deferred, deferred } from "./deferred.ts";
+
+/** Options of `ClaimGrouper`. */
+export interface ClaimGrouperOptions {
+  readonly clock: Clock;
+  readonly log: ILogClient;
+  readonly partition: number;
+  readonly windowMs: number;
+  /** The bucket that pays for the next append. */
+  readonly budget: () => AppendBudget;
+  /** Makes identifiers of records, each unique over the fleet. */
+  readonly newId: () => string;
+  /** Shortest time between two appends. */
+  readonly groupEveryMs: number;
+  /** How long one call of the log may take. */
+  readonly logWithinMs: number;
+  /** Ops in one record, and waiting, at most. */
+  readonly maxBatch: number;
+  readonly maxPending: number;
+}
+
+interface PendingOp {
+  readonly op: ClaimOp;
+  readonly deadlineMs: number;
+  readonly fate: Deferred<ClaimFate>;
+}
+
+const FIRST_BACKOFF_MS = 250;
+const LAST_BACKOFF_MS = 2_000;
+const READ_LIMIT = 1_000;
+
+/** Groups the ops of one partition on this host. */
+export class ClaimGrouper {
+  readonly #options: ClaimGrouperOptions;
+  readonly #stream: string;
+  readonly #ledger: ClaimLedger;
+  #pending: PendingOp[] = [];
+  #isWorking = false;
+  #lastAppendMs = -Infinity;
+  #backoffMs = 0;
+  #outageUntilMs = -Infinity;
+
+  constructor(options: ClaimGrouperOptions) {
+    this.#options = options;
+    this.#stream = claimStream(options.partition);
+    this.#ledger = new ClaimLedger({ windowMs: options.windowMs });
+  }
+
+  /** Keys and claims that the ledger holds. */
+  get size(): number {
+    return this.#ledger.size;
+  }
+
+  /** Resolves with the fate of an op; at once while the log is down. */
+  submit(
+    op: ClaimOp,
+    options: { deadlineMs: number },
+  ): Promise<ClaimFate> {
+    const { clock, maxPending, groupEveryMs } = this.#options;
+    const untilMs = this.#outageUntilMs - clock.nowMs();
+    if (untilMs > 0) {
+      return Promise.resolve(refused("the log does not answer", untilMs));
+    }
+    if (this.#pending.length >= maxPending) {
+      return Promise.resolve(refused("too many claims wait", groupEveryMs));
+    }
+    const fate = deferred<ClaimFate>();
+    this.#pending.push({ op, deadlineMs: options.deadlineMs, fate });
+    if (!this.#isWorking) void this.#work();
+    return fate.promise;
+  }
+
+  async #work(): Promise<void> {
+    const { clock, groupEveryMs } = this.#options;
+    this.#isWorking = true;
+    while (this.#pending.length > 0) {
+      const dueMs = this.#lastAppendMs + groupEveryMs - clock.nowMs();
+      const waitMs = Math.max(dueMs, this.#options.budget().waitMs());
+      this.#refuseLate(waitMs);
+      if (waitMs > 0) await clock.sleep(waitMs);
+      else await this.#settleGroup();
+    }
+    this.#isWorking = false;
+  }
+
+  /** Refuses at once what cannot be appended before its deadline. */
+  #refuseLate(waitMs: number): void {
+    const atMs = this.#options.clock.nowMs() + waitMs;
+    const isLate = (entry: PendingOp) => entry.deadlineMs <= atMs;
+    const late = this.#pending.filter(isLate);
+    this.#pending = this.#pending.filter((entry) => !isLate(entry));
+    for (const { fate } of late) {
+      fate.resolve(refused("the append budget is spent", waitMs));
+    }
+  }
+
+  async #settleGroup(): Promise<void> {
+    const group = this.#pending.splice(0, this.#options.maxBatch);
+    this.#lastAppendMs = this.#options.clock.nowMs();
+    const fresh = await this.#withoutKnown(group);
+    if (fresh.length === 0) return;
+    this.#options.budget().take();
+    const recordId = this.#options.newId();
+    const data = { ops: fresh.map((entry) => entry.op) };
+    const appended = await this.#options.log.append(
+      this.#stream,
+      [{ id: recordId, data }],
+      { deadlineMs: this.#logDeadlineMs() },
+    );
+    if (appended.isErr() && appended.error.verdict === "not-run") {
+      return this.#refuse(fresh, appended.error);
+    }
+    const caughtUp = await this.#catchUp(appended.unwrapOr(-1));
+    if (appended.isErr() || caughtUp.isErr()) this.#noteOutage();
+    else this.#backoffMs = 0;
+    for (const { op, fate } of fresh) {
+      fate.resolve(this.#ledger.fateOf(op) ?? unsettled());
+    }
+  }
+
+  /** Answers what the log has already decided, and returns the rest. */
+  async #withoutKnown(group: PendingOp[]): Promise<PendingOp[]> {
+    const isKnown = ({ op }: PendingOp) =>
+      this.#ledger.fateOf(op) !== undefined;
+    const mayBeStale = this.#ledger.nextOffset === 0 || group.some(isKnown);
+    if (mayBeStale) {
+      const caughtUp = await this.#catchUp(-1);
+      if (caughtUp.isErr()) {
+        this.#refuse(group, caughtUp.error);
+        return [];
+      }
+    }
+    const fresh: PendingOp[] = [];
+    for (const entry of group) {
+      const fate = this.#ledger.fateOf(entry.op);
+      if (fate === undefined) fresh.push(entry);
+      else entry.fate.resolve(fate);
+    }
+    return fresh;
+  }
+
+  /** Reads to the end of the stream, and past `offset` at least. */
+  async #catchUp(offset: number): Promise<Outcome<void>> {
+    const { log } = this.#options;
+    for (;;) {
+      const fromOffset = this.#ledger.nextOffset;
+      const read = await log.read(this.#stream, fromOffset, {
+        deadlineMs: this.#logDeadlineMs(),
+        limit: READ_LIMIT,
+      });
+      if (read.isErr()) return read;
+      const { records, firstOffset, nextOffset } = read.value;
+      this.#ledger.skipTo(firstOffset);
+      for (const record of records) this.#ledger.apply(record);
+      const reached = this.#ledger.nextOffset;
+      if (reached >= nextOffset && reached > offset) return read.map(() => {});
+      if (reached === fromOffset) {
+        const message = `stream ${this.#stream} gave nothing at ${reached}`;
+        return mayHaveRun("log-unavailable", message);
+      }
+    }
+  }
+
+  #refuse(group: readonly PendingOp[], failure: Failure): void {
+    this.#noteOutage();
+    const waitMs = this.#outageUntilMs - this.#options.clock.nowMs();
+    for (const { fate } of group) {
+      fate.resolve(refused(failure.message, waitMs));
+    }
+  }
+
+  /** Sends nothing to the log for a while, longer each time. */
+  #noteOutage(): void {
+    this.#backoffMs = Math.min(
+      LAST_BACKOFF_MS,
+      Math.max(FIRST_BACKOFF_MS, this.#backoffMs * 2),
+    );
+    this.#outageUntilMs = this.#options.clock.nowMs() + this.#backoffMs;
+  }
+
+  #logDeadlineMs(): number {
+    return this.#options.clock.nowMs() + this.#options.logWithinMs;
+  }
+}
+
+function refused(message: string, retryAfterMs: number): ClaimFate {
+  return { kind: "refused", message, retryAfterMs: Math.max(0, retryAfterMs) };
+}
+
+function unsettled(): ClaimFate {
+  return { kind: "unsettled", message: "the log's answer was lost" };
+}
--- /dev/null
+++ b/src/requests/claim_service.ts
@@ -0,0 +1,313 @@
+/**
+ * Claims on requests that must run at most once. A host may dispatch such a
+ * request only after it has seen its claim first in the log's order for the
+ * key; nobody takes a claim over, and only its holder gives it back.
+ *
+ * @module
+ */
+
+import { randomBytes } from "node:crypto";
+import { Err, Ok } from "ts-results-es";
+import { type Clock, systemClock } from "../common/clock.ts";
+import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
+import {
+  type Failure,
+  mayHaveRun,
+  notRun,
+  type Outcome,
+} from "../common/verdict.ts";
+import type { IMembership, IPeerTransport } from "../fleet/services.ts";
+import type { ILogClient } from "../platform/services.ts";
+import {
+  type ClaimFate,
+  type ClaimOp,
+  type ClaimResult,
+  type ClaimStatus,
+  digestClaimKey,
+  parseClaimStatus,
+  parseClaimStatusQuery,
+} from "./claim_records.ts";
+import { type ClaimPolicy, ClaimRouter } from "./claim_router.ts";
+import type { ClaimKey, IClaim, IClaimService } from "./services.ts";
+
+/** Options of `ClaimService`. */
+export interface ClaimServiceOptions {
+  readonly log: ILogClient;
+  readonly membership: IMembership;
+  readonly transport: IPeerTransport;
+  readonly clock?: Clock;
+  /** Makes identifiers of claims and records, each unique over the fleet. */
+  readonly newId?: () => string;
+  readonly policy?: Partial<ClaimPolicy>;
+}
+
+const DEFAULT_POLICY: ClaimPolicy = {
+  windowMs: 900_000,
+  groupedAppendsPerS: 160,
+  standInAppendsPerS: 40,
+  groupEveryMs: 25,
+  logWithinMs: 1_000,
+  hopWithinMs: 500,
+  settleWithinMs: 1_500,
+  maxBatch: 500,
+  maxPending: 5_000,
+};
+
+/** Pause before a key is asked for again that its holder is giving back. */
+const FREE_SOON_MS = 50;
+/** Pause before a release or an outcome is sent again, doubled up to a limit. */
+const FIRST_RESEND_MS = 250;
+const LAST_RESEND_MS = 10_000;
+/** Own claims remembered whose end has not reached the log. */
+const MAX_OWN_CLAIMS = 20_000;
+/** Time for a holder to say how its claim stands. */
+const STATUS_WITHIN_MS = 250;
+
+/** What this host knows of a claim of its own. */
+interface OwnClaim {
+  readonly claimId: string;
+  readonly key: string;
+  status: Exclude<ClaimStatus, "unknown">;
+}
+
+/** Bounds of one `acquire`. */
+interface AcquireBounds {
+  readonly deadlineMs: number;
+  /** When the asker is told that its claim did not settle. */
+  readonly settleByMs: number;
+  readonly signal?: AbortSignal;
+}
+
+/** Acquires claims through the log. */
+export class ClaimService implements IClaimService, Disposable {
+  readonly #clock: Clock;
+  readonly #membership: IMembership;
+  readonly #transport: IPeerTransport;
+  readonly #newId: () => string;
+  readonly #policy: ClaimPolicy;
+  readonly #router: ClaimRouter;
+  readonly #own = new Map<string, OwnClaim>();
+  readonly #owned = new DisposableStore();
+  readonly #stop = new AbortController();
+
+  constructor(options: ClaimServiceOptions) {
+    this.#clock = options.clock ?? systemClock;
+    this.#membership = options.membership;
+    this.#transport = options.transport;
+    this.#newId = options.newId ??
+      (() => randomBytes(12).toString("base64url"));
+    this.#policy = { ...DEFAULT_POLICY, ...options.policy };
+    this.#router = this.#owned.add(
+      new ClaimRouter({
+        ...options,
+        clock: this.#clock,
+        newId: this.#newId,
+        policy: this.#policy,
+      }),
+    );
+    this.#owned.add(
+      options.transport.handle("claims.status", (sent) => this.#serve(sent)),
+    );
+  }
+
+  dispose(): void {
+    this.#stop.abort();
+    this.#owned.dispose();
+  }
+
+  async acquire(
+    key: ClaimKey,
+    options: { deadlineMs: number; signal?: AbortSignal },
+  ): Promise<Outcome<IClaim>> {
+    const digest = digestClaimKey(key);
+    const settleByMs = Math.min(
+      options.deadlineMs,
+      this.#clock.nowMs() + this.#policy.settleWithinMs,
+    );
+    const bounds = { ...options, settleByMs };
+    for (;;) {
+      const tried = await this.#tryOnce(digest, bounds);
+      if (tried !== "free-soon") return tried;
+      if (this.#clock.nowMs() + FREE_SOON_MS >= settleByMs) {
+        return this.#refuse(
+          "claim-held",
+          "an earlier try is giving the key back",
+        );
+      }
+      await this.#clock.sleep(FREE_SOON_MS, options.signal);
+    }
+  }
+
+  /** Appends one claim and reads whether it is first. */
+  async #tryOnce(
+    digest: string,
+    bounds: AcquireBounds,
+  ): Promise<Outcome<IClaim> | "free-soon"> {
+    const own = this.#begin(digest);
+    if (own === undefined) {
+      return this.#refuse("overloaded", `${this.#own.size} claims are open`);
+    }
+    const asked = this.#router.submit(this.#claimOp(own, bounds.deadlineMs), {
+      deadlineMs: bounds.settleByMs,
+    });
+    const { fate, mayStillAppear } = await asked;
+    const isLate = this.#clock.nowMs() >= bounds.settleByMs ||
+      bounds.signal?.aborted === true;
+    if (fate.kind === "won" && !isLate) {
+      return new Ok(this.#hold(own, bounds.deadlineMs));
+    }
+    own.status = "dead";
+    if (fate.kind === "won" || mayStillAppear) void this.#giveBack(own);
+    else this.#own.delete(own.claimId);
+    if (bounds.signal?.aborted) {
+      return notRun("cancelled", "the caller cancelled the request");
+    }
+    return await this.#judgeUnheld(fate, bounds);
+  }
+
+  #begin(key: string): OwnClaim | undefined {
+    if (this.#own.size >= MAX_OWN_CLAIMS) return undefined;
+    const claimId = this.#newId();
+    const own: OwnClaim = { claimId, key, status: "running" };
+    this.#own.set(claimId, own);
+    return own;
+  }
+
+  #claimOp(own: OwnClaim, deadlineMs: number): ClaimOp {
+    return {
+      kind: "claim",
+      key: own.key,
+      claimId: own.claimId,
+      holder: this.#membership.self.name,
+      lastsMs: Math.max(0, Math.ceil(deadlineMs - this.#clock.nowMs())),
+    };
+  }
+
+  async #judgeUnheld(
+    fate: ClaimFate,
+    bounds: AcquireBounds,
+  ): Promise<Outcome<IClaim> | "free-soon"> {
+    switch (fate.kind) {
+      case "lost":
+        return await this.#judgeLost(fate, bounds);
+      case "refused":
+        return this.#refuse("log-unavailable", fate.message, fate.retryAfterMs);
+      case "unsettled":
+        return this.#refuse("log-unavailable", fate.message);
+      case "won":
+      case "noted":
+        return this.#refuse("deadline-exceeded", "the claim settled too late");
+    }
+  }
+
+  /** Tells a duplicate what is known of the try that holds its key. */
+  async #judgeLost(
+    fate: Extract<ClaimFate, { kind: "lost" }>,
+    bounds: AcquireBounds,
+  ): Promise<Outcome<IClaim> | "free-soon"> {
+    if (fate.claimId === undefined) return "free-soon";
+    const status = fate.result ?? await this.#askHolder(fate, bounds);
+    switch (status) {
+      case "dead":
+        return "free-soon";
+      case "ran":
+        return mayHaveRun("already-ran", "an earlier try of the key ran");
+      case "running":
+        return mayHaveRun(
+          "claim-held",
+          "an earlier try of the key is running",
+          {
+            retryAtWallMs: this.#clock.wallMs() + 1_000,
+          },
+        );
+      default:
+        return mayHaveRun(
+          "claim-held",
+          "an earlier try of the key may have run",
+        );
+    }
+  }
+
+  async #askHolder(
+    fate: Extract<ClaimFate, { kind: "lost" }>,
+    bounds: AcquireBounds,
+  ): Promise<ClaimStatus> {
+    const { claimId, holder } = fate;
+    if (claimId === undefined) return "unknown";
+    if (holder === this.#membership.self.name) return this.#statusOf(claimId);
+    const member = this.#membership.members()
+      .find((candidate) => candidate.name === holder);
+    if (member === undefined) return "unknown";
+    const deadlineMs = Math.min(
+      bounds.settleByMs,
+      this.#clock.nowMs() + STATUS_WITHIN_MS,
+    );
+    const answered = await this.#transport.call(member.url, {
+      method: "claims.status",
+      parameters: { claimId },
+    }, { deadlineMs });
+    return answered.isOk() ? parseClaimStatus(answered.value) : "unknown";
+  }
+
+  #serve(parameters: unknown): ClaimStatus {
+    return this.#statusOf(parseClaimStatusQuery(parameters));
+  }
+
+  #statusOf(claimId: string): ClaimStatus {
+    return this.#own.get(claimId)?.status ?? "unknown";
+  }
+
+  #hold(own: OwnClaim, deadlineMs: number): IClaim {
+    const deadlineWallMs = this.#clock.wallMs() + deadlineMs -
+      this.#clock.nowMs();
+    return {
+      claimId: own.claimId,
+      mayDispatch: () =>
+        own.status === "running" && this.#clock.nowMs() < deadlineMs &&
+        this.#clock.wallMs() < deadlineWallMs,
+      release: () => {
+        own.status = "dead";
+        void this.#giveBack(own);
+      },
+      settle: (result) => {
+        own.status = result;
+        void this.#noteResult(own, result);
+      },
+    };
+  }
+
+  #giveBack(own: OwnClaim): Promise<void> {
+    const { key, claimId } = own;
+    return this.#sendUntilNoted({ kind: "release", key, claimId });
+  }
+
+  #noteResult(own: OwnClaim, result: ClaimResult): Promise<void> {
+    const { key, claimId } = own;
+    return this.#sendUntilNoted({ kind: "outcome", key, claimId, result });
+  }
+
+  /** Sends an op again and again until it is known to be in the log. */
+  async #sendUntilNoted(op: ClaimOp): Promise<void> {
+    const { signal } = this.#stop;
+    for (
+      let waitMs = FIRST_RESEND_MS;
+      !signal.aborted;
+      waitMs = Math.min(LAST_RESEND_MS, waitMs * 2)
+    ) {
+      const deadlineMs = this.#clock.nowMs() + this.#policy.settleWithinMs;
+      const { fate } = await this.#router.submit(op, { deadlineMs });
+      if (fate.kind === "noted") break;
+      await this.#clock.sleep(waitMs, signal);
+    }
+    this.#own.delete(op.claimId);
+  }
+
+  #refuse(
+    code: Failure["code"],
+    message: string,
+    retryAfterMs = 1_000,
+  ): Err<Failure> {
+    const retryAtWallMs = Math.ceil(this.#clock.wallMs() + retryAfterMs);
+    return notRun(code, message, { retryAtWallMs });
+  }
+}
--- /dev/null
+++ b/src/requests/completion_run.ts
@@ -0,0 +1,324 @@
+/**
+ * One completion from its first attempt to its end: picks chains, resumes at
+ * the next token when a chain is lost, and gives up with the verdict on all
+ * attempts.
+ *
+ * @module
+ */
+
+import { Err, Ok } from "ts-results-es";
+import type { Clock } from "../common/clock.ts";
+import { hash32 } from "../common/hash.ts";
+import { type Failure, notRun, type Outcome } from "../common/verdict.ts";
+import type {
+  ChainPick,
+  IChainPicker,
+  PickRequest,
+} from "../pipelines/services.ts";
+import type { IEngineClient } from "../platform/services.ts";
+import type { ChainStage, EngineToken } from "../platform/types.ts";
+import {
+  type AttemptEnd,
+  type AttemptFault,
+  CompletionAttempt,
+} from "./completion_attempt.ts";
+import { probeChain, type ProbeResult } from "./loss_probe.ts";
+import type { RetryBudget } from "./retry_budget.ts";
+import type { IQuarantineService, IRequestJournal } from "./services.ts";
+import type {
+  AnswerListener,
+  CompletionEnd,
+  CompletionRequest,
+} from "./types.ts";
+import { VerdictTally } from "./verdict_tally.ts";
+
+/** Options of `CompletionRun`. */
+export interface CompletionRunOptions {
+  readonly clock: Clock;
+  readonly picker: IChainPicker;
+  readonly engines: IEngineClient;
+  readonly journal: IRequestJournal;
+  readonly quarantine: IQuarantineService;
+  readonly retryBudget: RetryBudget;
+  readonly newId: () => string;
+  readonly policy: CompletionPolicy;
+  readonly request: CompletionRequest;
+  readonly onTokens: AnswerListener;
+  readonly fingerprint: string;
+  readonly priority: number;
+  readonly cacheScope: string;
+}
+
+/** Bounds on the work spent on one completion. */
+export interface CompletionPolicy {
+  readonly maxAttempts: number;
+  /** How long an engine of a broken chain may take to show that it lives. */
+  readonly probeWithinMs: number;
+  /** How long a resumed answer waits for a chain to come back. */
+  readonly waitForChainMs: number;
+  /** Pause between two looks for a chain. */
+  readonly repickEveryMs: number;
+  /** When to tell a caller to come back after a failure without a better time. */
+  readonly comeBackAfterMs: number;
+}
+
+/** Characters of the prompt that choose the engine with a cached prefix. */
+const PREFIX_LENGTH = 256;
+
+/** Runs one completion; `run` is called once. */
+export class CompletionRun {
+  readonly #options: CompletionRunOptions;
+  readonly #generated: number[] = [];
+  readonly #avoid = new Set<string>();
+  readonly #tally = new VerdictTally();
+  #attemptCount = 0;
+  #pinned: ChainPick | undefined;
+
+  constructor(options: CompletionRunOptions) {
+    this.#options = options;
+  }
+
+  /** Resolves with the whole answer's end or the honest failure. */
+  async run(): Promise<Outcome<CompletionEnd>> {
+    for (;;) {
+      const admitted = this.#options.quarantine.admit(
+        this.#options.fingerprint,
+      );
+      if (admitted.isErr()) return this.#giveUp(admitted.error);
+      const picked = await this.#pickInTime();
+      if (picked.isErr()) return this.#giveUp(picked.error);
+      const ended = await this.#attempt(picked.value);
+      if (ended.kind === "whole") return this.#finish(ended);
+      this.#tally.note(ended.failure.verdict);
+      const refusal = this.#refuseRetry(ended);
+      if (refusal !== undefined) return this.#giveUp(refusal);
+    }
+  }
+
+  async #attempt(pick: ChainPick): Promise<AttemptEnd> {
+    const { newId, request, journal } = this.#options;
+    this.#attemptCount += 1;
+    this.#pinned ??= pick;
+    const attemptId = newId();
+    const attempt = new CompletionAttempt({
+      ...this.#options,
+      pick,
+      attemptId,
+      generated: [...this.#generated],
+      release: (tokens) => this.#release(tokens),
+    });
+    journal.note(request.requestId, "attempt", {
+      attemptId,
+      chain: pick.chain.map((stage) => stage.target),
+      fromIndex: this.#generated.length,
+    });
+    const ended = await attempt.run();
+    const settled = await this.#followUp(attempt, pick, ended);
+    if (settled.kind === "failed") attempt.cut();
+    pick.dispose();
+    return settled;
+  }
+
+  /** Learns from a failed attempt, and listens again where that is enough. */
+  async #followUp(
+    attempt: CompletionAttempt,
+    pick: ChainPick,
+    ended: AttemptEnd,
+  ): Promise<AttemptEnd> {
+    if (ended.kind === "whole") {
+      const { load } = ended.end;
+      if (load) this.#options.picker.reportLoad(pick.chain[0].target, load);
+      return ended;
+    }
+    this.#noteFailure(ended.fault, ended.failure);
+    switch (ended.fault) {
+      case "connect":
+        this.#blame([pick.chain[0].target], "connect");
+        return ended;
+      case "broken":
+        return await this.#afterBreak(attempt, pick, ended);
+      case "stalled":
+        attempt.cut();
+        await this.#locateStall(pick.chain);
+        return ended;
+      case "stale-generation":
+        await this.#locateChange(pick.chain);
+        return ended;
+      case "refused":
+        this.#avoid.add(pick.chain[0].target);
+        return ended;
+      case "bad-answer":
+      case "given-up":
+        return ended;
+    }
+  }
+
+  async #afterBreak(
+    attempt: CompletionAttempt,
+    pick: ChainPick,
+    ended: AttemptEnd,
+  ): Promise<AttemptEnd> {
+    const found = await this.#probe(pick.chain);
+    this.#blame(found.lost, "broken");
+    this.#blame(found.silent, "stalled");
+    this.#blame(found.changed, "stale-generation");
+    await this.#strike(found.lost);
+    const isIntact = found.lost.length + found.silent.length +
+        found.changed.length === 0;
+    if (!isIntact) return ended;
+    const again = await attempt.reattach();
+    if (again.kind === "whole") return again;
+    this.#noteFailure(again.fault, again.failure);
+    this.#avoid.add(pick.chain[0].target);
+    return again.fault === "given-up" ? again : ended;
+  }
+
+  /** Names the silent engines of a stalled chain; a slow link has none. */
+  async #locateStall(chain: readonly ChainStage[]): Promise<void> {
+    const found = await this.#probe(chain);
+    this.#blame([...found.lost, ...found.silent], "stalled");
+    await this.#strike(found.lost);
+    if (found.lost.length + found.silent.length > 0) return;
+    for (const stage of chain) this.#avoid.add(stage.target);
+  }
+
+  async #locateChange(chain: readonly ChainStage[]): Promise<void> {
+    const found = await this.#probe(chain);
+    this.#blame(found.changed, "stale-generation");
+    this.#blame(found.silent, "stalled");
+    this.#blame(found.lost, "connect");
+  }
+
+  #probe(chain: readonly ChainStage[]): Promise<ProbeResult> {
+    const { clock, engines, policy } = this.#options;
+    return probeChain(chain, {
+      clock,
+      engines,
+      withinMs: policy.probeWithinMs,
+    });
+  }
+
+  #blame(
+    targets: readonly string[],
+    kind: Parameters<IChainPicker["reportFailure"]>[1],
+  ): void {
+    for (const target of targets) {
+      this.#avoid.add(target);
+      this.#options.picker.reportFailure(target, kind);
+    }
+  }
+
+  async #strike(lost: readonly string[]): Promise<void> {
+    const { quarantine, fingerprint, request } = this.#options;
+    const { deadlineMs } = request;
+    await Promise.all(
+      lost.map((target) =>
+        quarantine.strike(fingerprint, { target, deadlineMs })
+      ),
+    );
+  }
+
+  #release(tokens: readonly EngineToken[]): void {
+    for (const token of tokens) this.#generated.push(token.id);
+    this.#options.onTokens(
+      tokens.map(({ index, id, text }) => ({ index, id, text })),
+    );
+  }
+
+  /** Picks a chain; an answer already begun waits a while for one. */
+  async #pickInTime(): Promise<Outcome<ChainPick>> {
+    const { clock, policy, request } = this.#options;
+    const giveUpMs = Math.min(
+      request.deadlineMs,
+      clock.nowMs() + policy.waitForChainMs,
+    );
+    for (;;) {
+      if (request.signal.aborted) {
+        return notRun("cancelled", "the caller cancelled the request");
+      }
+      const picked = this.#pick();
+      if (picked.isOk() || this.#generated.length === 0) return picked;
+      if (clock.nowMs() + policy.repickEveryMs >= giveUpMs) return picked;
+      await clock.sleep(policy.repickEveryMs, request.signal);
+    }
+  }
+
+  #pick(): Outcome<ChainPick> {
+    const { picker, request } = this.#options;
+    const wanted: PickRequest = {
+      pipeline: request.pipeline,
+      prefixHash: hash32(request.prompt.slice(0, PREFIX_LENGTH)),
+      avoid: this.#avoid,
+      version: this.#pinned?.version,
+    };
+    const first = picker.pick(wanted);
+    const picked = first.isErr() && this.#avoid.size > 0
+      ? picker.pick({ ...wanted, avoid: new Set() })
+      : first;
+    if (picked.isErr()) return picked;
+    return this.#keepVersion(picked.value);
+  }
+
+  #keepVersion(pick: ChainPick): Outcome<ChainPick> {
+    const pinned = this.#pinned;
+    const isSame = pinned === undefined ||
+      (pinned.model === pick.model && pinned.version === pick.version &&
+        pinned.adapter === pick.adapter);
+    if (isSame) return new Ok(pick);
+    pick.dispose();
+    return notRun(
+      "no-target",
+      `no chain of version ${pinned.version} is left`,
+    );
+  }
+
+  /** Returns the failure to give up with, or undefined for another attempt. */
+  #refuseRetry(
+    ended: Extract<AttemptEnd, { kind: "failed" }>,
+  ): Failure | undefined {
+    const { clock, policy, request, retryBudget } = this.#options;
+    const isFinal = ended.fault === "given-up" ||
+      request.signal.aborted ||
+      clock.nowMs() >= request.deadlineMs ||
+      this.#attemptCount >= policy.maxAttempts ||
+      !retryBudget.takeRetry();
+    return isFinal ? ended.failure : undefined;
+  }
+
+  #noteFailure(fault: AttemptFault, failure: Failure): void {
+    const { journal, request } = this.#options;
+    journal.note(request.requestId, "attempt-failed", {
+      fault,
+      code: failure.code,
+      message: failure.message,
+    });
+  }
+
+  #finish(
+    ended: Extract<AttemptEnd, { kind: "whole" }>,
+  ): Outcome<CompletionEnd> {
+    const { journal, request } = this.#options;
+    const end = {
+      tokenCount: ended.end.tokenCount,
+      reason: ended.end.reason,
+      attemptCount: this.#attemptCount,
+    };
+    journal.note(request.requestId, "complete", end);
+    return new Ok(end);
+  }
+
+  #giveUp(failure: Failure): Outcome<CompletionEnd> {
+    const { clock, journal, policy, request } = this.#options;
+    const combined = this.#tally.finish(failure);
+    const final = {
+      ...combined,
+      retryAtWallMs: combined.retryAtWallMs ??
+        clock.wallMs() + policy.comeBackAfterMs,
+    };
+    journal.note(request.requestId, "given-up", {
+      verdict: final.verdict,
+      code: final.code,
+    });
+    return new Err(final);
+  }
+}
--- /dev/null
+++ b/test/requests_engines.ts
@@ -0,0 +1,380 @@
+/**
+ * Engines in memory, chained by spans, whose faults strike at a chosen token,
+ * and a picker over them that works from reports of some age.
+ *
+ * @module
+ */
+
+import { Ok } from "ts-results-es";
+import type { Clock } from "../src/common/clock.ts";
+import { hash32 } from "../src/common/hash.ts";
+import type { Random } from "../src/common/random.ts";
+import { mayHaveRun, notRun, type Outcome } from "../src/common/verdict.ts";
+import type {
+  ChainPick,
+  IChainPicker,
+  PickRequest,
+} from "../src/pipelines/services.ts";
+import type { IEngineClient, TokenListener } from "../src/platform/services.ts";
+import {
+  type CallOptions,
+  chainSignature,
+  type ChainStage,
+  type EngineEnd,
+  type EngineState,
+  type EngineToken,
+  type GenerateRequest,
+} from "../src/platform/types.ts";
+
+/** Faults of engines and of what they send. */
+export const ENGINE_FAULTS = [
+  "kill",
+  "freeze",
+  "cut",
+  "crawl",
+  "respan",
+  "foreign",
+  "duplicate",
+  "reorder",
+  "short-end",
+  "late",
+] as const;
+export type EngineFault = typeof ENGINE_FAULTS[number];
+
+/** One fault: it strikes a stage of the chain that computes token `atIndex`. */
+export interface PlannedFault {
+  readonly fault: EngineFault;
+  readonly atIndex: number;
+  readonly stage: number;
+}
+
+interface TestEngine {
+  readonly target: string;
+  first: number;
+  end: number;
+  generation: number;
+  state: "alive" | "frozen" | "dead";
+  crawls: boolean;
+}
+
+interface TestAttempt {
+  readonly request: GenerateRequest;
+  readonly tokens: EngineToken[];
+  end?: "stop" | "broken" | "failed";
+  isCut: boolean;
+  isCancelled: boolean;
+}
+
+export const LAYER_COUNT = 12;
+export const TOKEN_MS = 10;
+const CRAWL_MS = 5_000;
+
+/** The text that an unbroken generation of token `index` gives. */
+export function expectedText(prompt: string, index: number): string {
+  return `${hash32(`${prompt}/${index}`) % 1_000} `;
+}
+
+/** Engines that hold spans of one model, reached by the service under test. */
+export class TestEngines implements IEngineClient {
+  readonly engines = new Map<string, TestEngine>();
+  readonly attempts = new Map<string, TestAttempt>();
+  readonly #clock: Clock;
+  readonly #length: number;
+  #faults: PlannedFault[];
+
+  constructor(
+    options: { clock: Clock; length: number; faults?: PlannedFault[] },
+  ) {
+    this.#clock = options.clock;
+    this.#length = options.length;
+    this.#faults = [...(options.faults ?? [])];
+  }
+
+  add(target: string, span: { first: number; end: number }): void {
+    const engine: TestEngine = {
+      target,
+      ...span,
+      generation: 1,
+      state: "alive",
+      crawls: false,
+    };
+    this.engines.set(target, engine);
+  }
+
+  async generate(
+    url: string,
+    request: GenerateRequest,
+    options: CallOptions & { onTokens: TokenListener },
+  ): Promise<Outcome<EngineEnd>> {
+    const first = this.#at(url);
+    await this.#clock.sleep(1);
+    if (first.state === "dead") {
+      return notRun("connection-failed", `${url} refused the connection`);
+    }
+    for (const stage of request.chain) {
+      if (this.#at(stage.url).generation !== stage.generation) {
+        return notRun("stale-generation", `${stage.target} has changed`);
+      }
+    }
+    const attempt: TestAttempt = {
+      request,
+      tokens: [],
+      isCut: false,
+      isCancelled: false,
+    };
+    this.attempts.set(request.attemptId, attempt);
+    void this.#produce(attempt);
+    return await this.#deliver(attempt, request.generated.length, options);
+  }
+
+  async reattach(
+    url: string,
+    { attemptId, fromIndex }: { attemptId: string; fromIndex: number },
+    options: CallOptions & { onTokens: TokenListener },
+  ): Promise<Outcome<EngineEnd>> {
+    await this.#clock.sleep(1);
+    const attempt = this.attempts.get(attemptId);
+    if (this.#at(url).state === "dead" || attempt === undefined) {
+      return notRun("connection-failed", `${url} refused the connection`);
+    }
+    attempt.isCut = false;
+    return await this.#deliver(attempt, fromIndex, options);
+  }
+
+  cancel(_url: string, attemptId: string): Promise<Outcome<void>> {
+    const attempt = this.attempts.get(attemptId);
+    if (attempt) attempt.isCancelled = true;
+    return Promise.resolve(Ok.EMPTY);
+  }
+
+  async readState(
+    url: string,
+    options: CallOptions,
+  ): Promise<Outcome<EngineState>> {
+    const engine = this.#at(url);
+    await this.#clock.sleep(1);
+    if (engine.state === "dead") {
+      return notRun("connection-failed", `${url} refused the connection`);
+    }
+    if (engine.state === "frozen") {
+      await this.#clock.sleep(options.deadlineMs - this.#clock.nowMs());
+      return mayHaveRun("deadline-exceeded", `${url} did not answer`);
+    }
+    const { target, first, end, generation } = engine;
+    return new Ok({
+      target,
+      first,
+      end,
+      generation,
+      model: "m",
+      version: "v1",
+      adapters: [],
+      role: "both",
+      fence: 0,
+      leaving: false,
+      loading: false,
+      load: { running: 0, queued: 0, asOfWallMs: 0 },
+    });
+  }
+
+  order(): Promise<Outcome<EngineState>> {
+    return Promise.resolve(notRun("internal", "not ordered here"));
+  }
+
+  #at(url: string): TestEngine {
+    const engine = this.engines.get(url.slice("http://".length));
+    if (engine === undefined) throw new Error(`no engine at ${url}`);
+    return engine;
+  }
+
+  /** Computes token after token as long as every stage runs. */
+  async #produce(attempt: TestAttempt): Promise<void> {
+    const { request, tokens } = attempt;
+    const chain = request.chain.map((stage) => this.#at(stage.url));
+    const last = Math.min(this.#length, request.maxTokens);
+    for (let index = request.generated.length; index < last; index += 1) {
+      this.#strike(attempt, index, chain);
+      const isSlow = chain.some((engine) => engine.crawls);
+      await this.#clock.sleep(isSlow ? CRAWL_MS : TOKEN_MS);
+      if (attempt.isCancelled || attempt.end) return;
+      if (chain.some((engine) => engine.state === "frozen")) return;
+      const lost = chain.findIndex((engine) => engine.state === "dead");
+      if (lost >= 0) {
+        attempt.end = lost === 0 ? "broken" : "failed";
+        return;
+      }
+      tokens.push(this.#compute(attempt, index, chain));
+    }
+    attempt.end ??= "stop";
+  }
+
+  #compute(
+    { request }: TestAttempt,
+    index: number,
+    chain: readonly TestEngine[],
+  ): EngineToken {
+    const ends = [0, ...chain.map((engine) => engine.end)];
+    const isWhole = chain.every((engine, at) => engine.first === ends[at]) &&
+      ends.at(-1) === LAYER_COUNT;
+    const text = isWhole ? expectedText(request.prompt, index) : "wrong ";
+    const { attemptId } = request;
+    const ran = chainSignature(chain);
+    return { attemptId, index, id: hash32(text), text, ran };
+  }
+
+  #strike(
+    attempt: TestAttempt,
+    index: number,
+    chain: readonly TestEngine[],
+  ): void {
+    const due = this.#faults.filter((planned) => planned.atIndex === index);
+    this.#faults = this.#faults.filter((planned) => planned.atIndex !== index);
+    for (const { fault, stage } of due) {
+      this.#apply(fault, attempt, chain[stage % chain.length]);
+    }
+  }
+
+  #apply(
+    fault: EngineFault,
+    attempt: TestAttempt,
+    engine: TestEngine,
+  ): void {
+    const { tokens } = attempt;
+    const last = tokens.at(-1);
+    switch (fault) {
+      case "kill":
+        engine.state = "dead";
+        return;
+      case "freeze":
+        engine.state = "frozen";
+        return;
+      case "crawl":
+        engine.crawls = true;
+        return;
+      case "cut":
+        attempt.isCut = true;
+        return;
+      case "respan":
+        engine.first += 1;
+        engine.generation += 1;
+        return;
+      case "foreign":
+        if (last) {
+          tokens.push({ ...last, attemptId: "other", index: last.index + 1 });
+        }
+        return;
+      case "duplicate":
+        if (last) tokens.push(last);
+        return;
+      case "reorder":
+        if (last) tokens.push({ ...last, index: last.index + 2 });
+        return;
+      case "short-end":
+        attempt.end = "stop";
+        return;
+      case "late":
+        void this.#sendLate(attempt);
+        return;
+    }
+  }
+
+  /** Stalls the stream, then sends it all the same, cancelled or not. */
+  async #sendLate(attempt: TestAttempt): Promise<void> {
+    attempt.end = undefined;
+    const { tokens } = attempt;
+    await this.#clock.sleep(700);
+    const index = tokens.at(-1)?.index ?? 0;
+    const { attemptId } = attempt.request;
+    tokens.push({ attemptId, index, id: 0, text: "late ", ran: "" });
+  }
+
+  async #deliver(
+    attempt: TestAttempt,
+    fromIndex: number,
+    options: CallOptions & { onTokens: TokenListener },
+  ): Promise<Outcome<EngineEnd>> {
+    const { attemptId, generated } = attempt.request;
+    let sent = fromIndex - generated.length;
+    while (this.#clock.nowMs() < options.deadlineMs) {
+      if (attempt.isCut) {
+        return mayHaveRun("connection-failed", "the connection broke");
+      }
+      if (sent < attempt.tokens.length) {
+        options.onTokens(attempt.tokens.slice(sent));
+        sent = attempt.tokens.length;
+      }
+      const tokenCount = generated.length + attempt.tokens.length;
+      if (attempt.end === "stop") {
+        return new Ok({ attemptId, tokenCount, reason: "stop" });
+      }
+      if (attempt.end === "broken") {
+        return mayHaveRun("connection-failed", "the connection broke");
+      }
+      if (attempt.end === "failed") {
+        return mayHaveRun("target-failed", "a later stage was lost");
+      }
+      if (attempt.isCancelled) break;
+      await this.#clock.sleep(TOKEN_MS);
+    }
+    return mayHaveRun("cancelled", "the attempt was cancelled");
+  }
+}
+
+/** Picks at random among engines as they were when last looked at. */
+export class TestPicker implements IChainPicker {
+  openPicks = 0;
+  readonly #engines: TestEngines;
+  readonly #random: Random;
+  readonly #spans: readonly { first: number; end: number }[];
+  readonly #known = new Map<string, ChainStage>();
+
+  constructor(
+    options: {
+      engines: TestEngines;
+      random: Random;
+      spans: readonly { first: number; end: number }[];
+    },
+  ) {
+    this.#engines = options.engines;
+    this.#random = options.random;
+    this.#spans = options.spans;
+    for (const target of options.engines.engines.keys()) this.#look(target);
+  }
+
+  pick({ avoid }: PickRequest): Outcome<ChainPick> {
+    const chain: ChainStage[] = [];
+    for (const span of this.#spans) {
+      const fits = [...this.#known.values()].filter((stage) =>
+        stage.first === span.first && stage.end === span.end &&
+        !avoid.has(stage.target)
+      );
+      if (fits.length === 0) return notRun("no-target", "no engine is left");
+      chain.push(fits[Math.floor(this.#random() * fits.length)]);
+    }
+    this.openPicks += 1;
+    const dispose = () => void (this.openPicks -= 1);
+    return new Ok({ chain, model: "m", version: "v1", dispose });
+  }
+
+  reportFailure(target: string): void {
+    this.#look(target);
+  }
+
+  reportLoad(): void {}
+
+  progressWithinMs(): number {
+    return 200;
+  }
+
+  reportProgress(): void {}
+
+  #look(target: string): void {
+    const engine = this.#engines.engines.get(target);
+    if (engine === undefined) return;
+    this.#known.delete(target);
+    if (engine.state !== "alive") return;
+    const { first, end, generation } = engine;
+    const url = `http://${target}`;
+    this.#known.set(target, { target, url, first, end, generation });
+  }
+}
