Keep members by random probes, indirect probes and travelling updates

Cause: probing in turn with removal after three failures removes a paused host, spreads nothing and needs the list to bring anybody back.

--- /dev/null
+++ b/src/fleet/member_sync.ts
@@ -0,0 +1,131 @@
+/**
+ * Repairs what updates missed: two members compare the digests of their tables
+ * and exchange the buckets that differ, in messages of bounded size.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
+import type { MemberEntry, MemberTable } from "./member_table.ts";
+import type { IPeerTransport } from "./services.ts";
+import type { MemberSyncAnswer, MemberUpdate, SyncRequest } from "./types.ts";
+
+const CALL_TIMEOUT_MS = 2_000;
+const MAX_ITEMS = 200;
+const MAX_ROUNDS = 64;
+const FIRST_INTERVAL_MS = 2_000;
+const MAX_INTERVAL_MS = 32_000;
+
+/** Collaborators of a {@link MemberSync}. */
+export interface MemberSyncOptions {
+  readonly transport: IPeerTransport;
+  readonly clock: Clock;
+  readonly table: MemberTable;
+  /** Takes in what the other side knew; returns how much of it was new. */
+  readonly take: (updates: readonly MemberUpdate[]) => number;
+}
+
+/** Pulls from a member what differs, and gives back what it lacks. */
+export class MemberSync implements Disposable {
+  readonly #transport: IPeerTransport;
+  readonly #clock: Clock;
+  readonly #table: MemberTable;
+  readonly #take: (updates: readonly MemberUpdate[]) => number;
+  readonly #owned = new DisposableStore();
+  #intervalMs = FIRST_INTERVAL_MS;
+  #dueMs = 0;
+
+  constructor(options: MemberSyncOptions) {
+    this.#transport = options.transport;
+    this.#clock = options.clock;
+    this.#table = options.table;
+    this.#take = options.take;
+    this.#owned.add(
+      this.#transport.handle(
+        "members.sync",
+        (request) => this.#answer(request as SyncRequest),
+      ),
+    );
+    this.#owned.add(
+      this.#transport.handle(
+        "members.push",
+        (updates) => this.#take(updates as MemberUpdate[]),
+      ),
+    );
+  }
+
+  /** Pulls unless that was done a short time ago. */
+  async pullIfDue(entry: MemberEntry): Promise<void> {
+    if (this.#clock.nowMs() < this.#dueMs) return;
+    await this.pull(entry);
+  }
+
+  /** Pulls until nothing differs; false when the member did not answer. */
+  async pull(entry: MemberEntry): Promise<boolean> {
+    this.#dueMs = this.#clock.nowMs() + this.#intervalMs;
+    let newCount = 0;
+    for (let round = 0; round < MAX_ROUNDS; round += 1) {
+      const answer = await this.#ask(entry);
+      if (answer === undefined) return false;
+      newCount += this.#take(answer.updates);
+      newCount += await this.#giveBack(entry, answer);
+      if (answer.isWhole) break;
+    }
+    this.#intervalMs = newCount > 0
+      ? FIRST_INTERVAL_MS
+      : Math.min(MAX_INTERVAL_MS, this.#intervalMs * 2);
+    this.#dueMs = this.#clock.nowMs() + this.#intervalMs;
+    return true;
+  }
+
+  dispose(): void {
+    this.#owned.dispose();
+  }
+
+  async #ask(entry: MemberEntry): Promise<MemberSyncAnswer | undefined> {
+    const parameters: SyncRequest = { buckets: this.#table.digest.buckets };
+    const outcome = await this.#call(entry, "members.sync", parameters);
+    return outcome as MemberSyncAnswer | undefined;
+  }
+
+  #answer(request: SyncRequest): MemberSyncAnswer {
+    const indexes = this.#table.digest.differing(request.buckets);
+    const { items, covered } = this.#table.updatesIn(indexes, MAX_ITEMS);
+    return {
+      updates: items,
+      covered,
+      isWhole: covered.length === indexes.length,
+    };
+  }
+
+  async #giveBack(
+    entry: MemberEntry,
+    answer: MemberSyncAnswer,
+  ): Promise<number> {
+    const said = new Map(answer.updates.map((update) => [update.name, update]));
+    const { items } = this.#table.updatesIn(answer.covered, Infinity);
+    const lacking = items.filter((item) => {
+      const theirs = said.get(item.name);
+      if (theirs === undefined) return item.state !== "down";
+      return theirs.incarnation !== item.incarnation ||
+        theirs.state !== item.state;
+    }).slice(0, MAX_ITEMS);
+    if (lacking.length === 0) return 0;
+    const outcome = await this.#call(entry, "members.push", lacking);
+    return typeof outcome === "number" ? outcome : 0;
+  }
+
+  async #call(
+    entry: MemberEntry,
+    method: string,
+    parameters: unknown,
+  ): Promise<unknown> {
+    const outcome = await this.#transport.call(
+      entry.address.url,
+      { method, parameters },
+      { deadlineMs: this.#clock.nowMs() + CALL_TIMEOUT_MS },
+    );
+    return outcome.isOk() ? outcome.value : undefined;
+  }
+}
--- /dev/null
+++ b/src/fleet/member_table.ts
@@ -0,0 +1,213 @@
+/**
+ * What a host knows of each other host. Updates are merged by incarnation and
+ * state, so that their order of arrival does not matter.
+ *
+ * A member that cannot be reached leaves the list of those given work soon,
+ * but its entry is kept, and probed now and then, for minutes: the delayed
+ * response to unreachability that Pastel uses for its weak links (Cruces,
+ * Rodrigues and Ferreira, "Pastel: Bridging the Gap Between Structured and
+ * Large-State Overlays"). A region that was cut off returns without a join of
+ * each of its hosts; `measure/fleet_membership.ts` compares the two.
+ *
+ * @module
+ */
+
+import { BucketDigest, takeBuckets } from "./bucket_digest.ts";
+import type { Member } from "./services.ts";
+import type { MemberAddress, MemberState, MemberUpdate } from "./types.ts";
+
+const STATE_RANK: Readonly<Record<MemberState, number>> = {
+  alive: 0,
+  suspect: 1,
+  leaving: 2,
+  down: 3,
+};
+
+/** One entry of the table. */
+export interface MemberEntry {
+  readonly name: string;
+  readonly address: MemberAddress;
+  incarnation: number;
+  state: MemberState;
+  /** When a suspect counts as down, or a down member is forgotten. */
+  dueMs: number;
+}
+
+/** Settings of a {@link MemberTable}. */
+export interface MemberTableOptions {
+  /** Name of this host, whose entry is never among the reachable ones. */
+  readonly selfName: string;
+  /** How long a member may stay suspect before it counts as down. */
+  readonly suspectMs: number;
+  /** How long a down member is kept. */
+  readonly forgetMs: number;
+}
+
+/** The table of all members. */
+export class MemberTable {
+  readonly #selfName: string;
+  readonly #suspectMs: number;
+  readonly #forgetMs: number;
+  readonly #entries = new Map<string, MemberEntry>();
+  readonly #digest = new BucketDigest();
+  /** Suspect, down and unreachable leaving entries, which time changes. */
+  readonly #timed = new Set<MemberEntry>();
+  #reachable: readonly MemberEntry[] | undefined;
+
+  constructor(options: MemberTableOptions) {
+    this.#selfName = options.selfName;
+    this.#suspectMs = options.suspectMs;
+    this.#forgetMs = options.forgetMs;
+  }
+
+  get digest(): BucketDigest {
+    return this.#digest;
+  }
+
+  get(name: string): MemberEntry | undefined {
+    return this.#entries.get(name);
+  }
+
+  /** Entries of other members that are not down. */
+  reachable(): readonly MemberEntry[] {
+    this.#reachable ??= [...this.#entries.values()].filter((entry) =>
+      entry.state !== "down" && entry.name !== this.#selfName
+    );
+    return this.#reachable;
+  }
+
+  /** Entries of members that are down and not yet forgotten. */
+  down(): MemberEntry[] {
+    return [...this.#timed].filter((entry) => entry.state === "down");
+  }
+
+  /** Takes an update in; false when it says nothing new. */
+  apply(update: MemberUpdate, nowMs: number): boolean {
+    const known = this.#entries.get(update.name);
+    if (known === undefined) return this.#insert(update, nowMs);
+    if (!isNewer(update, known)) return false;
+    this.#change(known, { ...update, nowMs });
+    return true;
+  }
+
+  /**
+   * Notes that a member does not answer. A leaving one keeps its state until
+   * it counts as down. Returns the update to spread, if there is one.
+   */
+  suspect(name: string, nowMs: number): MemberUpdate | undefined {
+    const entry = this.#entries.get(name);
+    if (entry === undefined || this.#timed.has(entry)) return undefined;
+    if (entry.state === "leaving") {
+      entry.dueMs = nowMs + this.#suspectMs;
+      this.#timed.add(entry);
+      return undefined;
+    }
+    const { incarnation } = entry;
+    this.#change(entry, { incarnation, state: "suspect", nowMs });
+    return { name, incarnation, state: "suspect" };
+  }
+
+  /** Applies what time changes and returns the members newly down. */
+  expire(nowMs: number): MemberUpdate[] {
+    const updates: MemberUpdate[] = [];
+    for (const entry of [...this.#timed]) {
+      if (entry.dueMs > nowMs) continue;
+      if (entry.state === "down") {
+        this.#remove(entry);
+        continue;
+      }
+      const { name, incarnation } = entry;
+      this.#change(entry, { incarnation, state: "down", nowMs });
+      updates.push({ name, incarnation, state: "down" });
+    }
+    return updates;
+  }
+
+  /** Restarts the time of each suspect; for a host that was paused itself. */
+  postpone(nowMs: number): void {
+    for (const entry of this.#timed) {
+      if (entry.state !== "down") entry.dueMs = nowMs + this.#suspectMs;
+    }
+  }
+
+  /** Full updates of the entries in some buckets, as many buckets as fit. */
+  updatesIn(
+    indexes: readonly number[],
+    maxItems: number,
+  ): { items: MemberUpdate[]; covered: number[] } {
+    const taken = takeBuckets(this.#entries.values(), {
+      keyOf: (entry) => entry.name,
+      indexes,
+      maxItems,
+    });
+    return { items: taken.items.map(toUpdate), covered: taken.covered };
+  }
+
+  #insert(update: MemberUpdate, nowMs: number): boolean {
+    if (update.address === undefined) return false;
+    const entry: MemberEntry = {
+      name: update.name,
+      address: update.address,
+      incarnation: update.incarnation,
+      state: "alive",
+      dueMs: 0,
+    };
+    this.#entries.set(entry.name, entry);
+    this.#toggle(entry);
+    this.#change(entry, { ...update, nowMs });
+    return true;
+  }
+
+  #change(
+    entry: MemberEntry,
+    next: { incarnation: number; state: MemberState; nowMs: number },
+  ): void {
+    this.#toggle(entry);
+    entry.incarnation = next.incarnation;
+    entry.state = next.state;
+    this.#toggle(entry);
+    this.#setTimer(entry, next.nowMs);
+    this.#reachable = undefined;
+  }
+
+  #setTimer(entry: MemberEntry, nowMs: number): void {
+    if (entry.state === "alive" || entry.state === "leaving") {
+      this.#timed.delete(entry);
+      return;
+    }
+    const spanMs = entry.state === "down" ? this.#forgetMs : this.#suspectMs;
+    entry.dueMs = nowMs + spanMs;
+    this.#timed.add(entry);
+  }
+
+  /** Down members are left out: hosts forget them at different times. */
+  #toggle(entry: MemberEntry): void {
+    if (entry.state === "down") return;
+    const leaving = entry.state === "leaving" ? 1 : 0;
+    this.#digest.toggle(entry.name, entry.incarnation * 2 + leaving);
+  }
+
+  #remove(entry: MemberEntry): void {
+    this.#timed.delete(entry);
+    this.#entries.delete(entry.name);
+    this.#reachable = undefined;
+  }
+}
+
+/** The entry as the rest of the program sees it. */
+export function toMember(entry: MemberEntry): Member {
+  const state = entry.state === "down" ? "suspect" : entry.state;
+  return { name: entry.name, ...entry.address, state };
+}
+
+function toUpdate(entry: MemberEntry): MemberUpdate {
+  const { name, incarnation, state, address } = entry;
+  return { name, incarnation, state, address };
+}
+
+function isNewer(update: MemberUpdate, known: MemberEntry): boolean {
+  if (update.incarnation !== known.incarnation) {
+    return update.incarnation > known.incarnation;
+  }
+  return STATE_RANK[update.state] > STATE_RANK[known.state];
+}
--- a/src/fleet/membership.ts
+++ b/src/fleet/membership.ts
@@ -1,6 +1,8 @@
 /**
- * Members as this host sees them: seeded from the platform's list, then
- * probed.
+ * Membership of hosts. The platform's list seeds the table; each host probes
+ * one random member a period, asks others to probe it when it does not answer,
+ * and lets updates travel along with probes (SWIM). The number of messages a
+ * second does not depend on the number of hosts.
  *
  * @module
  */
@@ -10,16 +12,26 @@
 import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
 import type { Random } from "../common/random.ts";
 import type { ListedHost } from "../platform/types.ts";
+import { MemberTable, toMember } from "./member_table.ts";
+import { MemberSync } from "./member_sync.ts";
+import { pickSome } from "./pick_some.ts";
+import { Prober } from "./prober.ts";
 import type {
   IHostListWatcher,
   IMembership,
   IPeerTransport,
   Member,
 } from "./services.ts";
+import type { MemberAddress, MemberUpdate, Ping } from "./types.ts";
+import { UpdateQueue } from "./update_queue.ts";
 
-const PROBE_PERIOD_MS = 1_000;
-const PROBE_TIMEOUT_MS = 800;
-const MAX_FAILED_PROBES = 3;
+const DEFAULT_PERIOD_MS = 1_000;
+const DEFAULT_SUSPECT_MS = 4_000;
+const DEFAULT_FORGET_MS = 600_000;
+const MAX_UPDATE_BYTES = 1_024;
+const LEAVE_PING_COUNT = 3;
+/** A wait that takes this much longer than asked means that this host paused. */
+const PAUSE_MS = 1_000;
 
 /** Collaborators and defaults of a {@link Membership}. */
 export interface MembershipOptions {
@@ -29,61 +41,127 @@
   readonly watcher: IHostListWatcher;
   readonly clock?: Clock;
   readonly random?: Random;
+  /** Time between two probes. */
+  readonly periodMs?: number;
+  /** How long a suspect has to refute before it is given no more work. */
+  readonly suspectMs?: number;
+  /** How long a member that is down is kept, and probed now and then. */
+  readonly forgetMs?: number;
+}
+
+/** A small value that travels along with probes. */
+export interface ProbeExtra {
+  readonly read: () => unknown;
+  readonly hear: (value: unknown, from: Member) => void;
 }
 
 /** Keeps the table of members. */
 export class Membership implements IMembership, Disposable {
-  readonly #transport: IPeerTransport;
+  readonly #address: MemberAddress;
+  readonly #name: string;
   readonly #clock: Clock;
   readonly #random: Random;
+  readonly #periodMs: number;
+  readonly #table: MemberTable;
+  readonly #queue = new UpdateQueue();
+  readonly #prober: Prober;
+  readonly #sync: MemberSync;
+  readonly #extras = new Map<string, ProbeExtra>();
   readonly #owned = new DisposableStore();
   readonly #changes = this.#owned.add(new Emitter<readonly Member[]>());
-  readonly #others = new Map<string, Member>();
-  readonly #failedProbes = new Map<string, number>();
-  #self: Member;
+  readonly #announcements = this.#owned.add(new Emitter<MemberUpdate>());
+  #incarnation = 0;
+  #isLeaving = false;
+  #members: readonly Member[] | undefined;
 
   readonly onChange = this.#changes.event;
+  /** Fires when this host says something of itself that all should know soon. */
+  readonly onAnnounce = this.#announcements.event;
 
   constructor(options: MembershipOptions) {
-    this.#self = { ...options.self, state: "alive" };
-    this.#transport = options.transport;
+    const { name, url, failureDomain, region } = options.self;
+    this.#name = name;
+    this.#address = { url, failureDomain, region };
     this.#clock = options.clock ?? systemClock;
     this.#random = options.random ?? Math.random;
-    this.#owned.add(options.watcher.onList((list) => this.#seed(list)));
-    this.#owned.add(
-      this.#transport.handle("members.ping", (from) => this.#answerPing(from)),
+    this.#periodMs = options.periodMs ?? DEFAULT_PERIOD_MS;
+    this.#table = new MemberTable({
+      selfName: name,
+      suspectMs: options.suspectMs ?? DEFAULT_SUSPECT_MS,
+      forgetMs: options.forgetMs ?? DEFAULT_FORGET_MS,
+    });
+    this.#prober = this.#owned.add(
+      new Prober({
+        transport: options.transport,
+        clock: this.#clock,
+        random: this.#random,
+        table: this.#table,
+        makePing: (to) => this.#makePing(to),
+        onPing: (ping) => this.#hearPing(ping),
+      }),
+    );
+    this.#sync = this.#owned.add(
+      new MemberSync({
+        transport: options.transport,
+        clock: this.#clock,
+        table: this.#table,
+        take: (updates) => this.#takeAll(updates, { spread: false }),
+      }),
     );
+    this.#owned.add(options.watcher.onList((list) => this.#seed(list)));
+    this.#say();
   }
 
   get self(): Member {
-    return this.#self;
+    const state = this.#isLeaving ? "leaving" : "alive";
+    return { name: this.#name, ...this.#address, state };
   }
 
   members(): readonly Member[] {
-    const others = [...this.#others.values()];
-    return [this.#self, ...others].filter((member) =>
-      member.state !== "leaving"
-    );
+    this.#members ??= this.#listMembers();
+    return this.#members;
   }
 
   /** Every other member that can be reached, leaving ones included. */
   peers(): readonly Member[] {
-    return [...this.#others.values()];
+    return this.#table.reachable().map(toMember);
+  }
+
+  /** Lets a small value travel along with each probe and answer. */
+  addExtra(key: string, extra: ProbeExtra): void {
+    this.#extras.set(key, extra);
+  }
+
+  /** Takes in an update that came by another way than probes. */
+  hear(update: MemberUpdate): void {
+    this.#takeAll([update], { spread: false });
   }
 
   async leave(): Promise<void> {
-    this.#self = { ...this.#self, state: "leaving" };
-    await Promise.all(this.peers().map((peer) => this.#ping(peer)));
+    this.#isLeaving = true;
+    this.#incarnation += 1;
+    this.#announcements.fire(this.#say());
     this.#changes.fire(this.members());
+    const told = pickSome(this.#table.reachable(), {
+      count: LEAVE_PING_COUNT,
+      random: this.#random,
+    });
+    await Promise.all(told.map((entry) => this.#prober.ping(entry)));
   }
 
-  /** Probes until `signal` aborts. */
+  /** Probes and keeps the table until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
+    let isJoined = false;
     while (!signal.aborted) {
-      const peers = this.peers();
-      const peer = peers[Math.floor(this.#random() * peers.length)];
-      if (peer !== undefined) await this.#probe(peer);
-      await this.#clock.sleep(PROBE_PERIOD_MS, signal);
+      const startedMs = this.#clock.nowMs();
+      if (!isJoined) isJoined = await this.#join();
+      await this.#probeNext();
+      const waitMs = startedMs + this.#periodMs - this.#clock.nowMs();
+      await this.#clock.sleep(waitMs, signal);
+      const nowMs = this.#clock.nowMs();
+      const isLate = nowMs - startedMs > this.#periodMs + PAUSE_MS;
+      if (isLate) this.#table.postpone(nowMs);
+      this.#expire(nowMs);
     }
   }
 
@@ -91,49 +169,140 @@
     this.#owned.dispose();
   }
 
-  async #probe(peer: Member): Promise<void> {
-    if (await this.#ping(peer)) {
-      this.#failedProbes.delete(peer.name);
-      return;
+  async #join(): Promise<boolean> {
+    const [entry] = pickSome(this.#table.reachable(), {
+      count: 1,
+      random: this.#random,
+    });
+    if (entry === undefined) return false;
+    return await this.#sync.pull(entry);
+  }
+
+  async #probeNext(): Promise<void> {
+    const entry = this.#prober.next();
+    if (entry === undefined) return;
+    const result = await this.#prober.probe(entry);
+    if (entry.state === "down") return;
+    if (result === "replaced") {
+      const { name, incarnation } = entry;
+      this.#takeAll([{ name, incarnation, state: "down" }], { spread: true });
     }
-    const failedCount = (this.#failedProbes.get(peer.name) ?? 0) + 1;
-    this.#failedProbes.set(peer.name, failedCount);
-    if (failedCount < MAX_FAILED_PROBES) return;
-    this.#others.delete(peer.name);
-    this.#failedProbes.delete(peer.name);
-    this.#changes.fire(this.members());
+    if (result === "failed") this.#suspect(entry.name);
   }
 
-  async #ping(peer: Member): Promise<boolean> {
-    const outcome = await this.#transport.call(
-      peer.url,
-      { method: "members.ping", parameters: this.#self },
-      { deadlineMs: this.#clock.nowMs() + PROBE_TIMEOUT_MS },
-    );
-    if (outcome.isErr()) return false;
-    this.#learn(outcome.value as Member);
-    return true;
+  #suspect(name: string): void {
+    const update = this.#table.suspect(name, this.#clock.nowMs());
+    if (update === undefined) return;
+    this.#queue.add(update);
+    this.#noteChange();
+  }
+
+  #expire(nowMs: number): void {
+    const updates = this.#table.expire(nowMs);
+    for (const update of updates) this.#queue.add(update);
+    if (updates.length > 0) this.#noteChange();
+  }
+
+  #makePing(to: string): Ping {
+    const updates = this.#queue.take({
+      maxBytes: MAX_UPDATE_BYTES,
+      memberCount: this.#table.reachable().length + 1,
+    });
+    const record = this.#table.get(to);
+    if (record !== undefined && record.state !== "alive") {
+      const { name, incarnation, state } = record;
+      updates.push({ name, incarnation, state });
+    }
+    const extras: Record<string, unknown> = {};
+    for (const [key, extra] of this.#extras) extras[key] = extra.read();
+    const digest = this.#table.digest.whole;
+    return { name: this.#name, to, digest, updates, extras };
   }
 
-  #answerPing(from: unknown): Member {
-    this.#learn(from as Member);
-    return this.#self;
+  /** Handles a probe or the answer to one; returns whether its sender is known. */
+  #hearPing(ping: Ping): boolean {
+    this.#takeAll(ping.updates, { spread: true });
+    if (ping.isStranger || ping.to !== this.#name) this.#say();
+    const entry = this.#table.get(ping.name);
+    if (entry === undefined) return false;
+    const member = toMember(entry);
+    for (const [key, extra] of this.#extras) {
+      extra.hear(ping.extras[key], member);
+    }
+    if (ping.digest !== this.#table.digest.whole && this.#queue.size === 0) {
+      void this.#sync.pullIfDue(entry);
+    }
+    return true;
   }
 
   #seed(list: readonly ListedHost[]): void {
+    const updates: MemberUpdate[] = [];
     for (const host of list) {
-      if (host.role !== "entry" || this.#others.has(host.name)) continue;
-      if (host.state !== "live") continue;
+      if (host.role !== "entry" || host.name === this.#name) continue;
+      const known = this.#table.get(host.name);
+      if (known !== undefined && host.state === "live") continue;
       const { name, url, failureDomain, region } = host;
-      this.#learn({ name, url, failureDomain, region, state: "alive" });
+      updates.push({
+        name,
+        incarnation: known?.incarnation ?? 0,
+        state: host.state === "live" ? "alive" : "leaving",
+        address: { url, failureDomain, region },
+      });
+    }
+    this.#takeAll(updates, { spread: false });
+  }
+
+  #takeAll(
+    updates: readonly MemberUpdate[],
+    options: { readonly spread: boolean },
+  ): number {
+    const nowMs = this.#clock.nowMs();
+    let newCount = 0;
+    for (const update of updates) {
+      if (update.name === this.#name) {
+        this.#refute(update);
+        continue;
+      }
+      if (!this.#table.apply(update, nowMs)) continue;
+      newCount += 1;
+      if (options.spread) this.#queue.add(update);
     }
+    if (newCount > 0) this.#noteChange();
+    return newCount;
+  }
+
+  /** Contradicts an update about this host that does not hold. */
+  #refute(update: MemberUpdate): void {
+    if (update.incarnation < this.#incarnation) return;
+    const isTrue = update.state === (this.#isLeaving ? "leaving" : "alive");
+    if (isTrue && update.incarnation === this.#incarnation) return;
+    this.#incarnation = update.incarnation + 1;
+    this.#say();
   }
 
-  #learn(member: Member): void {
-    if (member.name === this.#self.name) return;
-    const known = this.#others.get(member.name);
-    if (known?.state === member.state) return;
-    this.#others.set(member.name, member);
+  /** Puts what this host says of itself into the table and the queue. */
+  #say(): MemberUpdate {
+    const update: MemberUpdate = {
+      name: this.#name,
+      incarnation: this.#incarnation,
+      state: this.#isLeaving ? "leaving" : "alive",
+      address: this.#address,
+    };
+    this.#table.apply(update, this.#clock.nowMs());
+    this.#queue.add(update);
+    return update;
+  }
+
+  #noteChange(): void {
+    this.#members = undefined;
     this.#changes.fire(this.members());
   }
+
+  #listMembers(): Member[] {
+    const members = this.#table.reachable()
+      .filter((entry) => entry.state !== "leaving")
+      .map(toMember);
+    if (!this.#isLeaving) members.push(this.self);
+    return members;
+  }
 }
--- /dev/null
+++ b/test/fleet_hosts.ts
@@ -0,0 +1,139 @@
+/**
+ * A fleet of hosts with membership over a network of one process and a list
+ * that the test controls.
+ *
+ * @module
+ */
+
+import { Emitter } from "../src/common/emitter.ts";
+import { type Random, seededRandom } from "../src/common/random.ts";
+import { Membership, type MembershipOptions } from "../src/fleet/membership.ts";
+import type { ListedHost } from "../src/platform/types.ts";
+import { FleetClock } from "./fleet_clock.ts";
+import {
+  FleetNetwork,
+  type FleetNetworkOptions,
+  type NetworkHost,
+} from "./fleet_network.ts";
+
+const DOMAIN_COUNT = 14;
+const REGION_COUNT = 5;
+
+/** One host of the fleet. */
+export interface FleetHost {
+  readonly network: NetworkHost;
+  readonly membership: Membership;
+  readonly listed: ListedHost;
+  readonly abort: AbortController;
+}
+
+/** Settings of a {@link FleetHosts}. */
+export interface FleetHostsOptions {
+  readonly seed: number;
+  readonly network?: Partial<FleetNetworkOptions>;
+  readonly membership?: Pick<
+    MembershipOptions,
+    "periodMs" | "suspectMs" | "forgetMs"
+  >;
+}
+
+/** Starts, kills, cuts and pauses hosts. */
+export class FleetHosts {
+  readonly clock = new FleetClock();
+  readonly random: Random;
+  readonly network: FleetNetwork;
+  readonly hosts = new Map<string, FleetHost>();
+  readonly #lists = new Emitter<readonly ListedHost[]>();
+  readonly #options: FleetHostsOptions;
+
+  constructor(options: FleetHostsOptions) {
+    this.#options = options;
+    this.random = seededRandom(options.seed);
+    this.network = new FleetNetwork({
+      clock: this.clock,
+      random: this.random,
+      ...options.network,
+    });
+  }
+
+  /** Adds a host that is not running yet. */
+  add(name: string, url?: string): FleetHost {
+    const network = this.network.add(name, url);
+    const index = this.hosts.size;
+    const listed: ListedHost = {
+      name,
+      url: network.url,
+      failureDomain: `domain-${index % DOMAIN_COUNT}`,
+      region: `region-${index % REGION_COUNT}`,
+      role: "entry",
+      state: "live",
+    };
+    const membership = new Membership({
+      self: listed,
+      transport: network,
+      watcher: { onList: this.#lists.event },
+      clock: network.clock,
+      random: this.random,
+      ...this.#options.membership,
+    });
+    const abort = new AbortController();
+    const host = { network, membership, listed, abort };
+    this.hosts.set(name, host);
+    return host;
+  }
+
+  /** Starts a host after a random part of a probe period. */
+  start(host: FleetHost): void {
+    void this.clock.sleep(this.random() * 1_000).then(() =>
+      host.membership.run(host.abort.signal)
+    );
+  }
+
+  /** Adds and starts `count` hosts that all stand on the list. */
+  async startAll(count: number): Promise<void> {
+    for (let index = 0; index < count; index += 1) this.add(`host-${index}`);
+    this.publishList();
+    for (const host of this.hosts.values()) this.start(host);
+    await this.clock.advance(0);
+  }
+
+  /** Lets every host read the list; dead hosts stay on it when told so. */
+  publishList(options: { readonly withDead?: boolean } = {}): void {
+    const list = [...this.hosts.values()]
+      .filter((host) => options.withDead || host.network.isUp)
+      .map((host) => host.listed);
+    this.#lists.fire(list);
+  }
+
+  kill(name: string): void {
+    const host = this.get(name);
+    host.network.isUp = false;
+    host.abort.abort();
+  }
+
+  get(name: string): FleetHost {
+    const host = this.hosts.get(name);
+    if (host === undefined) throw new Error(`no host ${name}`);
+    return host;
+  }
+
+  up(): FleetHost[] {
+    return [...this.hosts.values()].filter((host) => host.network.isUp);
+  }
+
+  stop(): void {
+    for (const host of this.hosts.values()) host.abort.abort();
+  }
+
+  /** How many running hosts hold `name` in one of the states, absent included. */
+  countSeeing(
+    name: string,
+    states: readonly (string | undefined)[],
+  ): number {
+    return this.up().filter((host) => {
+      const seen = host.membership.members()
+        .find((member) => member.name === name);
+      return host.listed.name !== name && states.includes(seen?.state);
+    }).length;
+  }
+}
