--- a/src/fleet/dissemination.ts
+++ b/src/fleet/dissemination.ts
@@ -1,5 +1,13 @@
 /**
- * Spreads small facts to every host.
+ * Spreads small facts to every host. A fact goes down a tree over the hashes
+ * of member names: a host splits the range that it serves among a few members
+ * of that range, each of which serves its part; this is the structured
+ * broadcast of Pastel (Cruces, Rodrigues and Ferreira, "Pastel: Bridging the
+ * Gap Between Structured and Large-State Overlays"), with each hand-over
+ * acknowledged and another member tried when one does not answer. It sends
+ * about one message a host and fact where gossip sends several;
+ * `measure/fleet_dissemination.ts` compares them. What the tree misses is
+ * found by digests that travel along with probes.
  *
  * @module
  */
@@ -7,30 +15,50 @@
 import { type Clock, systemClock } from "../common/clock.ts";
 import { Emitter } from "../common/emitter.ts";
 import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
-import type {
-  Fact,
-  IDissemination,
-  IMembership,
-  IPeerTransport,
-} from "./services.ts";
+import type { Random } from "../common/random.ts";
+import { CallBudget } from "./call_budget.ts";
+import { FactStore } from "./fact_store.ts";
+import { FactSync } from "./fact_sync.ts";
+import { HASH_SPACE, MemberRing, type RingRange } from "./member_ring.ts";
+import type { Membership } from "./membership.ts";
+import type { Fact, IDissemination, IPeerTransport } from "./services.ts";
+import type { FactPush, MemberUpdate } from "./types.ts";
 
-const PUSH_TIMEOUT_MS = 1_000;
+const FANOUT = 4;
+const MAX_TRIES = 3;
+const PUSH_TIMEOUT_MS = 250;
+const MAX_FACTS_A_PUSH = 64;
+const MAX_FACTS = 4_096;
+const CALLS_PER_S = 50;
+const CALL_BURST = 50;
+const MAX_WAITING_CALLS = 500;
+/** Facts published within this time after others go out together. */
+const BATCH_MS = 50;
+const EXPIRE_PERIOD_MS = 1_000;
+const MEMBER_FACT_MS = 60_000;
 
 /** Collaborators and defaults of a {@link Dissemination}. */
 export interface DisseminationOptions {
-  readonly membership: IMembership;
+  readonly membership: Membership;
   readonly transport: IPeerTransport;
   readonly clock?: Clock;
+  readonly random?: Random;
+  readonly maxFacts?: number;
 }
 
-/** Pushes each fact to all members. */
+/** Publishes, relays and keeps facts. */
 export class Dissemination implements IDissemination, Disposable {
-  readonly #membership: IMembership;
+  readonly #membership: Membership;
   readonly #transport: IPeerTransport;
   readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #ring: MemberRing;
+  readonly #store: FactStore;
+  readonly #budget: CallBudget;
   readonly #owned = new DisposableStore();
   readonly #heard = this.#owned.add(new Emitter<Fact>());
-  readonly #facts = new Map<string, Fact>();
+  #outgoing: Fact[] = [];
+  #nextBatchMs = 0;
 
   readonly onFact = this.#heard.event;
 
@@ -38,29 +66,46 @@
     this.#membership = options.membership;
     this.#transport = options.transport;
     this.#clock = options.clock ?? systemClock;
+    this.#random = options.random ?? Math.random;
+    this.#ring = this.#owned.add(new MemberRing(options.membership));
+    this.#store = new FactStore({ maxFacts: options.maxFacts ?? MAX_FACTS });
+    this.#budget = new CallBudget({
+      clock: this.#clock,
+      callsPerS: CALLS_PER_S,
+      burst: CALL_BURST,
+      maxWaiting: MAX_WAITING_CALLS,
+    });
     this.#owned.add(
-      this.#transport.handle("facts.push", (fact) => this.#receive(fact)),
+      this.#transport.handle(
+        "facts.push",
+        (push) => this.#receive(push as FactPush),
+      ),
+    );
+    this.#owned.add(
+      new FactSync({
+        membership: this.#membership,
+        transport: this.#transport,
+        clock: this.#clock,
+        store: this.#store,
+        take: (facts) => this.#takeAll(facts),
+      }),
+    );
+    this.#owned.add(
+      this.#membership.onAnnounce((update) => this.#announce(update)),
     );
   }
 
   publish(fact: Fact): void {
-    if (!this.#take(fact)) return;
-    const request = { method: "facts.push", parameters: fact };
-    const deadlineMs = this.#clock.nowMs() + PUSH_TIMEOUT_MS;
-    for (const member of this.#membership.members()) {
-      if (member.name === this.#membership.self.name) continue;
-      void this.#transport.call(member.url, request, { deadlineMs });
-    }
+    if (!this.#store.take(fact, this.#clock.wallMs())) return;
+    this.#outgoing.push(fact);
+    if (this.#outgoing.length === 1) void this.#sendBatch();
   }
 
   /** Forgets expired facts until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const wallMs = this.#clock.wallMs();
-      for (const [key, fact] of this.#facts) {
-        if (fact.expiresAtWallMs <= wallMs) this.#facts.delete(key);
-      }
-      await this.#clock.sleep(1_000, signal);
+      this.#store.expire(this.#clock.wallMs());
+      await this.#clock.sleep(EXPIRE_PERIOD_MS, signal);
     }
   }
 
@@ -68,18 +113,74 @@
     this.#owned.dispose();
   }
 
-  #receive(payload: unknown): null {
-    const fact = payload as Fact;
-    if (this.#take(fact)) this.#heard.fire(fact);
+  async #sendBatch(): Promise<void> {
+    const nowMs = this.#clock.nowMs();
+    if (nowMs < this.#nextBatchMs) {
+      await this.#clock.sleep(this.#nextBatchMs - nowMs);
+    }
+    this.#nextBatchMs = this.#clock.nowMs() + BATCH_MS;
+    const facts = this.#outgoing;
+    this.#outgoing = [];
+    const range = { firstHash: 0, endHash: HASH_SPACE };
+    for (let at = 0; at < facts.length; at += MAX_FACTS_A_PUSH) {
+      this.#spread(facts.slice(at, at + MAX_FACTS_A_PUSH), range);
+    }
+  }
+
+  #receive(push: FactPush): null {
+    this.#takeAll(push.facts);
+    this.#spread(push.facts, push);
     return null;
   }
 
-  #take(fact: Fact): boolean {
-    if (fact.expiresAtWallMs <= this.#clock.wallMs()) return false;
-    const key = `${fact.topic}/${fact.key}`;
-    const known = this.#facts.get(key);
-    if (known !== undefined && known.sequence >= fact.sequence) return false;
-    this.#facts.set(key, fact);
-    return true;
+  #takeAll(facts: readonly Fact[]): number {
+    const wallMs = this.#clock.wallMs();
+    let newCount = 0;
+    for (const fact of facts) {
+      if (!this.#store.take(fact, wallMs)) continue;
+      newCount += 1;
+      if (fact.topic === "member") {
+        this.#membership.hear(fact.data as MemberUpdate);
+      }
+      this.#heard.fire(fact);
+    }
+    return newCount;
+  }
+
+  /** Hands the facts over to the members of a range. */
+  #spread(facts: readonly Fact[], range: RingRange): void {
+    for (const part of this.#ring.split(range, FANOUT)) {
+      void this.#handOver(facts, part);
+    }
+  }
+
+  async #handOver(facts: readonly Fact[], part: RingRange): Promise<void> {
+    const parameters: FactPush = { facts, ...part };
+    const tried = new Set<string>();
+    for (let count = 0; count < MAX_TRIES; count += 1) {
+      const member = this.#ring.pick(part, {
+        not: tried,
+        random: this.#random,
+      });
+      if (member === undefined) return;
+      tried.add(member.name);
+      if (!await this.#budget.take()) return;
+      const outcome = await this.#transport.call(
+        member.url,
+        { method: "facts.push", parameters },
+        { deadlineMs: this.#clock.nowMs() + PUSH_TIMEOUT_MS },
+      );
+      if (outcome.isOk()) return;
+    }
+  }
+
+  #announce(update: MemberUpdate): void {
+    this.publish({
+      topic: "member",
+      key: update.name,
+      sequence: update.incarnation,
+      data: update,
+      expiresAtWallMs: this.#clock.wallMs() + MEMBER_FACT_MS,
+    });
   }
 }
--- /dev/null
+++ b/src/fleet/member_ring.ts
@@ -0,0 +1,92 @@
+/**
+ * Members in the order of the hashes of their names, which every host computes
+ * alike.
+ *
+ * @module
+ */
+
+import { hash32 } from "../common/hash.ts";
+import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
+import type { Random } from "../common/random.ts";
+import type { Membership } from "./membership.ts";
+import type { Member } from "./services.ts";
+
+/** One more than the highest hash. */
+export const HASH_SPACE = 2 ** 32;
+
+/** A range of hashes, `endHash` excluded. */
+export interface RingRange {
+  readonly firstHash: number;
+  readonly endHash: number;
+}
+
+interface Place {
+  readonly hash: number;
+  readonly member: Member;
+}
+
+/** The other members that can be reached, in order. */
+export class MemberRing implements Disposable {
+  readonly #membership: Membership;
+  readonly #owned = new DisposableStore();
+  #places: readonly Place[] | undefined;
+
+  constructor(membership: Membership) {
+    this.#membership = membership;
+    this.#owned.add(
+      membership.onChange(() => this.#places = undefined),
+    );
+  }
+
+  /** Splits a range into at most `count` parts that hold equally many members. */
+  split(range: RingRange, count: number): RingRange[] {
+    const places = this.#within(range);
+    const partCount = Math.min(count, places.length);
+    const parts: RingRange[] = [];
+    let firstHash = range.firstHash;
+    for (let part = 1; part <= partCount; part += 1) {
+      const next = places[Math.floor(part * places.length / partCount)];
+      const endHash = part === partCount ? range.endHash : next.hash;
+      parts.push({ firstHash, endHash });
+      firstHash = endHash;
+    }
+    return parts;
+  }
+
+  /** Picks a member of a range at random; a suspect one only as the last. */
+  pick(
+    range: RingRange,
+    options: { readonly not: ReadonlySet<string>; readonly random: Random },
+  ): Member | undefined {
+    const members = this.#within(range)
+      .map((place) => place.member)
+      .filter((member) => !options.not.has(member.name));
+    const sound = members.filter((member) => member.state !== "suspect");
+    const choice = sound.length > 0 ? sound : members;
+    return choice[Math.floor(options.random() * choice.length)];
+  }
+
+  dispose(): void {
+    this.#owned.dispose();
+  }
+
+  #within(range: RingRange): readonly Place[] {
+    this.#places ??= this.#membership.peers()
+      .map((member) => ({ hash: hash32(member.name), member }))
+      .sort((one, other) => one.hash - other.hash);
+    const first = lowerBound(this.#places, range.firstHash);
+    return this.#places.slice(first, lowerBound(this.#places, range.endHash));
+  }
+}
+
+/** Index of the first place at or after `hash`. */
+function lowerBound(places: readonly Place[], hash: number): number {
+  let low = 0;
+  let high = places.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if (places[middle].hash < hash) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
--- a/test/fleet_hosts.ts
+++ b/test/fleet_hosts.ts
@@ -7,6 +7,7 @@
 
 import { Emitter } from "../src/common/emitter.ts";
 import { type Random, seededRandom } from "../src/common/random.ts";
+import { Dissemination } from "../src/fleet/dissemination.ts";
 import { Membership, type MembershipOptions } from "../src/fleet/membership.ts";
 import type { ListedHost } from "../src/platform/types.ts";
 import { FleetClock } from "./fleet_clock.ts";
@@ -23,6 +24,7 @@
 export interface FleetHost {
   readonly network: NetworkHost;
   readonly membership: Membership;
+  readonly dissemination: Dissemination;
   readonly listed: ListedHost;
   readonly abort: AbortController;
 }
@@ -76,17 +78,25 @@
       random: this.random,
       ...this.#options.membership,
     });
+    const dissemination = new Dissemination({
+      membership,
+      transport: network,
+      clock: network.clock,
+      random: this.random,
+    });
     const abort = new AbortController();
-    const host = { network, membership, listed, abort };
+    const host = { network, membership, dissemination, listed, abort };
     this.hosts.set(name, host);
     return host;
   }
 
   /** Starts a host after a random part of a probe period. */
   start(host: FleetHost): void {
-    void this.clock.sleep(this.random() * 1_000).then(() =>
-      host.membership.run(host.abort.signal)
-    );
+    const { signal } = host.abort;
+    void this.clock.sleep(this.random() * 1_000).then(() => {
+      void host.membership.run(signal);
+      void host.dissemination.run(signal);
+    });
   }
 
   /** Adds and starts `count` hosts that all stand on the list. */
