--- /dev/null
+++ b/src/daemon/container.ts
@@ -0,0 +1,243 @@
+/**
+ * The container: which class stands behind each service, and with which
+ * options. Nothing else in the program constructs a service.
+ *
+ * @module
+ */
+
+import "reflect-metadata";
+import { Container } from "inversify";
+import { type Clock, systemClock } from "../common/clock.ts";
+import { createLog, ILog } from "../common/logging.ts";
+import { IMetrics, Metrics } from "../common/metrics.ts";
+import { ConfigService } from "../config/config_service.ts";
+import { IConfigService } from "../config/services.ts";
+import { Dissemination } from "../fleet/dissemination.ts";
+import { HostListWatcher } from "../fleet/host_list_watcher.ts";
+import { LimitService } from "../fleet/limit_service.ts";
+import { Membership } from "../fleet/membership.ts";
+import { PeerTransport } from "../fleet/peer_transport.ts";
+import {
+  IDissemination,
+  IHostListWatcher,
+  ILimitService,
+  IMembership,
+  IPeerTransport,
+} from "../fleet/services.ts";
+import { ChainPicker } from "../pipelines/chain_picker.ts";
+import { IChainPicker, ITargetDirectory } from "../pipelines/services.ts";
+import { TargetDirectory } from "../pipelines/target_directory.ts";
+import { TargetWatcher } from "../pipelines/target_watcher.ts";
+import { EngineClient } from "../platform/engine_client.ts";
+import { HostListClient } from "../platform/host_list_client.ts";
+import { HttpClient } from "../platform/http_client.ts";
+import { LogClient } from "../platform/log_client.ts";
+import { ServiceClient } from "../platform/service_client.ts";
+import {
+  IEngineClient,
+  IHostListClient,
+  ILogClient,
+  IServiceClient,
+} from "../platform/services.ts";
+import { CallService } from "../requests/call_service.ts";
+import { ClaimService } from "../requests/claim_service.ts";
+import { CompletionService } from "../requests/completion_service.ts";
+import { QuarantineService } from "../requests/quarantine_service.ts";
+import { RequestJournal } from "../requests/request_journal.ts";
+import {
+  ICallService,
+  IClaimService,
+  ICompletionService,
+  IQuarantineService,
+  IRequestJournal,
+} from "../requests/services.ts";
+import type { Settings } from "./settings.ts";
+
+/** What the container needs besides the settings. */
+export interface ContainerOptions {
+  readonly settings: Settings;
+  /** Name of this host, new at each start. */
+  readonly hostName: string;
+  /** Base URL at which peers reach this host; known once its port is open. */
+  readonly peerUrl: () => string;
+  readonly clock?: Clock;
+}
+
+/** Binds every service, each once for the process. */
+export function createContainer(options: ContainerOptions): Container {
+  const container = new Container({ defaultScope: "Singleton" });
+  const clock = options.clock ?? systemClock;
+  bindCommon(container, options);
+  bindPlatform(container, options, clock);
+  bindFleet(container, options, clock);
+  bindPipelines(container, clock);
+  bindRequests(container, clock);
+  return container;
+}
+
+function bindCommon(
+  container: Container,
+  { settings, hostName }: ContainerOptions,
+): void {
+  container.bind(ILog).toDynamicValue(() => {
+    return createLog({ host: hostName, level: settings.logLevel });
+  });
+  container.bind(IMetrics).toDynamicValue(() => new Metrics());
+}
+
+function bindPlatform(
+  container: Container,
+  options: ContainerOptions,
+  clock: Clock,
+): void {
+  const { settings, hostName } = options;
+  container.bind(HttpClient).toDynamicValue(() => new HttpClient({ clock }));
+  container.bind(ILogClient).toDynamicValue((context) => {
+    return new LogClient({
+      baseUrl: settings.logUrl,
+      http: context.get(HttpClient),
+      clock,
+    });
+  });
+  container.bind(IHostListClient).toDynamicValue((context) => {
+    const http = context.get(HttpClient);
+    return new HostListClient({ baseUrl: settings.hostListUrl, http, clock });
+  });
+  container.bind(IEngineClient).toDynamicValue((context) => {
+    return new EngineClient({ http: context.get(HttpClient), clock });
+  });
+  container.bind(IServiceClient).toDynamicValue((context) => {
+    return new ServiceClient({ http: context.get(HttpClient), clock });
+  });
+  container.bind(ConfigService).toDynamicValue((context) => {
+    const log = context.get(ILog);
+    return new ConfigService({
+      log: context.get(ILogClient),
+      host: hostName,
+      clock,
+      onLogFailure: (failure) =>
+        log.warn("the log did not answer", { ...failure }),
+    });
+  });
+  container.bind(IConfigService).toService(ConfigService);
+}
+
+function bindFleet(
+  container: Container,
+  options: ContainerOptions,
+  clock: Clock,
+): void {
+  const { settings, hostName, peerUrl } = options;
+  container.bind(PeerTransport).toDynamicValue((context) => {
+    const log = context.get(ILog);
+    return new PeerTransport({
+      selfName: hostName,
+      secret: settings.peerSecret,
+      clock,
+      onHandlerError: (method, error) =>
+        log.error("a peer's call failed", { method, error }),
+    });
+  });
+  container.bind(IPeerTransport).toService(PeerTransport);
+  container.bind(HostListWatcher).toDynamicValue((context) => {
+    return new HostListWatcher({ client: context.get(IHostListClient), clock });
+  });
+  container.bind(IHostListWatcher).toService(HostListWatcher);
+  container.bind(Membership).toDynamicValue((context) => {
+    const { failureDomain, region } = settings;
+    return new Membership({
+      self: { name: hostName, url: peerUrl(), failureDomain, region },
+      transport: context.get(IPeerTransport),
+      watcher: context.get(IHostListWatcher),
+      clock,
+    });
+  });
+  container.bind(IMembership).toService(Membership);
+  container.bind(Dissemination).toDynamicValue((context) => {
+    return new Dissemination({
+      membership: context.get(Membership),
+      transport: context.get(IPeerTransport),
+      clock,
+    });
+  });
+  container.bind(IDissemination).toService(Dissemination);
+  container.bind(LimitService).toDynamicValue((context) => {
+    return new LimitService({
+      config: context.get(IConfigService),
+      membership: context.get(IMembership),
+      transport: context.get(IPeerTransport),
+      clock,
+    });
+  });
+  container.bind(ILimitService).toService(LimitService);
+}
+
+function bindPipelines(container: Container, clock: Clock): void {
+  container.bind(TargetDirectory).toDynamicValue((context) => {
+    return new TargetDirectory({
+      config: context.get(IConfigService),
+      dissemination: context.get(IDissemination),
+      clock,
+    });
+  });
+  container.bind(ITargetDirectory).toService(TargetDirectory);
+  container.bind(TargetWatcher).toDynamicValue((context) => {
+    return new TargetWatcher({
+      config: context.get(IConfigService),
+      engines: context.get(IEngineClient),
+      directory: context.get(TargetDirectory),
+      hostList: context.get(IHostListWatcher),
+      clock,
+    });
+  });
+  container.bind(IChainPicker).toDynamicValue((context) => {
+    return new ChainPicker({
+      config: context.get(IConfigService),
+      directory: context.get(TargetDirectory),
+      clock,
+    });
+  });
+}
+
+function bindRequests(container: Container, clock: Clock): void {
+  container.bind(IRequestJournal).toDynamicValue(() =>
+    new RequestJournal({ clock })
+  );
+  container.bind(IQuarantineService).toDynamicValue((context) => {
+    return new QuarantineService({
+      membership: context.get(IMembership),
+      transport: context.get(IPeerTransport),
+      dissemination: context.get(IDissemination),
+      clock,
+    });
+  });
+  container.bind(ClaimService).toDynamicValue((context) => {
+    return new ClaimService({
+      log: context.get(ILogClient),
+      membership: context.get(IMembership),
+      transport: context.get(IPeerTransport),
+      clock,
+    });
+  });
+  container.bind(IClaimService).toService(ClaimService);
+  container.bind(ICompletionService).toDynamicValue((context) => {
+    return new CompletionService({
+      config: context.get(IConfigService),
+      picker: context.get(IChainPicker),
+      engines: context.get(IEngineClient),
+      journal: context.get(IRequestJournal),
+      quarantine: context.get(IQuarantineService),
+      clock,
+    });
+  });
+  container.bind(ICallService).toDynamicValue((context) => {
+    return new CallService({
+      config: context.get(IConfigService),
+      directory: context.get(ITargetDirectory),
+      services: context.get(IServiceClient),
+      claims: context.get(IClaimService),
+      journal: context.get(IRequestJournal),
+      clock,
+    });
+  });
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,64 @@
+#!/usr/bin/env node
+/**
+ * The daemon `jackdawshiftd`: checks settings, runs one host, and stops it at
+ * the first signal. A second signal ends the process at once.
+ *
+ * @module
+ */
+
+import process from "node:process";
+import { Cli } from "clipanion";
+import { createDaemonCommand, type Flags } from "./command.ts";
+import { Host } from "./host.ts";
+import { readSettings, SettingError, type Settings } from "./settings.ts";
+
+const EXIT_FORCED = 130;
+const EXIT_USAGE = 2;
+
+const cli = new Cli({
+  binaryName: "jackdawshiftd",
+  binaryLabel: "jackdawshift daemon",
+});
+cli.register(createDaemonCommand(runDaemon));
+const argumentList = process.argv.slice(2);
+if (argumentList.includes("--help") || argumentList.includes("-h")) {
+  const [command] = cli.definitions();
+  process.stdout.write(`${cli.usage(null, { detailed: true })}\n`);
+  if (command === undefined) process.exitCode = EXIT_USAGE;
+} else {
+  process.exitCode = await cli.run(argumentList, Cli.defaultContext);
+}
+
+async function runDaemon(flags: Flags): Promise<number> {
+  const settings = checkedSettings(flags);
+  if (settings === undefined) return EXIT_USAGE;
+  const host = new Host({ settings });
+  const addresses = await host.start();
+  process.stdout.write(
+    `${JSON.stringify({ ready: true, host: host.name, ...addresses })}\n`,
+  );
+  await firstSignal();
+  await host.stop();
+  process.exit(0);
+}
+
+function checkedSettings(flags: Flags): Settings | undefined {
+  try {
+    return readSettings({ flags, environment: process.env });
+  } catch (error) {
+    if (!(error instanceof SettingError)) throw error;
+    process.stderr.write(`jackdawshiftd: ${error.message}\n`);
+    return undefined;
+  }
+}
+
+function firstSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    for (const name of ["SIGTERM", "SIGINT"] as const) {
+      process.once(name, () => {
+        process.on(name, () => process.exit(EXIT_FORCED));
+        resolve();
+      });
+    }
+  });
+}
