Add the load tool and the runner of experiments

Cause: nothing could put an open-loop load on the real processes. Ruled out: closed-loop clients, which hide queueing; comparing only status codes. Change: npm run load (seeded Poisson arrivals, mix of customers, streams and calls, HDR percentiles from the planned arrival, verdict counts, each answer compared with the right one, calls compared with the runs the service counted); npm run measure lists and runs the experiments of measure/.

--- /dev/null
+++ b/measure/load/report.ts
@@ -0,0 +1,48 @@
+/**
+ * Prints the result of a load run.
+ *
+ * @module
+ */
+
+import type { Histogram } from "hdr-histogram-js";
+import type { LoadResult } from "./types.ts";
+
+const PERCENTILES = [50, 95, 99, 100];
+const MICROS_A_MS = 1_000;
+
+/** Renders a result as Markdown tables. */
+export function renderReport(result: LoadResult): string {
+  const rows = [
+    ["first token", result.firstToken],
+    ["between tokens", result.betweenTokens],
+    ["whole answer", result.wholeAnswer],
+  ] as const;
+  const heads = PERCENTILES.map((percentile) =>
+    percentile === 100 ? "max" : `p${percentile}`
+  );
+  const verdicts = [...result.verdicts].map(([verdict, count]) =>
+    `| ${verdict} | ${count} |`
+  );
+  return [
+    `sent ${result.sentCount} requests in ${result.elapsedS.toFixed(1)} s, ` +
+    `${Math.round(result.tokenCount / result.elapsedS)} tokens a second, ` +
+    `${result.wrongCount} wrong answers`,
+    "",
+    `| ms | count | ${heads.join(" | ")} |`,
+    `| --- | ---: |${heads.map(() => " ---: |").join("")}`,
+    ...rows.map(([name, histogram]) => renderRow(name, histogram)),
+    "",
+    "| verdict | requests |",
+    "| --- | ---: |",
+    ...verdicts,
+  ].join("\n");
+}
+
+function renderRow(name: string, histogram: Histogram): string {
+  const cells = PERCENTILES.map((percentile) => {
+    return (histogram.getValueAtPercentile(percentile) / MICROS_A_MS).toFixed(
+      1,
+    );
+  });
+  return `| ${name} | ${histogram.totalCount} | ${cells.join(" | ")} |`;
+}
--- /dev/null
+++ b/measure/main.ts
@@ -0,0 +1,46 @@
+/**
+ * Runs experiments by name, or lists them: `npm run measure -- [name …]`.
+ * An experiment is a module of this folder that exports `run`.
+ *
+ * @module
+ */
+
+import { readdirSync } from "node:fs";
+import { cpus, totalmem } from "node:os";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+
+const BYTES_A_GIB = 1 << 30;
+const folder = fileURLToPath(new URL(".", import.meta.url));
+const names = readdirSync(folder)
+  .filter((file) => file.endsWith(".js") && file !== "main.js")
+  .map((file) => file.slice(0, -".js".length));
+
+const asked = process.argv.slice(2);
+const unknown = asked.filter((name) => !names.includes(name));
+if (asked.length === 0 || unknown.length > 0) {
+  for (const name of unknown) console.error(`no experiment is named "${name}"`);
+  console.log(`experiments: ${names.join(", ")}`);
+  process.exitCode = unknown.length > 0 ? 2 : 0;
+} else {
+  console.log(describeMachine());
+  for (const name of asked) await runExperiment(name);
+}
+
+async function runExperiment(name: string): Promise<void> {
+  const experiment = await import(`./${name}.js`);
+  if (typeof experiment.run !== "function") {
+    throw new Error(`${name} exports no run()`);
+  }
+  console.log(`\n## ${name}\n`);
+  const startedMs = performance.now();
+  await experiment.run();
+  console.log(
+    `\nrun time: ${((performance.now() - startedMs) / 1_000).toFixed(1)} s`,
+  );
+}
+
+function describeMachine(): string {
+  const memoryGib = Math.round(totalmem() / BYTES_A_GIB);
+  return `machine: ${cpus().length} cores, ${memoryGib} GiB, Node.js ${process.version}`;
+}
--- a/test/local_fleet.ts
+++ b/test/local_fleet.ts
@@ -75,6 +75,18 @@
   }
 
   async start(): Promise<void> {
+    await this.startPlatform();
+    await Promise.all([
+      ...(this.#options.engines ?? []).map((spec) => this.startEngine(spec)),
+      ...(this.#options.services ?? []).map((name) => this.startService(name)),
+    ]);
+    for (let index = 0; index < (this.#options.hostCount ?? 2); index++) {
+      await this.startHost();
+    }
+  }
+
+  /** Starts the log and the host list. */
+  async startPlatform(): Promise<void> {
     this.#log = await this.programs.start({
       name: "log",
       program: "standins/log/main.js",
@@ -83,13 +95,6 @@
       name: "host-list",
       program: "standins/host_list/main.js",
     });
-    await Promise.all([
-      ...(this.#options.engines ?? []).map((spec) => this.startEngine(spec)),
-      ...(this.#options.services ?? []).map((name) => this.startService(name)),
-    ]);
-    for (let index = 0; index < (this.#options.hostCount ?? 2); index++) {
-      await this.startHost();
-    }
   }
 
   async stop(): Promise<void> {
