--- a/src/http/completion_body.ts
+++ b/src/http/completion_body.ts
@@ -9,11 +9,9 @@
 import { z } from "zod";
 import { notRun, type Outcome } from "../common/verdict.ts";
 
-const DEFAULT_MAX_TOKENS = 256;
-
 const common = {
   model: z.string().min(1).max(63),
-  max_tokens: z.int().min(1).max(131_072).default(DEFAULT_MAX_TOKENS),
+  max_tokens: z.int().min(1).max(131_072).optional(),
   stream: z.boolean().default(false),
   n: z.literal(1).optional(),
 };
@@ -35,7 +33,8 @@
   readonly kind: CompletionKind;
   readonly pipeline: string;
   readonly prompt: string;
-  readonly maxTokens: number;
+  /** Undefined when the caller leaves it to the pipeline. */
+  readonly maxTokens: number | undefined;
   readonly stream: boolean;
 }
 
--- a/src/http/completion_routes.ts
+++ b/src/http/completion_routes.ts
@@ -30,6 +30,8 @@
 import { type HttpServer, sendJson } from "./http_server.ts";
 
 const MAX_BUFFERED_BYTES = 1 << 20;
+/** Length of an answer whose caller names none, unless its pipeline allows less. */
+const DEFAULT_MAX_TOKENS = 256;
 
 /** Limits on callers' bodies. */
 export interface CallerBodyLimits {
@@ -114,7 +116,7 @@
         `no pipeline "${body.value.pipeline}" is open to this customer`,
       );
     }
-    if (body.value.maxTokens > pipeline.maxTokens) {
+    if ((body.value.maxTokens ?? 0) > pipeline.maxTokens) {
       return notRun(
         "bad-request",
         `max_tokens: at most ${pipeline.maxTokens} are allowed`,
@@ -139,7 +141,8 @@
       customer: admitted.customer,
       pipeline: body.pipeline,
       prompt: body.prompt,
-      maxTokens: body.maxTokens,
+      maxTokens: body.maxTokens ??
+        Math.min(DEFAULT_MAX_TOKENS, pipeline.maxTokens),
       deadlineMs: gate.deadlineMs(request, pipeline.answerWithinMs),
       signal: admitted.signal,
     };
