--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -9,7 +9,7 @@
 import process from "node:process";
 import { Cli } from "clipanion";
 import { createDaemonCommand, type Flags } from "./command.ts";
-import { Host } from "./host.ts";
+import type { Host } from "./host.ts";
 import { readSettings, SettingError, type Settings } from "./settings.ts";
 
 const EXIT_FORCED = 130;
@@ -32,7 +32,7 @@
 async function runDaemon(flags: Flags): Promise<number> {
   const settings = checkedSettings(flags);
   if (settings === undefined) return EXIT_USAGE;
-  const host = new Host({ settings });
+  const host = await createHost(settings);
   const addresses = await host.start();
   process.stdout.write(
     `${JSON.stringify({ ready: true, host: host.name, ...addresses })}\n`,
@@ -42,6 +42,18 @@
   process.exit(0);
 }
 
+/**
+ * Loads the rest of the program only once the settings are right. A library
+ * below restify warns of its own use of `process.binding`, which says nothing
+ * to operators and is not a log line.
+ */
+async function createHost(settings: Settings): Promise<Host> {
+  process.noDeprecation = true;
+  const { Host } = await import("./host.ts");
+  process.noDeprecation = false;
+  return new Host({ settings });
+}
+
 function checkedSettings(flags: Flags): Settings | undefined {
   try {
     return readSettings({ flags, environment: process.env });
--- a/test/local_fleet.ts
+++ b/test/local_fleet.ts
@@ -66,6 +66,12 @@
     this.#options = options;
   }
 
+  /** The stand-in of the log. */
+  get platformLog(): RunningProgram {
+    if (this.#log === undefined) throw new Error("the fleet is not started");
+    return this.#log;
+  }
+
   get logUrl(): string {
     return urlOf(this.#log);
   }
@@ -200,10 +206,7 @@
         const config = await this.operator(host).get("operator/config").json<
           { version: number }
         >();
-        const ready = await got.get(`${host.callerUrl}/readyz`, {
-          throwHttpErrors: false,
-        });
-        return config.version >= version && ready.statusCode === 200;
+        return config.version >= version && await isReady(host);
       }));
       return states.every(Boolean);
     });
@@ -291,6 +294,15 @@
   };
 }
 
+/** Whether a host takes requests. */
+export async function isReady(host: LocalHost): Promise<boolean> {
+  const answer = await got.get(`${host.callerUrl}/readyz`, {
+    throwHttpErrors: false,
+    retry: { limit: 0 },
+  });
+  return answer.statusCode === 200;
+}
+
 /** Polls until `check` holds; throws when it does not within the time. */
 export async function waitUntil(
   what: string,
