Prove over real sockets that a request called not run did not run

Each way to break an exchange is played by a target on a bare socket for a service call, an append and a generation: refused, no such name, cut before, in and after the request, cut in the answer, frozen, kept connection closed, redirected, refused with and without an agreed word. What the client says is compared with what the target executed; 400 random runs (fast-check) add cut points, kept connections and hang-ups.

Found on the way: a connect that fails at once hands over a destroyed socket and was called may-have-run; it is not-run now.

--- a/src/platform/send_watch.ts
+++ b/src/platform/send_watch.ts
@@ -24,6 +24,8 @@
   }
 
   #watchSocket(socket: Socket): void {
+    // A connection that failed at once takes no byte any more.
+    if (socket.destroyed) return;
     const isOpening = socket.connecting ||
       (socket instanceof TLSSocket && socket.getProtocol() === null);
     if (!isOpening) {
--- /dev/null
+++ b/src/platform/verdict_test.ts
@@ -0,0 +1,382 @@
+/**
+ * The promise that a request called not run did not run, checked over real
+ * sockets against what the far side executed.
+ *
+ * @module
+ */
+
+import fc from "fast-check";
+import got from "got";
+import { afterEach, beforeEach, describe, expect, test } from "vitest";
+import { type RawScript, RawTarget } from "../../standins/common/raw_target.ts";
+import { type Clock, systemClock } from "../common/clock.ts";
+import type { Outcome } from "../common/verdict.ts";
+import { EngineClient } from "./engine_client.ts";
+import { HttpClient, type HttpClientOptions } from "./http_client.ts";
+import { LogClient } from "./log_client.ts";
+import { ServiceClient } from "./service_client.ts";
+import type { CallOptions } from "./types.ts";
+
+const SEED = 20_261_203;
+const BODY_BYTES = 300_000;
+
+type Send = (
+  url: string,
+  http: HttpClient,
+  options: CallOptions & { readonly bodyBytes?: number },
+) => Promise<Outcome<unknown>>;
+
+const SENDS: Readonly<Record<string, Send>> = {
+  call: (url, http, options) =>
+    new ServiceClient({ http }).call(url, {
+      attemptId: "a",
+      method: "POST",
+      path: "/entries",
+      body: Buffer.alloc(options.bodyBytes ?? BODY_BYTES, "x"),
+      idempotencyKey: "k",
+    }, options),
+  append: (url, http, options) =>
+    new LogClient({ baseUrl: url, http }).append("s", [
+      { id: "r", data: "x".repeat(options.bodyBytes ?? BODY_BYTES) },
+    ], options),
+  generate: (url, http, options) =>
+    new EngineClient({ http }).generate(url, {
+      attemptId: "a",
+      requestId: "r",
+      model: "m",
+      version: "v",
+      chain: [],
+      prompt: "x".repeat(options.bodyBytes ?? BODY_BYTES),
+      generated: [],
+      maxTokens: 2,
+      priority: 5,
+      deadlineWallMs: 0,
+      cacheScope: "c",
+    }, { ...options, onTokens: () => {} }),
+};
+
+const END = { attemptId: "a", tokenCount: 1, reason: "stop" };
+const TOKEN = { attemptId: "a", index: 0, id: 1, text: "a", ran: "t:0-1@1" };
+const TOKEN_EVENT = `event: token\ndata: ${JSON.stringify(TOKEN)}\n\n`;
+const WHOLE_EVENTS = `${TOKEN_EVENT}event: end\ndata: ${
+  JSON.stringify(END)
+}\n\n`;
+const WHOLE_BODY: Readonly<Record<string, string>> = {
+  call: JSON.stringify({ run: 1 }),
+  append: JSON.stringify({ offset: 0 }),
+  generate: WHOLE_EVENTS,
+};
+
+function answerOf(status: number, body: string, headers = ""): string {
+  return `HTTP/1.1 ${status} Status\r\ncontent-length: ${body.length}\r\n` +
+    `${headers}\r\n${body}`;
+}
+
+function withError(status: number, error?: string): string {
+  return answerOf(status, error ? JSON.stringify({ error }) : "busy");
+}
+
+let target: RawTarget;
+let url: string;
+let http: HttpClient;
+beforeEach(async () => {
+  target = new RawTarget();
+  url = await target.listen();
+  http = new HttpClient();
+});
+afterEach(async () => {
+  http.dispose();
+  await target.close();
+});
+
+const soon = () => ({ deadlineMs: systemClock.nowMs() + 10_000 });
+const impatient = () => ({ deadlineMs: systemClock.nowMs() + 100 });
+
+type Expected = "complete" | "not-run" | "may-have-run";
+
+function verdictOf(outcome: Outcome<unknown>): Expected {
+  return outcome.isOk() ? "complete" : outcome.error.verdict;
+}
+
+/** What a client would say that takes a broken connection for not run. */
+function plainVerdictOf(outcome: Outcome<unknown>): Expected {
+  const isBroken = outcome.isErr() &&
+    (outcome.error.code === "connection-failed" ||
+      outcome.error.code === "deadline-exceeded");
+  return isBroken ? "not-run" : verdictOf(outcome);
+}
+
+interface BrokenCase {
+  readonly name: string;
+  readonly script: RawScript;
+  readonly expected: Expected;
+  /** For `call` where it differs: a service's own answer is passed on. */
+  readonly expectedOfCall?: Expected;
+  readonly isFrozen?: boolean;
+}
+
+const WHOLE = { actAt: 1 };
+const MAY = "may-have-run";
+
+const CASES: readonly BrokenCase[] = [
+  { name: "cut when accepted", script: { cutAt: 0 }, expected: MAY },
+  {
+    name: "cut after the head, acted on it",
+    script: { actAt: 0.001, cutAt: 0.001 },
+    expected: MAY,
+  },
+  {
+    name: "cut in half of the body, acted",
+    script: { actAt: 0.5, cutAt: 0.5 },
+    expected: MAY,
+  },
+  {
+    name: "cut in half of the body, not acted",
+    script: { cutAt: 0.5 },
+    expected: MAY,
+  },
+  {
+    name: "cut after the body, before the act",
+    script: { cutAt: 1 },
+    expected: MAY,
+  },
+  {
+    name: "answer lost after the act",
+    script: { actAt: 1, cutAt: 1 },
+    expected: MAY,
+  },
+  {
+    name: "cut in the head of the answer",
+    script: { ...WHOLE, answer: answerOf(200, "{}"), cutAnswerAtByte: 10 },
+    expected: MAY,
+  },
+  {
+    name: "cut in the body of the answer",
+    script: {
+      ...WHOLE,
+      answer: answerOf(200, "x".repeat(100)),
+      cutAnswerAtByte: 80,
+    },
+    expected: MAY,
+  },
+  {
+    name: "answer that only the connection's end would end",
+    script: {
+      ...WHOLE,
+      answer: "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{}",
+      closes: true,
+    },
+    expected: MAY,
+  },
+  {
+    name: "answer that is not HTTP",
+    script: { ...WHOLE, answer: "hello\r\n\r\n" },
+    expected: MAY,
+  },
+  {
+    name: "frozen after the act",
+    script: WHOLE,
+    expected: MAY,
+    isFrozen: true,
+  },
+  { name: "frozen before the act", script: {}, expected: MAY, isFrozen: true },
+  {
+    name: "redirected",
+    script: { ...WHOLE, answer: answerOf(307, "", "location: /other\r\n") },
+    expected: MAY,
+    expectedOfCall: "complete",
+  },
+  ...["leaving", "overloaded", "loading"].map((error): BrokenCase => ({
+    name: `503 ${error}`,
+    script: { answer: withError(503, error) },
+    expected: "not-run",
+  })),
+  {
+    name: "409 stale-generation",
+    script: { answer: withError(409, "stale-generation") },
+    expected: "not-run",
+    expectedOfCall: "complete",
+  },
+  {
+    name: "429 rate-limited",
+    script: { answer: withError(429, "rate-limited") },
+    expected: "not-run",
+    expectedOfCall: "complete",
+  },
+  ...[503, 409, 429, 500, 502].flatMap((status): BrokenCase[] =>
+    [undefined, "constructor", "some-other-word"].map((error) => ({
+      name: `${status} with ${error ?? "no error word"}, acted`,
+      script: { ...WHOLE, answer: withError(status, error) },
+      expected: MAY,
+      expectedOfCall: "complete",
+    }))
+  ),
+];
+
+describe.each(Object.keys(SENDS))("%s", (kind) => {
+  const send = SENDS[kind];
+
+  test.each([...CASES])("$name", async (broken) => {
+    target.play(broken.script);
+    const outcome = broken.isFrozen
+      ? await sendPastDeadline(send)
+      : await send(url, http, soon());
+    const verdict = verdictOf(outcome);
+    await target.quiesce();
+    const expected = kind === "call"
+      ? broken.expectedOfCall ?? broken.expected
+      : broken.expected;
+    expect(verdict).toBe(expected);
+    if (verdict === "not-run") expect(target.executionCount).toBe(0);
+    expect(target.executionCount).toBeLessThanOrEqual(1);
+  });
+
+  test("a kept connection that the target closes may have run", async () => {
+    const answer = answerOf(200, WHOLE_BODY[kind]);
+    target.play({ ...WHOLE, answer }, { actAt: 0.001, cutAt: 0.001 });
+    expect(verdictOf(await send(url, http, soon()))).toBe("complete");
+    expect(target.connectionCount).toBe(1);
+    expect(verdictOf(await send(url, http, soon()))).toBe(MAY);
+    expect(target.executionCount).toBe(2);
+  });
+
+  test("nothing ran when no connection came about", async () => {
+    target.play({ actAt: 0.001 });
+    await target.close();
+    expect(verdictOf(await send(url, http, soon()))).toBe("not-run");
+    for (const options of unconnected()) {
+      const client = new HttpClient(options);
+      const outcome = await send("http://target.invalid", client, impatient());
+      client.dispose();
+      expect(verdictOf(outcome)).toBe("not-run");
+    }
+    expect(target.executionCount).toBe(0);
+  });
+
+  test("nothing ran while waiting for a free connection", async () => {
+    const single = new HttpClient({ maxSockets: 1 });
+    target.play({ actAt: 0.001 });
+    const hangUp = new AbortController();
+    const first = send(url, single, { ...soon(), signal: hangUp.signal });
+    const second = await send(url, single, impatient());
+    expect(verdictOf(second)).toBe("not-run");
+    hangUp.abort();
+    expect(verdictOf(await first)).toBe(MAY);
+    single.dispose();
+    await target.quiesce();
+    expect(target.executionCount).toBe(1);
+  });
+
+  test("nothing ran when cancelled or late before sending", async () => {
+    target.play({ actAt: 0.001 });
+    const signal = AbortSignal.abort();
+    const cancelled = await send(url, http, { ...soon(), signal });
+    const late = await send(url, http, { deadlineMs: systemClock.nowMs() });
+    expect([verdictOf(cancelled), verdictOf(late)])
+      .toEqual(["not-run", "not-run"]);
+    expect(target.executionCount).toBe(0);
+  });
+});
+
+/** Sends a request whose deadline passes once the target has read it whole. */
+async function sendPastDeadline(send: Send): Promise<Outcome<unknown>> {
+  let pass = () => {};
+  const clock: Clock = {
+    ...systemClock,
+    nowMs: () => 0,
+    sleep: () => new Promise((resolve) => pass = resolve),
+  };
+  const client = new HttpClient({ clock });
+  const sent = send(url, client, { deadlineMs: 1 });
+  while (target.wholeCount === 0) await turns(1);
+  pass();
+  const outcome = await sent;
+  client.dispose();
+  return outcome;
+}
+
+/** Options under which a name is refused, or never looked up. */
+function unconnected(): HttpClientOptions[] {
+  const refuse = (_name: string, _options: unknown, done: unknown) => {
+    const report = done as (error: Error) => void;
+    report(new Error("no such name"));
+  };
+  return [refuse, () => {}].map((dnsLookup) => ({
+    got: got.extend({ dnsLookup: dnsLookup as never }),
+  }));
+}
+
+interface FuzzRun {
+  readonly kind: string;
+  readonly isKept: boolean;
+  readonly bodyBytes: number;
+  readonly script: RawScript;
+  /** Turns of the event loop after which the caller hangs up. */
+  readonly hangUpAfterTurns: number | undefined;
+}
+
+const place = fc.double({ min: 0.0001, max: 1, noNaN: true });
+
+const fuzzRun: fc.Arbitrary<FuzzRun> = fc.record({
+  kind: fc.constantFrom(...Object.keys(SENDS)),
+  isKept: fc.boolean(),
+  bodyBytes: fc.constantFrom(0, 10, 20_000, 1_000_000),
+  script: fc.record({
+    actAt: fc.option(place, { nil: undefined }),
+    cutAt: fc.option(fc.oneof(fc.constant(0), place), { nil: undefined }),
+    cutAnswerAtByte: fc.option(fc.nat(400), { nil: undefined }),
+  }),
+  hangUpAfterTurns: fc.option(fc.nat(12), { nil: undefined }),
+});
+
+/** Plays one random run; true when the verdict given holds. */
+async function holds(
+  run: FuzzRun,
+  verdictGiven: (outcome: Outcome<unknown>) => Expected,
+): Promise<boolean> {
+  const answer = answerOf(200, WHOLE_BODY[run.kind]);
+  const client = new HttpClient();
+  const send = SENDS[run.kind];
+  if (run.isKept) {
+    target.play({ answer });
+    await send(url, client, { ...soon(), bodyBytes: 1 });
+  }
+  target.play({ ...run.script, answer });
+  const hangUp = new AbortController();
+  const sent = send(url, client, {
+    ...soon(),
+    bodyBytes: run.bodyBytes,
+    signal: hangUp.signal,
+  });
+  if (run.hangUpAfterTurns !== undefined) {
+    await turns(run.hangUpAfterTurns);
+    hangUp.abort();
+  }
+  const outcome = await sent;
+  client.dispose();
+  await turns(2);
+  await target.quiesce();
+  if (target.executionCount > 1) return false;
+  const verdict = verdictGiven(outcome);
+  return verdict !== "not-run" || target.executionCount === 0;
+}
+
+async function turns(count: number): Promise<void> {
+  for (let turn = 0; turn < count; turn++) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+test(`a not-run holds at random cut points, seed ${SEED}`, async () => {
+  const property = fc.asyncProperty(fuzzRun, (run) => holds(run, verdictOf));
+  await fc.assert(property, { seed: SEED, numRuns: 400 });
+});
+
+test("the check catches a client that takes a broken connection for not run", async () => {
+  const property = fc.asyncProperty(
+    fuzzRun,
+    (run) => holds(run, plainVerdictOf),
+  );
+  const details = await fc.check(property, { seed: SEED, numRuns: 400 });
+  expect(details.failed).toBe(true);
+});
