Test the stand-ins' faults, chains and orders

A chain of three engines: every position cut and taken up again to the same text, a refusal by any stage starts nothing anywhere, a stage that dies or reloads is named, a hang-up ends the attempt at every stage with and without a cancel, a marked prompt takes its neighbours with it, orders with and without fence checks.

--- a/src/platform/token_reader_test.ts
+++ b/src/platform/token_reader_test.ts
@@ -29,15 +29,20 @@
 
 function readAll(chunks: readonly Buffer[], fromIndex = 0) {
   const batches: number[][] = [];
+  const attempts = new Set<string>();
   const reader = new TokenReader({
     attemptId: "a",
     fromIndex,
-    onTokens: (batch) => batches.push(batch.map((token) => token.index)),
+    onTokens: (batch) => {
+      batches.push(batch.map((token) => token.index));
+      for (const token of batch) attempts.add(token.attemptId);
+    },
   });
   for (const chunk of chunks) {
     if (reader.read(chunk) !== "more") break;
   }
-  return { reader, batches, indexes: batches.flat() };
+  attempts.delete("a");
+  return { reader, batches, indexes: batches.flat(), foreign: attempts.size };
 }
 
 interface StreamCase {
@@ -180,7 +185,9 @@
       const sent =
         mishaps.map((kind, index) => sendWith(kind, index)).join("") +
         (isEnded ? endOf(mishaps.length) : "");
-      const { reader, indexes } = readAll(splitAt(Buffer.from(sent), cuts));
+      const chunks = splitAt(Buffer.from(sent), cuts);
+      const { reader, indexes, foreign } = readAll(chunks);
+      expect(foreign).toBe(0);
       expect(indexes).toEqual([...indexes.keys()]);
       const isWhole = isEnded &&
         !mishaps.some((kind) => kind === "lost" || kind === "late");
--- a/standins/engine/engine_test.ts
+++ b/standins/engine/engine_test.ts
@@ -1,161 +1,220 @@
-import { afterEach, expect, test } from "vitest";
-import { systemClock } from "../../src/common/clock.ts";
-import { EngineClient } from "../../src/platform/engine_client.ts";
-import { HttpClient } from "../../src/platform/http_client.ts";
-import {
-  chainSignature,
-  type ChainStage,
-  type EngineToken,
-  type GenerateRequest,
-} from "../../src/platform/types.ts";
-import { Faults } from "../common/faults.ts";
-import { Engine, type EngineOptions } from "./engine.ts";
-import { expectedAnswer } from "./expected_answer.ts";
-
-const LAYER_COUNT = 6;
-const cleanups: (() => Promise<void> | void)[] = [];
-afterEach(async () => {
-  for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
-});
+import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
+import { chainSignature } from "../../src/platform/types.ts";
+import { ANSWER, ChainFixture, soon } from "./chain_fixture.ts";
+import type { EngineOptions } from "./engine.ts";
 
-async function startChain(overrides: Partial<EngineOptions> = {}) {
-  const http = new HttpClient();
-  cleanups.push(() => http.dispose());
-  const engines: Engine[] = [];
-  const faults: Faults[] = [];
-  const chain: ChainStage[] = [];
-  for (let first = 0; first < LAYER_COUNT; first += 2) {
-    const target = `t${first}`;
-    const span = { first, end: first + 2 };
-    const fault = new Faults({ exit: () => {} });
-    const engine = new Engine({
-      target,
-      loaded: {
-        ...span,
-        model: "m",
-        version: "v1",
-        adapters: [],
-        role: "both",
-      },
-      faults: fault,
-      ...overrides,
-    });
-    cleanups.push(() => engine.close());
-    const url = await engine.server.listen();
-    engines.push(engine);
-    faults.push(fault);
-    chain.push({ ...span, target, url, generation: 1 });
-  }
-  const client = new EngineClient({ http });
-  return { engines, faults, chain, client, url: chain[0].url };
-}
+let fixture: ChainFixture;
+afterEach(() => fixture.close());
 
-function requestOf(
-  chain: readonly ChainStage[],
-  overrides: Partial<GenerateRequest> = {},
-): GenerateRequest {
-  return {
-    attemptId: "a1",
-    requestId: "r1",
-    model: "m",
-    version: "v1",
-    chain,
-    prompt: "list the cows of the valley",
-    generated: [],
-    maxTokens: 40,
-    priority: 5,
-    deadlineWallMs: Date.now() + 10_000,
-    cacheScope: "c",
-    ...overrides,
-  };
+async function start(options: Partial<EngineOptions> = {}): Promise<void> {
+  fixture = await ChainFixture.start(options);
 }
 
-const within = () => ({ deadlineMs: systemClock.nowMs() + 10_000 });
+describe("a chain", () => {
+  beforeEach(() => start());
 
-const answer = expectedAnswer({
-  model: "m",
-  version: "v1",
-  prompt: "list the cows of the valley",
-  layerCount: LAYER_COUNT,
-  maxTokens: 40,
-});
+  test("gives the expected answer, each token with its stages", async () => {
+    const { outcome, tokens } = await fixture.generate(fixture.request());
+    expect(outcome.unwrap()).toMatchObject({
+      tokenCount: ANSWER.ids.length,
+      reason: ANSWER.reason,
+    });
+    expect(tokens.map((token) => token.text).join("")).toBe(ANSWER.text);
+    expect(new Set(tokens.map((token) => token.ran)))
+      .toEqual(new Set([chainSignature(fixture.chain)]));
+  });
 
-test("a chain gives the expected answer, each token with its stages", async () => {
-  const { chain, client, url } = await startChain();
-  const tokens: EngineToken[] = [];
-  const outcome = await client.generate(url, requestOf(chain), {
-    ...within(),
-    onTokens: (batch) => tokens.push(...batch),
+  test("continues the unbroken answer from every position", async () => {
+    for (let position = 0; position <= ANSWER.ids.length; position++) {
+      const generated = ANSWER.ids.slice(0, position);
+      const request = fixture.request({ generated });
+      const { outcome, tokens } = await fixture.generate(request);
+      expect(outcome.isOk()).toBe(true);
+      expect(tokens.map(({ id }) => id)).toEqual(ANSWER.ids.slice(position));
+    }
   });
-  expect(outcome.unwrap()).toMatchObject({
-    tokenCount: answer.ids.length,
-    reason: answer.reason,
+
+  test.each([0, 1, 2])("refused by stage %i starts nothing", async (place) => {
+    const stale = fixture.chain.map((stage, other) =>
+      other === place ? { ...stage, generation: 9 } : stage
+    );
+    const request = fixture.request({ chain: stale });
+    const refused = await fixture.generate(request);
+    expect(refused.outcome.unwrapErr()).toMatchObject({
+      verdict: "not-run",
+      code: "stale-generation",
+      target: `t${place}`,
+    });
+    fixture.faults[place].apply({ action: "leave" });
+    const left = await fixture.generate(fixture.request());
+    expect(left.outcome.unwrapErr()).toMatchObject({
+      verdict: "not-run",
+      code: "shutting-down",
+      target: `t${place}`,
+    });
+    expect(fixture.startedCounts()).toEqual([0, 0, 0]);
+    await vi.waitFor(() => expect(fixture.openCounts()).toEqual([0, 0, 0]));
+  });
+
+  test("an attempt sent twice runs once", async () => {
+    const request = fixture.request();
+    const both = await Promise.all([
+      fixture.generate(request),
+      fixture.generate(request),
+    ]);
+    const verdicts = both.map(({ outcome }) =>
+      outcome.isOk() ? "complete" : outcome.error.verdict
+    );
+    expect(verdicts.sort()).toEqual(["complete", "may-have-run"]);
+    expect(fixture.startedCounts()).toEqual([1, 1, 1]);
+  });
+
+  test("cut at each position is reattached or run again to the same text", async () => {
+    for (let position = 0; position <= ANSWER.ids.length; position += 3) {
+      fixture.faults[0].apply({ action: "cut", afterTokens: position });
+      const request = fixture.request();
+      const broken = await fixture.generate(request);
+      expect(broken.outcome.unwrapErr().verdict).toBe("may-have-run");
+      const generated = broken.tokens.map(({ id }) => id);
+      expect(generated).toEqual(ANSWER.ids.slice(0, position));
+      const rest = position % 2 === 0
+        ? await fixture.reattach(request.attemptId, position)
+        : await fixture.generate(fixture.request({ generated }));
+      expect(rest.outcome.isOk()).toBe(true);
+      expect([...generated, ...rest.tokens.map(({ id }) => id)])
+        .toEqual(ANSWER.ids);
+    }
   });
-  expect(tokens.map((token) => token.text).join("")).toBe(answer.text);
-  expect(new Set(tokens.map((token) => token.ran))).toEqual(
-    new Set([chainSignature(chain)]),
-  );
 });
 
-test("a resumed answer continues the unbroken one at every position", async () => {
-  const { chain, client, url } = await startChain();
-  for (let position = 0; position <= answer.ids.length; position += 5) {
-    const tokens: EngineToken[] = [];
-    const generated = answer.ids.slice(0, position);
-    const attemptId = `a-${position}`;
-    const request = requestOf(chain, { attemptId, generated });
-    const outcome = await client.generate(url, request, {
-      ...within(),
-      onTokens: (batch) => tokens.push(...batch),
+describe("a long generation", () => {
+  const endless = { maxTokens: 1_000_000, prompt: "a prompt" };
+  beforeEach(() => start({ tokenMs: 1, graceMs: 0 }));
+
+  /** Runs until the first token, then does something to the chain. */
+  const disturbed = (disturb: () => void, signal?: AbortSignal) =>
+    fixture.generate(fixture.request(endless), {
+      signal,
+      onFirstToken: disturb,
     });
-    expect(outcome.isOk()).toBe(true);
-    expect(tokens.map((token) => token.id)).toEqual(answer.ids.slice(position));
-  }
-});
 
-test("a stage of another generation refuses before anything starts", async () => {
-  const { chain, client, engines, url } = await startChain();
-  const stale = chain.map((stage, place) =>
-    place === 2 ? { ...stage, generation: 9 } : stage
-  );
-  const outcome = await client.generate(url, requestOf(stale), {
-    ...within(),
-    onTokens: () => expect.unreachable(),
+  test.each([1, 2])("names stage %i when it dies", async (place) => {
+    const { outcome } = await disturbed(() =>
+      fixture.faults[place].apply({ action: "die" })
+    );
+    expect(outcome.unwrapErr()).toMatchObject({
+      verdict: "may-have-run",
+      code: "target-failed",
+      target: `t${place}`,
+    });
+  });
+
+  test("is never complete when its first stage dies", async () => {
+    const { outcome } = await disturbed(() =>
+      fixture.faults[0].apply({ action: "die" })
+    );
+    expect(outcome.unwrapErr().verdict).toBe("may-have-run");
   });
-  expect(outcome.unwrapErr()).toMatchObject({
-    verdict: "not-run",
-    code: "stale-generation",
+
+  test.each([0, 1, 2])("ends as stale when stage %i reloads", async (place) => {
+    const order = fixture.order(place, { version: "v2" });
+    const { url } = fixture.chain[place];
+    const { outcome } = await disturbed(() =>
+      void fixture.client.order(url, order, soon())
+    );
+    expect(outcome.unwrapErr()).toMatchObject({
+      code: "stale-generation",
+      target: `t${place}`,
+    });
   });
-  expect(engines[2].counts.started).toBe(0);
+
+  test.each(["cancelled", "hung up"])(
+    "%s, it ends at every stage",
+    async (how) => {
+      const hangUp = new AbortController();
+      const request = fixture.request(endless);
+      const { outcome } = await fixture.generate(request, {
+        signal: hangUp.signal,
+        onFirstToken: () => hangUp.abort(),
+      });
+      expect(outcome.unwrapErr().code).toBe("cancelled");
+      if (how === "cancelled") {
+        const { attemptId } = request;
+        await fixture.client.cancel(fixture.url, attemptId, soon());
+        expect(fixture.openCounts()).toEqual([0, 0, 0]);
+      }
+      await vi.waitFor(() => expect(fixture.openCounts()).toEqual([0, 0, 0]));
+    },
+  );
 });
 
-test("a cut stream is reattached where it broke", async () => {
-  const { chain, client, faults, url } = await startChain({ tokenMs: 1 });
-  faults[0].apply({ action: "cut", afterTokens: 7 });
-  const tokens: EngineToken[] = [];
-  const onTokens = (batch: readonly EngineToken[]) => {
-    tokens.push(...batch);
-  };
-  const options = { ...within(), onTokens };
-  const cut = await client.generate(url, requestOf(chain), options);
-  expect(cut.unwrapErr().verdict).toBe("may-have-run");
-  expect(tokens.length).toBe(7);
-  const fromIndex = tokens.length;
-  const attempt = { attemptId: "a1", fromIndex };
-  const resumed = await client.reattach(url, attempt, options);
-  expect(resumed.isOk()).toBe(true);
-  expect(tokens.map((token) => token.id)).toEqual(answer.ids);
+test("content with the marker takes its neighbours in the batch with it", async () => {
+  await start({ tokenMs: 5, crashMarker: "<crash>" });
+  const neighbour = fixture.generate(fixture.request({ maxTokens: 100_000 }));
+  const poison = fixture.request({ prompt: "now <crash>" });
+  const crashed = await fixture.generate(poison);
+  expect(crashed.outcome.unwrapErr().verdict).toBe("may-have-run");
+  expect((await neighbour).outcome.unwrapErr().verdict).toBe("may-have-run");
+  expect(fixture.died).toContain(0);
 });
 
-test("a cancelled attempt ends at every stage", async () => {
-  const { chain, client, engines, url } = await startChain({ tokenMs: 2 });
+test("an engine takes no more attempts than it may have open", async () => {
+  await start({ maxAttempts: 1, tokenMs: 1 });
   const hangUp = new AbortController();
-  const outcome = await client.generate(
-    url,
-    requestOf(chain, { maxTokens: 10_000 }),
-    { ...within(), signal: hangUp.signal, onTokens: () => hangUp.abort() },
+  const refusal = await new Promise<unknown>((resolve) => {
+    void fixture.generate(fixture.request({ maxTokens: 100_000 }), {
+      signal: hangUp.signal,
+      onFirstToken: async () =>
+        resolve(
+          (await fixture.generate(fixture.request())).outcome.unwrapErr(),
+        ),
+    });
+  });
+  hangUp.abort();
+  expect(refusal).toMatchObject({ verdict: "not-run", code: "overloaded" });
+});
+
+describe.each([true, false])("orders, fence checked: %s", (checksFence) => {
+  let finishLoad: () => void;
+  beforeEach(() =>
+    start({
+      checksFence,
+      load: () => new Promise((resolve) => finishLoad = resolve),
+    })
   );
-  expect(outcome.unwrapErr()).toMatchObject({ code: "cancelled" });
-  expect((await client.cancel(url, "a1", within())).isOk()).toBe(true);
-  expect(engines.map((engine) => engine.counts.open)).toEqual([0, 0, 0]);
+
+  const send = (overrides: object) =>
+    fixture.client.order(fixture.url, fixture.order(0, overrides), soon());
+
+  test("are absolute, and refuse work while they load", async () => {
+    const same = (await send({ fence: 3 })).unwrap();
+    expect(same).toMatchObject({ generation: 1, loading: false, fence: 3 });
+    const loading = (await send({ fence: 4, version: "v2" })).unwrap();
+    expect(loading).toMatchObject({ generation: 2, loading: true });
+    const repeated = (await send({ fence: 4, version: "v2" })).unwrap();
+    expect(repeated.generation).toBe(2);
+    const chain = fixture.chain.map((stage) => ({ ...stage, generation: 2 }));
+    const request = fixture.request({ version: "v2", chain });
+    const refused = (await fixture.generate(request)).outcome.unwrapErr();
+    expect(refused).toMatchObject({ verdict: "not-run", target: "t0" });
+    finishLoad();
+    const state = () => fixture.client.readState(fixture.url, soon());
+    await vi.waitFor(async () =>
+      expect((await state()).unwrap().loading).toBe(false)
+    );
+  });
+
+  test("with an old fencing number are refused or obeyed", async () => {
+    await send({ fence: 5 });
+    const stale = await send({ fence: 4, version: "v2" });
+    const state = (await fixture.client.readState(fixture.url, soon()))
+      .unwrap();
+    if (checksFence) {
+      expect(stale.unwrapErr()).toMatchObject({
+        verdict: "not-run",
+        code: "target-refused",
+      });
+      expect(state).toMatchObject({ version: "v1", fence: 5 });
+    } else expect(state).toMatchObject({ version: "v2", fence: 4 });
+  });
 });
