--- a/src/requests/completion_run.ts
+++ b/src/requests/completion_run.ts
@@ -148,6 +148,9 @@
         this.#avoid.add(pick.chain[0].target);
         return ended;
       case "bad-answer":
+        attempt.cut();
+        await this.#locateChange(pick.chain);
+        return ended;
       case "given-up":
         return ended;
     }
@@ -182,11 +185,14 @@
     for (const stage of chain) this.#avoid.add(stage.target);
   }
 
+  /** Names the engines that changed since the chain was planned. */
   async #locateChange(chain: readonly ChainStage[]): Promise<void> {
     const found = await this.#probe(chain);
     this.#blame(found.changed, "stale-generation");
     this.#blame(found.silent, "stalled");
     this.#blame(found.lost, "connect");
+    if (found.changed.length > 0) return;
+    for (const stage of chain) this.#avoid.add(stage.target);
   }
 
   #probe(chain: readonly ChainStage[]): Promise<ProbeResult> {
