Keep non-idempotent calls at most once through the log's order

Cause: a table of keys on each host lets two hosts run one key (the plain way in call_once_test.ts does, within 100 histories). Change: claims reduced from the log's order with tombstones for releases, groupers per partition with stand-ins, an append budget that is charged with other hosts' records, half-open refusal while the log is down, and one background task for releases and outcomes. Found on the way: a quiet stream never aged, so a key past its window stayed refused; it is now appended and judged by the record's time. Tests: 1,000 histories over 5 hosts with kills, freezes, cuts, lost answers and log outages; storms of 400 claims/s stay within the append budget also with the groupers dead and the fleet split.

--- a/src/requests/append_budget.ts
+++ b/src/requests/append_budget.ts
@@ -14,6 +14,8 @@
   readonly ratePerS: () => number;
   /** Appends that can be saved up. */
   readonly burst: number;
+  /** Appends saved up at the start; the burst by default. */
+  readonly initial?: number;
 }
 
 /** Tells when the next append may be made. */
@@ -24,7 +26,7 @@
 
   constructor(options: AppendBudgetOptions) {
     this.#options = options;
-    this.#tokens = options.burst;
+    this.#tokens = options.initial ?? options.burst;
     this.#countedMs = options.clock.nowMs();
   }
 
@@ -35,10 +37,13 @@
     return Math.ceil((1 - this.#tokens) * 1_000 / this.#options.ratePerS());
   }
 
-  /** Takes one append; call it only after `waitMs` returned 0. */
+  /**
+   * Takes one append, this host's own after `waitMs` returned 0, or another
+   * host's that was seen in the stream. The debt is at most one second's rate.
+   */
   take(): void {
     this.#refill();
-    this.#tokens -= 1;
+    this.#tokens = Math.max(-this.#options.ratePerS(), this.#tokens - 1);
   }
 
   #refill(): void {
--- a/src/requests/claim_grouper.ts
+++ b/src/requests/claim_grouper.ts
@@ -6,10 +6,11 @@
  */
 
 import type { Clock } from "../common/clock.ts";
-import { type Failure, mayHaveRun, type Outcome } from "../common/verdict.ts";
+import type { Failure } from "../common/verdict.ts";
 import type { ILogClient } from "../platform/services.ts";
 import type { AppendBudget } from "./append_budget.ts";
-import { ClaimLedger } from "./claim_ledger.ts";
+import type { ClaimLedger } from "./claim_ledger.ts";
+import { ClaimReader } from "./claim_reader.ts";
 import { type ClaimFate, type ClaimOp, claimStream } from "./claim_records.ts";
 import { type Deferred, deferred } from "./deferred.ts";
 
@@ -40,13 +41,15 @@
 
 const FIRST_BACKOFF_MS = 250;
 const LAST_BACKOFF_MS = 2_000;
-const READ_LIMIT = 1_000;
 
 /** Groups the ops of one partition on this host. */
 export class ClaimGrouper {
   readonly #options: ClaimGrouperOptions;
   readonly #stream: string;
+  readonly #reader: ClaimReader;
   readonly #ledger: ClaimLedger;
+  /** Records appended here that have not been read back. */
+  readonly #ownRecords = new Set<string>();
   #pending: PendingOp[] = [];
   #isWorking = false;
   #lastAppendMs = -Infinity;
@@ -56,7 +59,12 @@
   constructor(options: ClaimGrouperOptions) {
     this.#options = options;
     this.#stream = claimStream(options.partition);
-    this.#ledger = new ClaimLedger({ windowMs: options.windowMs });
+    this.#reader = new ClaimReader({
+      ...options,
+      stream: this.#stream,
+      onRecord: (id) => this.#noteRecord(id),
+    });
+    this.#ledger = this.#reader.ledger;
   }
 
   /** Keys and claims that the ledger holds. */
@@ -77,6 +85,12 @@
     if (this.#pending.length >= maxPending) {
       return Promise.resolve(refused("too many claims wait", groupEveryMs));
     }
+    const isProbing = this.#backoffMs > 0 && this.#isWorking;
+    if (isProbing) {
+      return Promise.resolve(
+        refused("the log is being tried", FIRST_BACKOFF_MS),
+      );
+    }
     const fate = deferred<ClaimFate>();
     this.#pending.push({ op, deadlineMs: options.deadlineMs, fate });
     if (!this.#isWorking) void this.#work();
@@ -112,8 +126,9 @@
     this.#lastAppendMs = this.#options.clock.nowMs();
     const fresh = await this.#withoutKnown(group);
     if (fresh.length === 0) return;
-    this.#options.budget().take();
     const recordId = this.#options.newId();
+    this.#ownRecords.add(recordId);
+    this.#options.budget().take();
     const data = { ops: fresh.map((entry) => entry.op) };
     const appended = await this.#options.log.append(
       this.#stream,
@@ -121,9 +136,10 @@
       { deadlineMs: this.#logDeadlineMs() },
     );
     if (appended.isErr() && appended.error.verdict === "not-run") {
+      this.#ownRecords.delete(recordId);
       return this.#refuse(fresh, appended.error);
     }
-    const caughtUp = await this.#catchUp(appended.unwrapOr(-1));
+    const caughtUp = await this.#reader.catchUp(appended.unwrapOr(-1));
     if (appended.isErr() || caughtUp.isErr()) this.#noteOutage();
     else this.#backoffMs = 0;
     for (const { op, fate } of fresh) {
@@ -135,43 +151,29 @@
   async #withoutKnown(group: PendingOp[]): Promise<PendingOp[]> {
     const isKnown = ({ op }: PendingOp) =>
       this.#ledger.fateOf(op) !== undefined;
-    const mayBeStale = this.#ledger.nextOffset === 0 || group.some(isKnown);
-    if (mayBeStale) {
-      const caughtUp = await this.#catchUp(-1);
+    if (!this.#reader.hasStarted || group.some(isKnown)) {
+      const caughtUp = await this.#reader.catchUp();
       if (caughtUp.isErr()) {
         this.#refuse(group, caughtUp.error);
         return [];
       }
     }
+    const wallMs = this.#options.clock.wallMs();
     const fresh: PendingOp[] = [];
     for (const entry of group) {
       const fate = this.#ledger.fateOf(entry.op);
-      if (fate === undefined) fresh.push(entry);
+      const mayBeOpen = fate === undefined ||
+        this.#ledger.mayHaveExpired(entry.op.key, wallMs);
+      if (mayBeOpen) fresh.push(entry);
       else entry.fate.resolve(fate);
     }
     return fresh;
   }
 
-  /** Reads to the end of the stream, and past `offset` at least. */
-  async #catchUp(offset: number): Promise<Outcome<void>> {
-    const { log } = this.#options;
-    for (;;) {
-      const fromOffset = this.#ledger.nextOffset;
-      const read = await log.read(this.#stream, fromOffset, {
-        deadlineMs: this.#logDeadlineMs(),
-        limit: READ_LIMIT,
-      });
-      if (read.isErr()) return read;
-      const { records, firstOffset, nextOffset } = read.value;
-      this.#ledger.skipTo(firstOffset);
-      for (const record of records) this.#ledger.apply(record);
-      const reached = this.#ledger.nextOffset;
-      if (reached >= nextOffset && reached > offset) return read.map(() => {});
-      if (reached === fromOffset) {
-        const message = `stream ${this.#stream} gave nothing at ${reached}`;
-        return mayHaveRun("log-unavailable", message);
-      }
-    }
+  /** Charges other hosts' appends to the budget, so that all share one rate. */
+  #noteRecord(id: string): void {
+    const isOwn = this.#ownRecords.delete(id);
+    if (!isOwn && this.#reader.hasStarted) this.#options.budget().take();
   }
 
   #refuse(group: readonly PendingOp[], failure: Failure): void {
--- a/src/requests/claim_ledger.ts
+++ b/src/requests/claim_ledger.ts
@@ -88,6 +88,15 @@
     return this.#ended.has(op.claimId) ? { kind: "lost" } : undefined;
   }
 
+  /**
+   * Whether the key's holder is past its window at `wallMs`. The records do
+   * not show it before one is that late, so only an append can tell.
+   */
+  mayHaveExpired(key: string, wallMs: number): boolean {
+    const held = this.#held.get(key);
+    return held !== undefined && held.expiresAtWallMs <= wallMs;
+  }
+
   #applyOp(op: ClaimOp): void {
     switch (op.kind) {
       case "claim":
--- a/src/requests/claim_records.ts
+++ b/src/requests/claim_records.ts
@@ -12,6 +12,9 @@
 /** Streams that claims are spread over; the same on every host. */
 export const CLAIM_PARTITION_COUNT = 4;
 
+/** Longest time for which a holder may dispatch, whatever the deadline. */
+export const MAX_CLAIM_LASTS_MS = 3_600_000;
+
 const text = z.string().min(1).max(128);
 const result = z.enum(["ran", "may-have-run"]);
 
@@ -22,7 +25,7 @@
     claimId: text,
     holder: text,
     /** Time for which the holder may still dispatch, from the append on. */
-    lastsMs: z.int().min(0),
+    lastsMs: z.int().min(0).max(MAX_CLAIM_LASTS_MS),
   }),
   z.strictObject({ kind: z.literal("release"), key: text, claimId: text }),
   z.strictObject({
--- a/src/requests/claim_router.ts
+++ b/src/requests/claim_router.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "../common/clock.ts";
 import { rendezvousRank } from "../common/hash.ts";
 import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
+import type { Random } from "../common/random.ts";
 import type { IMembership, IPeerTransport, Member } from "../fleet/services.ts";
 import type { ILogClient } from "../platform/services.ts";
 import { AppendBudget } from "./append_budget.ts";
@@ -47,6 +48,7 @@
   readonly membership: IMembership;
   readonly transport: IPeerTransport;
   readonly newId: () => string;
+  readonly random: Random;
   readonly policy: ClaimPolicy;
 }
 
@@ -72,7 +74,8 @@
     const { clock, membership, policy, transport } = options;
     this.#standInBudget = new AppendBudget({
       clock,
-      burst: 2,
+      burst: 1,
+      initial: options.random(),
       ratePerS: () =>
         policy.standInAppendsPerS / Math.max(1, membership.members().length),
     });
--- a/src/requests/claim_service.ts
+++ b/src/requests/claim_service.ts
@@ -10,6 +10,7 @@
 import { Err, Ok } from "ts-results-es";
 import { type Clock, systemClock } from "../common/clock.ts";
 import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
+import type { Random } from "../common/random.ts";
 import {
   type Failure,
   mayHaveRun,
@@ -18,12 +19,13 @@
 } from "../common/verdict.ts";
 import type { IMembership, IPeerTransport } from "../fleet/services.ts";
 import type { ILogClient } from "../platform/services.ts";
+import { ClaimNotes } from "./claim_notes.ts";
 import {
   type ClaimFate,
   type ClaimOp,
-  type ClaimResult,
   type ClaimStatus,
   digestClaimKey,
+  MAX_CLAIM_LASTS_MS,
   parseClaimStatus,
   parseClaimStatusQuery,
 } from "./claim_records.ts";
@@ -38,6 +40,7 @@
   readonly clock?: Clock;
   /** Makes identifiers of claims and records, each unique over the fleet. */
   readonly newId?: () => string;
+  readonly random?: Random;
   readonly policy?: Partial<ClaimPolicy>;
 }
 
@@ -55,9 +58,6 @@
 
 /** Pause before a key is asked for again that its holder is giving back. */
 const FREE_SOON_MS = 50;
-/** Pause before a release or an outcome is sent again, doubled up to a limit. */
-const FIRST_RESEND_MS = 250;
-const LAST_RESEND_MS = 10_000;
 /** Own claims remembered whose end has not reached the log. */
 const MAX_OWN_CLAIMS = 20_000;
 /** Time for a holder to say how its claim stands. */
@@ -88,7 +88,7 @@
   readonly #router: ClaimRouter;
   readonly #own = new Map<string, OwnClaim>();
   readonly #owned = new DisposableStore();
-  readonly #stop = new AbortController();
+  readonly #notes: ClaimNotes;
 
   constructor(options: ClaimServiceOptions) {
     this.#clock = options.clock ?? systemClock;
@@ -102,16 +102,24 @@
         ...options,
         clock: this.#clock,
         newId: this.#newId,
+        random: options.random ?? Math.random,
         policy: this.#policy,
       }),
     );
+    this.#notes = this.#owned.add(
+      new ClaimNotes({
+        clock: this.#clock,
+        submit: (op, bounds) => this.#router.submit(op, bounds),
+        withinMs: this.#policy.settleWithinMs,
+        onNoted: (claimId) => this.#own.delete(claimId),
+      }),
+    );
     this.#owned.add(
       options.transport.handle("claims.status", (sent) => this.#serve(sent)),
     );
   }
 
   dispose(): void {
-    this.#stop.abort();
     this.#owned.dispose();
   }
 
@@ -120,11 +128,16 @@
     options: { deadlineMs: number; signal?: AbortSignal },
   ): Promise<Outcome<IClaim>> {
     const digest = digestClaimKey(key);
-    const settleByMs = Math.min(
+    const nowMs = this.#clock.nowMs();
+    const deadlineMs = Math.min(
       options.deadlineMs,
-      this.#clock.nowMs() + this.#policy.settleWithinMs,
+      nowMs + MAX_CLAIM_LASTS_MS,
+    );
+    const settleByMs = Math.min(
+      deadlineMs,
+      nowMs + this.#policy.settleWithinMs,
     );
-    const bounds = { ...options, settleByMs };
+    const bounds = { signal: options.signal, deadlineMs, settleByMs };
     for (;;) {
       const tried = await this.#tryOnce(digest, bounds);
       if (tried !== "free-soon") return tried;
@@ -157,7 +170,7 @@
       return new Ok(this.#hold(own, bounds.deadlineMs));
     }
     own.status = "dead";
-    if (fate.kind === "won" || mayStillAppear) void this.#giveBack(own);
+    if (fate.kind === "won" || mayStillAppear) this.#giveBack(own);
     else this.#own.delete(own.claimId);
     if (bounds.signal?.aborted) {
       return notRun("cancelled", "the caller cancelled the request");
@@ -267,39 +280,18 @@
         this.#clock.wallMs() < deadlineWallMs,
       release: () => {
         own.status = "dead";
-        void this.#giveBack(own);
+        this.#giveBack(own);
       },
       settle: (result) => {
         own.status = result;
-        void this.#noteResult(own, result);
+        const { key, claimId } = own;
+        this.#notes.send({ kind: "outcome", key, claimId, result });
       },
     };
   }
 
-  #giveBack(own: OwnClaim): Promise<void> {
-    const { key, claimId } = own;
-    return this.#sendUntilNoted({ kind: "release", key, claimId });
-  }
-
-  #noteResult(own: OwnClaim, result: ClaimResult): Promise<void> {
-    const { key, claimId } = own;
-    return this.#sendUntilNoted({ kind: "outcome", key, claimId, result });
-  }
-
-  /** Sends an op again and again until it is known to be in the log. */
-  async #sendUntilNoted(op: ClaimOp): Promise<void> {
-    const { signal } = this.#stop;
-    for (
-      let waitMs = FIRST_RESEND_MS;
-      !signal.aborted;
-      waitMs = Math.min(LAST_RESEND_MS, waitMs * 2)
-    ) {
-      const deadlineMs = this.#clock.nowMs() + this.#policy.settleWithinMs;
-      const { fate } = await this.#router.submit(op, { deadlineMs });
-      if (fate.kind === "noted") break;
-      await this.#clock.sleep(waitMs, signal);
-    }
-    this.#own.delete(op.claimId);
+  #giveBack({ key, claimId }: OwnClaim): void {
+    this.#notes.send({ kind: "release", key, claimId });
   }
 
   #refuse(
--- a/test/requests_claims.ts
+++ b/test/requests_claims.ts
@@ -7,6 +7,7 @@
 import { seededRandom } from "../src/common/random.ts";
 import type { IClaimService } from "../src/requests/services.ts";
 import { ClaimService } from "../src/requests/claim_service.ts";
+import type { ClaimPolicy } from "../src/requests/claim_router.ts";
 import { ManualClock } from "./manual_clock.ts";
 import { type TestHost, TestNetwork } from "./requests_host.ts";
 import { TestLog } from "./requests_log.ts";
@@ -16,6 +17,7 @@
   readonly seed: number;
   readonly hostCount: number;
   readonly lostAnswers?: number;
+  readonly policy?: Partial<ClaimPolicy>;
 }
 
 /** One host of the fleet with its claims. */
@@ -34,16 +36,35 @@
   let nextId = 0;
   const newId = () => `id-${nextId++}`;
   const hosts: ClaimHost[] = [];
+  let sideOf = (_at: number) => 0;
+  /** Cuts the fleet into sides, each of which takes itself for the whole. */
+  function split(side: (at: number) => number): void {
+    sideOf = side;
+    for (const [at, { host }] of hosts.entries()) {
+      for (const [other, { host: peer }] of hosts.entries()) {
+        if (side(at) !== side(other)) {
+          network.cut(host.member.name, peer.member.name);
+        }
+      }
+    }
+  }
   for (let at = 0; at < options.hostCount; at += 1) {
     const host = network.add(`host-${at}`);
     const claims = new ClaimService({
       clock: host.clock(clock),
       log: log.client(host),
-      membership: network.membership(host),
+      membership: network.membership(
+        host,
+        () =>
+          hosts.filter((_, other) => sideOf(other) === sideOf(at))
+            .map((other) => other.host.member),
+      ),
       transport: network.transport(host),
       newId,
+      random,
+      policy: options.policy,
     });
     hosts.push({ host, claims });
   }
-  return { clock, random, log, network, hosts, newId };
+  return { clock, random, log, network, hosts, newId, split };
 }
--- a/test/requests_completions.ts
+++ b/test/requests_completions.ts
@@ -87,6 +87,7 @@
     quarantine: options.quarantine ??
       { admit: () => Ok.EMPTY, strike: () => Promise.resolve() },
     newId: () => `attempt-${nextId++}`,
+    policy: { waitForChainMs: 1_000 },
   });
   async function complete(
     pipeline = "escriba",
