Weigh chains by the best flow and learn when they are late

The first picker took the least of this host's work at each boundary, blind to links, reports, slow parts and versions, with constant deadlines.

Flow over the layered graph (Dinic, then the highest utilizations lowered) gives the bound and the weights. A walk draws two targets by weight, changed by health, by the fastest chain seen through a part and by a tilt that levels reported streams within one report interval, and takes the one with less own work at target or link. Deadlines follow the gaps of the chain; stalls widen them and fade.

--- /dev/null
+++ b/measure/chains_flow.ts
@@ -0,0 +1,203 @@
+/**
+ * Tokens a second against the flow bound, on six kinds of accelerators and
+ * links that differ a hundredfold, up to three times saturation.
+ *
+ * @module
+ */
+
+import { seededRandom } from "../src/common/random.ts";
+import { ChainPicker } from "../src/pipelines/chain_picker.ts";
+import type { ChainStage } from "../src/platform/types.ts";
+import {
+  EventQueue,
+  FakeFleet,
+  type FakeTarget,
+  PlainPicker,
+  printTable,
+} from "./chains_fakes.ts";
+
+const SEED = 20_261;
+const HOSTS = 9;
+const LAYERS = 48;
+const ANSWER_TOKENS = 64;
+const PIECE_TOKENS = 4;
+const ANSWER_WITHIN_MS = 10_000;
+const REPORT_EVERY_MS = 1_000;
+const WARM_UP_MS = 20_000;
+const MEASURED_MS = 30_000;
+const KIND_LAYER_TOKENS_PER_S = [
+  6_000,
+  12_000,
+  20_000,
+  32_000,
+  50_000,
+  80_000,
+];
+const STAGES = [[0, 12], [12, 28], [28, 36], [36, 48]] as const;
+const DOMAINS = ["fd-a", "fd-b", "fd-c"];
+const LINK_TOKENS_PER_S = [60, 600, 6_000];
+
+type Way = "weights" | "by-capacity" | "round-robin" | "least-reported";
+
+interface Load {
+  readonly way: Way;
+  readonly offeredShare: number;
+  readonly seed: number;
+}
+
+interface Outcome {
+  readonly goodputShare: number;
+  readonly refusedShare: number;
+}
+
+/** Prints the table of goodput for each way and offered load. */
+export function run(): Promise<void> {
+  const startMs = performance.now();
+  const rows: (string | number)[][] = [];
+  const ways: Way[] = [
+    "weights",
+    "by-capacity",
+    "round-robin",
+    "least-reported",
+  ];
+  for (const way of ways) {
+    for (const offeredShare of [0.5, 0.8, 0.95, 1, 1.5, 2, 3]) {
+      const outcome = runLoad({ way, offeredShare, seed: SEED });
+      rows.push([
+        way,
+        offeredShare,
+        percent(outcome.goodputShare),
+        percent(outcome.refusedShare),
+      ]);
+    }
+  }
+  printTable(["way", "offered/bound", "goodput/bound", "refused"], rows);
+  const seconds = ((performance.now() - startMs) / 1_000).toFixed(1);
+  console.log(
+    `\nseed ${SEED}, ${HOSTS} hosts, ${
+      STAGES.length * KIND_LAYER_TOKENS_PER_S.length
+    } targets, bound ${boundTokensPerS().toFixed(0)} tokens/s, ` +
+      `run time ${seconds} s`,
+  );
+  return Promise.resolve();
+}
+
+function percent(share: number): string {
+  return `${(100 * share).toFixed(1)}%`;
+}
+
+function makeTargets(): FakeTarget[] {
+  return STAGES.flatMap(([first, end], stage) =>
+    KIND_LAYER_TOKENS_PER_S.map((layerTokensPerS, kind) => ({
+      name: `t-${stage}-${kind}`,
+      failureDomain: DOMAINS[(stage + kind) % DOMAINS.length],
+      layerTokensPerS,
+      first,
+      end,
+    }))
+  );
+}
+
+function makeLinks() {
+  return DOMAINS.flatMap((from, a) =>
+    DOMAINS.filter((to) => to !== from).map((to, b) => ({
+      from,
+      to,
+      tokensPerS: LINK_TOKENS_PER_S[(a + 2 * b) % LINK_TOKENS_PER_S.length],
+      delayMs: 1,
+    }))
+  );
+}
+
+function makeFleet(): FakeFleet {
+  return new FakeFleet({
+    events: new EventQueue(),
+    targets: makeTargets(),
+    layerCount: LAYERS,
+    links: makeLinks(),
+  });
+}
+
+function boundTokensPerS(): number {
+  const fleet = makeFleet();
+  const [directory] = fleet.addHosts(1, REPORT_EVERY_MS);
+  const picker = new ChainPicker({
+    config: fleet.config,
+    directory,
+    clock: fleet.events,
+  });
+  return picker.boundTokensPerS("p");
+}
+
+interface Picked {
+  readonly chain: readonly ChainStage[];
+  dispose(): void;
+}
+
+function runLoad({ way, offeredShare, seed }: Load): Outcome {
+  const fleet = makeFleet();
+  const { events } = fleet;
+  const random = seededRandom(seed);
+  const bound = boundTokensPerS();
+  const requestsPerMs = bound * offeredShare / ANSWER_TOKENS / 1_000;
+  const pickers = makePickers(fleet, { way, random });
+  let goodTokens = 0;
+  let refused = 0;
+  let offered = 0;
+  const isMeasured = () => events.nowMs() >= WARM_UP_MS;
+  const arrive = () => {
+    events.after(-Math.log(1 - random()) / requestsPerMs, arrive);
+    const startMs = events.nowMs();
+    const picked = pickers[Math.floor(random() * HOSTS)]();
+    if (isMeasured()) offered++;
+    if (!picked) {
+      if (isMeasured()) refused++;
+      return;
+    }
+    fleet.stream(picked.chain, {
+      pieces: ANSWER_TOKENS / PIECE_TOKENS,
+      pieceTokens: PIECE_TOKENS,
+      onPiece: () => {},
+      onEnd: () => {
+        picked.dispose();
+        const isInTime = events.nowMs() - startMs <= ANSWER_WITHIN_MS;
+        if (isMeasured() && isInTime) goodTokens += ANSWER_TOKENS;
+      },
+    });
+  };
+  arrive();
+  events.runUntil(WARM_UP_MS + MEASURED_MS);
+  return {
+    goodputShare: goodTokens / (MEASURED_MS / 1_000) / bound,
+    refusedShare: refused / offered,
+  };
+}
+
+function makePickers(
+  fleet: FakeFleet,
+  options: { readonly way: Way; readonly random: () => number },
+): (() => Picked | undefined)[] {
+  const { way, random } = options;
+  const directories = fleet.addHosts(HOSTS, REPORT_EVERY_MS);
+  const { config, events: clock } = fleet;
+  let prefixHash = 0;
+  return directories.map((directory) => {
+    if (way !== "weights") {
+      const plain = new PlainPicker(makeTargets(), {
+        way,
+        directory,
+        random,
+        layerCount: LAYERS,
+      });
+      return () => ({ chain: plain.pick(), dispose: () => {} });
+    }
+    const picker = new ChainPicker({ config, directory, clock, random });
+    return () => {
+      const request = { pipeline: "p", prefixHash: prefixHash++ };
+      const picked = picker.pick({ ...request, avoid: new Set() });
+      return picked.isOk() ? picked.value : undefined;
+    };
+  });
+}
+
+if (process.argv[1]?.endsWith("chains_flow.js")) await run();
--- a/src/pipelines/chain_picker.ts
+++ b/src/pipelines/chain_picker.ts
@@ -7,24 +7,37 @@
 import { Ok } from "ts-results-es";
 import type { Clock } from "../common/clock.ts";
 import { systemClock } from "../common/clock.ts";
+import {
+  type Disposable,
+  DisposableStore,
+  toDisposable,
+} from "../common/lifecycle.ts";
 import type { Random } from "../common/random.ts";
 import { notRun, type Outcome } from "../common/verdict.ts";
-import type { PipelineConfig } from "../config/schema.ts";
 import type { IConfigService } from "../config/services.ts";
 import type { ChainStage, EngineLoad } from "../platform/types.ts";
 import {
   completeEdges,
-  isUsable,
   type ModelChoice,
-  pipelineTargets,
   type SpanEdge,
-  spanEdge,
 } from "./chain_graph.ts";
+import { drawWeighted, linkPart, walkChain } from "./chain_walk.ts";
+import { type ChainPlan, ChainPlans } from "./chain_plans.ts";
+import { PrefixAffinity } from "./prefix_affinity.ts";
+import { type Phase, ProgressDeadline } from "./progress_deadline.ts";
 import type { ChainPick, IChainPicker, PickRequest } from "./services.ts";
 import type { TargetDirectory } from "./target_directory.ts";
+import { SlowParts } from "./slow_parts.ts";
+import { TargetLoad } from "./target_load.ts";
 
 /** When to come back while a pipeline has no whole chain. */
 const NO_CHAIN_RETRY_MS = 1_000;
+/** When to come back while every chain is full. */
+const OVERLOADED_RETRY_MS = 500;
+/** A stream's share of a target below which the target counts as full. */
+const MAX_GAP_MS = 100;
+/** Walks tried before a pipeline counts as full. */
+const MAX_WALKS = 3;
 
 /** Collaborators of a `ChainPicker`. */
 export interface ChainPickerOptions {
@@ -32,21 +45,51 @@
   readonly directory: TargetDirectory;
   readonly clock?: Clock;
   readonly random?: Random;
+  /** Chooses the targets that this host uses of a pipeline's, all by default. */
+  readonly subset?: (
+    pipeline: string,
+    targets: readonly string[],
+  ) => readonly string[];
+  /** Predicted time between tokens above which new work is refused. */
+  readonly maxGapMs?: number;
 }
 
 /** Picks chains for this host's attempts. */
-export class ChainPicker implements IChainPicker {
+export class ChainPicker implements IChainPicker, Disposable {
   readonly #config: IConfigService;
   readonly #directory: TargetDirectory;
   readonly #clock: Clock;
   readonly #random: Random;
-  readonly #inFlight = new Map<string, number>();
+  readonly #maxGapMs: number;
+  readonly #store = new DisposableStore();
+  readonly #plans: ChainPlans;
+  readonly #load: TargetLoad;
+  readonly #deadline: ProgressDeadline;
+  readonly #slowParts: SlowParts;
+  /** The parts of each chain in use. */
+  readonly #parts = new WeakMap<readonly ChainStage[], readonly string[]>();
+  readonly #affinity = new PrefixAffinity();
 
   constructor(options: ChainPickerOptions) {
     this.#config = options.config;
     this.#directory = options.directory;
     this.#clock = options.clock ?? systemClock;
     this.#random = options.random ?? Math.random;
+    this.#maxGapMs = options.maxGapMs ?? MAX_GAP_MS;
+    this.#plans = this.#store.add(
+      new ChainPlans({ ...options, maxGapMs: this.#maxGapMs }),
+    );
+    this.#load = new TargetLoad({ clock: this.#clock });
+    this.#slowParts = new SlowParts({ clock: this.#clock });
+    this.#deadline = new ProgressDeadline({ clock: this.#clock });
+    this.#store.add(
+      this.#directory.onState(({ target, load }) =>
+        this.#load.noteReport(target, load)
+      ),
+    );
+    this.#store.add(
+      this.#config.onChange(({ config }) => this.#retain(config.targets)),
+    );
   }
 
   pick(request: PickRequest): Outcome<ChainPick> {
@@ -54,97 +97,124 @@
     if (!pipeline) {
       return notRun("not-found", `no pipeline is named "${request.pipeline}"`);
     }
-    const choice: ModelChoice = {
-      model: pipeline.model,
-      version: request.version ?? pipeline.version,
-      adapter: pipeline.adapter,
-    };
-    const edges = this.#usableEdges(pipeline, { choice, request });
-    if (edges.length === 0) return this.#noChain(request.pipeline);
-    const chain = this.#walk(edges, pipeline.layerCount);
-    return new Ok({ ...choice, chain, ...this.#take(chain) });
+    const plan = this.#choosePlan(request);
+    const edges = plan ? usableEdges(plan, request.avoid) : [];
+    if (!plan || edges.length === 0) return this.#noChain(request.pipeline);
+    const path = this.#walk(plan, { edges, prefixHash: request.prefixHash });
+    if (!path) return this.#overloaded(request.pipeline);
+    const chain = path.map(chainStage);
+    return new Ok({ ...plan.choice, chain, ...this.#take(chain, path) });
   }
 
   reportFailure(
     target: string,
     kind: Parameters<IChainPicker["reportFailure"]>[1],
   ): void {
-    if (kind === "connect" || kind === "broken") {
-      this.#directory.noteSuspected(target);
-    }
+    if (kind === "connect") this.#directory.noteSuspected(target);
+    if (kind === "stalled") this.#deadline.noteStall(target);
+    if (kind !== "stale-generation") this.#load.noteFailure(target);
+    this.#directory.noteDoubt(target);
+  }
+
+  reportLoad(target: string, load: EngineLoad): void {
+    this.#load.noteReport(target, load);
   }
 
-  reportLoad(_target: string, _load: EngineLoad): void {}
+  progressWithinMs(chain: readonly ChainStage[], phase: Phase): number {
+    return this.#deadline.withinMs(chain, phase);
+  }
 
-  progressWithinMs(
-    _chain: readonly ChainStage[],
-    phase: "prefill" | "decode",
-  ): number {
-    return phase === "prefill" ? 2_000 : 250;
+  reportProgress(
+    chain: readonly ChainStage[],
+    observation: { phase: Phase; gapMs: number },
+  ): void {
+    this.#deadline.noteGap(chain, observation);
+    const meanGapMs = this.#deadline.sampledMeanGapMs(chain);
+    if (observation.phase === "prefill" || meanGapMs === undefined) return;
+    const parts = this.#parts.get(chain) ?? [];
+    this.#slowParts.noteChain(parts, meanGapMs);
+    for (const part of parts) this.#load.noteProgress(part);
   }
 
-  reportProgress(): void {}
+  /** Tokens a second that the hardware behind a pipeline allows now. */
+  boundTokensPerS(pipeline: string): number {
+    const plans = this.#plans.plansOf(pipeline);
+    return plans.reduce((sum, plan) => sum + plan.flow.boundTokensPerS, 0);
+  }
 
-  #usableEdges(
-    pipeline: PipelineConfig,
-    options: { choice: ModelChoice; request: PickRequest },
-  ): SpanEdge[] {
-    const { choice, request } = options;
-    const edges: SpanEdge[] = [];
-    for (const target of pipelineTargets(pipeline)) {
-      if (request.avoid.has(target)) continue;
-      if (!this.#directory.takesNewWork(target)) continue;
-      const state = this.#directory.engineState(target);
-      if (!state || !isUsable(state, choice)) continue;
-      const edge = spanEdge(state, this.#config.state.config);
-      if (edge) edges.push(edge);
+  dispose(): void {
+    this.#store.dispose();
+  }
+
+  #choosePlan(request: PickRequest): ChainPlan | undefined {
+    const { pipeline, version } = request;
+    if (version !== undefined) {
+      return this.#plans.planOf(pipeline, this.#boundChoice(request, version));
     }
-    return completeEdges(edges, pipeline.layerCount);
-  }
-
-  #walk(edges: readonly SpanEdge[], layerCount: number): ChainStage[] {
-    const chain: ChainStage[] = [];
-    let boundary = 0;
-    while (boundary < layerCount) {
-      const next = edges.filter((edge) => edge.first === boundary);
-      const edge = this.#leastLoaded(next);
-      chain.push({
-        target: edge.target,
-        url: edge.url,
-        first: edge.first,
-        end: edge.end,
-        generation: edge.generation,
+    const plans = this.#plans.plansOf(pipeline);
+    return drawWeighted(plans, {
+      weightOf: (plan) => plan.flow.boundTokensPerS,
+      random: this.#random,
+    });
+  }
+
+  #boundChoice(request: PickRequest, version: string): ModelChoice {
+    const pipeline = this.#config.state.config.pipelines[request.pipeline];
+    const model = request.model ?? pipeline.model;
+    const adapter = "adapter" in request ? request.adapter : pipeline.adapter;
+    return { model, version, adapter };
+  }
+
+  #walk(
+    plan: ChainPlan,
+    options: {
+      readonly edges: readonly SpanEdge[];
+      readonly prefixHash: number;
+    },
+  ): SpanEdge[] | undefined {
+    const hash = options.prefixHash;
+    const share = this.#affinity.note(hash);
+    for (let walk = 0; walk < MAX_WALKS; walk++) {
+      const path = walkChain({
+        plan,
+        edges: options.edges,
+        load: this.#load,
+        slowParts: this.#slowParts,
+        random: this.#random,
+        isFull: (edge) => this.#isFull(edge),
+        prefix: share === undefined ? undefined : { hash, share },
       });
-      boundary = edge.end;
+      if (path) return path;
     }
-    return chain;
+    return undefined;
   }
 
-  #leastLoaded(edges: readonly SpanEdge[]): SpanEdge {
-    const costs = edges.map((edge) =>
-      ((this.#inFlight.get(edge.target) ?? 0) + 1) / edge.tokensPerS
-    );
-    const least = Math.min(...costs);
-    const best = edges.filter((_, index) => costs[index] === least);
-    return best[Math.floor(this.#random() * best.length)];
+  #isFull({ target, tokensPerS }: SpanEdge): boolean {
+    const { targets } = this.#config.state.config;
+    if (targets[target]?.layerTokensPerS === undefined) return false;
+    const streams = this.#load.estimatedStreams(target);
+    return streams >= Math.max(1, tokensPerS * this.#maxGapMs / 1_000);
   }
 
-  #take(chain: readonly ChainStage[]): { dispose(): void } {
-    for (const { target } of chain) this.#addInFlight(target, 1);
-    let taken = true;
-    return {
-      dispose: () => {
-        if (!taken) return;
-        taken = false;
-        for (const { target } of chain) this.#addInFlight(target, -1);
-      },
-    };
+  #take(chain: readonly ChainStage[], path: readonly SpanEdge[]): Disposable {
+    const parts = chainParts(path);
+    this.#parts.set(chain, parts);
+    for (const part of parts) this.#load.addInFlight(part, 1);
+    const startMs = this.#clock.nowMs();
+    let isTaken = true;
+    return toDisposable(() => {
+      if (!isTaken) return;
+      isTaken = false;
+      for (const part of parts) this.#load.addInFlight(part, -1);
+      this.#load.noteDuration(this.#clock.nowMs() - startMs);
+    });
   }
 
-  #addInFlight(target: string, change: number): void {
-    const count = (this.#inFlight.get(target) ?? 0) + change;
-    if (count > 0) this.#inFlight.set(target, count);
-    else this.#inFlight.delete(target);
+  #retain(targets: Readonly<Record<string, unknown>>): void {
+    const isKept = (part: string) => part in targets || part.includes(">");
+    this.#load.retain(isKept);
+    this.#deadline.retain(isKept);
+    this.#slowParts.retain(isKept);
   }
 
   #noChain(pipeline: string): Outcome<ChainPick> {
@@ -154,4 +224,32 @@
       { retryAtWallMs: this.#clock.wallMs() + NO_CHAIN_RETRY_MS },
     );
   }
+
+  #overloaded(pipeline: string): Outcome<ChainPick> {
+    return notRun(
+      "overloaded",
+      `the chains of pipeline "${pipeline}" are full`,
+      { retryAtWallMs: this.#clock.wallMs() + OVERLOADED_RETRY_MS },
+    );
+  }
+}
+
+function usableEdges(
+  plan: ChainPlan,
+  avoid: ReadonlySet<string>,
+): readonly SpanEdge[] {
+  if (avoid.size === 0) return plan.edges;
+  const left = plan.edges.filter((edge) => !avoid.has(edge.target));
+  return completeEdges(left, plan.layerCount);
+}
+
+/** The targets and links that a stream through `path` uses. */
+function chainParts(path: readonly SpanEdge[]): string[] {
+  const links = path.slice(1).map((edge, index) => linkPart(path[index], edge));
+  return [...path.map(({ target }) => target), ...links];
+}
+
+function chainStage(edge: SpanEdge): ChainStage {
+  const { target, url, first, end, generation } = edge;
+  return { target, url, first, end, generation };
 }
--- a/src/pipelines/chain_picker_test.ts
+++ b/src/pipelines/chain_picker_test.ts
@@ -109,3 +109,77 @@
   expect(failure).toMatchObject({ verdict: "not-run", code: "no-target" });
   expect(failure.retryAtWallMs).toBeGreaterThan(clock.wallMs());
 });
+
+test("a request stays on its version while a roll-out moves the weights", () => {
+  const { picker, publish } = setUp();
+  const pinned = picker.pick(REQUEST).unwrap();
+  publish("a", { version: "v2", generation: 2 });
+  publish("b", { version: "v2", generation: 2 });
+  const versions = new Set<string>();
+  for (let count = 0; count < 40; count++) {
+    const { chain, version } = picker.pick(REQUEST).unwrap();
+    versions.add(version);
+    expect(chain.map(({ target }) => target)).toEqual(
+      version === "v2" ? ["a", "b"] : ["c", "d"],
+    );
+    const { version: kept, model, adapter } = pinned;
+    const resumed = picker.pick({ ...REQUEST, version: kept, model, adapter });
+    expect(resumed.unwrap().version).toBe("v1");
+  }
+  expect([...versions].sort()).toEqual(["v1", "v2"]);
+});
+
+test("requests of one prefix keep to one chain until it is fuller", () => {
+  const { picker } = setUp();
+  for (let hash = 100; hash < 200; hash++) {
+    picker.pick({ ...REQUEST, prefixHash: hash }).unwrap().dispose();
+  }
+  picker.pick({ ...REQUEST, prefixHash: 7 }).unwrap().dispose();
+  const chains = new Set<string>();
+  for (let count = 0; count < 10; count++) {
+    const pick = picker.pick({ ...REQUEST, prefixHash: 7 }).unwrap();
+    chains.add(pick.chain.map(({ target }) => target).join());
+    pick.dispose();
+  }
+  expect(chains.size).toBe(1);
+  const held = Array.from(
+    { length: 8 },
+    () => picker.pick({ ...REQUEST, prefixHash: 7 }).unwrap(),
+  );
+  const first = new Set(held.map(({ chain }) => chain[0].target));
+  expect(first.size).toBe(2);
+});
+
+test("failures move work away from a target and fade", async () => {
+  const { picker, clock } = setUp();
+  for (let count = 0; count < 10; count++) picker.reportFailure("a", "stalled");
+  expect(countOf("a")).toBeLessThan(10);
+  await clock.advance(60_000);
+  expect(countOf("a")).toBeGreaterThan(60);
+
+  function countOf(target: string): number {
+    let count = 0;
+    for (let hash = 0; hash < 200; hash++) {
+      const pick = picker.pick({ ...REQUEST, prefixHash: hash }).unwrap();
+      if (pick.chain[0].target === target) count++;
+      pick.dispose();
+    }
+    return count;
+  }
+});
+
+test("a target whose every chain is slow loses work to the others", () => {
+  const { picker } = setUp();
+  let slowCount = 0;
+  for (let hash = 0; hash < 400; hash++) {
+    const pick = picker.pick({ ...REQUEST, prefixHash: hash }).unwrap();
+    const isSlow = pick.chain[0].target === "a";
+    if (isSlow && hash >= 200) slowCount++;
+    for (let token = 0; token < 32; token++) {
+      const gapMs = isSlow ? 200 : 20;
+      picker.reportProgress(pick.chain, { phase: "decode", gapMs });
+    }
+    pick.dispose();
+  }
+  expect(slowCount).toBeLessThan(20);
+});
--- /dev/null
+++ b/src/pipelines/progress_deadline.ts
@@ -0,0 +1,205 @@
+/**
+ * How long the next token of a chain may take before the chain counts as
+ * stalled. The deadline follows the gaps seen on the same chain: a chain that
+ * is slow by nature gets more time, so that only a change is an alarm.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import { systemClock } from "../common/clock.ts";
+
+/** A phase of a generation: until its first token, or between tokens. */
+export type Phase = "prefill" | "decode";
+
+const DECODE_FLOOR_MS = 60;
+const PREFILL_FLOOR_MS = 150;
+const CEILING_MS = 5_000;
+/** Deadlines while nothing is known of a chain. */
+const FIRST_DECODE_MS = 400;
+const FIRST_PREFILL_MS = 2_000;
+/** Gaps after which a chain's own history is trusted alone. */
+const TRUSTED_GAPS = 16;
+const MEAN_GAIN = 1 / 8;
+const DEVIATION_GAIN = 1 / 4;
+const DEVIATIONS = 4;
+const PEAK_DECAY = 0.98;
+const PEAK_FACTOR = 1.5;
+const MEAN_FACTOR = 2.5;
+/** A stall is a gap of at least the deadline, so later deadlines grow by this. */
+const STALL_FACTOR = 1.5;
+const MAX_STALL_FACTOR = 16;
+const STALL_HALF_LIFE_MS = 10_000;
+const MAX_CHAINS = 2_048;
+
+/** Running statistics of gaps: mean, mean deviation and a decaying peak. */
+interface GapStatistics {
+  count: number;
+  meanMs: number;
+  deviationMs: number;
+  peakMs: number;
+}
+
+interface StallRecord {
+  factor: number;
+  atMs: number;
+}
+
+/** Options of a `ProgressDeadline`. */
+export interface ProgressDeadlineOptions {
+  readonly clock?: Clock;
+}
+
+/** Statistics that one pick of a chain adds to, looked up once a pick. */
+interface ChainHandle {
+  readonly targets: readonly string[];
+  readonly gaps: Readonly<Record<Phase, TrackedGaps>>;
+}
+
+interface TrackedGaps {
+  readonly ofChain: GapStatistics;
+  readonly ofTargets: readonly GapStatistics[];
+}
+
+/** A chain, as far as this module looks at it. */
+type Chain = readonly { readonly target: string }[];
+
+/** Learns gaps and says when a chain is late. */
+export class ProgressDeadline {
+  readonly #clock: Clock;
+  /** By phase and chain, the least recently picked first. */
+  readonly #chains = new Map<string, GapStatistics>();
+  readonly #targets = new Map<string, GapStatistics>();
+  readonly #stalls = new Map<string, StallRecord>();
+  readonly #handles = new WeakMap<Chain, ChainHandle>();
+
+  constructor(options: ProgressDeadlineOptions = {}) {
+    this.#clock = options.clock ?? systemClock;
+  }
+
+  /** Time within which the next token of the chain is to arrive. */
+  withinMs(chain: Chain, phase: Phase): number {
+    const { gaps, targets } = this.#handle(chain);
+    const normalMs = normalGapMs(gaps[phase], phase);
+    const floorMs = phase === "decode" ? DECODE_FLOOR_MS : PREFILL_FLOOR_MS;
+    let stallFactor = 1;
+    for (const target of targets) {
+      stallFactor = Math.max(stallFactor, this.#stallFactor(target));
+    }
+    return Math.min(CEILING_MS, Math.max(floorMs, normalMs) * stallFactor);
+  }
+
+  /** Notes a gap that ended with a token. */
+  noteGap(
+    chain: Chain,
+    observation: { readonly phase: Phase; readonly gapMs: number },
+  ): void {
+    const { ofChain, ofTargets } = this.#handle(chain).gaps[observation.phase];
+    addGap(ofChain, observation.gapMs);
+    for (const statistics of ofTargets) addGap(statistics, observation.gapMs);
+  }
+
+  /** Notes that a chain through `target` did not progress in time. */
+  noteStall(target: string): void {
+    const factor = this.#stallFactor(target) * STALL_FACTOR;
+    this.#stalls.set(target, {
+      factor: Math.min(MAX_STALL_FACTOR, factor),
+      atMs: this.#clock.nowMs(),
+    });
+  }
+
+  /** Mean gap of a chain between tokens; undefined but for every 16th gap. */
+  sampledMeanGapMs(chain: Chain): number | undefined {
+    const { count, meanMs } = this.#handle(chain).gaps.decode.ofChain;
+    return count > 0 && count % TRUSTED_GAPS === 0 ? meanMs : undefined;
+  }
+
+  /** Forgets targets that are no longer configured. */
+  retain(isKept: (target: string) => boolean): void {
+    for (const key of [...this.#targets.keys()]) {
+      if (!isKept(key.slice(key.indexOf(" ") + 1))) this.#targets.delete(key);
+    }
+    for (const target of [...this.#stalls.keys()]) {
+      if (!isKept(target)) this.#stalls.delete(target);
+    }
+  }
+
+  #handle(chain: Chain): ChainHandle {
+    let handle = this.#handles.get(chain);
+    if (handle) return handle;
+    const targets = chain.map(({ target }) => target);
+    const gaps = {
+      prefill: this.#track(targets, "prefill"),
+      decode: this.#track(targets, "decode"),
+    };
+    handle = { targets, gaps };
+    this.#handles.set(chain, handle);
+    return handle;
+  }
+
+  #track(targets: readonly string[], phase: Phase): TrackedGaps {
+    const key = `${phase} ${targets.join()}`;
+    const ofChain = this.#chains.get(key) ?? newStatistics();
+    this.#chains.delete(key);
+    this.#chains.set(key, ofChain);
+    if (this.#chains.size > MAX_CHAINS) {
+      const [oldest] = this.#chains.keys();
+      this.#chains.delete(oldest);
+    }
+    return {
+      ofChain,
+      ofTargets: targets.map((target) => this.#ofTarget(target, phase)),
+    };
+  }
+
+  #ofTarget(target: string, phase: Phase): GapStatistics {
+    const key = `${phase} ${target}`;
+    const statistics = this.#targets.get(key) ?? newStatistics();
+    this.#targets.set(key, statistics);
+    return statistics;
+  }
+
+  #stallFactor(target: string): number {
+    const stall = this.#stalls.get(target);
+    if (!stall) return 1;
+    const ageMs = this.#clock.nowMs() - stall.atMs;
+    return Math.max(1, stall.factor * 2 ** (-ageMs / STALL_HALF_LIFE_MS));
+  }
+}
+
+function normalGapMs(gaps: TrackedGaps, phase: Phase): number {
+  if (gaps.ofChain.count >= TRUSTED_GAPS) return upperGapMs(gaps.ofChain);
+  let normalMs = 0;
+  for (const statistics of gaps.ofTargets) {
+    if (statistics.count < TRUSTED_GAPS) continue;
+    normalMs = Math.max(normalMs, upperGapMs(statistics));
+  }
+  if (normalMs > 0) return normalMs;
+  return phase === "decode" ? FIRST_DECODE_MS : FIRST_PREFILL_MS;
+}
+
+function newStatistics(): GapStatistics {
+  return { count: 0, meanMs: 0, deviationMs: 0, peakMs: 0 };
+}
+
+function addGap(statistics: GapStatistics, gapMs: number): void {
+  statistics.count++;
+  if (statistics.count === 1) {
+    statistics.meanMs = gapMs;
+    statistics.deviationMs = gapMs / 2;
+  }
+  const errorMs = gapMs - statistics.meanMs;
+  statistics.meanMs += errorMs * MEAN_GAIN;
+  statistics.deviationMs += DEVIATION_GAIN *
+    (Math.abs(errorMs) - statistics.deviationMs);
+  statistics.peakMs = Math.max(gapMs, statistics.peakMs * PEAK_DECAY);
+}
+
+function upperGapMs(statistics: GapStatistics): number {
+  const { meanMs, deviationMs, peakMs } = statistics;
+  return Math.max(
+    meanMs * MEAN_FACTOR,
+    meanMs + DEVIATIONS * deviationMs,
+    peakMs * PEAK_FACTOR,
+  );
+}
--- a/src/pipelines/services.ts
+++ b/src/pipelines/services.ts
@@ -27,6 +27,13 @@
   readonly avoid: ReadonlySet<string>;
   /** Set on a resumed request: it stays on the version that it began with. */
   readonly version?: string;
+  /** Set along with `version`: the model of the first pick. */
+  readonly model?: string;
+  /**
+   * Set along with `version`: the adapter of the first pick, undefined for
+   * none. Left out, the adapter configured now is taken.
+   */
+  readonly adapter?: string;
 }
 
 /** Picks chains. */
--- a/src/pipelines/target_directory.ts
+++ b/src/pipelines/target_directory.ts
@@ -53,6 +53,12 @@
   readonly #store = new DisposableStore();
   readonly #changed = this.#store.add(new Emitter<string>());
   readonly onChange = this.#changed.event;
+  readonly #published = this.#store.add(new Emitter<EngineState>());
+  /** Fires for each published state that this host reads, changed or not. */
+  readonly onState = this.#published.event;
+  readonly #doubted = this.#store.add(new Emitter<string>());
+  /** Fires for a target whose state is to be read again at once. */
+  readonly onDoubt = this.#doubted.event;
 
   constructor(options: TargetDirectoryOptions) {
     this.#config = options.config;
@@ -130,6 +136,7 @@
     if (state.leaving) this.noteLeaving(state.target, "target");
     else this.noteStaying(state.target, "target");
     if (changed) this.#changed.fire(state.target);
+    this.#published.fire(state);
   }
 
   /** Keeps new work away until the target publishes its state again. */
@@ -140,6 +147,11 @@
     this.#changed.fire(target);
   }
 
+  /** Asks for a fresh look at a target that failed or refused a request. */
+  noteDoubt(target: string): void {
+    this.#doubted.fire(target);
+  }
+
   noteLost(target: string): void {
     const entry = this.#entry(target);
     if (entry.isLost) return;
--- /dev/null
+++ b/src/pipelines/target_load.ts
@@ -0,0 +1,182 @@
+/**
+ * How loaded and how healthy the parts of chains look from this host. A part
+ * is a target or a link between failure domains. Known are this host's own
+ * streams, the engines' lagging reports, and failures, which fade.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import { systemClock } from "../common/clock.ts";
+import type { EngineLoad } from "../platform/types.ts";
+
+/** A report older than this tells nothing. */
+const MAX_REPORT_AGE_MS = 10_000;
+const FAILURE_HALF_LIFE_MS = 5_000;
+/** Share of a part's failures that one token of progress makes good. */
+const PROGRESS_RELIEF = 0.02;
+const MAX_FAILURES = 32;
+const MIN_DURATION_GAIN = 1 / 32;
+const INTERVAL_GAIN = 1 / 16;
+const FIRST_INTERVAL_MS = 1_000;
+const MIN_TILT = 0.1;
+const MAX_TILT = 2;
+
+interface LoadEntry {
+  inFlight: number;
+  reported: number;
+  /** Streams of this host when the report was read. */
+  inFlightAtReport: number;
+  reportedAtWallMs: number;
+  failures: number;
+  failedAtMs: number;
+}
+
+/** Options of a `TargetLoad`. */
+export interface TargetLoadOptions {
+  readonly clock?: Clock;
+}
+
+/** Streams and health of the parts of chains. */
+export class TargetLoad {
+  readonly #clock: Clock;
+  readonly #entries = new Map<string, LoadEntry>();
+  #durationMs = 0;
+  #durationCount = 0;
+  #reportIntervalMs = FIRST_INTERVAL_MS;
+  #reportedSum = 0;
+  #inFlightAtReportSum = 0;
+
+  constructor(options: TargetLoadOptions = {}) {
+    this.#clock = options.clock ?? systemClock;
+  }
+
+  addInFlight(part: string, change: number): void {
+    const entry = this.#entry(part);
+    entry.inFlight = Math.max(0, entry.inFlight + change);
+  }
+
+  inFlight(part: string): number {
+    return this.#entries.get(part)?.inFlight ?? 0;
+  }
+
+  /** Notes how long a stream of this host held its chain. */
+  noteDuration(durationMs: number): void {
+    const gain = Math.max(MIN_DURATION_GAIN, 1 / ++this.#durationCount);
+    this.#durationMs += (durationMs - this.#durationMs) * gain;
+  }
+
+  noteReport(target: string, load: EngineLoad): void {
+    const entry = this.#entry(target);
+    const intervalMs = load.asOfWallMs - entry.reportedAtWallMs;
+    if (intervalMs <= 0) return;
+    if (entry.reportedAtWallMs > 0 && intervalMs < MAX_REPORT_AGE_MS) {
+      this.#reportIntervalMs += (intervalMs - this.#reportIntervalMs) *
+        INTERVAL_GAIN;
+    }
+    const reported = load.running + load.queued;
+    this.#reportedSum += reported - entry.reported;
+    this.#inFlightAtReportSum += entry.inFlight - entry.inFlightAtReport;
+    entry.reported = reported;
+    entry.inFlightAtReport = entry.inFlight;
+    entry.reportedAtWallMs = load.asOfWallMs;
+  }
+
+  /** Streams of the whole fleet for each stream of this host, at least 1. */
+  fleetScale(): number {
+    if (this.#inFlightAtReportSum <= 0) return 1;
+    return Math.max(1, this.#reportedSum / this.#inFlightAtReportSum);
+  }
+
+  /** Streams at a target: as reported, and this host's changes since. */
+  estimatedStreams(target: string): number {
+    const entry = this.#entries.get(target);
+    if (!entry) return 0;
+    if (!this.#hasReport(entry)) return entry.inFlight;
+    const changed = entry.inFlight - entry.inFlightAtReport;
+    const estimate = entry.reported + changed * this.fleetScale();
+    return Math.max(entry.inFlight, estimate);
+  }
+
+  /**
+   * Factors by which to change the weights of targets so that the reported
+   * streams even out until the next report. All hosts act on the same reports
+   * meanwhile, so a target gets at most what would level it within that time:
+   * where streams are short beside the reports' interval, nearly nothing.
+   */
+  tilts(
+    targets: readonly { readonly target: string; readonly weight: number }[],
+  ): number[] {
+    let reportedSum = 0;
+    let weightSum = 0;
+    for (const { target, weight } of targets) {
+      const entry = this.#entries.get(target);
+      if (!entry || !this.#hasReport(entry)) continue;
+      reportedSum += entry.reported;
+      weightSum += weight;
+    }
+    const turnover = this.#durationMs / this.#reportIntervalMs;
+    return targets.map(({ target, weight }) => {
+      const entry = this.#entries.get(target);
+      if (!entry || !this.#hasReport(entry) || reportedSum === 0) return 1;
+      const even = weight * reportedSum / weightSum;
+      const tilt = 1 + (1 - entry.reported / even) * turnover;
+      return Math.min(MAX_TILT, Math.max(MIN_TILT, tilt));
+    });
+  }
+
+  noteFailure(part: string): void {
+    const entry = this.#entry(part);
+    entry.failures = Math.min(MAX_FAILURES, this.failures(part) + 1);
+    entry.failedAtMs = this.#clock.nowMs();
+  }
+
+  noteProgress(part: string): void {
+    const entry = this.#entries.get(part);
+    if (entry && entry.failures > 0) entry.failures *= 1 - PROGRESS_RELIEF;
+  }
+
+  /** Failures of late, each fading by half every few seconds. */
+  failures(part: string): number {
+    const entry = this.#entries.get(part);
+    if (!entry || entry.failures === 0) return 0;
+    const ageMs = this.#clock.nowMs() - entry.failedAtMs;
+    return entry.failures * 2 ** (-ageMs / FAILURE_HALF_LIFE_MS);
+  }
+
+  /** Factor for the weight of a part, 1 for a healthy one. */
+  healthFactor(part: string): number {
+    return 1 / (1 + this.failures(part)) ** 2;
+  }
+
+  /** Forgets idle parts that are no longer configured. */
+  retain(isKept: (part: string) => boolean): void {
+    for (const [part, entry] of [...this.#entries]) {
+      if (entry.inFlight > 0 || isKept(part)) continue;
+      this.#reportedSum -= entry.reported;
+      this.#inFlightAtReportSum -= entry.inFlightAtReport;
+      this.#entries.delete(part);
+    }
+  }
+
+  #hasReport(entry: LoadEntry): boolean {
+    const ageMs = this.#clock.wallMs() - entry.reportedAtWallMs;
+    return ageMs <= MAX_REPORT_AGE_MS;
+  }
+
+  #entry(part: string): LoadEntry {
+    let entry = this.#entries.get(part);
+    if (!entry) {
+      entry = {
+        inFlight: 0,
+        reported: 0,
+        inFlightAtReport: 0,
+        reportedAtWallMs: 0,
+        failures: 0,
+        failedAtMs: 0,
+      };
+      this.#entries.set(part, entry);
+    }
+    return entry;
+  }
+}
