--- a/src/fleet/services.ts
+++ b/src/fleet/services.ts
@@ -75,7 +75,7 @@
 
 /** A small fact. Of two with one topic and key the higher sequence holds. */
 export interface Fact {
-  readonly topic: "config" | "leaving" | "strike" | "member";
+  readonly topic: "config" | "leaving" | "strike" | "member" | "target";
   readonly key: string;
   readonly sequence: number;
   readonly data: unknown;
--- a/src/pipelines/chain_walk.ts
+++ b/src/pipelines/chain_walk.ts
@@ -143,9 +143,9 @@
 /** This host's work there for its weight, at the target or on the link. */
 function ownCost(candidate: Candidate, load: TargetLoad): number {
   const { edge, link, weight, linkFlow } = candidate;
-  const targetCost = load.inFlight(edge.target) / weight;
+  const targetCost = load.ownWork(edge.target) / weight;
   if (link === undefined || linkFlow <= 0) return targetCost;
-  return Math.max(targetCost, load.inFlight(link) / linkFlow);
+  return Math.max(targetCost, load.ownWork(link) / linkFlow);
 }
 
 function chooseByPrefix(
--- a/src/pipelines/target_directory.ts
+++ b/src/pipelines/target_directory.ts
@@ -19,6 +19,8 @@
 const PEER_NOTICE_HOLD_MS = 30_000;
 /** Notices of one period are one fact, whichever host publishes it. */
 const NOTICE_PERIOD_MS = 10_000;
+/** How long a published state is passed on to hosts that join. */
+const STATE_FACT_HOLD_MS = 120_000;
 
 /** Where a sign of leaving came from. */
 export type LeavingSource = Parameters<ITargetDirectory["noteLeaving"]>[1];
@@ -30,6 +32,8 @@
   readonly dissemination?: IDissemination;
   readonly clock?: Clock;
   readonly peerNoticeHoldMs?: number;
+  /** Whether this host spreads the states that it reads of a target; true by default. */
+  readonly spreadsState?: (target: string) => boolean;
 }
 
 interface TargetEntry {
@@ -43,12 +47,19 @@
   noticePeriod: number;
 }
 
+/** What a fact about a target carries. */
+interface TargetFact {
+  readonly state?: EngineState;
+  readonly isLost?: boolean;
+}
+
 /** Holds what is known of each target; one owner for each daemon. */
 export class TargetDirectory implements ITargetDirectory, Disposable {
   readonly #config: IConfigService;
   readonly #dissemination: IDissemination | undefined;
   readonly #clock: Clock;
   readonly #peerNoticeHoldMs: number;
+  readonly #spreadsState: (target: string) => boolean;
   readonly #entries = new Map<string, TargetEntry>();
   readonly #store = new DisposableStore();
   readonly #changed = this.#store.add(new Emitter<string>());
@@ -65,6 +76,7 @@
     this.#dissemination = options.dissemination;
     this.#clock = options.clock ?? systemClock;
     this.#peerNoticeHoldMs = options.peerNoticeHoldMs ?? PEER_NOTICE_HOLD_MS;
+    this.#spreadsState = options.spreadsState ?? (() => true);
     this.#store.add(
       this.#config.onChange(({ config }) => this.#forget(config.targets)),
     );
@@ -100,6 +112,13 @@
     return this.#entries.get(target)?.isLost ?? false;
   }
 
+  /** Targets that answered no more, for as long as they stay configured. */
+  silentTargets(): string[] {
+    return [...this.#entries]
+      .filter(([, entry]) => entry.isLost || entry.isSuspected)
+      .map(([target]) => target);
+  }
+
   noteLeaving(target: string, source: LeavingSource): void {
     const wasLeaving = this.isLeaving(target);
     const entry = this.#entry(target);
@@ -127,15 +146,11 @@
   }
 
   noteState(state: EngineState): void {
-    const entry = this.#entry(state.target);
-    const changed = entry.isLost || entry.isSuspected || !entry.state ||
-      !isSameOffer(entry.state, state);
-    entry.state = state;
-    entry.isSuspected = false;
-    entry.isLost = false;
-    if (state.leaving) this.noteLeaving(state.target, "target");
-    else this.noteStaying(state.target, "target");
-    if (changed) this.#changed.fire(state.target);
+    const known = this.#entries.get(state.target)?.state;
+    this.#takeState(state);
+    if (!known || !isSameOffer(known, state)) {
+      this.#publish(state.target, { state });
+    }
     this.#published.fire(state);
   }
 
@@ -156,6 +171,7 @@
     const entry = this.#entry(target);
     if (entry.isLost) return;
     entry.isLost = true;
+    this.#publish(target, { isLost: true });
     this.#changed.fire(target);
   }
 
@@ -198,14 +214,52 @@
     });
   }
 
+  #takeState(state: EngineState): void {
+    const entry = this.#entry(state.target);
+    const changed = entry.isLost || entry.isSuspected || !entry.state ||
+      !isSameOffer(entry.state, state);
+    entry.state = state;
+    entry.isSuspected = false;
+    entry.isLost = false;
+    if (state.leaving) this.noteLeaving(state.target, "target");
+    else this.noteStaying(state.target, "target");
+    if (changed) this.#changed.fire(state.target);
+  }
+
+  #publish(target: string, data: TargetFact): void {
+    if (!this.#spreadsState(target)) return;
+    const wallMs = this.#clock.wallMs();
+    this.#dissemination?.publish({
+      topic: "target",
+      key: target,
+      sequence: Math.floor(wallMs),
+      data,
+      expiresAtWallMs: wallMs + STATE_FACT_HOLD_MS,
+    });
+  }
+
   #hearFact(fact: Fact): void {
-    if (fact.topic !== "leaving") return;
     if (fact.expiresAtWallMs <= this.#clock.wallMs()) return;
     if (!(fact.key in this.#config.state.config.targets)) return;
+    if (fact.topic === "leaving") this.#hearLeaving(fact);
+    if (fact.topic === "target") this.#hearTarget(fact);
+  }
+
+  #hearLeaving(fact: Fact): void {
     const entry = this.#entry(fact.key);
     entry.noticePeriod = Math.max(entry.noticePeriod, fact.sequence);
     this.noteLeaving(fact.key, "peer");
   }
+
+  /** A peer's word on a loss only causes a look: the peer may be cut off. */
+  #hearTarget(fact: Fact): void {
+    const { state, isLost } = fact.data as TargetFact;
+    if (isLost) return this.noteDoubt(fact.key);
+    if (state?.target !== fact.key) return;
+    const known = this.#entries.get(fact.key);
+    const knownAsOfMs = known?.state?.load.asOfWallMs ?? -1;
+    if (state.load.asOfWallMs > knownAsOfMs) this.#takeState(state);
+  }
 }
 
 /** True when two states offer the same work; the load does not count. */
--- a/src/pipelines/target_load.ts
+++ b/src/pipelines/target_load.ts
@@ -19,6 +19,8 @@
 const MIN_DURATION_GAIN = 1 / 32;
 const INTERVAL_GAIN = 1 / 16;
 const FIRST_INTERVAL_MS = 1_000;
+/** Time over which a stream sent counts as work sent of late. */
+const RECENT_FADE_MS = 300;
 const MIN_TILT = 0.1;
 const MAX_TILT = 2;
 
@@ -30,6 +32,9 @@
   reportedAtWallMs: number;
   failures: number;
   failedAtMs: number;
+  /** Streams sent of late, as of `recentAtMs`. */
+  recent: number;
+  recentAtMs: number;
 }
 
 /** Options of a `TargetLoad`. */
@@ -54,6 +59,15 @@
   addInFlight(part: string, change: number): void {
     const entry = this.#entry(part);
     entry.inFlight = Math.max(0, entry.inFlight + change);
+    if (change <= 0) return;
+    entry.recent = this.#recent(entry) + change;
+    entry.recentAtMs = this.#clock.nowMs();
+  }
+
+  /** This host's streams at a part, and those sent there of late. */
+  ownWork(part: string): number {
+    const entry = this.#entries.get(part);
+    return entry ? entry.inFlight + this.#recent(entry) : 0;
   }
 
   inFlight(part: string): number {
@@ -159,6 +173,11 @@
     }
   }
 
+  #recent(entry: LoadEntry): number {
+    const ageMs = this.#clock.nowMs() - entry.recentAtMs;
+    return entry.recent * Math.exp(-ageMs / RECENT_FADE_MS);
+  }
+
   #hasReport(entry: LoadEntry): boolean {
     const ageMs = this.#clock.wallMs() - entry.reportedAtWallMs;
     return ageMs <= MAX_REPORT_AGE_MS;
@@ -174,6 +193,8 @@
         reportedAtWallMs: 0,
         failures: 0,
         failedAtMs: 0,
+        recent: 0,
+        recentAtMs: 0,
       };
       this.#entries.set(part, entry);
     }
--- a/src/pipelines/target_watcher.ts
+++ b/src/pipelines/target_watcher.ts
@@ -1,6 +1,7 @@
 /**
- * Keeps the target directory fresh: one task a watched engine polls its
- * published state, and the platform's list and the configuration are heard.
+ * Keeps the target directory fresh: one task for each watched engine polls
+ * its published state, engines in doubt are read at once, and the platform's
+ * list is heard.
  *
  * @module
  */
@@ -19,6 +20,10 @@
 const POLL_TIMEOUT_MS = 800;
 /** Failed polls in a row after which a target counts as lost. */
 const LOST_AFTER_POLLS = 3;
+/** A doubt is looked into after up to this, so that hosts do not all look at once. */
+const DOUBT_SPREAD_MS = 200;
+/** Engines in use but not polled that are read each second until they answer. */
+const LOOKS_PER_ROUND = 16;
 /** Spread of poll times, so that hosts started together do not poll together. */
 const POLL_JITTER = 0.2;
 
@@ -30,11 +35,14 @@
   readonly hostList?: IHostListWatcher;
   readonly clock?: Clock;
   readonly random?: Random;
-  readonly pollIntervalMs?: number;
+  /** Time between two polls of one engine, as it is at the moment. */
+  readonly pollIntervalMs?: () => number;
   readonly pollTimeoutMs?: number;
   readonly lostAfterPolls?: number;
   /** Chooses the engines that this host polls, all by default. */
   readonly watches?: (target: string) => boolean;
+  /** Engines that this host uses and reads once, if it does not poll them. */
+  readonly uses?: () => Iterable<string>;
 }
 
 interface Poller {
@@ -48,27 +56,32 @@
   readonly #options: TargetWatcherOptions;
   readonly #clock: Clock;
   readonly #random: Random;
-  readonly #pollIntervalMs: number;
+  readonly #pollIntervalMs: () => number;
+  readonly #doubted = new Set<string>();
   readonly #pollers = new Map<string, Poller>();
 
   constructor(options: TargetWatcherOptions) {
     this.#options = options;
     this.#clock = options.clock ?? systemClock;
     this.#random = options.random ?? Math.random;
-    this.#pollIntervalMs = options.pollIntervalMs ?? POLL_INTERVAL_MS;
+    this.#pollIntervalMs = options.pollIntervalMs ??
+      (() => POLL_INTERVAL_MS);
   }
 
   /** Watches until `signal` aborts; resolves once every poll has ended. */
   async run(signal: AbortSignal): Promise<void> {
-    const { config, hostList } = this.#options;
+    const { config, directory, hostList } = this.#options;
     const store = new DisposableStore();
     store.add(config.onChange(() => this.#follow()));
+    store.add(
+      directory.onDoubt((target) => void this.#lookInto(target, signal)),
+    );
     if (hostList) store.add(hostList.onList((list) => this.#hearList(list)));
-    this.#follow();
     while (!signal.aborted) {
-      await this.#clock.sleep(this.#pollIntervalMs, signal);
       this.#follow();
-      this.#options.directory.repeatNotices();
+      directory.repeatNotices();
+      await this.#lookAround(signal);
+      await this.#clock.sleep(POLL_INTERVAL_MS, signal);
     }
     store.dispose();
     const ending = [...this.#pollers.values()].map((poller) => poller.done);
@@ -96,6 +109,28 @@
     return false;
   }
 
+  async #lookInto(target: string, signal: AbortSignal): Promise<void> {
+    if (this.#doubted.has(target) || signal.aborted) return;
+    this.#doubted.add(target);
+    await this.#clock.sleep(this.#random() * DOUBT_SPREAD_MS, signal);
+    if (!signal.aborted) await this.poll(target, signal);
+    this.#doubted.delete(target);
+  }
+
+  /** Reads some of the engines in use that are not polled and not known well. */
+  async #lookAround(signal: AbortSignal): Promise<void> {
+    const { directory, uses } = this.#options;
+    const silent = new Set(directory.silentTargets());
+    const wanted = [...uses?.() ?? []].filter((target) =>
+      !this.#pollers.has(target) &&
+      (silent.has(target) || !directory.engineState(target))
+    );
+    const start = Math.floor(this.#random() * wanted.length);
+    const rotated = [...wanted.slice(start), ...wanted.slice(0, start)];
+    const chosen = rotated.slice(0, LOOKS_PER_ROUND);
+    await Promise.all(chosen.map((target) => this.poll(target, signal)));
+  }
+
   #follow(): void {
     const { targets } = this.#options.config.state.config;
     const watches = this.#options.watches ?? (() => true);
@@ -137,7 +172,7 @@
 
   #nextWaitMs(): number {
     const spread = (this.#random() - 0.5) * 2 * POLL_JITTER;
-    return this.#pollIntervalMs * (1 + spread);
+    return this.#pollIntervalMs() * (1 + spread);
   }
 
   #hearList(list: readonly ListedHost[]): void {
