Keep capacity by absolute orders under a lease in the log

Found by the roll-out test: taking out the last old chain before every host had heard of the new one refused 3 of 600 picks; a target now counts as known to all 3 s after its offer changed. Facts about targets are ordered by when they were read, not by the lagging time of the load report.

--- /dev/null
+++ b/src/pipelines/capacity_keeper.ts
@@ -0,0 +1,253 @@
+/**
+ * Keeps each pool at the placement that the configuration wants: reads back
+ * what targets publish, compares, and sends absolute orders until they agree.
+ *
+ * The first few hosts of a pool by rendezvous hashing look after it; the one
+ * that holds its lease sends. A lease is taken only while there is something
+ * to order. While the log is down, the first host sends such orders only as
+ * add capacity, with the fencing number that the target published itself.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import type { Clock } from "../common/clock.ts";
+import { systemClock } from "../common/clock.ts";
+import { rendezvousRank } from "../common/hash.ts";
+import type { IConfigService } from "../config/services.ts";
+import type { IMembership } from "../fleet/services.ts";
+import type { IEngineClient } from "../platform/services.ts";
+import type { Lease, LeaseService } from "./lease_service.ts";
+import { type OrderPlan, type PlannedOrder, planOrders } from "./order_plan.ts";
+import { type Pool, pools, wantedPlacement } from "./placement.ts";
+import type { TargetDirectory } from "./target_directory.ts";
+
+const ROUND_INTERVAL_MS = 500;
+/** Hosts that look after a pool, the first of them first. */
+const CANDIDATES = 3;
+/** How much longer each further candidate waits before it steps in. */
+const STEP_IN_AFTER_MS = 2_000;
+/** Silence after which a target is replaced. */
+const REPLACE_AFTER_MS = 1_500;
+/** Time after which every host has heard what a target offers. */
+const SPREAD_MS = 3_000;
+/** Log outage after which orders that only add go without a lease. */
+const LEASELESS_AFTER_MS = 2_000;
+const LOG_TIMEOUT_MS = 2_000;
+const ORDER_TIMEOUT_MS = 2_000;
+const READ_TIMEOUT_MS = 800;
+/** Time left on the lease below which it is renewed before an order. */
+const RENEW_BELOW_MS = 7_000;
+/** Targets of a pool that load at a time. */
+const MAX_LOADS = 4;
+
+/** Collaborators of a `CapacityKeeper`. */
+export interface CapacityKeeperOptions {
+  readonly config: IConfigService;
+  readonly directory: TargetDirectory;
+  readonly engines: IEngineClient;
+  readonly leases: LeaseService;
+  readonly membership: IMembership;
+  readonly clock?: Clock;
+  readonly newId?: () => string;
+  readonly maxLoads?: number;
+  /** Hears of each order sent, for the log. */
+  readonly onOrder?: (order: SentOrder) => void;
+}
+
+/** An order that was sent, and how it ended. */
+export interface SentOrder {
+  readonly planned: PlannedOrder;
+  readonly fence: number;
+  readonly hasLease: boolean;
+  readonly accepted: boolean;
+}
+
+/** What this host knows of its work on one pool. */
+interface PoolWork {
+  lease?: Lease;
+  /** Since when there has been something to order. */
+  openSinceMs?: number;
+  logDownSinceMs?: number;
+  /** End of another host's lease, as the log told it last. */
+  heldUntilWallMs?: number;
+  plan?: OrderPlan;
+}
+
+/** Sends orders while `run` runs. */
+export class CapacityKeeper {
+  readonly #options: CapacityKeeperOptions;
+  readonly #clock: Clock;
+  readonly #work = new Map<string, PoolWork>();
+
+  constructor(options: CapacityKeeperOptions) {
+    this.#options = options;
+    this.#clock = options.clock ?? systemClock;
+  }
+
+  /** Works until `signal` aborts, then gives its leases back. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const own = pools(this.#options.config.state.config);
+      await Promise.all(own.map((pool) => this.#round(pool)));
+      await this.#clock.sleep(ROUND_INTERVAL_MS, signal);
+    }
+    const held = [...this.#work.values()];
+    await Promise.all(held.map((work) => this.#releaseLease(work)));
+  }
+
+  /** Targets of a pool that cannot be reloaded without a gap, as last seen here. */
+  blockedTargets(pool: string): readonly string[] {
+    return this.#work.get(pool)?.plan?.blocked ?? [];
+  }
+
+  async #round(pool: Pool): Promise<void> {
+    const rank = this.#rank(pool);
+    if (rank < 0) return;
+    const work = this.#workOf(pool);
+    work.plan = this.#plan(pool);
+    if (work.plan.isSettled) {
+      work.openSinceMs = undefined;
+      return await this.#releaseLease(work);
+    }
+    work.openSinceMs ??= this.#clock.nowMs();
+    const openMs = this.#clock.nowMs() - work.openSinceMs;
+    if (!work.lease && openMs < rank * STEP_IN_AFTER_MS) return;
+    await this.#readBack(work.plan);
+    work.plan = this.#plan(pool);
+    if (work.plan.orders.length === 0) return;
+    const hasLease = await this.#hold(pool, work);
+    const mayGoAlone = !hasLease && rank === 0 &&
+      this.#isLogDownFor(work, LEASELESS_AFTER_MS);
+    const orders = this.#plan(pool).orders.filter(({ onlyAdds }) =>
+      hasLease || (mayGoAlone && onlyAdds)
+    );
+    await Promise.all(orders.map((planned) => this.#send(planned, work)));
+  }
+
+  /** This host's place among those that look after the pool, or -1. */
+  #rank(pool: Pool): number {
+    const { membership } = this.#options;
+    const names = membership.members()
+      .filter(({ state }) => state !== "leaving")
+      .map(({ name }) => name);
+    return rendezvousRank(`pool ${pool.name}`, names)
+      .slice(0, CANDIDATES)
+      .indexOf(membership.self.name);
+  }
+
+  #workOf(pool: Pool): PoolWork {
+    let work = this.#work.get(pool.name);
+    if (!work) {
+      work = {};
+      this.#work.set(pool.name, work);
+    }
+    return work;
+  }
+
+  #plan(pool: Pool): OrderPlan {
+    const { directory, config, maxLoads } = this.#options;
+    const stateOf = (target: string) => directory.lastState(target);
+    const wanted = wantedPlacement({
+      config: config.state.config,
+      pool,
+      stateOf,
+      isAvailable: (target) => this.#isAvailable(target),
+    });
+    return planOrders({
+      config: config.state.config,
+      pool,
+      wanted,
+      stateOf,
+      isServing: (target) => directory.takesNewWork(target),
+      isKnownToAll: (target) => directory.offeredForMs(target) >= SPREAD_MS,
+      maxLoads: maxLoads ?? MAX_LOADS,
+    });
+  }
+
+  #isAvailable(target: string): boolean {
+    const { directory } = this.#options;
+    return !directory.isLeaving(target) &&
+      directory.silentForMs(target) < REPLACE_AFTER_MS;
+  }
+
+  /** Reads the targets that the plan is about, so that orders rest on fresh state. */
+  async #readBack(plan: OrderPlan): Promise<void> {
+    const { config, directory, engines } = this.#options;
+    const { targets } = config.state.config;
+    await Promise.all(plan.toRead.map(async (target) => {
+      const deadlineMs = this.#clock.nowMs() + READ_TIMEOUT_MS;
+      const { url } = targets[target];
+      const answer = await engines.readState(url, { deadlineMs });
+      if (answer.isOk() && answer.value.target === target) {
+        directory.noteState(answer.value);
+      } else directory.noteSuspected(target);
+    }));
+  }
+
+  /** Takes or renews the lease; true while it is held. */
+  async #hold(pool: Pool, work: PoolWork): Promise<boolean> {
+    const nowMs = this.#clock.nowMs();
+    const leftMs = (work.lease?.validUntilMs ?? 0) - nowMs;
+    if (leftMs > RENEW_BELOW_MS) return true;
+    if (this.#clock.wallMs() < (work.heldUntilWallMs ?? 0)) return false;
+    const held = await this.#options.leases.hold(pool.name, {
+      deadlineMs: nowMs + LOG_TIMEOUT_MS,
+    });
+    if (held.isOk()) {
+      work.lease = held.value;
+      work.logDownSinceMs = undefined;
+    } else if (held.error.code === "claim-held") {
+      work.lease = undefined;
+      work.logDownSinceMs = undefined;
+      work.heldUntilWallMs = held.error.retryAtWallMs;
+    } else {
+      work.logDownSinceMs ??= nowMs;
+    }
+    if ((work.lease?.validUntilMs ?? 0) > this.#clock.nowMs()) return true;
+    work.lease = undefined;
+    return false;
+  }
+
+  #isLogDownFor(work: PoolWork, spanMs: number): boolean {
+    if (work.logDownSinceMs === undefined) return false;
+    return this.#clock.nowMs() - work.logDownSinceMs >= spanMs;
+  }
+
+  async #send(planned: PlannedOrder, work: PoolWork): Promise<void> {
+    const { config, directory, engines, newId, onOrder } = this.#options;
+    const { target, first, end, model, version, adapters, role } =
+      planned.wanted;
+    const nowMs = this.#clock.nowMs();
+    const hasLease = work.lease !== undefined;
+    if (work.lease && nowMs >= work.lease.validUntilMs) return;
+    const fence = work.lease?.fence ?? directory.lastState(target)?.fence ?? 0;
+    const order = {
+      orderId: (newId ?? randomUUID)(),
+      fence,
+      first,
+      end,
+      model,
+      version,
+      adapters,
+      role,
+    };
+    const { url } = config.state.config.targets[target];
+    const untilMs = work.lease?.validUntilMs ?? Infinity;
+    const deadlineMs = Math.min(nowMs + ORDER_TIMEOUT_MS, untilMs);
+    const answer = await engines.order(url, order, { deadlineMs });
+    if (answer.isOk()) directory.noteState(answer.value);
+    else if (answer.error.code === "target-refused") work.lease = undefined;
+    onOrder?.({ planned, fence, hasLease, accepted: answer.isOk() });
+  }
+
+  async #releaseLease(work: PoolWork): Promise<void> {
+    const { lease } = work;
+    if (!lease) return;
+    work.lease = undefined;
+    if (lease.validUntilMs <= this.#clock.nowMs()) return;
+    await this.#options.leases.release(lease, {
+      deadlineMs: this.#clock.nowMs() + LOG_TIMEOUT_MS,
+    });
+  }
+}
--- a/src/pipelines/chain_plans.ts
+++ b/src/pipelines/chain_plans.ts
@@ -21,6 +21,9 @@
 } from "./chain_graph.ts";
 import type { TargetDirectory } from "./target_directory.ts";
 
+/** Share of the old adapter's capacity at which only the new one is used. */
+const SWITCH_SHARE = 0.5;
+
 /** Whole chains of one model, version and adapter. */
 export interface ChainPlan {
   readonly choice: ModelChoice;
@@ -47,8 +50,9 @@
   readonly #options: ChainPlansOptions;
   readonly #store = new DisposableStore();
   readonly #plans = new Map<string, readonly ChainPlan[]>();
-  /** The adapter that a pipeline last served, for use while a new one loads. */
-  readonly #servedAdapters = new Map<string, string | undefined>();
+  /** Adapters that a change took away, while the new ones load. */
+  readonly #oldAdapters = new Map<string, string | undefined>();
+  #pipelines: Readonly<Record<string, PipelineConfig>> = {};
   #pipelinesOf = new Map<string, string[]>();
 
   constructor(options: ChainPlansOptions) {
@@ -95,39 +99,46 @@
     this.#pipelinesOf = new Map();
     const { pipelines } = this.#options.config.state.config;
     for (const [name, pipeline] of Object.entries(pipelines)) {
+      this.#noteAdapter(name, pipeline);
       for (const target of pipelineTargets(pipeline)) {
         const names = this.#pipelinesOf.get(target) ?? [];
         this.#pipelinesOf.set(target, [...names, name]);
       }
     }
+    this.#pipelines = pipelines;
+  }
+
+  /** Remembers the adapter to serve until enough targets hold the new one. */
+  #noteAdapter(name: string, pipeline: PipelineConfig): void {
+    const before = this.#pipelines[name];
+    if (!before || this.#oldAdapters.has(name)) return;
+    if (before.model !== pipeline.model) return;
+    if (before.adapter === pipeline.adapter) return;
+    this.#oldAdapters.set(name, before.adapter);
   }
 
   #compute(name: string, pipeline: PipelineConfig): ChainPlan[] {
-    const { layerCount, model, adapter } = pipeline;
     const states = this.#offeredStates(name, pipeline);
-    const versions = [...new Set(states.map((state) => state.version))].sort();
-    const plans: ChainPlan[] = [];
-    for (const version of versions) {
-      const choice = { model, version, adapter };
-      const plan = this.#plan(states, { choice, layerCount });
-      if (plan) plans.push(plan);
+    const plans = this.#planVersions(states, pipeline);
+    if (!this.#oldAdapters.has(name)) return plans;
+    const adapter = this.#oldAdapters.get(name);
+    const oldPlans = this.#planVersions(states, { ...pipeline, adapter });
+    if (boundOf(plans) < SWITCH_SHARE * boundOf(oldPlans)) {
+      return [...plans, ...oldPlans];
     }
-    if (plans.length > 0) this.#servedAdapters.set(name, adapter);
-    else plans.push(...this.#planServedAdapter(name, pipeline, states));
+    if (plans.length > 0) this.#oldAdapters.delete(name);
     return plans;
   }
 
-  #planServedAdapter(
-    name: string,
-    pipeline: PipelineConfig,
+  #planVersions(
     states: readonly EngineState[],
+    { model, adapter, layerCount }: PipelineConfig,
   ): ChainPlan[] {
-    if (!this.#servedAdapters.has(name)) return [];
-    const { layerCount, model, version } = pipeline;
-    const adapter = this.#servedAdapters.get(name);
-    const choice = { model, version, adapter };
-    const plan = this.#plan(states, { choice, layerCount });
-    return plan ? [plan] : [];
+    const versions = [...new Set(states.map((state) => state.version))].sort();
+    return versions
+      .map((version) => ({ model, version, adapter }))
+      .map((choice) => this.#plan(states, { choice, layerCount }))
+      .filter((plan) => plan !== undefined);
   }
 
   #offeredStates(name: string, pipeline: PipelineConfig): EngineState[] {
@@ -161,6 +172,10 @@
   }
 }
 
+function boundOf(plans: readonly ChainPlan[]): number {
+  return plans.reduce((sum, plan) => sum + plan.flow.boundTokensPerS, 0);
+}
+
 function isSameChoice(a: ModelChoice, b: ModelChoice): boolean {
   return a.model === b.model && a.version === b.version &&
     a.adapter === b.adapter;
--- a/src/pipelines/target_directory.ts
+++ b/src/pipelines/target_directory.ts
@@ -38,7 +38,13 @@
 
 interface TargetEntry {
   state?: EngineState;
+  /** When some host read the state, on that host's clock. */
+  readAtWallMs: number;
+  /** When the state came to offer what it offers. */
+  offerSinceMs: number;
   isSuspected: boolean;
+  /** Since when the target has been silent; undefined while it answers. */
+  silentSinceMs?: number;
   isLost: boolean;
   /** Signs that hold until the same source takes them back. */
   readonly leavingSources: Set<LeavingSource>;
@@ -92,6 +98,11 @@
     return entry?.isLost ? undefined : entry?.state;
   }
 
+  /** The last state published, also of a target that does not answer now. */
+  lastState(target: string): EngineState | undefined {
+    return this.#entries.get(target)?.state;
+  }
+
   takesNewWork(target: string): boolean {
     if (this.isLeaving(target)) return false;
     const entry = this.#entries.get(target);
@@ -107,9 +118,16 @@
       entry.peerNoticeUntilMs > this.#clock.nowMs();
   }
 
-  /** True when the target is known not to answer. */
-  isLost(target: string): boolean {
-    return this.#entries.get(target)?.isLost ?? false;
+  /** For how long the target has offered the same, as this host knows. */
+  offeredForMs(target: string): number {
+    const entry = this.#entries.get(target);
+    return entry?.state ? this.#clock.nowMs() - entry.offerSinceMs : 0;
+  }
+
+  /** How long the target has not answered, 0 for one that does. */
+  silentForMs(target: string): number {
+    const sinceMs = this.#entries.get(target)?.silentSinceMs;
+    return sinceMs === undefined ? 0 : this.#clock.nowMs() - sinceMs;
   }
 
   /** Targets that answered no more, for as long as they stay configured. */
@@ -147,7 +165,7 @@
 
   noteState(state: EngineState): void {
     const known = this.#entries.get(state.target)?.state;
-    this.#takeState(state);
+    this.#takeState(state, this.#clock.wallMs());
     if (!known || !isSameOffer(known, state)) {
       this.#publish(state.target, { state });
     }
@@ -159,6 +177,7 @@
     const entry = this.#entry(target);
     if (entry.isSuspected) return;
     entry.isSuspected = true;
+    entry.silentSinceMs ??= this.#clock.nowMs();
     this.#changed.fire(target);
   }
 
@@ -171,6 +190,7 @@
     const entry = this.#entry(target);
     if (entry.isLost) return;
     entry.isLost = true;
+    entry.silentSinceMs ??= this.#clock.nowMs();
     this.#publish(target, { isLost: true });
     this.#changed.fire(target);
   }
@@ -183,6 +203,8 @@
     let entry = this.#entries.get(target);
     if (!entry) {
       entry = {
+        readAtWallMs: 0,
+        offerSinceMs: 0,
         isSuspected: false,
         isLost: false,
         leavingSources: new Set(),
@@ -214,12 +236,15 @@
     });
   }
 
-  #takeState(state: EngineState): void {
+  #takeState(state: EngineState, readAtWallMs: number): void {
     const entry = this.#entry(state.target);
     const changed = entry.isLost || entry.isSuspected || !entry.state ||
       !isSameOffer(entry.state, state);
+    if (changed) entry.offerSinceMs = this.#clock.nowMs();
     entry.state = state;
+    entry.readAtWallMs = readAtWallMs;
     entry.isSuspected = false;
+    entry.silentSinceMs = undefined;
     entry.isLost = false;
     if (state.leaving) this.noteLeaving(state.target, "target");
     else this.noteStaying(state.target, "target");
@@ -257,8 +282,8 @@
     if (isLost) return this.noteDoubt(fact.key);
     if (state?.target !== fact.key) return;
     const known = this.#entries.get(fact.key);
-    const knownAsOfMs = known?.state?.load.asOfWallMs ?? -1;
-    if (state.load.asOfWallMs > knownAsOfMs) this.#takeState(state);
+    if (fact.sequence <= (known?.readAtWallMs ?? 0)) return;
+    this.#takeState(state, fact.sequence);
   }
 }
 
--- a/test/pipelines_fakes.ts
+++ b/test/pipelines_fakes.ts
@@ -16,12 +16,20 @@
 } from "../src/config/schema.ts";
 import type { IConfigService } from "../src/config/services.ts";
 import type { ConfigState } from "../src/config/types.ts";
-import type { Fact, IDissemination } from "../src/fleet/services.ts";
-import type { IEngineClient } from "../src/platform/services.ts";
+import type {
+  Fact,
+  IDissemination,
+  IMembership,
+  Member,
+} from "../src/fleet/services.ts";
+import type { IEngineClient, ILogClient } from "../src/platform/services.ts";
 import type {
   CallOptions,
   EngineOrder,
   EngineState,
+  LogEntry,
+  LogPage,
+  LogRecord,
 } from "../src/platform/types.ts";
 
 /** A configuration service that a test sets by hand. */
@@ -207,3 +215,132 @@
     engine.state = { ...engine.state, loading: false };
   }
 }
+
+/** Members set by hand, as one of them sees them. */
+export class FakeMembership implements IMembership {
+  readonly #changed = new Emitter<readonly Member[]>();
+  readonly onChange = this.#changed.event;
+  readonly self: Member;
+  #members: readonly Member[];
+
+  constructor(self: string, names: readonly string[], region = "default") {
+    this.#members = names.map((name) => member(name, region));
+    this.self = this.#members.find(({ name }) => name === self) ??
+      member(self, region);
+  }
+
+  members(): readonly Member[] {
+    return this.#members;
+  }
+
+  set(members: readonly Member[]): void {
+    this.#members = members;
+    this.#changed.fire(members);
+  }
+
+  leave(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+/** A live member. */
+export function member(name: string, region = "default"): Member {
+  const url = `http://${name}`;
+  return { name, url, failureDomain: "fd", region, state: "alive" };
+}
+
+/** One log in memory that can be down or lose its answers. */
+export class FakeLog implements ILogClient {
+  readonly #streams = new Map<string, LogRecord[]>();
+  isDown = false;
+  /** Appends take effect, but the answers are lost. */
+  losesAnswers = false;
+  appendCount = 0;
+
+  constructor(readonly clock: Clock) {}
+
+  append(
+    stream: string,
+    entries: readonly LogEntry[],
+    _options: CallOptions,
+  ): Promise<Outcome<number>> {
+    if (this.isDown) {
+      return Promise.resolve(notRun("log-unavailable", "the log is down"));
+    }
+    const records = this.#records(stream);
+    const first = records.length;
+    const atWallMs = this.clock.wallMs();
+    entries.forEach((entry, index) =>
+      records.push({ ...entry, offset: first + index, atWallMs })
+    );
+    this.appendCount += entries.length;
+    const answer: Outcome<number> = this.losesAnswers
+      ? mayHaveRun("log-unavailable", "the answer was lost")
+      : new Ok(first);
+    return Promise.resolve(answer);
+  }
+
+  read(
+    stream: string,
+    fromOffset: number,
+    _options: CallOptions,
+  ): Promise<Outcome<LogPage>> {
+    if (this.isDown) {
+      return Promise.resolve(notRun("log-unavailable", "the log is down"));
+    }
+    const all = this.#records(stream);
+    const records = all.filter(({ offset }) => offset >= fromOffset);
+    const page = { records, firstOffset: 0, nextOffset: all.length };
+    return Promise.resolve(new Ok(page));
+  }
+
+  #records(stream: string): LogRecord[] {
+    const records = this.#streams.get(stream) ?? [];
+    this.#streams.set(stream, records);
+    return records;
+  }
+}
+
+/** A process that can be paused: its waits and calls return only afterwards. */
+export class PausableProcess {
+  #resume: (() => void) | undefined;
+  #paused: Promise<void> | undefined;
+
+  pause(): void {
+    this.#paused ??= new Promise((resolve) => this.#resume = resolve);
+  }
+
+  resume(): void {
+    this.#resume?.();
+    this.#paused = undefined;
+  }
+
+  /** The clock as the process sees it. */
+  clock(clock: Clock): Clock {
+    return {
+      nowMs: () => clock.nowMs(),
+      wallMs: () => clock.wallMs(),
+      sleep: async (waitMs, signal) => {
+        await clock.sleep(waitMs, signal);
+        await this.#paused;
+      },
+    };
+  }
+
+  /** Engines as the process calls them: a pause may fall before the send. */
+  engines(engines: IEngineClient): IEngineClient {
+    return {
+      generate: (...call) => engines.generate(...call),
+      reattach: (...call) => engines.reattach(...call),
+      cancel: (...call) => engines.cancel(...call),
+      readState: async (...call) => {
+        await this.#paused;
+        return await engines.readState(...call);
+      },
+      order: async (...call) => {
+        await this.#paused;
+        return await engines.order(...call);
+      },
+    };
+  }
+}
