--- a/src/pipelines/target_directory.ts
+++ b/src/pipelines/target_directory.ts
@@ -19,6 +19,8 @@
 const PEER_NOTICE_HOLD_MS = 30_000;
 /** Notices of one period are one fact, whichever host publishes it. */
 const NOTICE_PERIOD_MS = 10_000;
+/** How long a published state is passed on to hosts that join. */
+const STATE_FACT_HOLD_MS = 120_000;
 
 /** Where a sign of leaving came from. */
 export type LeavingSource = Parameters<ITargetDirectory["noteLeaving"]>[1];
@@ -30,11 +32,19 @@
   readonly dissemination?: IDissemination;
   readonly clock?: Clock;
   readonly peerNoticeHoldMs?: number;
+  /** Whether this host spreads the states that it reads of a target; true by default. */
+  readonly spreadsState?: (target: string) => boolean;
 }
 
 interface TargetEntry {
   state?: EngineState;
+  /** When some host read the state, on that host's clock. */
+  readAtWallMs: number;
+  /** When the state came to offer what it offers. */
+  offerSinceMs: number;
   isSuspected: boolean;
+  /** Since when the target has been silent; undefined while it answers. */
+  silentSinceMs?: number;
   isLost: boolean;
   /** Signs that hold until the same source takes them back. */
   readonly leavingSources: Set<LeavingSource>;
@@ -43,22 +53,36 @@
   noticePeriod: number;
 }
 
+/** What a fact about a target carries. */
+interface TargetFact {
+  readonly state?: EngineState;
+  readonly isLost?: boolean;
+}
+
 /** Holds what is known of each target; one owner for each daemon. */
 export class TargetDirectory implements ITargetDirectory, Disposable {
   readonly #config: IConfigService;
   readonly #dissemination: IDissemination | undefined;
   readonly #clock: Clock;
   readonly #peerNoticeHoldMs: number;
+  readonly #spreadsState: (target: string) => boolean;
   readonly #entries = new Map<string, TargetEntry>();
   readonly #store = new DisposableStore();
   readonly #changed = this.#store.add(new Emitter<string>());
   readonly onChange = this.#changed.event;
+  readonly #published = this.#store.add(new Emitter<EngineState>());
+  /** Fires for each published state that this host reads, changed or not. */
+  readonly onState = this.#published.event;
+  readonly #doubted = this.#store.add(new Emitter<string>());
+  /** Fires for a target whose state is to be read again at once. */
+  readonly onDoubt = this.#doubted.event;
 
   constructor(options: TargetDirectoryOptions) {
     this.#config = options.config;
     this.#dissemination = options.dissemination;
     this.#clock = options.clock ?? systemClock;
     this.#peerNoticeHoldMs = options.peerNoticeHoldMs ?? PEER_NOTICE_HOLD_MS;
+    this.#spreadsState = options.spreadsState ?? (() => true);
     this.#store.add(
       this.#config.onChange(({ config }) => this.#forget(config.targets)),
     );
@@ -74,6 +98,11 @@
     return entry?.isLost ? undefined : entry?.state;
   }
 
+  /** The last state published, also of a target that does not answer now. */
+  lastState(target: string): EngineState | undefined {
+    return this.#entries.get(target)?.state;
+  }
+
   takesNewWork(target: string): boolean {
     if (this.isLeaving(target)) return false;
     const entry = this.#entries.get(target);
@@ -89,9 +118,23 @@
       entry.peerNoticeUntilMs > this.#clock.nowMs();
   }
 
-  /** True when the target is known not to answer. */
-  isLost(target: string): boolean {
-    return this.#entries.get(target)?.isLost ?? false;
+  /** For how long the target has offered the same, as this host knows. */
+  offeredForMs(target: string): number {
+    const entry = this.#entries.get(target);
+    return entry?.state ? this.#clock.nowMs() - entry.offerSinceMs : 0;
+  }
+
+  /** How long the target has not answered, 0 for one that does. */
+  silentForMs(target: string): number {
+    const sinceMs = this.#entries.get(target)?.silentSinceMs;
+    return sinceMs === undefined ? 0 : this.#clock.nowMs() - sinceMs;
+  }
+
+  /** Targets that answered no more, for as long as they stay configured. */
+  silentTargets(): string[] {
+    return [...this.#entries]
+      .filter(([, entry]) => entry.isLost || entry.isSuspected)
+      .map(([target]) => target);
   }
 
   noteLeaving(target: string, source: LeavingSource): void {
@@ -121,15 +164,12 @@
   }
 
   noteState(state: EngineState): void {
-    const entry = this.#entry(state.target);
-    const changed = entry.isLost || entry.isSuspected || !entry.state ||
-      !isSameOffer(entry.state, state);
-    entry.state = state;
-    entry.isSuspected = false;
-    entry.isLost = false;
-    if (state.leaving) this.noteLeaving(state.target, "target");
-    else this.noteStaying(state.target, "target");
-    if (changed) this.#changed.fire(state.target);
+    const known = this.#entries.get(state.target)?.state;
+    this.#takeState(state, this.#clock.wallMs());
+    if (!known || !isSameOffer(known, state)) {
+      this.#publish(state.target, { state });
+    }
+    this.#published.fire(state);
   }
 
   /** Keeps new work away until the target publishes its state again. */
@@ -137,13 +177,21 @@
     const entry = this.#entry(target);
     if (entry.isSuspected) return;
     entry.isSuspected = true;
+    entry.silentSinceMs ??= this.#clock.nowMs();
     this.#changed.fire(target);
   }
 
+  /** Asks for a fresh look at a target that failed or refused a request. */
+  noteDoubt(target: string): void {
+    this.#doubted.fire(target);
+  }
+
   noteLost(target: string): void {
     const entry = this.#entry(target);
     if (entry.isLost) return;
     entry.isLost = true;
+    entry.silentSinceMs ??= this.#clock.nowMs();
+    this.#publish(target, { isLost: true });
     this.#changed.fire(target);
   }
 
@@ -155,6 +203,8 @@
     let entry = this.#entries.get(target);
     if (!entry) {
       entry = {
+        readAtWallMs: 0,
+        offerSinceMs: 0,
         isSuspected: false,
         isLost: false,
         leavingSources: new Set(),
@@ -186,14 +236,55 @@
     });
   }
 
+  #takeState(state: EngineState, readAtWallMs: number): void {
+    const entry = this.#entry(state.target);
+    const changed = entry.isLost || entry.isSuspected || !entry.state ||
+      !isSameOffer(entry.state, state);
+    if (changed) entry.offerSinceMs = this.#clock.nowMs();
+    entry.state = state;
+    entry.readAtWallMs = readAtWallMs;
+    entry.isSuspected = false;
+    entry.silentSinceMs = undefined;
+    entry.isLost = false;
+    if (state.leaving) this.noteLeaving(state.target, "target");
+    else this.noteStaying(state.target, "target");
+    if (changed) this.#changed.fire(state.target);
+  }
+
+  #publish(target: string, data: TargetFact): void {
+    if (!this.#spreadsState(target)) return;
+    const wallMs = this.#clock.wallMs();
+    this.#dissemination?.publish({
+      topic: "target",
+      key: target,
+      sequence: Math.floor(wallMs),
+      data,
+      expiresAtWallMs: wallMs + STATE_FACT_HOLD_MS,
+    });
+  }
+
   #hearFact(fact: Fact): void {
-    if (fact.topic !== "leaving") return;
     if (fact.expiresAtWallMs <= this.#clock.wallMs()) return;
     if (!(fact.key in this.#config.state.config.targets)) return;
+    if (fact.topic === "leaving") this.#hearLeaving(fact);
+    if (fact.topic === "target") this.#hearTarget(fact);
+  }
+
+  #hearLeaving(fact: Fact): void {
     const entry = this.#entry(fact.key);
     entry.noticePeriod = Math.max(entry.noticePeriod, fact.sequence);
     this.noteLeaving(fact.key, "peer");
   }
+
+  /** A peer's word on a loss only causes a look: the peer may be cut off. */
+  #hearTarget(fact: Fact): void {
+    const { state, isLost } = fact.data as TargetFact;
+    if (isLost) return this.noteDoubt(fact.key);
+    if (state?.target !== fact.key) return;
+    const known = this.#entries.get(fact.key);
+    if (fact.sequence <= (known?.readAtWallMs ?? 0)) return;
+    this.#takeState(state, fact.sequence);
+  }
 }
 
 /** True when two states offer the same work; the load does not count. */
