Run leases, placement and the subset of targets in the daemon

Cause: a lost stage was re-chained but its capacity never came back, and every host polled every engine. Ruled out: one keeper for all pools on one host; each pool has three candidate hosts by rendezvous hashing, and the lease in the log decides. Change: the container binds LeaseService, CapacityKeeper, TargetSubset and WatchAssignment; the capacity task joins the supervisor tree; status tells serving, silent and leaving targets apart. Conclusion: the pipelines layer is wired whole.

--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -24,10 +24,14 @@
   IMembership,
   IPeerTransport,
 } from "../fleet/services.ts";
+import { CapacityKeeper } from "../pipelines/capacity_keeper.ts";
 import { ChainPicker } from "../pipelines/chain_picker.ts";
+import { LeaseService } from "../pipelines/lease_service.ts";
 import { IChainPicker, ITargetDirectory } from "../pipelines/services.ts";
 import { TargetDirectory } from "../pipelines/target_directory.ts";
+import { TargetSubset } from "../pipelines/target_subset.ts";
 import { TargetWatcher } from "../pipelines/target_watcher.ts";
+import { WatchAssignment } from "../pipelines/watch_assignment.ts";
 import { EngineClient } from "../platform/engine_client.ts";
 import { HostListClient } from "../platform/host_list_client.ts";
 import { HttpClient } from "../platform/http_client.ts";
@@ -70,7 +74,7 @@
   bindCommon(container, options);
   bindPlatform(container, options, clock);
   bindFleet(container, options, clock);
-  bindPipelines(container, clock);
+  bindPipelines(container, options, clock);
   bindRequests(container, clock);
   return container;
 }
@@ -172,7 +176,11 @@
   container.bind(ILimitService).toService(LimitService);
 }
 
-function bindPipelines(container: Container, clock: Clock): void {
+function bindPipelines(
+  container: Container,
+  options: ContainerOptions,
+  clock: Clock,
+): void {
   container.bind(TargetDirectory).toDynamicValue((context) => {
     return new TargetDirectory({
       config: context.get(IConfigService),
@@ -181,20 +189,67 @@
     });
   });
   container.bind(ITargetDirectory).toService(TargetDirectory);
+  container.bind(TargetSubset).toDynamicValue((context) => {
+    return new TargetSubset({
+      config: context.get(IConfigService),
+      directory: context.get(TargetDirectory),
+      membership: context.get(IMembership),
+    });
+  });
+  container.bind(WatchAssignment).toDynamicValue((context) => {
+    return new WatchAssignment({
+      config: context.get(IConfigService),
+      membership: context.get(IMembership),
+    });
+  });
   container.bind(TargetWatcher).toDynamicValue((context) => {
+    const assignment = context.get(WatchAssignment);
+    const subset = context.get(TargetSubset);
     return new TargetWatcher({
       config: context.get(IConfigService),
       engines: context.get(IEngineClient),
       directory: context.get(TargetDirectory),
       hostList: context.get(IHostListWatcher),
       clock,
+      pollIntervalMs: () => assignment.intervalMs(),
+      watches: (target) => assignment.watches(target),
+      uses: () => subset.all(),
     });
   });
   container.bind(IChainPicker).toDynamicValue((context) => {
+    const subset = context.get(TargetSubset);
     return new ChainPicker({
       config: context.get(IConfigService),
       directory: context.get(TargetDirectory),
       clock,
+      subset: (pipeline, targets) => subset.choose(pipeline, targets),
+    });
+  });
+  bindCapacity(container, options, clock);
+}
+
+function bindCapacity(
+  container: Container,
+  options: ContainerOptions,
+  clock: Clock,
+): void {
+  container.bind(LeaseService).toDynamicValue((context) => {
+    return new LeaseService({
+      log: context.get(ILogClient),
+      host: options.hostName,
+      clock,
+    });
+  });
+  container.bind(CapacityKeeper).toDynamicValue((context) => {
+    const log = context.get(ILog);
+    return new CapacityKeeper({
+      config: context.get(IConfigService),
+      directory: context.get(TargetDirectory),
+      engines: context.get(IEngineClient),
+      leases: context.get(LeaseService),
+      membership: context.get(IMembership),
+      clock,
+      onOrder: (order) => log.info("an order was sent", { ...order }),
     });
   });
 }
--- a/src/daemon/host_status.ts
+++ b/src/daemon/host_status.ts
@@ -56,6 +56,5 @@
 
 function targetState(name: string, directory: TargetDirectory): string {
   if (directory.isLeaving(name)) return "leaving";
-  if (directory.isLost(name)) return "lost";
-  return directory.takesNewWork(name) ? "serving" : "suspected";
+  return directory.takesNewWork(name) ? "serving" : "silent";
 }
--- a/src/daemon/host_tree.ts
+++ b/src/daemon/host_tree.ts
@@ -14,6 +14,7 @@
 import { HostListWatcher } from "../fleet/host_list_watcher.ts";
 import { LimitService } from "../fleet/limit_service.ts";
 import { Membership } from "../fleet/membership.ts";
+import { CapacityKeeper } from "../pipelines/capacity_keeper.ts";
 import { TargetWatcher } from "../pipelines/target_watcher.ts";
 
 interface LongRunning {
@@ -38,6 +39,7 @@
   fleet.start("limits", taskOf(container.get(LimitService)));
   const pipelines = root.child("pipelines");
   pipelines.start("targets", taskOf(container.get(TargetWatcher)));
+  pipelines.start("capacity", taskOf(container.get(CapacityKeeper)));
   return root;
 }
 
