Measure what a host adds to a stream and how much it carries

Ruled out: the engine stand-in as source (it computes, and saturates first) and an event-stream parser in the client.

--- /dev/null
+++ b/measure/streams/open_streams.ts
@@ -0,0 +1,71 @@
+/**
+ * Opens streams from several threads and joins what they saw.
+ *
+ * @module
+ */
+
+import { Worker } from "node:worker_threads";
+import type { StreamOrder, StreamReport } from "./types.ts";
+
+/** Joined reports; percentiles are in milliseconds. */
+export interface StreamFigures {
+  readonly startedCount: number;
+  readonly wholeCount: number;
+  readonly tokenCount: number;
+  firstTokenMs(percentile: number): number;
+  gapMs(percentile: number): number;
+}
+
+/** Runs one order on each thread; the rate of the order is divided among them. */
+export async function openStreams(
+  order: StreamOrder,
+  options: { readonly threadCount: number },
+): Promise<StreamFigures> {
+  const { threadCount } = options;
+  const reports = await Promise.all(
+    Array.from({ length: threadCount }, (_unused, index) =>
+      runThread({
+        ...order,
+        streamsPerS: order.streamsPerS / threadCount,
+        seed: order.seed + index,
+      })),
+  );
+  const firstTokens = joinSorted(reports.map((report) => report.firstTokenUs));
+  const gaps = joinSorted(reports.map((report) => report.gapUs));
+  return {
+    startedCount: sum(reports.map((report) => report.startedCount)),
+    wholeCount: sum(reports.map((report) => report.wholeCount)),
+    tokenCount: sum(reports.map((report) => report.tokenCount)),
+    firstTokenMs: (percentile) => percentileOf(firstTokens, percentile) / 1_000,
+    gapMs: (percentile) => percentileOf(gaps, percentile) / 1_000,
+  };
+}
+
+function runThread(order: StreamOrder): Promise<StreamReport> {
+  return new Promise((resolve, reject) => {
+    const worker = new Worker(new URL("./stream_worker.js", import.meta.url), {
+      workerData: order,
+    });
+    worker.once("message", resolve);
+    worker.once("error", reject);
+  });
+}
+
+function joinSorted(parts: readonly Float64Array[]): Float64Array {
+  const joined = new Float64Array(sum(parts.map((part) => part.length)));
+  let at = 0;
+  for (const part of parts) {
+    joined.set(part, at);
+    at += part.length;
+  }
+  return joined.sort();
+}
+
+function percentileOf(sorted: Float64Array, percentile: number): number {
+  const index = Math.ceil(sorted.length * percentile / 100) - 1;
+  return sorted[Math.max(0, index)] ?? Number.NaN;
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -9,6 +9,7 @@
 import type { Container } from "inversify";
 import { Ok } from "ts-results-es";
 import { type Clock, systemClock } from "../common/clock.ts";
+import { DisposableStore } from "../common/lifecycle.ts";
 import { ILog } from "../common/logging.ts";
 import { IMetrics } from "../common/metrics.ts";
 import type { Supervisor } from "../common/supervisor.ts";
@@ -38,6 +39,7 @@
 import { HostState } from "./host_state.ts";
 import { readStatus } from "./host_status.ts";
 import { startHostTree } from "./host_tree.ts";
+import { registerProcessMetrics } from "./process_metrics.ts";
 import type { Settings } from "./settings.ts";
 
 const IN_FLIGHT_CHECK_MS = 20;
@@ -64,6 +66,7 @@
   readonly #clock: Clock;
   readonly #container: Container;
   readonly #state = new HostState();
+  readonly #owned = new DisposableStore();
   readonly #gate: CallerGate;
   readonly #callerServer: HttpServer;
   readonly #operatorServer: HttpServer;
@@ -100,6 +103,9 @@
       undefined,
     );
     this.#gate = this.#createGate();
+    this.#owned.add(
+      registerProcessMetrics(this.#container.get(IMetrics)),
+    );
   }
 
   /** Opens the ports and starts every task. */
@@ -139,6 +145,7 @@
     this.#operatorServer.destroy();
     this.#peerServer.destroy();
     await Promise.all([this.#operatorServer.close(), this.#peerServer.close()]);
+    this.#owned.dispose();
     this.#state.advanceTo("stopped");
     log.info("stopped", { inFlight: this.#gate.inFlightCount });
   }
