--- /dev/null
+++ b/src/config/config_rounds.ts
@@ -0,0 +1,397 @@
+/**
+ * Rounds: broadcasts from one host down a tree of all hosts. A round carries
+ * new records, tells what is accepted and how fresh the sender is, and brings
+ * back how many hosts hold what the sender holds.
+ *
+ * A round that most hosts answer proves two things without the log: the
+ * changes that the sender holds are accepted, and no accepted change is
+ * missing, since every accepted change is known to most hosts and two
+ * majorities share a host. Which host sends rounds only matters for cost: the
+ * first by rendezvous hashing sends one a second, and the next stands in when
+ * no round has come for a little longer.
+ *
+ * @module
+ */
+
+import { type Clock, systemClock } from "../common/clock.ts";
+import { rendezvousRank } from "../common/hash.ts";
+import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
+import type { Random } from "../common/random.ts";
+import type { LogRecord } from "../platform/types.ts";
+import type { ConfigHolder } from "./config_holder.ts";
+import {
+  type CallPeer,
+  type HandlePeer,
+  PULL_METHOD,
+  type PullReply,
+  readPullReply,
+  readPullRequest,
+  readRoundMessage,
+  readRoundReply,
+  ROUND_METHOD,
+  type RoundMessage,
+  type RoundReply,
+} from "./peer_messages.ts";
+import {
+  ALL_NAMES,
+  type ConfigPeer,
+  type NameRange,
+  type RangePart,
+  sortPeers,
+  splitRange,
+} from "./peer_tree.ts";
+
+const FAN_OUT = 8;
+/** A round's first level answers within this time, each lower one sooner. */
+const ROUND_WITHIN_MS = 1_200;
+const LEVEL_STEP_MS = 200;
+const MIN_LEVEL_MS = 200;
+/** Hosts tried for one part of the tree when a call never left. */
+const DELEGATES_TRIED = 3;
+const PULL_WITHIN_MS = 500;
+const GROUND_WITHIN_MS = 2_000;
+const PEERS_ASKED_FOR_STATE = 2;
+/** Longest run of records that travels in a round; more is fetched. */
+const MAX_CARRIED_RECORDS = 32;
+const ROUND_EVERY_MS = 1_000;
+const RANK_STEP_MS = 200;
+const LAST_RANK = 8;
+const JITTER_MS = 1_000;
+const CHECK_EVERY_MS = 100;
+/** A host this stale tries rounds of its own, however many it hears. */
+const STALE_AFTER_MS = 2_000;
+/** Time between such rounds of one host, for each host of the fleet. */
+const STAND_IN_MS_A_HOST = 250;
+const ROLE_KEY = "config-rounds";
+
+/** Options of the rounds of one host. */
+export interface ConfigRoundsOptions {
+  readonly holder: ConfigHolder;
+  readonly self: ConfigPeer;
+  /**
+   * All other hosts, those included that do not answer at present; undefined
+   * while they are not known. The same array as long as nothing changed.
+   */
+  readonly peers: () => readonly ConfigPeer[] | undefined;
+  readonly callPeer: CallPeer;
+  readonly handlePeer: HandlePeer;
+  readonly clock?: Clock;
+  readonly random?: Random;
+}
+
+/** A round's message without what differs between receivers. */
+type RoundCore = Omit<RoundMessage, "to" | "from" | "until">;
+
+/** What a round brought back. */
+export interface RoundResult {
+  /** Hosts that hold what this host held when the round began, itself included. */
+  readonly holding: number;
+  readonly hostCount: number;
+  /** True when most hosts hold it and none holds more. */
+  readonly isConfirmed: boolean;
+}
+
+/** Sends, forwards and answers rounds; see the module. */
+export class ConfigRounds implements Disposable {
+  readonly #holder: ConfigHolder;
+  readonly #self: ConfigPeer;
+  readonly #peers: () => readonly ConfigPeer[] | undefined;
+  readonly #callPeer: CallPeer;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #owned = new DisposableStore();
+  #known: readonly ConfigPeer[] | undefined;
+  #sorted: readonly ConfigPeer[] = [];
+  #rank = 0;
+  /** The freshest word that any round has carried past this host. */
+  #spreadAsOfMs = -Infinity;
+  #spreadOffset = 0;
+  #lastRoundMs = -Infinity;
+  /** When the last round of any host passed here. */
+  #lastHeardMs = -Infinity;
+  #jitterMs = 0;
+  #standInEveryMs = ROUND_EVERY_MS;
+  #isWanted = false;
+  #wake = new AbortController();
+
+  constructor(options: ConfigRoundsOptions) {
+    this.#holder = options.holder;
+    this.#self = options.self;
+    this.#peers = options.peers;
+    this.#callPeer = options.callPeer;
+    this.#clock = options.clock ?? systemClock;
+    this.#random = options.random ?? Math.random;
+    const { handlePeer } = options;
+    this.#owned.add(handlePeer(ROUND_METHOD, (value) => this.#receive(value)));
+    this.#owned.add(
+      handlePeer(PULL_METHOD, (value) => this.#answerPull(value)),
+    );
+  }
+
+  dispose(): void {
+    this.#owned.dispose();
+  }
+
+  /** This host's place among all for the roles that save work; 0 is the first. */
+  get rank(): number {
+    this.#refreshPeers();
+    return this.#rank;
+  }
+
+  /** How long this host lets the fleet's word grow old before it stands in. */
+  get patienceMs(): number {
+    const rank = Math.min(this.rank, LAST_RANK);
+    const jitterMs = rank < LAST_RANK ? 0 : this.#jitterMs;
+    return ROUND_EVERY_MS + rank * RANK_STEP_MS + jitterMs;
+  }
+
+  /** Asks for a round soon, for instance because there are new records. */
+  request(): void {
+    this.#isWanted = true;
+    this.#wake.abort();
+  }
+
+  /** Sends rounds when they are due, until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const wake = () => this.#wake.abort();
+    signal.addEventListener("abort", wake, { once: true });
+    while (!signal.aborted) {
+      if (this.#isDue()) await this.round();
+      if (this.#isWanted) continue;
+      this.#wake = new AbortController();
+      await this.#clock.sleep(CHECK_EVERY_MS, this.#wake.signal);
+    }
+    signal.removeEventListener("abort", wake);
+  }
+
+  /** Takes the state of a few peers, until one is grounded. */
+  async ground(): Promise<void> {
+    this.#refreshPeers();
+    const deadlineMs = this.#clock.nowMs() + GROUND_WITHIN_MS;
+    const asked = Array.from(
+      { length: Math.min(PEERS_ASKED_FOR_STATE, this.#sorted.length) },
+      () => this.#pick(this.#sorted),
+    );
+    await Promise.all(asked.map((peer) => this.#pull(peer.url, deadlineMs)));
+  }
+
+  /** Sends one round; resolves as soon as it is confirmed or has ended. */
+  async round(): Promise<RoundResult> {
+    this.#refreshPeers();
+    this.#isWanted = false;
+    this.#jitterMs = this.#random() * JITTER_MS;
+    this.#standInEveryMs = (0.5 + this.#random()) * STAND_IN_MS_A_HOST *
+      (this.#sorted.length + 1);
+    const startedMs = this.#clock.nowMs();
+    this.#lastRoundMs = startedMs;
+    this.#lastHeardMs = startedMs;
+    const message = this.#compose();
+    this.#noteSpread(message);
+    const reply = await this.#gather(message);
+    const result = this.#judge(reply, message.nextOffset);
+    if (result.isConfirmed) this.#confirm(startedMs, message.nextOffset);
+    if (reply.newestOffset > message.nextOffset) await this.#catchUp(reply);
+    return result;
+  }
+
+  #gather(message: RoundCore): Promise<RoundReply> {
+    return new Promise((resolve) => {
+      let joined = NO_REPLY;
+      const onReply = (reply: RoundReply) => {
+        joined = joinReplies(joined, reply);
+        const result = this.#judge(joined, message.nextOffset);
+        if (result.isConfirmed) resolve(joined);
+      };
+      this.#forward(message, ALL_NAMES, onReply).then(resolve);
+    });
+  }
+
+  #judge(reply: RoundReply, nextOffset: number): RoundResult {
+    const { isGrounded } = this.#holder;
+    const holding = reply.holding + (isGrounded ? 1 : 0);
+    const hostCount = this.#sorted.length + 1;
+    const isConfirmed = isGrounded && this.#known !== undefined &&
+      reply.newestOffset <= nextOffset && 2 * holding > hostCount;
+    return { holding, hostCount, isConfirmed };
+  }
+
+  #confirm(startedMs: number, nextOffset: number): void {
+    const hadPending = this.#holder.hasPending;
+    this.#holder.markStable(nextOffset);
+    this.#holder.confirm(startedMs, nextOffset);
+    // The others wait for the word that the change is accepted.
+    if (hadPending) this.request();
+  }
+
+  async #catchUp(reply: RoundReply): Promise<void> {
+    if (reply.newestUrl === null) return;
+    const deadlineMs = this.#clock.nowMs() + PULL_WITHIN_MS;
+    await this.#pull(reply.newestUrl, deadlineMs);
+    if (this.#holder.nextOffset >= reply.newestOffset) this.request();
+  }
+
+  #isDue(): boolean {
+    if (this.#isWanted) return true;
+    const nowMs = this.#clock.nowMs();
+    const sinceOwnMs = nowMs - this.#lastRoundMs;
+    if (sinceOwnMs < ROUND_EVERY_MS) return false;
+    const { patienceMs } = this;
+    if (nowMs - this.#lastHeardMs >= patienceMs) return true;
+    const { asOfMs, ageMs } = this.#holder;
+    if (asOfMs - this.#spreadAsOfMs >= patienceMs) return true;
+    // Rounds come, but they prove nothing: others may reach more hosts.
+    return ageMs >= STALE_AFTER_MS && sinceOwnMs >= this.#standInEveryMs;
+  }
+
+  #compose(): RoundCore {
+    const { nextOffset, stableOffset, ageMs, isGrounded } = this.#holder;
+    const isKnown = isGrounded && Number.isFinite(ageMs);
+    return {
+      senderUrl: this.#self.url,
+      depth: 0,
+      nextOffset,
+      stableOffset,
+      asOfWallMs: isKnown ? this.#clock.wallMs() - ageMs : null,
+      records: this.#recordsToCarry(),
+    };
+  }
+
+  #recordsToCarry(): LogRecord[] {
+    const records = this.#holder.ledger.recordsFrom(this.#spreadOffset) ?? [];
+    return records.length > MAX_CARRIED_RECORDS ? [] : [...records];
+  }
+
+  #noteSpread(
+    message: { nextOffset: number; asOfWallMs: number | null },
+  ): void {
+    this.#spreadOffset = Math.max(this.#spreadOffset, message.nextOffset);
+    if (message.asOfWallMs === null) return;
+    const ageMs = this.#clock.wallMs() - message.asOfWallMs;
+    const asOfMs = this.#clock.nowMs() - Math.max(0, ageMs);
+    this.#spreadAsOfMs = Math.max(this.#spreadAsOfMs, asOfMs);
+  }
+
+  async #receive(parameters: unknown): Promise<RoundReply> {
+    const message = readRoundMessage(parameters);
+    if (message.to !== this.#self.name) {
+      throw new Error(`host ${message.to} is no longer at this address`);
+    }
+    this.#refreshPeers();
+    this.#lastHeardMs = this.#clock.nowMs();
+    this.#holder.takeRecords(message.records as LogRecord[]);
+    if (this.#holder.nextOffset < message.nextOffset) {
+      const deadlineMs = this.#clock.nowMs() + MIN_LEVEL_MS;
+      await this.#pull(message.senderUrl, deadlineMs);
+    }
+    const isHeld = this.#holder.nextOffset >= message.nextOffset;
+    if (isHeld) this.#takeWord(message);
+    const { from, until } = message;
+    const below = await this.#forward({
+      ...message,
+      senderUrl: isHeld ? this.#self.url : message.senderUrl,
+      depth: message.depth + 1,
+    }, { from, until });
+    return this.#reply(below, isHeld);
+  }
+
+  #takeWord(message: RoundMessage): void {
+    this.#holder.markStable(message.stableOffset);
+    this.#noteSpread(message);
+    if (message.asOfWallMs === null) return;
+    const ageMs = Math.max(0, this.#clock.wallMs() - message.asOfWallMs);
+    this.#holder.confirm(this.#clock.nowMs() - ageMs, message.stableOffset);
+  }
+
+  #reply(below: RoundReply, isHeld: boolean): RoundReply {
+    const { nextOffset, isGrounded } = this.#holder;
+    const counts = isHeld && isGrounded;
+    const isNewest = isGrounded && nextOffset >= below.newestOffset;
+    return {
+      holding: below.holding + (counts ? 1 : 0),
+      newestOffset: isNewest ? nextOffset : below.newestOffset,
+      newestUrl: isNewest ? this.#self.url : below.newestUrl,
+    };
+  }
+
+  /** Sends the message to all hosts of `range` but this one. */
+  async #forward(
+    message: RoundCore,
+    range: NameRange,
+    onReply: (reply: RoundReply) => void = () => {},
+  ): Promise<RoundReply> {
+    const levelMs = ROUND_WITHIN_MS - message.depth * LEVEL_STEP_MS;
+    const deadlineMs = this.#clock.nowMs() + Math.max(MIN_LEVEL_MS, levelMs);
+    const parts = splitRange(this.#sorted, range, {
+      self: this.#self.name,
+      partCount: FAN_OUT,
+    });
+    const replies = await Promise.all(parts.map(async (part) => {
+      const reply = await this.#delegate(part, message, deadlineMs);
+      onReply(reply);
+      return reply;
+    }));
+    return replies.reduce(joinReplies, NO_REPLY);
+  }
+
+  async #delegate(
+    part: RangePart,
+    message: RoundCore,
+    deadlineMs: number,
+  ): Promise<RoundReply> {
+    const candidates = [...part.peers];
+    for (let tried = 0; tried < DELEGATES_TRIED; tried++) {
+      if (candidates.length === 0) return NO_REPLY;
+      const index = Math.floor(this.#random() * candidates.length);
+      const [peer] = candidates.splice(index, 1);
+      const parameters = { ...message, ...part.range, to: peer.name };
+      const request = { method: ROUND_METHOD, parameters };
+      const answer = await this.#callPeer(peer.url, request, { deadlineMs });
+      if (answer.isOk()) return readRoundReply(answer.value) ?? NO_REPLY;
+      if (answer.error.verdict !== "not-run") return NO_REPLY;
+    }
+    return NO_REPLY;
+  }
+
+  async #pull(url: string, deadlineMs: number): Promise<void> {
+    const { nextOffset } = this.#holder;
+    const request = { method: PULL_METHOD, parameters: { nextOffset } };
+    const answer = await this.#callPeer(url, request, { deadlineMs });
+    const reply = answer.isOk() ? readPullReply(answer.value) : undefined;
+    if (reply === undefined || !reply.isGrounded) return;
+    if (reply.records !== undefined) this.#holder.takeRecords(reply.records);
+    if (reply.snapshot !== undefined) this.#holder.install(reply.snapshot);
+    this.#holder.ground();
+    this.#holder.markStable(reply.stableOffset);
+  }
+
+  #answerPull(parameters: unknown): PullReply {
+    const { nextOffset } = readPullRequest(parameters);
+    const { ledger, isGrounded, stableOffset } = this.#holder;
+    if (!isGrounded) return { isGrounded, stableOffset: 0 };
+    const records = ledger.recordsFrom(nextOffset);
+    if (records !== undefined) return { isGrounded, stableOffset, records };
+    const snapshot = this.#holder.takeSnapshot();
+    return { isGrounded, stableOffset, snapshot };
+  }
+
+  #refreshPeers(): void {
+    const known = this.#peers();
+    if (known === this.#known) return;
+    this.#known = known;
+    const others = (known ?? []).filter(({ name }) => name !== this.#self.name);
+    this.#sorted = sortPeers(others);
+    const names = [this.#self.name, ...others.map(({ name }) => name)];
+    this.#rank = rendezvousRank(ROLE_KEY, names).indexOf(this.#self.name);
+  }
+
+  #pick(peers: readonly ConfigPeer[]): ConfigPeer {
+    return peers[Math.floor(this.#random() * peers.length)];
+  }
+}
+
+const NO_REPLY: RoundReply = { holding: 0, newestOffset: 0, newestUrl: null };
+
+function joinReplies(left: RoundReply, right: RoundReply): RoundReply {
+  const newest = right.newestOffset > left.newestOffset ? right : left;
+  return { ...newest, holding: left.holding + right.holding };
+}
--- a/src/config/config_service.ts
+++ b/src/config/config_service.ts
@@ -1,13 +1,15 @@
 /**
- * The configuration in force on this host. It follows the log's stream of
- * configuration records and submits operators' patches to it.
+ * The configuration in force on this host. The parts are the holder of what
+ * this host knows, the follower of the log, and the rounds among hosts; this
+ * module joins them and submits operators' patches.
  *
  * @module
  */
 
 import { Ok } from "ts-results-es";
 import { type Clock, systemClock } from "../common/clock.ts";
-import { Emitter } from "../common/emitter.ts";
+import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
+import type { Random } from "../common/random.ts";
 import {
   type Failure,
   mayHaveRun,
@@ -15,10 +17,12 @@
   type Outcome,
 } from "../common/verdict.ts";
 import type { ILogClient } from "../platform/services.ts";
-import type { LogPage, LogRecord } from "../platform/types.ts";
-import { ConfigLedger, type RecordResult } from "./ledger.ts";
+import type { LogEntry } from "../platform/types.ts";
+import { ConfigHolder } from "./config_holder.ts";
+import { ConfigRounds, type ConfigRoundsOptions } from "./config_rounds.ts";
+import { LogFollower, type SnapshotPolicy } from "./log_follower.ts";
 import { applyPatch } from "./patch.ts";
-import { CONFIG_STREAM, parseRecord } from "./records.ts";
+import { CONFIG_STREAM, type RecordResult } from "./records.ts";
 import type { Config } from "./schema.ts";
 import type { IConfigService } from "./services.ts";
 import type {
@@ -28,176 +32,256 @@
   PatchRequest,
 } from "./types.ts";
 
-const LOG_CALL_WITHIN_MS = 5_000;
-const LOG_WAIT_MS = 2_000;
-const PAGE_LIMIT = 500;
 const RETRY_WAIT_MS = 250;
 
+/** How hosts of one fleet reach each other. */
+export type ConfigPeerOptions = Pick<
+  ConfigRoundsOptions,
+  "self" | "peers" | "callPeer" | "handlePeer"
+>;
+
 /** Options of the configuration service. */
 export interface ConfigServiceOptions {
   readonly log: ILogClient;
   /** Name of this host, written into snapshots. */
   readonly host: string;
+  /** Without it the host is alone: it reads the log itself and asks nobody. */
+  readonly peering?: ConfigPeerOptions;
   readonly clock?: Clock;
+  readonly random?: Random;
   /** Makes the id of a record; unique over all hosts and restarts. */
   readonly createId?: () => string;
-  /** Called with records that this host read from the log. */
-  readonly onNewRecords?: (records: readonly LogRecord[]) => void;
+  readonly snapshotPolicy?: Partial<SnapshotPolicy>;
   /** Called with a failure of the log that the service will retry. */
   readonly onLogFailure?: (failure: Failure) => void;
 }
 
-/** Follows the log; see {@link IConfigService}. */
-export class ConfigService implements IConfigService {
+/** What an operator may want to know of a host's configuration. */
+export interface ConfigStatus {
+  readonly isReady: boolean;
+  readonly version: number;
+  /** Set while a newer version waits for the word of most hosts. */
+  readonly pendingVersion?: number;
+  /** Time since this host surely held every accepted change; absent if never. */
+  readonly ageMs?: number;
+}
+
+/** See {@link IConfigService}. */
+export class ConfigService implements IConfigService, Disposable {
   readonly #log: ILogClient;
   readonly #clock: Clock;
   readonly #createId: () => string;
-  readonly #onNewRecords: (records: readonly LogRecord[]) => void;
-  readonly #onLogFailure: (failure: Failure) => void;
-  readonly #changed = new Emitter<ConfigState>();
-  readonly #ledger = new ConfigLedger();
-  #isReady = false;
+  readonly #holder: ConfigHolder;
+  readonly #follower: LogFollower;
+  readonly #rounds: ConfigRounds | undefined;
+  readonly #owned = new DisposableStore();
 
-  readonly onChange = this.#changed.event;
+  readonly onChange;
 
   constructor(options: ConfigServiceOptions) {
+    const { peering, clock = systemClock } = options;
     this.#log = options.log;
-    this.#clock = options.clock ?? systemClock;
+    this.#clock = clock;
     this.#createId = options.createId ?? (() => crypto.randomUUID());
-    this.#onNewRecords = options.onNewRecords ?? (() => {});
-    this.#onLogFailure = options.onLogFailure ?? (() => {});
+    this.#holder = new ConfigHolder({ clock, isAlone: peering === undefined });
+    this.onChange = this.#holder.onChange;
+    const holder = this.#holder;
+    const rounds = peering &&
+      new ConfigRounds({ ...peering, holder, clock, random: options.random });
+    this.#rounds = rounds && this.#owned.add(rounds);
+    this.#follower = new LogFollower({
+      ...options,
+      holder,
+      rank: () => rounds?.rank ?? 0,
+      patienceMs: () => rounds?.patienceMs ?? 0,
+      onNewRecords: () => rounds?.request(),
+    });
   }
 
   get state(): ConfigState {
-    return this.#ledger.state;
+    return this.#holder.state;
   }
 
   get isReady(): boolean {
-    return this.#isReady;
+    return this.#holder.isReady;
+  }
+
+  get status(): ConfigStatus {
+    const { isReady, state, ledger, ageMs } = this.#holder;
+    const pending = ledger.state.version;
+    return {
+      isReady,
+      version: state.version,
+      ...(pending > state.version ? { pendingVersion: pending } : {}),
+      ...(Number.isFinite(ageMs) ? { ageMs: Math.round(ageMs) } : {}),
+    };
   }
 
   history(options: { limit: number }): readonly AuditEntry[] {
-    return this.#ledger.history(options.limit);
+    return this.#holder.history(options.limit);
   }
 
-  plan(request: PatchRequest): Outcome<Config> {
-    const { version, config } = this.state;
-    if (request.baseVersion !== version) return this.#staleVersion(request);
-    return applyPatch(config, request);
+  dispose(): void {
+    this.#owned.dispose();
   }
 
-  /** Follows the log until `signal` aborts. */
+  /** Follows the log and the peers until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      const waitMs = this.#isReady ? LOG_WAIT_MS : 0;
-      const outcome = await this.#readOnce({
-        deadlineMs: this.#clock.nowMs() + LOG_CALL_WITHIN_MS,
-        waitMs,
-        signal,
-      });
-      if (outcome.isOk() || signal.aborted) continue;
-      this.#onLogFailure(outcome.error);
-      await this.#clock.sleep(RETRY_WAIT_MS, signal);
+    const siblings = new AbortController();
+    const stop = () => siblings.abort();
+    signal.addEventListener("abort", stop, { once: true });
+    if (signal.aborted) stop();
+    try {
+      await this.#rounds?.ground();
+      await Promise.all([
+        this.#follower.run(siblings.signal),
+        this.#rounds?.run(siblings.signal),
+        this.#runUpkeep(siblings.signal),
+      ]);
+    } finally {
+      stop();
+      signal.removeEventListener("abort", stop);
     }
   }
 
-  /** Takes records that a peer read from the log. */
-  receiveRecords(records: readonly LogRecord[]): void {
-    const before = this.state;
-    for (const record of records) {
-      if (record.offset > this.#ledger.nextOffset) break;
-      this.#ledger.reduce(record);
+  plan(request: PatchRequest): Outcome<Config> {
+    const { version, config } = this.#holder.ledger.state;
+    if (request.baseVersion !== version) return this.#staleVersion(request);
+    return applyPatch(config, request);
+  }
+
+  /** Resolves once the state is surely not older than the call; fails if that cannot be told. */
+  async confirm(
+    options: { deadlineMs: number },
+  ): Promise<Outcome<ConfigState>> {
+    const calledMs = this.#clock.nowMs();
+    while (this.#clock.nowMs() < options.deadlineMs) {
+      if (this.#rounds === undefined) await this.#follower.readOnce(options);
+      else await this.#rounds.round();
+      const { asOfMs, hasPending, state } = this.#holder;
+      if (asOfMs >= calledMs && !hasPending) return new Ok(state);
+      await this.#clock.sleep(RETRY_WAIT_MS);
     }
-    if (this.state !== before) this.#changed.fire(this.state);
+    return notRun(
+      "log-unavailable",
+      `version ${this.state.version} may not be the newest: neither the log nor most hosts answer`,
+    );
   }
 
   async patch(
     request: PatchRequest,
     options: { deadlineMs: number },
   ): Promise<Outcome<ConfigChange>> {
-    if (request.baseVersion > this.state.version) await this.#readOnce(options);
+    if (request.baseVersion > this.#holder.ledger.state.version) {
+      await this.#follower.readOnce(options);
+    }
     const planned = this.plan(request);
     if (planned.isErr()) return planned;
-    const id = this.#createId();
-    const entry = {
-      id,
-      data: { kind: "change", ...request, atWallMs: this.#clock.wallMs() },
-    };
-    let appended = false;
-    let ambiguous = false;
+    const reach = await this.#checkReach();
+    if (reach.isErr()) return reach;
+    if (this.#holder.hasPending) return this.#pendingVersion();
+    const appended = await this.#append(request, options);
+    if (appended.isErr()) return appended;
+    return await this.#awaitAcceptance(appended.value, options);
+  }
+
+  /** A change is submitted only where most hosts can hear of it. */
+  async #checkReach(): Promise<Outcome<void>> {
+    const round = await this.#rounds?.round();
+    if (round === undefined || 2 * round.holding > round.hostCount) {
+      return new Ok(undefined);
+    }
+    return notRun(
+      "log-unavailable",
+      `only ${round.holding} of ${round.hostCount} hosts can be reached; a change needs most of them`,
+    );
+  }
+
+  /** Appends until the log shows what became of the record. */
+  async #append(
+    request: PatchRequest,
+    options: { deadlineMs: number },
+  ): Promise<Outcome<RecordResult>> {
+    const entry = this.#toEntry(request);
+    const { installCount } = this.#holder.ledger;
+    let isAppended = false;
+    let isSent = false;
     while (this.#clock.nowMs() < options.deadlineMs) {
-      if (!appended) {
+      if (!isAppended) {
         const answer = await this.#log.append(CONFIG_STREAM, [entry], options);
-        appended = answer.isOk();
-        ambiguous ||= appended ||
-          (answer.isErr() && answer.error.verdict === "may-have-run");
-        if (answer.isErr() && !ambiguous) return logUnavailable(answer.error);
+        isAppended = answer.isOk();
+        isSent ||= answer.isOk() || answer.error.verdict === "may-have-run";
+        if (answer.isErr() && !isSent) return logUnavailable(answer.error);
       }
-      await this.#readOnce(options);
-      const result = this.#ledger.resultOf(id);
-      if (result !== undefined) return this.#settled(request, result);
+      await this.#follower.readOnce(options);
+      const result = this.#holder.ledger.resultOf(entry.id);
+      if (result?.result === "accepted") return new Ok(result);
+      // A state taken whole does not tell which records led to it.
+      if (this.#holder.ledger.installCount !== installCount) break;
+      if (this.#isOvertaken(request)) return this.#staleVersion(request);
       await this.#clock.sleep(RETRY_WAIT_MS);
     }
     return mayHaveRun(
       "log-unavailable",
-      `the log did not say whether the change to version ${request.baseVersion} was accepted; read the version before trying again`,
+      `the log did not tell whether the change to version ${request.baseVersion} was accepted; read the version before trying again`,
     );
   }
 
-  #settled(
-    request: PatchRequest,
+  #toEntry(request: PatchRequest): LogEntry {
+    const { baseVersion, format, patch, operator, note } = request;
+    const fields = { baseVersion, format, patch, operator, note };
+    const atWallMs = this.#clock.wallMs();
+    return {
+      id: this.#createId(),
+      data: { kind: "change", ...fields, atWallMs },
+    };
+  }
+
+  /** Once the version has moved on, no copy of the record can be accepted any more. */
+  #isOvertaken(request: PatchRequest): boolean {
+    return this.#holder.ledger.state.version > request.baseVersion;
+  }
+
+  /** Waits until most hosts hold the change, and so for its being in force here. */
+  async #awaitAcceptance(
     result: RecordResult,
-  ): Outcome<ConfigChange> {
-    if (result.result === "accepted") {
-      return new Ok({ version: result.version!, offset: result.offset });
+    options: { deadlineMs: number },
+  ): Promise<Outcome<ConfigChange>> {
+    const version = result.version!;
+    const { offset } = result;
+    while (this.#clock.nowMs() < options.deadlineMs) {
+      const round = await this.#rounds?.round();
+      if (round === undefined || round.isConfirmed) {
+        return new Ok({ version, offset });
+      }
+      await this.#clock.sleep(RETRY_WAIT_MS);
     }
-    return this.#staleVersion(request);
+    return mayHaveRun(
+      "log-unavailable",
+      `version ${version} is in the log, but most hosts have not confirmed it; read the version before trying again`,
+    );
   }
 
-  #staleVersion(request: PatchRequest): Outcome<never> {
+  #pendingVersion(): Outcome<never> {
+    const { version } = this.#holder.ledger.state;
     return notRun(
-      "stale-version",
-      `version ${request.baseVersion} is not in force; the present version is ${this.state.version}`,
+      "log-unavailable",
+      `version ${version} is not confirmed by most hosts yet`,
     );
   }
 
-  async #readOnce(
-    options: { deadlineMs: number; waitMs?: number; signal?: AbortSignal },
-  ): Promise<Outcome<void>> {
-    const read = await this.#log.read(CONFIG_STREAM, this.#ledger.nextOffset, {
-      ...options,
-      limit: PAGE_LIMIT,
-    });
-    return read.andThen((page) => {
-      const taken = this.#takePage(page);
-      if (taken && this.#ledger.nextOffset >= page.nextOffset) {
-        this.#isReady = true;
-      }
-      return new Ok(undefined);
-    });
+  #staleVersion(request: PatchRequest): Outcome<never> {
+    const { version } = this.#holder.ledger.state;
+    return notRun(
+      "stale-version",
+      `version ${request.baseVersion} is not in force; the present version is ${version}`,
+    );
   }
 
-  #takePage(page: LogPage): boolean {
-    const before = this.state;
-    if (page.firstOffset > this.#ledger.nextOffset) this.#takeSnapshot(page);
-    if (page.firstOffset > this.#ledger.nextOffset) return false;
-    const fresh = page.records.filter((record) =>
-      record.offset >= this.#ledger.nextOffset
-    );
-    for (const record of fresh) this.#ledger.reduce(record);
-    if (fresh.length > 0) this.#onNewRecords(fresh);
-    if (this.state !== before) this.#changed.fire(this.state);
-    return true;
-  }
-
-  #takeSnapshot(page: LogPage): void {
-    for (const record of page.records) {
-      const data = parseRecord(record);
-      if (data?.kind !== "snapshot") continue;
-      if (data.nextOffset < page.firstOffset) continue;
-      const { version, offset, config, nextOffset } = data;
-      this.#ledger.install({ state: { version, offset, config }, nextOffset });
-      return;
+  async #runUpkeep(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (!this.#holder.isGrounded) await this.#rounds?.ground();
+      await this.#clock.sleep(RETRY_WAIT_MS, signal);
     }
   }
 }
--- a/src/config/ledger.ts
+++ b/src/config/ledger.ts
@@ -1,47 +1,55 @@
 /**
  * Reduces the records of the configuration stream, in the order of their
- * offsets, to the configuration in force. Every host reduces the same records
- * to the same state, so the order of the log alone decides between operators.
+ * offsets, to a configuration. Every host reduces the same records to the same
+ * state, so the order of the log alone decides between operators.
  *
  * @module
  */
 
 import type { LogRecord } from "../platform/types.ts";
 import { applyPatch } from "./patch.ts";
-import { type ChangeRecord, parseRecord } from "./records.ts";
+import {
+  type ChangeRecord,
+  type LedgerSnapshot,
+  parseRecord,
+  type RecordResult,
+  type SnapshotMark,
+} from "./records.ts";
 import { EMPTY_CONFIG } from "./schema.ts";
 import type { AuditEntry, ConfigState } from "./types.ts";
 
-/** Entries of the audit trail that a host keeps. */
 const MAX_AUDIT_ENTRIES = 1_000;
-
-/** A reduced state that can be handed to another host. */
-export interface LedgerSnapshot {
-  readonly state: ConfigState;
-  readonly nextOffset: number;
-}
-
-/** What became of one record, by the record's own id. */
-export interface RecordResult extends AuditEntry {
-  readonly id: string;
-}
+const MAX_RECENT_RECORDS = 512;
+/** Entries of the audit trail that travel with a snapshot to a peer. */
+const MAX_HANDED_RESULTS = 100;
 
 /** Options of a ledger. */
 export interface ConfigLedgerOptions {
+  /** Entries of the audit trail to keep. */
   readonly maxAuditEntries?: number;
+  /** Records to keep for peers that lag. */
+  readonly maxRecentRecords?: number;
 }
 
-/** The configuration in force and the audit trail that led to it. */
+/** The state that the records lead to, and the audit trail of how. */
 export class ConfigLedger {
   readonly #maxAuditEntries: number;
+  readonly #maxRecentRecords: number;
   #state: ConfigState = { version: 0, offset: -1, config: EMPTY_CONFIG };
   #nextOffset = 0;
   #results = new Map<string, RecordResult>();
+  /** The last records without a gap, up to `#nextOffset`. */
+  #recent: LogRecord[] = [];
+  #lastSnapshot: SnapshotMark | undefined;
+  #acceptedOffset = 0;
+  #installCount = 0;
 
   constructor(options: ConfigLedgerOptions = {}) {
     this.#maxAuditEntries = options.maxAuditEntries ?? MAX_AUDIT_ENTRIES;
+    this.#maxRecentRecords = options.maxRecentRecords ?? MAX_RECENT_RECORDS;
   }
 
+  /** The newest version in the log's order. */
   get state(): ConfigState {
     return this.#state;
   }
@@ -51,9 +59,19 @@
     return this.#nextOffset;
   }
 
-  /** The state, to be handed to a host that starts. */
-  get snapshot(): LedgerSnapshot {
-    return { state: this.#state, nextOffset: this.#nextOffset };
+  /** The log itself says that the changes below this offset are accepted. */
+  get acceptedOffset(): number {
+    return this.#acceptedOffset;
+  }
+
+  /** The newest snapshot seen in the log. */
+  get lastSnapshot(): SnapshotMark | undefined {
+    return this.#lastSnapshot;
+  }
+
+  /** How often a whole state took the place of reduced records. */
+  get installCount(): number {
+    return this.#installCount;
   }
 
   /** What became of the record with this id, if it is still in the audit trail. */
@@ -63,8 +81,17 @@
 
   /** The newest entries of the audit trail, the newest first. */
   history(limit: number): AuditEntry[] {
-    const newest = [...this.#results.values()].slice(-limit || Infinity);
-    return limit <= 0 ? [] : newest.reverse().map(toAuditEntry);
+    if (limit <= 0) return [];
+    const newest = [...this.#results.values()].slice(-limit);
+    return newest.reverse().map(toAuditEntry);
+  }
+
+  /** The records from `offset` on, or undefined when they are no longer kept. */
+  recordsFrom(offset: number): readonly LogRecord[] | undefined {
+    if (offset >= this.#nextOffset) return [];
+    const index = this.#recent.findIndex((record) => record.offset >= offset);
+    if (index < 0 || this.#recent[index].offset !== offset) return undefined;
+    return this.#recent.slice(index);
   }
 
   /**
@@ -73,26 +100,64 @@
    */
   reduce(record: LogRecord): void {
     if (record.offset < this.#nextOffset) return;
+    this.#keepRecent(record);
     this.#nextOffset = record.offset + 1;
     const data = parseRecord(record);
     if (data?.kind === "change") this.#reduceChange(record, data);
+    if (data?.kind === "snapshot") {
+      const { offset, atWallMs } = record;
+      this.#lastSnapshot = { offset, atWallMs, nextOffset: data.nextOffset };
+      this.#noteAccepted(data.nextOffset);
+    }
+    if (data?.kind === "accepted") this.#noteAccepted(data.stableOffset);
+  }
+
+  /** What became of the newest records below `offset`, for a host that starts. */
+  resultsBefore(offset: number): RecordResult[] {
+    return [...this.#results.values()]
+      .filter((result) => result.offset < offset)
+      .slice(-MAX_HANDED_RESULTS);
   }
 
-  /** Takes a state that another host or a snapshot record vouches for; never goes back. */
+  /** Takes a state from a peer or from a snapshot in the log; never goes back. */
   install(snapshot: LedgerSnapshot): boolean {
     if (snapshot.nextOffset <= this.#nextOffset) return false;
     if (snapshot.state.version < this.#state.version) return false;
     this.#nextOffset = snapshot.nextOffset;
+    this.#recent = [];
+    this.#installCount += 1;
+    this.#lastSnapshot = snapshot.lastSnapshot ?? this.#lastSnapshot;
     if (snapshot.state.version > this.#state.version) {
       this.#state = snapshot.state;
     }
+    for (const result of snapshot.results) this.#noteResult(result);
     return true;
   }
 
+  #keepRecent(record: LogRecord): void {
+    const follows = record.offset === this.#nextOffset;
+    if (!follows) this.#recent = [];
+    this.#recent.push(record);
+    if (this.#recent.length > 2 * this.#maxRecentRecords) {
+      this.#recent = this.#recent.slice(-this.#maxRecentRecords);
+    }
+  }
+
   #reduceChange(record: LogRecord, change: ChangeRecord): void {
-    const known = this.#results.get(record.id);
-    if (known !== undefined && known.result === "accepted") return;
-    this.#note(record, change, this.#decide(record, change));
+    // The writer of an ambiguous append may have appended its record again.
+    if (this.#results.get(record.id)?.result === "accepted") return;
+    const result = this.#decide(record, change);
+    this.#noteResult({
+      id: record.id,
+      offset: record.offset,
+      atWallMs: record.atWallMs,
+      operator: change.operator,
+      baseVersion: change.baseVersion,
+      result,
+      ...(result === "accepted" ? { version: this.#state.version } : {}),
+      ...(change.note === undefined ? {} : { note: change.note }),
+      patch: change.patch,
+    });
   }
 
   #decide(record: LogRecord, change: ChangeRecord): AuditEntry["result"] {
@@ -107,23 +172,16 @@
     return "accepted";
   }
 
-  #note(
-    record: LogRecord,
-    change: ChangeRecord,
-    result: AuditEntry["result"],
-  ): void {
-    this.#results.delete(record.id);
-    this.#results.set(record.id, {
-      id: record.id,
-      offset: record.offset,
-      atWallMs: record.atWallMs,
-      operator: change.operator,
-      baseVersion: change.baseVersion,
-      result,
-      ...(result === "accepted" ? { version: this.#state.version } : {}),
-      ...(change.note === undefined ? {} : { note: change.note }),
-      patch: change.patch,
-    });
+  #noteAccepted(offset: number): void {
+    this.#acceptedOffset = Math.max(
+      this.#acceptedOffset,
+      Math.min(offset, this.#nextOffset),
+    );
+  }
+
+  #noteResult(result: RecordResult): void {
+    this.#results.delete(result.id);
+    this.#results.set(result.id, result);
     if (this.#results.size <= this.#maxAuditEntries) return;
     const [oldest] = this.#results.keys();
     this.#results.delete(oldest);
--- a/src/config/records.ts
+++ b/src/config/records.ts
@@ -8,6 +8,7 @@
 import { z } from "zod";
 import type { LogRecord } from "../platform/types.ts";
 import type { Config } from "./schema.ts";
+import type { AuditEntry, ConfigState } from "./types.ts";
 
 /** The log stream of the configuration. */
 export const CONFIG_STREAM = "config";
@@ -33,9 +34,16 @@
   writer: z.string(),
 });
 
+const acceptedSchema = z.object({
+  kind: z.literal("accepted"),
+  stableOffset: z.int().min(0),
+  writer: z.string(),
+});
+
 const recordSchema = z.discriminatedUnion("kind", [
   changeSchema,
   snapshotSchema,
+  acceptedSchema,
 ]);
 
 /** An operator's change; it counts only if `baseVersion` is in force before it. */
@@ -46,10 +54,33 @@
   readonly config: Config;
 };
 
-export type ConfigRecord = ChangeRecord | SnapshotRecord;
+/** The word that most hosts know all changes below `stableOffset`. */
+export type AcceptedRecord = z.infer<typeof acceptedSchema>;
+
+export type ConfigRecord = ChangeRecord | SnapshotRecord | AcceptedRecord;
 
 /** Reads the data of a log record; undefined when it is none of ours. */
 export function parseRecord(record: LogRecord): ConfigRecord | undefined {
   const parsed = recordSchema.safeParse(record.data);
   return parsed.success ? parsed.data as ConfigRecord : undefined;
 }
+
+/** What became of one record, by the record's own id. */
+export interface RecordResult extends AuditEntry {
+  readonly id: string;
+}
+
+/** A snapshot that the log holds. */
+export interface SnapshotMark {
+  readonly offset: number;
+  readonly atWallMs: number;
+  readonly nextOffset: number;
+}
+
+/** A reduced state, accepted as a whole, that can be handed to another host. */
+export interface LedgerSnapshot {
+  readonly state: ConfigState;
+  readonly nextOffset: number;
+  readonly lastSnapshot?: SnapshotMark;
+  readonly results: readonly RecordResult[];
+}
--- /dev/null
+++ b/src/config/testing/config_history.ts
@@ -0,0 +1,224 @@
+/**
+ * Records what operators were told and what hosts served, and checks it
+ * against the log read as a plain list.
+ *
+ * @module
+ */
+
+import type { Outcome } from "../../common/verdict.ts";
+import type { ConfigChange, ConfigState, PatchRequest } from "../types.ts";
+import type { ConfigFleet } from "./config_fleet.ts";
+
+/** Promised time from acceptance to being in force on every ready host. */
+export const IN_FORCE_WITHIN_MS = 7_000;
+
+const customer = { keyDigests: [], requestsPerS: 1, concurrentRequests: 1 };
+
+interface Operation {
+  readonly marker: string;
+  readonly atMs: number;
+  readonly outcome: Outcome<ConfigChange>;
+}
+
+interface Observation {
+  readonly host: string;
+  readonly atMs: number;
+  readonly isReady: boolean;
+  readonly version: number;
+  readonly markers: string;
+}
+
+interface Reading {
+  readonly version: number;
+  readonly beganMs: number;
+  readonly endedMs: number;
+}
+
+/** The change that operator number `index` asks for: it adds one customer. */
+export function markerChange(
+  index: number,
+  baseVersion: number,
+): PatchRequest {
+  return {
+    baseVersion,
+    format: "merge-patch",
+    patch: { customers: { [`c${index}`]: customer } },
+    operator: `operator-${index}`,
+  };
+}
+
+/** A history of one run. */
+export class ConfigHistory {
+  readonly operations: Operation[] = [];
+  readonly observations: Observation[] = [];
+  readonly readings: Reading[] = [];
+  #operationCount = 0;
+
+  constructor(readonly fleet: ConfigFleet, readonly nowMs: () => number) {}
+
+  /** Submits a change at a host, against the version that it shows. */
+  async operate(slot: number, withinMs = 4_000): Promise<void> {
+    const { service } = this.fleet.hosts[slot];
+    const index = this.#operationCount++;
+    const request = markerChange(index, service.state.version);
+    const deadlineMs = this.nowMs() + withinMs;
+    const outcome = await service.patch(request, { deadlineMs });
+    this.operations.push({ marker: `c${index}`, atMs: this.nowMs(), outcome });
+  }
+
+  /** Reads the newest version at a host, as an operator does. */
+  async read(slot: number): Promise<void> {
+    const beganMs = this.nowMs();
+    const { service } = this.fleet.hosts[slot];
+    const outcome = await service.confirm({ deadlineMs: beganMs + 2_000 });
+    if (outcome.isErr()) return;
+    const { version } = outcome.value;
+    this.readings.push({ version, beganMs, endedMs: this.nowMs() });
+  }
+
+  /** Notes what every host serves now. */
+  observe(): void {
+    for (const { name, isAlive, isFrozen, service } of this.fleet.hosts) {
+      if (!isAlive || isFrozen) continue;
+      this.observations.push({
+        host: name,
+        atMs: this.nowMs(),
+        isReady: service.isReady,
+        version: service.state.version,
+        markers: markersOf(service.state),
+      });
+    }
+  }
+
+  /** Everything that breaks a promise; empty when all hold. */
+  faults(): string[] {
+    const accepted = this.#acceptedMarkers();
+    return [
+      ...this.#wrongAnswers(accepted),
+      ...this.#forks(accepted),
+      ...this.#steppedBack(),
+      ...this.#late(),
+      ...this.#staleReadings(),
+    ];
+  }
+
+  /** Hosts that are not ready at the end, or not at the last version. */
+  laggards(): string[] {
+    const count = this.#acceptedMarkers().length;
+    return this.fleet.hosts
+      .filter(({ isAlive, service }) =>
+        isAlive && !(service.isReady && service.state.version === count)
+      )
+      .map(({ name, service }) =>
+        `${name} ends at version ${service.state.version} of ${count}, ready: ${service.isReady}`
+      );
+  }
+
+  /** The oracle: the log as a list, each record counting if its base is the length so far. */
+  #acceptedMarkers(): string[] {
+    const accepted: string[] = [];
+    for (const { data } of this.fleet.log.records) {
+      const record = data as PatchRequest & { kind: string };
+      if (record.kind !== "change") continue;
+      if (record.baseVersion !== accepted.length) continue;
+      accepted.push(Object.keys((record.patch as MarkerPatch).customers)[0]);
+    }
+    return accepted;
+  }
+
+  #wrongAnswers(accepted: readonly string[]): string[] {
+    return this.operations.flatMap(({ marker, outcome }) => {
+      const place = accepted.indexOf(marker);
+      if (outcome.isOk()) {
+        const { version } = outcome.value;
+        if (accepted[version - 1] === marker) return [];
+        return [
+          `${marker} was told version ${version}, the log has it at ${place}`,
+        ];
+      }
+      if (outcome.error.verdict !== "not-run" || place < 0) return [];
+      return [`${marker} was told not-run and made version ${place + 1}`];
+    });
+  }
+
+  #forks(accepted: readonly string[]): string[] {
+    return this.observations.flatMap(({ host, version, markers }) => {
+      const expected = accepted.slice(0, version).join(" ");
+      if (markers === expected) return [];
+      return [
+        `${host} shows [${markers}] as version ${version}, not [${expected}]`,
+      ];
+    });
+  }
+
+  #steppedBack(): string[] {
+    const highest = new Map<string, number>();
+    return this.observations.flatMap(({ host, atMs, version }) => {
+      const before = highest.get(host) ?? 0;
+      highest.set(host, Math.max(before, version));
+      if (version >= before) return [];
+      return [`${host} went from version ${before} to ${version} at ${atMs}`];
+    });
+  }
+
+  /** What was told as accepted, or served by any host, must be in force in time. */
+  #late(): string[] {
+    const promises = this.observations
+      .filter(({ isReady }) => isReady)
+      .map(({ version, atMs }) => ({ version, atMs }));
+    for (const { outcome, atMs } of this.operations) {
+      if (outcome.isOk()) {
+        promises.push({ version: outcome.value.version, atMs });
+      }
+    }
+    promises.sort((a, b) => a.atMs - b.atMs);
+    const served = this.observations.filter(({ isReady }) => isReady);
+    const faults: string[] = [];
+    let next = 0;
+    let due = 0;
+    for (const { host, atMs, version } of served) {
+      while (
+        next < promises.length &&
+        promises[next].atMs + IN_FORCE_WITHIN_MS < atMs
+      ) {
+        due = Math.max(due, promises[next].version);
+        next += 1;
+      }
+      if (version < due) {
+        faults.push(
+          `${host} serves version ${version} at ${atMs}, ${due} is due`,
+        );
+      }
+    }
+    return faults;
+  }
+
+  /** A confirmed reading is never older than what was told before it began. */
+  #staleReadings(): string[] {
+    const told = [
+      ...this.readings.map(({ version, endedMs }) => ({ version, endedMs })),
+      ...this.operations.flatMap(({ outcome, atMs }) =>
+        outcome.isOk()
+          ? [{ version: outcome.value.version, endedMs: atMs }]
+          : []
+      ),
+    ];
+    return this.readings.flatMap(({ version, beganMs }) => {
+      const known = Math.max(
+        0,
+        ...told.filter(({ endedMs }) => endedMs < beganMs)
+          .map((earlier) => earlier.version),
+      );
+      if (version >= known) return [];
+      return [`a reading at ${beganMs} gave version ${version} after ${known}`];
+    });
+  }
+}
+
+interface MarkerPatch {
+  readonly customers: Record<string, unknown>;
+}
+
+function markersOf({ config }: ConfigState): string {
+  return Object.keys(config.customers).join(" ");
+}
