--- a/src/config/testing/config_fleet.ts
+++ b/src/config/testing/config_fleet.ts
@@ -65,9 +65,10 @@
     this.#thaw = undefined;
   }
 
-  /** Resolves when the host runs. */
-  whenThawed(): Promise<void> {
-    return this.#thawed;
+  /** Resolves when the host runs; never, once it is dead. */
+  async whenThawed(): Promise<void> {
+    await this.#thawed;
+    if (!this.isAlive) await never();
   }
 }
 
@@ -195,7 +196,7 @@
       wallMs: () => clock.wallMs(),
       async sleep(waitMs, signal) {
         await clock.sleep(waitMs, signal);
-        await host.whenThawed();
+        if (!signal?.aborted) await host.whenThawed();
       },
     };
   }
--- a/src/config/testing/fake_log.ts
+++ b/src/config/testing/fake_log.ts
@@ -36,6 +36,8 @@
   readonly #waiters = new Set<() => void>();
   firstOffset = 0;
   appendCount = 0;
+  /** Called between the act of an append and its answer. */
+  onAppended: () => void = () => {};
   readCount = 0;
 
   constructor(options: { clock: Clock; faults?: Partial<FakeLogFaults> }) {
@@ -77,6 +79,7 @@
       this.records.push({ ...copy, offset, atWallMs: this.#clock.wallMs() });
     }
     for (const wake of [...this.#waiters]) wake();
+    this.onAppended();
     await this.#clock.sleep(this.faults.delayMs());
     if (this.faults.isCut(host) || this.faults.losesAnswer()) {
       return mayHaveRun("connection-failed", "the log's answer was lost");
