--- /dev/null
+++ b/src/requests/completion_service_test.ts
@@ -0,0 +1,146 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import {
+  completionBench,
+  type CompletionHistory,
+  faultOfHistory,
+  LENGTH,
+  PROMPT,
+} from "../../test/requests_completions.ts";
+import {
+  ENGINE_FAULTS,
+  type EngineFault,
+  expectedText,
+  type PlannedFault,
+} from "../../test/requests_engines.ts";
+
+const SEED = 20_261_203;
+const RUNS = 1_500;
+
+test("an unbroken answer comes back whole from one attempt", async () => {
+  const { complete, picker } = completionBench();
+  const history = await complete();
+  expect(history.outcome.unwrap()).toEqual({
+    tokenCount: LENGTH,
+    reason: "stop",
+    attemptCount: 1,
+  });
+  expect(faultOfHistory(history)).toBeUndefined();
+  expect(picker.openPicks).toBe(0);
+});
+
+test.each([
+  ["none", "ferias", "not-found"],
+  ["escriba", "atlas", "forbidden"],
+])("pipeline %s for customer %s is refused", async (...args) => {
+  const [pipeline, customer, code] = args;
+  const { outcome } = await completionBench().complete(pipeline, customer);
+  expect(outcome.unwrapErr()).toMatchObject({ verdict: "not-run", code });
+});
+
+test("one fault at any token and stage leaves the answer whole", async () => {
+  for (const planned of everyFault()) {
+    const history = await completionBench({ faults: [planned] }).complete();
+    expect(faultOfHistory(history), JSON.stringify(planned)).toBeUndefined();
+    expect(history.outcome.isOk(), JSON.stringify(planned)).toBe(true);
+  }
+});
+
+test.each(["kill", "cut", "freeze", "crawl"] as const)(
+  "after %s the next token is released within 500 ms",
+  async (fault) => {
+    for (const planned of everyFault().filter((at) => at.fault === fault)) {
+      const history = await completionBench({ faults: [planned] }).complete();
+      const gaps = history.releasedAtMs.map((atMs, index, all) =>
+        atMs - (all[index - 1] ?? atMs)
+      );
+      expect(Math.max(...gaps), JSON.stringify(planned)).toBeLessThan(500);
+    }
+  },
+);
+
+test(`histories under several faults, seed ${SEED}`, async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(plannedFault(), { maxLength: 6 }),
+      fc.nat(),
+      fc.integer({ min: 1, max: 4 }),
+      async (faults, seed, replicas) => {
+        const bench = completionBench({ seed, faults, replicas });
+        const history = await bench.complete();
+        expect(faultOfHistory(history)).toBeUndefined();
+        expect(bench.picker.openPicks).toBe(0);
+      },
+    ),
+    { seed: SEED, numRuns: RUNS },
+  );
+});
+
+test("a relay that checks nothing breaks the promise", async () => {
+  const broken = new Set<EngineFault>();
+  for (const planned of everyFault()) {
+    const history = await relayPlainly(planned);
+    if (faultOfHistory(history) !== undefined) broken.add(planned.fault);
+  }
+  expect([...broken].sort()).toEqual(
+    ["duplicate", "foreign", "lost-tail", "reorder", "respan"],
+  );
+});
+
+/** The plain way: passes on what arrives and goes on after an error. */
+async function relayPlainly(fault: PlannedFault): Promise<CompletionHistory> {
+  const { clock, engines, picker } = completionBench({ faults: [fault] });
+  const released: CompletionHistory["released"][number][] = [];
+  async function run() {
+    for (;;) {
+      const pick = picker.pick({
+        pipeline: "escriba",
+        prefixHash: 0,
+        avoid: new Set(),
+      }).unwrap();
+      const outcome = await engines.generate(pick.chain[0].url, {
+        ...pick,
+        attemptId: `plain-${released.length}`,
+        requestId: "r",
+        prompt: PROMPT,
+        generated: released.map((token) => token.id),
+        maxTokens: 64,
+        priority: 0,
+        deadlineWallMs: 0,
+        cacheScope: "",
+      }, {
+        deadlineMs: clock.nowMs() + 20_000,
+        onTokens: (tokens) => released.push(...tokens),
+      });
+      if (outcome.isOk()) {
+        const { tokenCount, reason } = outcome.value;
+        return outcome.map(() => ({ tokenCount, reason, attemptCount: 1 }));
+      }
+      if (clock.nowMs() > 50_000) return outcome;
+      for (const stage of pick.chain) picker.reportFailure(stage.target);
+    }
+  }
+  const outcome = await clock.runUntil(run());
+  return { outcome, released, releasedAtMs: [], startedCount: 1 };
+}
+
+function everyFault(): PlannedFault[] {
+  return ENGINE_FAULTS.flatMap((fault) =>
+    Array.from({ length: LENGTH }, (_, atIndex) => atIndex)
+      .flatMap((atIndex) =>
+        [0, 1, 2].map((stage) => ({ fault, atIndex, stage }))
+      )
+  );
+}
+
+function plannedFault(): fc.Arbitrary<PlannedFault> {
+  return fc.record({
+    fault: fc.constantFrom(...ENGINE_FAULTS),
+    atIndex: fc.integer({ min: 0, max: LENGTH - 1 }),
+    stage: fc.integer({ min: 0, max: 2 }),
+  });
+}
+
+test("the expected text differs from token to token", () => {
+  expect(expectedText(PROMPT, 0)).not.toBe(expectedText(PROMPT, 1));
+});
