--- /dev/null
+++ b/measure/claims.ts
@@ -0,0 +1,188 @@
+/**
+ * What claims cost: appends a second, time to settle, messages, bytes and
+ * processor time against claims a second and hosts, grouped by partition and
+ * each by itself; and memory per key. Time is virtual, so latency follows
+ * from the delays given here and not from this machine; processor time is
+ * real and includes the fakes.
+ *
+ * @module
+ */
+
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { ClaimLedger } from "../src/requests/claim_ledger.ts";
+import type { ClaimPolicy } from "../src/requests/claim_router.ts";
+import { claimFleet } from "../test/requests_claims.ts";
+
+const SEED = 41;
+const HOST_COUNTS = [9, 100, 400];
+const CLAIMS_PER_S = [10, 50, 200, 800];
+const RUN_S = 5;
+const TICK_MS = 5;
+const KEY_COUNTS = [25_000, 50_000, 100_000, 200_000];
+
+/** Each claim is an append of its own, made by the host that needs it. */
+const UNGROUPED: Partial<ClaimPolicy> = {
+  groupEveryMs: 0,
+  maxBatch: 1,
+  groupedAppendsPerS: 1e9,
+  standInAppendsPerS: 1e9,
+};
+
+interface Cost {
+  readonly appendsPerS: number;
+  readonly p50Ms: number;
+  readonly p95Ms: number;
+  readonly refusedShare: number;
+  readonly messagesPerClaim: number;
+  readonly bytesPerClaim: number;
+  readonly cpuMsPerClaim: number;
+}
+
+/** Prints the tables. */
+export async function run(): Promise<void> {
+  const startMs = performance.now();
+  console.log(`seed ${SEED}, ${RUN_S} s of virtual time a row`);
+  console.log(
+    "\n| way | hosts | claims/s | appends/s | p50 ms | p95 ms | refused | messages/claim | bytes/claim | processor ms/claim |",
+  );
+  console.log("| --- " + "| ---: ".repeat(9) + "|");
+  for (const hostCount of HOST_COUNTS) {
+    for (const claimsPerS of CLAIMS_PER_S) {
+      await printRow("grouped", { hostCount, claimsPerS });
+    }
+  }
+  for (const claimsPerS of CLAIMS_PER_S) {
+    await printRow("each by itself", { hostCount: 9, claimsPerS });
+  }
+  printMemory();
+  const tookS = (performance.now() - startMs) / 1_000;
+  console.log(`\nrun time ${tookS.toFixed(0)} s`);
+}
+
+async function printRow(
+  way: "grouped" | "each by itself",
+  size: { hostCount: number; claimsPerS: number },
+): Promise<void> {
+  const cost = await measure(way, size);
+  const cells = [
+    way,
+    size.hostCount,
+    size.claimsPerS,
+    cost.appendsPerS.toFixed(0),
+    cost.p50Ms.toFixed(0),
+    cost.p95Ms.toFixed(0),
+    `${(100 * cost.refusedShare).toFixed(1)}%`,
+    cost.messagesPerClaim.toFixed(2),
+    cost.bytesPerClaim.toFixed(0),
+    cost.cpuMsPerClaim.toFixed(2),
+  ];
+  console.log(`| ${cells.join(" | ")} |`);
+}
+
+async function measure(
+  way: "grouped" | "each by itself",
+  size: { hostCount: number; claimsPerS: number },
+): Promise<Cost> {
+  const isGrouped = way === "grouped";
+  const fleet = claimFleet({
+    seed: SEED,
+    hostCount: size.hostCount,
+    policy: isGrouped ? undefined : UNGROUPED,
+  });
+  if (!isGrouped) fleet.split((at) => at);
+  const { clock, hosts, log, network, random } = fleet;
+  const waitsMs: number[] = [];
+  let claimCount = 0;
+  let refusedCount = 0;
+  const cpuBefore = process.cpuUsage();
+  let due = 0;
+  for (let atMs = 0; atMs < RUN_S * 1_000; atMs += TICK_MS) {
+    for (due += size.claimsPerS * TICK_MS / 1_000; due >= 1; due -= 1) {
+      void claimOne(`${claimCount++}`);
+    }
+    await clock.advance(TICK_MS);
+  }
+  await clock.advance(3_000);
+  const cpu = process.cpuUsage(cpuBefore);
+  async function claimOne(idempotencyKey: string): Promise<void> {
+    const { claims } = hosts[Math.floor(random() * hosts.length)];
+    const askedMs = clock.nowMs();
+    const outcome = await claims.acquire(
+      { customer: "ferias", service: "mostrador", idempotencyKey },
+      { deadlineMs: askedMs + 10_000 },
+    );
+    waitsMs.push(clock.nowMs() - askedMs);
+    if (outcome.isErr()) return void (refusedCount += 1);
+    await clock.sleep(100);
+    outcome.value.settle("ran");
+  }
+  waitsMs.sort((a, b) => a - b);
+  return {
+    appendsPerS: log.appendedAtMs.length / RUN_S,
+    p50Ms: waitsMs[Math.floor(0.5 * waitsMs.length)],
+    p95Ms: waitsMs[Math.floor(0.95 * waitsMs.length)],
+    refusedShare: refusedCount / claimCount,
+    messagesPerClaim: 2 * network.callCount / claimCount,
+    bytesPerClaim: (network.byteCount + log.byteCount) / claimCount,
+    cpuMsPerClaim: (cpu.user + cpu.system) / 1_000 / claimCount,
+  };
+}
+
+function printMemory(): void {
+  setFlagsFromString("--expose-gc");
+  const collect = runInNewContext("gc") as () => void;
+  console.log("\n| keys in a ledger | bytes | bytes/key |");
+  console.log("| ---: | ---: | ---: |");
+  const points: [number, number][] = [];
+  const kept: ClaimLedger[] = [];
+  for (const keyCount of KEY_COUNTS) {
+    collect();
+    const before = process.memoryUsage().heapUsed;
+    const ledger = filledLedger(keyCount);
+    kept.push(ledger);
+    collect();
+    const bytes = process.memoryUsage().heapUsed - before;
+    points.push([ledger.size, bytes]);
+    const perKey = (bytes / ledger.size).toFixed(0);
+    console.log(`| ${ledger.size} | ${bytes} | ${perKey} |`);
+  }
+  const { slope, intercept, residual } = fit(points);
+  console.log(
+    `fit: ${slope.toFixed(0)} bytes a key + ${intercept.toFixed(0)} bytes, ` +
+      `largest residual ${(100 * residual).toFixed(1)}%`,
+  );
+}
+
+function filledLedger(keyCount: number): ClaimLedger {
+  const ledger = new ClaimLedger({ windowMs: 900_000 });
+  for (let at = 0; at < keyCount; at += 1) {
+    const unique = String(at).padStart(16, "x");
+    const op = {
+      kind: "claim",
+      key: `${unique}abcdef`,
+      claimId: unique,
+      holder: `host-${at % 400}`,
+      lastsMs: 10_000,
+    };
+    const data = JSON.parse(JSON.stringify({ ops: [op] }));
+    ledger.apply({ id: `r${at}`, offset: at, atWallMs: 1, data });
+  }
+  return ledger;
+}
+
+/** Least squares through the points; the residual is relative. */
+function fit(points: readonly [number, number][]) {
+  const meanX = points.reduce((sum, [x]) => sum + x, 0) / points.length;
+  const meanY = points.reduce((sum, [, y]) => sum + y, 0) / points.length;
+  const above = points.reduce((s, [x, y]) => s + (x - meanX) * (y - meanY), 0);
+  const below = points.reduce((s, [x]) => s + (x - meanX) ** 2, 0);
+  const slope = above / below;
+  const intercept = meanY - slope * meanX;
+  const residual = Math.max(
+    ...points.map(([x, y]) => Math.abs(y - slope * x - intercept) / y),
+  );
+  return { slope, intercept, residual };
+}
+
+if (process.argv[1] === import.meta.filename) await run();
--- a/src/requests/claim_router.ts
+++ b/src/requests/claim_router.ts
@@ -60,12 +60,21 @@
 
 /** Hosts asked before this host stands in itself. */
 const GROUPERS_ASKED = 2;
+/** How long a ranking is used before members are ranked again. */
+const RANKED_FOR_MS = 500;
+
+/** The first hosts for a partition, and until when they count. */
+interface Ranking {
+  readonly members: Member[];
+  readonly untilMs: number;
+}
 
 /** Routes ops and groups those that other hosts send here. */
 export class ClaimRouter implements Disposable {
   readonly #options: ClaimRouterOptions;
   readonly #groupers = new Map<number, ClaimGrouper>();
   readonly #groupedBudgets = new Map<number, AppendBudget>();
+  readonly #rankings = new Map<number, Ranking>();
   readonly #standInBudget: AppendBudget;
   readonly #owned = new DisposableStore();
 
@@ -121,16 +130,26 @@
   /** The hosts to ask, in order; each host ranks them the same way. */
   #route(partition: number): Member[] {
     const { self } = this.#options.membership;
-    const others = this.#ranked(partition).slice(0, GROUPERS_ASKED);
+    const others = this.#ranked(partition);
     const isAsked = others.some((member) => member.name === self.name);
     return isAsked ? others : [...others, self];
   }
 
+  /** Ranks the members for a partition, anew when they may have changed. */
   #ranked(partition: number): Member[] {
-    const members = this.#options.membership.members();
-    const byName = new Map(members.map((member) => [member.name, member]));
+    const { clock, membership } = this.#options;
+    const known = this.#rankings.get(partition);
+    if (known !== undefined && clock.nowMs() < known.untilMs) {
+      return known.members;
+    }
+    const all = membership.members();
+    const byName = new Map(all.map((member) => [member.name, member]));
     const names = rendezvousRank(claimStream(partition), [...byName.keys()]);
-    return names.flatMap((name) => byName.get(name) ?? []);
+    const members = names.slice(0, GROUPERS_ASKED)
+      .flatMap((name) => byName.get(name) ?? []);
+    const untilMs = clock.nowMs() + RANKED_FOR_MS;
+    this.#rankings.set(partition, { members, untilMs });
+    return members;
   }
 
   /** Returns undefined when the member certainly received nothing. */
