Bound the targets lost to one content over the fleet

Cause: each host counts for itself, so content sent again costs a target a try; the plain way lost more than 5 targets to three sendings. Change: losses merge over the fleet through an acknowledged broadcast and gossip before the next try or the answer; content with a loss runs alone among suspects, one copy at a time, and is convicted by a loss in that state; running past the point clears it. Ruled out by fuzzing: counting targets that were dead before the content ran there, and losses of copies that ran in company; both condemned innocents.

--- /dev/null
+++ b/src/requests/chain_chooser.ts
@@ -0,0 +1,130 @@
+/**
+ * Chooses the chain of each attempt of one completion: past the targets that
+ * failed it, on the version it began with, and apart from other suspects.
+ *
+ * @module
+ */
+
+import { Ok } from "ts-results-es";
+import type { Clock } from "../common/clock.ts";
+import { hash32 } from "../common/hash.ts";
+import type { Disposable } from "../common/lifecycle.ts";
+import { notRun, type Outcome } from "../common/verdict.ts";
+import type {
+  ChainPick,
+  IChainPicker,
+  PickRequest,
+} from "../pipelines/services.ts";
+import type { IQuarantineService } from "./services.ts";
+import type { CompletionRequest } from "./types.ts";
+
+/** Options of `ChainChooser`. */
+export interface ChainChooserOptions {
+  readonly clock: Clock;
+  readonly picker: IChainPicker;
+  readonly quarantine: IQuarantineService;
+  readonly request: CompletionRequest;
+  readonly fingerprint: string;
+  readonly policy: ChainChooserPolicy;
+}
+
+/** How long to look for a chain. */
+export interface ChainChooserPolicy {
+  /** How long an answer already begun waits for a chain. */
+  readonly waitForChainMs: number;
+  /** Pause between two looks for a chain. */
+  readonly repickEveryMs: number;
+}
+
+/** A chain to run on. */
+export interface ChosenChain {
+  readonly pick: ChainPick;
+  /** Set for suspected content: keeps other suspects off the chain. */
+  readonly lease?: Disposable;
+}
+
+/** Characters of the prompt that choose the engine with a cached prefix. */
+const PREFIX_LENGTH = 256;
+
+/** Chooses chains for one completion. */
+export class ChainChooser {
+  /** Targets that failed this request. */
+  readonly avoid = new Set<string>();
+  readonly #options: ChainChooserOptions;
+  #first: ChainPick | undefined;
+
+  constructor(options: ChainChooserOptions) {
+    this.#options = options;
+  }
+
+  /** Chooses at once, or after a wait when the answer has begun. */
+  async choose(hasBegun: boolean): Promise<Outcome<ChosenChain>> {
+    const { clock, policy, request, quarantine, fingerprint } = this.#options;
+    const untilMs = clock.nowMs() + policy.waitForChainMs;
+    const giveUpMs = Math.min(request.deadlineMs, untilMs);
+    for (let taken: readonly string[] = [];;) {
+      if (request.signal.aborted) {
+        return notRun("cancelled", "the caller cancelled the request");
+      }
+      const admitted = quarantine.admit(fingerprint);
+      if (admitted.isErr()) return admitted;
+      const picked = this.#pick(taken);
+      const chosen = await this.#isolate(picked);
+      if (chosen.isOk()) return chosen;
+      const isSuspect = chosen.error.code === "quarantined";
+      if (!isSuspect && !hasBegun) return chosen;
+      if (clock.nowMs() + policy.repickEveryMs >= giveUpMs) return chosen;
+      taken = this.#taken;
+      await clock.sleep(policy.repickEveryMs, request.signal);
+    }
+  }
+
+  /** Targets that other suspects held when last asked. */
+  #taken: readonly string[] = [];
+
+  async #isolate(picked: Outcome<ChainPick>): Promise<Outcome<ChosenChain>> {
+    this.#taken = [];
+    if (picked.isErr()) return picked;
+    const { quarantine, fingerprint, request } = this.#options;
+    const pick = picked.value;
+    const isolation = await quarantine.isolate(fingerprint, {
+      targets: pick.chain.map((stage) => stage.target),
+      deadlineMs: request.deadlineMs,
+    });
+    if (isolation.kind === "busy") {
+      pick.dispose();
+      this.#taken = isolation.targets;
+      return notRun("quarantined", "suspected content waits for its turn");
+    }
+    this.#first ??= pick;
+    if (isolation.kind === "unsuspected") return new Ok({ pick });
+    return new Ok({ pick, lease: isolation.lease });
+  }
+
+  /** Avoids failed and taken targets where that leaves a chain. */
+  #pick(taken: readonly string[]): Outcome<ChainPick> {
+    const { picker, request } = this.#options;
+    const wanted: PickRequest = {
+      pipeline: request.pipeline,
+      prefixHash: hash32(request.prompt.slice(0, PREFIX_LENGTH)),
+      avoid: new Set([...this.avoid, ...taken]),
+      version: this.#first?.version,
+    };
+    const first = picker.pick(wanted);
+    const picked = first.isErr() && wanted.avoid.size > 0
+      ? picker.pick({ ...wanted, avoid: new Set(taken) })
+      : first;
+    return picked.andThen((pick) => this.#keepVersion(pick));
+  }
+
+  #keepVersion(pick: ChainPick): Outcome<ChainPick> {
+    const first = this.#first;
+    const isSame = first === undefined ||
+      (first.model === pick.model && first.version === pick.version &&
+        first.adapter === pick.adapter);
+    if (isSame) return new Ok(pick);
+    pick.dispose();
+    const message = `no chain of version ${first.version} is left`;
+    return notRun("no-target", message);
+  }
+}
--- a/src/requests/completion_run.ts
+++ b/src/requests/completion_run.ts
@@ -8,15 +8,16 @@
 
 import { Err, Ok } from "ts-results-es";
 import type { Clock } from "../common/clock.ts";
-import { hash32 } from "../common/hash.ts";
-import { type Failure, notRun, type Outcome } from "../common/verdict.ts";
-import type {
-  ChainPick,
-  IChainPicker,
-  PickRequest,
-} from "../pipelines/services.ts";
+import type { Disposable } from "../common/lifecycle.ts";
+import type { Failure, Outcome } from "../common/verdict.ts";
+import type { ChainPick, IChainPicker } from "../pipelines/services.ts";
 import type { IEngineClient } from "../platform/services.ts";
 import type { ChainStage, EngineToken } from "../platform/types.ts";
+import {
+  ChainChooser,
+  type ChainChooserPolicy,
+  type ChosenChain,
+} from "./chain_chooser.ts";
 import {
   type AttemptEnd,
   type AttemptFault,
@@ -50,44 +51,39 @@
 }
 
 /** Bounds on the work spent on one completion. */
-export interface CompletionPolicy {
+export interface CompletionPolicy extends ChainChooserPolicy {
   readonly maxAttempts: number;
   /** How long an engine of a broken chain may take to show that it lives. */
   readonly probeWithinMs: number;
-  /** How long a resumed answer waits for a chain to come back. */
-  readonly waitForChainMs: number;
-  /** Pause between two looks for a chain. */
-  readonly repickEveryMs: number;
   /** When to tell a caller to come back after a failure without a better time. */
   readonly comeBackAfterMs: number;
 }
 
-/** Characters of the prompt that choose the engine with a cached prefix. */
-const PREFIX_LENGTH = 256;
+/** Tokens past the point of a loss after which content is cleared of it. */
+const CLEARED_AFTER_TOKENS = 8;
 
 /** Runs one completion; `run` is called once. */
 export class CompletionRun {
   readonly #options: CompletionRunOptions;
   readonly #generated: number[] = [];
-  readonly #avoid = new Set<string>();
+  readonly #chooser: ChainChooser;
   readonly #tally = new VerdictTally();
   #attemptCount = 0;
-  #pinned: ChainPick | undefined;
+  #attemptStartedMs = 0;
+  /** Whether the attempt runs apart from other suspects. */
+  #isAlone = false;
 
   constructor(options: CompletionRunOptions) {
     this.#options = options;
+    this.#chooser = new ChainChooser(options);
   }
 
   /** Resolves with the whole answer's end or the honest failure. */
   async run(): Promise<Outcome<CompletionEnd>> {
     for (;;) {
-      const admitted = this.#options.quarantine.admit(
-        this.#options.fingerprint,
-      );
-      if (admitted.isErr()) return this.#giveUp(admitted.error);
-      const picked = await this.#pickInTime();
-      if (picked.isErr()) return this.#giveUp(picked.error);
-      const ended = await this.#attempt(picked.value);
+      const chosen = await this.#chooser.choose(this.#generated.length > 0);
+      if (chosen.isErr()) return this.#giveUp(chosen.error);
+      const ended = await this.#attempt(chosen.value);
       if (ended.kind === "whole") return this.#finish(ended);
       this.#tally.note(ended.failure.verdict);
       const refusal = this.#refuseRetry(ended);
@@ -95,17 +91,23 @@
     }
   }
 
-  async #attempt(pick: ChainPick): Promise<AttemptEnd> {
+  async #attempt({ pick, lease }: ChosenChain): Promise<AttemptEnd> {
     const { newId, request, journal } = this.#options;
     this.#attemptCount += 1;
-    this.#pinned ??= pick;
+    this.#attemptStartedMs = this.#options.clock.nowMs();
+    this.#isAlone = lease !== undefined;
     const attemptId = newId();
+    const clearedAt = this.#generated.length + CLEARED_AFTER_TOKENS;
     const attempt = new CompletionAttempt({
       ...this.#options,
       pick,
       attemptId,
       generated: [...this.#generated],
-      release: (tokens) => this.#release(tokens),
+      release: (tokens) => {
+        this.#release(tokens);
+        const isPast = this.#generated.length >= clearedAt;
+        if (lease && this.#isAlone && isPast) this.#clear(lease);
+      },
     });
     journal.note(request.requestId, "attempt", {
       attemptId,
@@ -115,10 +117,19 @@
     const ended = await attempt.run();
     const settled = await this.#followUp(attempt, pick, ended);
     if (settled.kind === "failed") attempt.cut();
+    else if (lease) this.#clear(lease);
+    lease?.dispose();
     pick.dispose();
     return settled;
   }
 
+  /** Ends the isolation of content that ran past the point of its loss. */
+  #clear(lease: Disposable): void {
+    this.#isAlone = false;
+    this.#options.quarantine.absolve(this.#options.fingerprint);
+    lease.dispose();
+  }
+
   /** Learns from a failed attempt, and listens again where that is enough. */
   async #followUp(
     attempt: CompletionAttempt,
@@ -145,7 +156,7 @@
         await this.#locateChange(pick.chain);
         return ended;
       case "refused":
-        this.#avoid.add(pick.chain[0].target);
+        this.#chooser.avoid.add(pick.chain[0].target);
         return ended;
       case "bad-answer":
         attempt.cut();
@@ -165,14 +176,14 @@
     this.#blame(found.lost, "broken");
     this.#blame(found.silent, "stalled");
     this.#blame(found.changed, "stale-generation");
-    await this.#strike(found.lost);
+    await this.#strike([...found.lost, ...found.silent]);
     const isIntact = found.lost.length + found.silent.length +
         found.changed.length === 0;
     if (!isIntact) return ended;
     const again = await attempt.reattach();
     if (again.kind === "whole") return again;
     this.#noteFailure(again.fault, again.failure);
-    this.#avoid.add(pick.chain[0].target);
+    this.#chooser.avoid.add(pick.chain[0].target);
     return again.fault === "given-up" ? again : ended;
   }
 
@@ -182,7 +193,7 @@
     this.#blame([...found.lost, ...found.silent], "stalled");
     await this.#strike(found.lost);
     if (found.lost.length + found.silent.length > 0) return;
-    for (const stage of chain) this.#avoid.add(stage.target);
+    for (const stage of chain) this.#chooser.avoid.add(stage.target);
   }
 
   /** Names the engines that changed since the chain was planned. */
@@ -192,7 +203,7 @@
     this.#blame(found.silent, "stalled");
     this.#blame(found.lost, "connect");
     if (found.changed.length > 0) return;
-    for (const stage of chain) this.#avoid.add(stage.target);
+    for (const stage of chain) this.#chooser.avoid.add(stage.target);
   }
 
   #probe(chain: readonly ChainStage[]): Promise<ProbeResult> {
@@ -209,7 +220,7 @@
     kind: Parameters<IChainPicker["reportFailure"]>[1],
   ): void {
     for (const target of targets) {
-      this.#avoid.add(target);
+      this.#chooser.avoid.add(target);
       this.#options.picker.reportFailure(target, kind);
     }
   }
@@ -219,7 +230,12 @@
     const { deadlineMs } = request;
     await Promise.all(
       lost.map((target) =>
-        quarantine.strike(fingerprint, { target, deadlineMs })
+        quarantine.strike(fingerprint, {
+          target,
+          startedMs: this.#attemptStartedMs,
+          isAlone: this.#isAlone,
+          deadlineMs,
+        })
       ),
     );
   }
@@ -231,53 +247,6 @@
     );
   }
 
-  /** Picks a chain; an answer already begun waits a while for one. */
-  async #pickInTime(): Promise<Outcome<ChainPick>> {
-    const { clock, policy, request } = this.#options;
-    const giveUpMs = Math.min(
-      request.deadlineMs,
-      clock.nowMs() + policy.waitForChainMs,
-    );
-    for (;;) {
-      if (request.signal.aborted) {
-        return notRun("cancelled", "the caller cancelled the request");
-      }
-      const picked = this.#pick();
-      if (picked.isOk() || this.#generated.length === 0) return picked;
-      if (clock.nowMs() + policy.repickEveryMs >= giveUpMs) return picked;
-      await clock.sleep(policy.repickEveryMs, request.signal);
-    }
-  }
-
-  #pick(): Outcome<ChainPick> {
-    const { picker, request } = this.#options;
-    const wanted: PickRequest = {
-      pipeline: request.pipeline,
-      prefixHash: hash32(request.prompt.slice(0, PREFIX_LENGTH)),
-      avoid: this.#avoid,
-      version: this.#pinned?.version,
-    };
-    const first = picker.pick(wanted);
-    const picked = first.isErr() && this.#avoid.size > 0
-      ? picker.pick({ ...wanted, avoid: new Set() })
-      : first;
-    if (picked.isErr()) return picked;
-    return this.#keepVersion(picked.value);
-  }
-
-  #keepVersion(pick: ChainPick): Outcome<ChainPick> {
-    const pinned = this.#pinned;
-    const isSame = pinned === undefined ||
-      (pinned.model === pick.model && pinned.version === pick.version &&
-        pinned.adapter === pick.adapter);
-    if (isSame) return new Ok(pick);
-    pick.dispose();
-    return notRun(
-      "no-target",
-      `no chain of version ${pinned.version} is left`,
-    );
-  }
-
   /** Returns the failure to give up with, or undefined for another attempt. */
   #refuseRetry(
     ended: Extract<AttemptEnd, { kind: "failed" }>,
--- a/src/requests/quarantine_service.ts
+++ b/src/requests/quarantine_service.ts
@@ -1,18 +1,33 @@
 /**
- * Remembers content that was running when targets were lost.
+ * Keeps content that crashes targets from costing more than a stated number
+ * of them: losses are counted for each content over the fleet, and content
+ * with a loss against it runs apart from other suspects until it has run past
+ * the point of the loss.
  *
  * @module
  */
 
 import { Ok } from "ts-results-es";
 import { type Clock, systemClock } from "../common/clock.ts";
+import {
+  type Disposable,
+  DisposableStore,
+  toDisposable,
+} from "../common/lifecycle.ts";
 import { notRun, type Outcome } from "../common/verdict.ts";
 import type {
   IDissemination,
   IMembership,
   IPeerTransport,
 } from "../fleet/services.ts";
-import type { IQuarantineService } from "./services.ts";
+import type { IQuarantineService, Isolation } from "./services.ts";
+import { StrikeBroadcast } from "./strike_broadcast.ts";
+import {
+  parseStrikeEntry,
+  type StrikeEntry,
+  StrikeLedger,
+} from "./strike_ledger.ts";
+import { SuspectLocks } from "./suspect_locks.ts";
 
 /** Options of `QuarantineService`. */
 export interface QuarantineServiceOptions {
@@ -22,35 +37,161 @@
   readonly clock?: Clock;
   /** Distinct targets that one content may cost. */
   readonly maxTargetsLost?: number;
-  /** How long strikes count. */
+  /** How long a loss counts. */
   readonly rememberMs?: number;
+  /** Contents remembered. */
+  readonly capacity?: number;
+  /** How long a strike may take to reach the other hosts. */
+  readonly spreadWithinMs?: number;
 }
 
-/** Counts strikes by distinct targets. */
-export class QuarantineService implements IQuarantineService {
+/** Longest time for which a suspect keeps its targets to itself. */
+const LOCK_MS = 60_000;
+const SYNC_WITHIN_MS = 1_000;
+const SYNC_PEERS = 3;
+
+/** Counts losses by content and keeps suspects apart. */
+export class QuarantineService implements IQuarantineService, Disposable {
   readonly #clock: Clock;
-  readonly #maxTargetsLost: number;
-  readonly #strikes = new Map<string, Set<string>>();
+  readonly #rememberMs: number;
+  readonly #spreadWithinMs: number;
+  readonly #options: QuarantineServiceOptions;
+  readonly #ledger: StrikeLedger;
+  readonly #broadcast: StrikeBroadcast;
+  readonly #locks: SuspectLocks;
+  readonly #owned = new DisposableStore();
+  #lockCount = 0;
 
   constructor(options: QuarantineServiceOptions) {
-    this.#clock = options.clock ?? systemClock;
-    this.#maxTargetsLost = options.maxTargetsLost ?? 2;
+    const clock = options.clock ?? systemClock;
+    this.#options = options;
+    this.#clock = clock;
+    this.#rememberMs = options.rememberMs ?? 86_400_000;
+    this.#spreadWithinMs = options.spreadWithinMs ?? 200;
+    this.#ledger = new StrikeLedger({
+      maxTargetsLost: options.maxTargetsLost ?? 2,
+      rememberMs: this.#rememberMs,
+      capacity: options.capacity ?? 20_000,
+    });
+    this.#broadcast = this.#owned.add(
+      new StrikeBroadcast({
+        ...options,
+        clock,
+        onEntry: (entry) => this.#ledger.merge(entry),
+      }),
+    );
+    this.#locks = this.#owned.add(new SuspectLocks({ ...options, clock }));
+    this.#owned.add(
+      options.dissemination.onFact(({ topic, data }) => {
+        if (topic === "strike") this.#take(data);
+      }),
+    );
+    this.#owned.add(
+      options.transport.handle("quarantine.list", () => this.#ledger.entries()),
+    );
+  }
+
+  dispose(): void {
+    this.#owned.dispose();
+  }
+
+  /** Learns from peers what was struck before this host started. */
+  async start(): Promise<void> {
+    const { membership, transport } = this.#options;
+    const peers = membership.members()
+      .filter((member) => member.name !== membership.self.name)
+      .slice(0, SYNC_PEERS);
+    const deadlineMs = this.#clock.nowMs() + SYNC_WITHIN_MS;
+    await Promise.all(peers.map(async ({ url }) => {
+      const request = { method: "quarantine.list", parameters: null };
+      const answered = await transport.call(url, request, { deadlineMs });
+      if (answered.isErr() || !Array.isArray(answered.value)) return;
+      for (const entry of answered.value) this.#take(entry);
+    }));
   }
 
   admit(fingerprint: string): Outcome<void> {
-    const lost = this.#strikes.get(fingerprint)?.size ?? 0;
-    if (lost < this.#maxTargetsLost) return Ok.EMPTY;
-    return notRun("quarantined", `the content has cost ${lost} targets`, {
-      retryAtWallMs: this.#clock.wallMs() + 3_600_000,
-    });
+    const wallMs = this.#clock.wallMs();
+    if (!this.#ledger.isConvicted(fingerprint, wallMs)) return Ok.EMPTY;
+    const message = `the content has cost ${
+      this.#countOf(fingerprint)
+    } targets`;
+    const retryAtWallMs = wallMs + this.#rememberMs;
+    return notRun("quarantined", message, { retryAtWallMs });
   }
 
-  strike(
+  async strike(
     fingerprint: string,
-    options: { target: string; deadlineMs: number },
+    options: {
+      target: string;
+      startedMs: number;
+      isAlone: boolean;
+      deadlineMs: number;
+    },
   ): Promise<void> {
-    const lost = this.#strikes.get(fingerprint) ?? new Set<string>();
-    this.#strikes.set(fingerprint, lost.add(options.target));
-    return Promise.resolve();
+    const nowMs = this.#clock.nowMs();
+    const wallMs = this.#clock.wallMs();
+    const startedWallMs = wallMs - nowMs + options.startedMs;
+    if (this.#ledger.wasDeadAt(options.target, startedWallMs)) return;
+    const { target, isAlone } = options;
+    const loss = { target, atWallMs: wallMs, isAlone };
+    const entry = this.#ledger.strike(fingerprint, loss);
+    if (entry === undefined) return;
+    this.#publish(entry);
+    await this.#broadcast.send(entry, {
+      deadlineMs: Math.min(options.deadlineMs, nowMs + this.#spreadWithinMs),
+    });
+  }
+
+  async isolate(
+    fingerprint: string,
+    options: { targets: readonly string[]; deadlineMs: number },
+  ): Promise<Isolation> {
+    if (this.#countOf(fingerprint) === 0) return { kind: "unsuspected" };
+    const owner = `${this.#options.membership.self.name}/${this.#lockCount++}`;
+    const content = `content/${fingerprint}`;
+    const names = [
+      content,
+      ...options.targets.map((target) => `target/${target}`),
+    ];
+    const leftMs = options.deadlineMs - this.#clock.nowMs();
+    const expiresAtWallMs = this.#clock.wallMs() + Math.min(LOCK_MS, leftMs);
+    const busy = await this.#locks.take(names, owner, expiresAtWallMs);
+    if (busy.length > 0) {
+      const targets = options.targets
+        .filter((target) => busy.includes(`target/${target}`));
+      return { kind: "busy", targets };
+    }
+    const lease = new DisposableStore();
+    lease.add(toDisposable(() => this.#locks.release(names, owner)));
+    return { kind: "alone", lease };
+  }
+
+  absolve(fingerprint: string): void {
+    const entry = this.#ledger.absolve(fingerprint, this.#clock.wallMs());
+    if (entry === undefined) return;
+    this.#publish(entry);
+    const deadlineMs = this.#clock.nowMs() + this.#spreadWithinMs;
+    void this.#broadcast.send(entry, { deadlineMs });
+  }
+
+  #countOf(fingerprint: string): number {
+    return this.#ledger.countOf(fingerprint, this.#clock.wallMs());
+  }
+
+  #take(sent: unknown): void {
+    const entry = parseStrikeEntry(sent);
+    if (entry !== undefined) this.#ledger.merge(entry);
+  }
+
+  #publish(entry: StrikeEntry): void {
+    const wallMs = this.#clock.wallMs();
+    this.#options.dissemination.publish({
+      topic: "strike",
+      key: `${entry.fingerprint}/${this.#options.membership.self.name}`,
+      sequence: wallMs,
+      data: entry,
+      expiresAtWallMs: wallMs + this.#rememberMs,
+    });
   }
 }
--- /dev/null
+++ b/src/requests/quarantine_service_test.ts
@@ -0,0 +1,146 @@
+import fc from "fast-check";
+import { Ok } from "ts-results-es";
+import { expect, test } from "vitest";
+import { LENGTH } from "../../test/requests_completions.ts";
+import {
+  type Ended,
+  quarantineFleet,
+  type QuarantineFleetOptions,
+} from "../../test/requests_quarantine.ts";
+import { StrikeLedger } from "./strike_ledger.ts";
+
+const SEED = 20_261_205;
+const RUNS = 500;
+const HOST_COUNT = 4;
+const MAX_TARGETS_LOST = 2;
+
+interface Sending {
+  readonly prompt: string;
+  readonly host: number;
+  readonly afterMs: number;
+}
+
+interface Scenario {
+  readonly seed: number;
+  readonly atIndex: number;
+  readonly stage: number;
+  readonly sendings: readonly Sending[];
+}
+
+const PLAIN = {
+  admit: () => Ok.EMPTY,
+  strike: () => Promise.resolve(),
+  isolate: () => Promise.resolve({ kind: "unsuspected" as const }),
+  absolve: () => {},
+};
+
+test(`a crashing request costs two targets, seed ${SEED}`, async () => {
+  await fc.assert(
+    fc.asyncProperty(scenario(), async (planned) => {
+      const { lostCount, ended } = await play(planned);
+      expect(lostCount).toBeLessThanOrEqual(MAX_TARGETS_LOST);
+      for (const { prompt, outcome } of ended) {
+        expect(outcome.isOk(), prompt).toBe(prompt !== "crash");
+      }
+    }),
+    { seed: SEED, numRuns: RUNS },
+  );
+});
+
+test("without quarantine it costs a target at every try", async () => {
+  const planned: Scenario = {
+    seed: 1,
+    atIndex: 3,
+    stage: 1,
+    sendings: [0, 1, 2].map((host) => ({
+      prompt: "crash",
+      host,
+      afterMs: 5_000,
+    })),
+  };
+  const plain = await play(planned, { quarantine: PLAIN });
+  expect(plain.lostCount).toBeGreaterThan(5);
+  expect((await play(planned)).lostCount).toBe(MAX_TARGETS_LOST);
+});
+
+test("copies sent at once cost at most one target a chain, and one more", async () => {
+  for (let seed = 0; seed < 20; seed += 1) {
+    const sendings = [0, 1, 2, 3].map((host) => ({
+      prompt: "crash",
+      host,
+      afterMs: 0,
+    }));
+    const { lostCount, ended } = await play({
+      seed,
+      atIndex: 3,
+      stage: 1,
+      sendings,
+    });
+    expect(lostCount).toBeLessThanOrEqual(sendings.length + 1);
+    expect(ended.every(({ outcome }) => outcome.isErr())).toBe(true);
+  }
+});
+
+/** Sends the crashing prompt one after another, the innocent ones meanwhile. */
+async function play(
+  planned: Scenario,
+  changes: Partial<QuarantineFleetOptions> = {},
+) {
+  const { atIndex, stage, seed } = planned;
+  const fleet = quarantineFleet({
+    seed,
+    hostCount: HOST_COUNT,
+    replicas: 8,
+    crashes: new Map([["crash", { atIndex, stage }]]),
+    ...changes,
+  });
+  const { clock, engines, ended, send } = fleet;
+  const open: Promise<Ended>[] = [];
+  for (const { prompt, host, afterMs } of planned.sendings) {
+    const sent = send(prompt, host);
+    open.push(sent);
+    if (afterMs > 0 && prompt === "crash") await clock.runUntil(sent);
+    await clock.advance(afterMs);
+  }
+  await clock.runUntil(Promise.all(open));
+  return { lostCount: engines.lostTo.get("crash")?.size ?? 0, ended };
+}
+
+function scenario(): fc.Arbitrary<Scenario> {
+  const sending = fc.record({
+    prompt: fc.constantFrom("crash", "a", "b", "c", "d", "e"),
+    host: fc.nat({ max: HOST_COUNT - 1 }),
+    afterMs: fc.constantFrom(1, 10, 40, 2_000),
+  });
+  return fc.record({
+    seed: fc.nat(),
+    atIndex: fc.nat({ max: LENGTH - 1 }),
+    stage: fc.nat({ max: 2 }),
+    sendings: fc.array(sending, { minLength: 4, maxLength: 16, size: "max" }),
+  });
+}
+
+test("strikes merge to the same state in any order", () => {
+  const wallMs = 1_000_000;
+  const entry = (target: string, atWallMs: number, absolvedAtWallMs = -1) => ({
+    fingerprint: "f",
+    losses: [{ target, atWallMs, isAlone: true }],
+    absolvedAtWallMs,
+  });
+  const entries = [
+    entry("t1", 100_000),
+    entry("t1", 100_500),
+    entry("t2", 200_000, 150_000),
+  ];
+  const count = (order: readonly number[]) => {
+    const ledger = new StrikeLedger({
+      maxTargetsLost: 3,
+      rememberMs: 10_000_000,
+      capacity: 10,
+    });
+    for (const at of order) ledger.merge(entries[at]);
+    return ledger.countOf("f", wallMs);
+  };
+  const orders = [[0, 1, 2], [2, 1, 0], [1, 2, 0], [2, 0, 1]];
+  expect(orders.map(count)).toEqual([1, 1, 1, 1]);
+});
--- a/src/requests/services.ts
+++ b/src/requests/services.ts
@@ -5,6 +5,7 @@
  */
 
 import type { ServiceIdentifier } from "inversify";
+import type { Disposable } from "../common/lifecycle.ts";
 import type { Outcome } from "../common/verdict.ts";
 import type { ServiceAnswer } from "../platform/types.ts";
 import type {
@@ -73,19 +74,41 @@
   /** Fails when the content has already cost as many targets as are allowed. */
   admit(fingerprint: string): Outcome<void>;
   /**
-   * Counts a lost target against all requests that it was running, spreads the
-   * strikes among peers, and resolves once enough of them know.
+   * Counts a target lost while it ran the content since `startedMs`, spreads
+   * that among peers, and resolves once they know.
    */
   strike(
     fingerprint: string,
-    options: { target: string; deadlineMs: number },
+    options: {
+      target: string;
+      startedMs: number;
+      /** Whether the content held an isolation lease when the target was lost. */
+      isAlone: boolean;
+      deadlineMs: number;
+    },
   ): Promise<void>;
+  /**
+   * Asks to run content on targets. Content that has cost a target runs alone
+   * among such content on each of them, one copy at a time over the fleet.
+   */
+  isolate(
+    fingerprint: string,
+    options: { targets: readonly string[]; deadlineMs: number },
+  ): Promise<Isolation>;
+  /** Lifts suspicion from content that ran past the point of its last loss. */
+  absolve(fingerprint: string): void;
 }
 export const IQuarantineService: ServiceIdentifier<IQuarantineService> = Symbol
   .for(
     "QuarantineService",
   );
 
+/** Leave to run content, or the targets that other suspects hold. */
+export type Isolation =
+  | { readonly kind: "unsuspected" }
+  | { readonly kind: "alone"; readonly lease: Disposable }
+  | { readonly kind: "busy"; readonly targets: readonly string[] };
+
 /** What happened to recent requests, for operators; bounded in memory. */
 export interface IRequestJournal {
   /** Notes a step. Never the prompt or the answer. */
--- a/test/requests_completions.ts
+++ b/test/requests_completions.ts
@@ -46,6 +46,19 @@
   },
 });
 
+const NO_QUARANTINE: IQuarantineService = {
+  admit: () => Ok.EMPTY,
+  strike: () => Promise.resolve(),
+  isolate: () => Promise.resolve({ kind: "unsuspected" }),
+  absolve: () => {},
+};
+
+/** A configuration with one pipeline. */
+export function pipelineConfig(): IConfigService {
+  const state = { version: 1, offset: 0, config: CONFIG };
+  return { state } as IConfigService;
+}
+
 /** What the caller of one completion saw. */
 export interface CompletionHistory {
   readonly outcome: Outcome<CompletionEnd>;
@@ -85,7 +98,7 @@
     engines,
     journal: new RequestJournal({ clock }),
     quarantine: options.quarantine ??
-      { admit: () => Ok.EMPTY, strike: () => Promise.resolve() },
+      NO_QUARANTINE,
     newId: () => `attempt-${nextId++}`,
     policy: { waitForChainMs: 1_000 },
   });
--- a/test/requests_engines.ts
+++ b/test/requests_engines.ts
@@ -48,6 +48,12 @@
   readonly stage: number;
 }
 
+/** Content that crashes a stage when it computes a token. */
+export interface PlannedCrash {
+  readonly atIndex: number;
+  readonly stage: number;
+}
+
 interface TestEngine {
   readonly target: string;
   first: number;
@@ -83,13 +89,25 @@
 export class TestEngines implements IEngineClient {
   readonly engines = new Map<string, TestEngine>();
   readonly attempts = new Map<string, TestAttempt>();
+  /** Targets lost to each prompt that crashes its targets. */
+  readonly lostTo = new Map<string, Set<string>>();
+  readonly #crash: (prompt: string) => PlannedCrash | undefined;
+  readonly #onCrash: (target: string) => void;
   readonly #clock: Clock;
   readonly #length: number;
   #faults: PlannedFault[];
 
   constructor(
-    options: { clock: Clock; length: number; faults?: PlannedFault[] },
+    options: {
+      clock: Clock;
+      length: number;
+      faults?: PlannedFault[];
+      crash?: (prompt: string) => PlannedCrash | undefined;
+      onCrash?: (target: string) => void;
+    },
   ) {
+    this.#onCrash = options.onCrash ?? (() => {});
+    this.#crash = options.crash ?? (() => undefined);
     this.#clock = options.clock;
     this.#length = options.length;
     this.#faults = [...(options.faults ?? [])];
@@ -204,6 +222,7 @@
       const isSlow = chain.some((engine) => engine.crawls);
       await this.#clock.sleep(isSlow ? CRAWL_MS : TOKEN_MS);
       if (attempt.isCancelled || attempt.end) return;
+      this.#crashOn(request.prompt, index, chain);
       if (chain.some((engine) => engine.state === "frozen")) return;
       const lost = chain.findIndex((engine) => engine.state === "dead");
       if (lost >= 0) {
@@ -229,6 +248,21 @@
     return { attemptId, index, id: hash32(text), text, ran };
   }
 
+  #crashOn(
+    prompt: string,
+    index: number,
+    chain: readonly TestEngine[],
+  ): void {
+    const crash = this.#crash(prompt);
+    if (crash?.atIndex !== index) return;
+    const engine = chain[crash.stage % chain.length];
+    if (engine.state !== "alive") return;
+    engine.state = "dead";
+    const lost = this.lostTo.get(prompt) ?? new Set<string>();
+    this.lostTo.set(prompt, lost.add(engine.target));
+    this.#onCrash(engine.target);
+  }
+
   #strike(
     attempt: TestAttempt,
     index: number,
