--- a/src/pipelines/capacity_keeper_test.ts
+++ b/src/pipelines/capacity_keeper_test.ts
@@ -26,11 +26,27 @@
   await fleet.stop();
 });
 
-test.each([["a version", "v2", undefined], ["an adapter", "v1", "x"]])(
+interface RollOut {
+  readonly version: string;
+  readonly adapter?: string;
+  /** Time that the targets of the second stage take to load. */
+  readonly slowLoadMs: number;
+}
+
+const rollOuts: [string, RollOut][] = [
+  ["a version", { version: "v2", slowLoadMs: 4_000 }],
+  ["a version, one stage loading slowly", { version: "v2", slowLoadMs: 9_000 }],
+  ["an adapter", { version: "v1", adapter: "x", slowLoadMs: 9_000 }],
+];
+
+test.each(rollOuts)(
   "a roll-out of %s keeps a whole chain all the time",
-  async (_name, version, adapter) => {
-    const fleet = new CapacityFleet(FLEET);
+  async (_name, { version, adapter, slowLoadMs }) => {
+    const fleet = new CapacityFleet({ ...FLEET, targetsPerStage: 1 });
     await fleet.clock.advance(5_000);
+    for (const name of ["s1-0", "spare-1"]) {
+      fleet.engine(name).settings.loadMs = slowLoadMs;
+    }
     fleet.config.set(fleet.document(version, adapter));
     let refusedCount = 0;
     for (let step = 0; step < 600; step++) {
@@ -47,7 +63,7 @@
       if (pick.isErr()) refusedCount++;
     }
     expect(refusedCount).toBe(0);
-    expect(fleet.chainsOf(version)).toBe(3);
+    expect(fleet.chainsOf(version)).toBe(2);
     const { state } = fleet.engine("s0-0");
     expect(state.adapters).toEqual(adapter ? [adapter] : []);
     await fleet.stop();
@@ -101,25 +117,24 @@
   async (checksFence) => {
     const fleet = new CapacityFleet({ ...FLEET, checksFence });
     await fleet.clock.advance(5_000);
+    for (const { process } of fleet.hosts) process.pauseAtNextOrder();
     fleet.config.set(fleet.document("v2"));
-    const holder = await pauseHolder(fleet);
-    await fleet.clock.advance(20_000);
+    await fleet.clock.advance(2_000);
+    const paused = fleet.hosts.filter(({ process }) => process.isPaused);
+    expect(paused.length).toBe(1);
+    for (const host of fleet.hosts) {
+      if (host !== paused[0]) host.process.resume();
+    }
     fleet.config.set(fleet.document("v3"));
-    await fleet.clock.advance(60_000);
+    await fleet.clock.advance(90_000);
     expect(fleet.chainsOf("v3")).toBe(3);
-    holder.process.resume();
+    paused[0].process.resume();
+    await fleet.clock.advance(100);
+    const isHarmed = [...fleet.engines.engines.values()]
+      .some(({ state }) => state.version === "v2");
+    expect(isHarmed).toBe(!checksFence);
     await fleet.clock.advance(30_000);
     expect(fleet.chainsOf("v3")).toBe(3);
     await fleet.stop();
   },
 );
-
-/** Pauses the host that sends orders just when it is about to send more. */
-async function pauseHolder(fleet: CapacityFleet) {
-  for (let step = 0; step < 100 && fleet.sent.length === 0; step++) {
-    await fleet.clock.advance(100);
-  }
-  const holder = fleet.hosts.find(({ name }) => name === fleet.sent[0].host)!;
-  holder.process.pause();
-  return holder;
-}
--- a/src/pipelines/order_plan.ts
+++ b/src/pipelines/order_plan.ts
@@ -190,13 +190,12 @@
       (!knownToAll || this.#input.isKnownToAll(state.target))
     );
     const versions = new Set(states.map(({ version }) => version));
-    const published = adapter === undefined
-      ? []
-      : states.flatMap(({ adapters }) => adapters);
-    const adapters = published.length > 0 ? new Set(published) : [undefined];
+    const variants = adapter === undefined
+      ? [undefined]
+      : servedAdapters(states);
     const targets: string[] = [];
     for (const version of versions) {
-      for (const held of adapters) {
+      for (const held of variants) {
         const edges = states
           .filter((state) => isUsable(state, { model, version, adapter: held }))
           .map((state) => spanEdge(state, config))
@@ -208,3 +207,16 @@
     return targets;
   }
 }
+
+/** Adapters with which hosts may be serving now; undefined stands for none. */
+function servedAdapters(
+  states: readonly EngineState[],
+): (string | undefined)[] {
+  const published = new Set<string | undefined>(
+    states.flatMap(({ adapters }) => adapters),
+  );
+  if (states.some(({ adapters }) => adapters.length === 0)) {
+    published.add(undefined);
+  }
+  return [...published];
+}
--- a/src/pipelines/placement.ts
+++ b/src/pipelines/placement.ts
@@ -172,7 +172,7 @@
   /** Moves one target to the least covered stage, if that gains enough. */
   #moveOne(): boolean {
     const needy = leastCovered(this.#stages);
-    if (!needy || share(needy) >= 1) return false;
+    if (!needy) return false;
     const before = share(needy);
     const candidates = [...this.#stageOf]
       .filter(([target, stage]) => this.#mayMove(target, stage, needy))
--- a/test/pipelines_capacity.ts
+++ b/test/pipelines_capacity.ts
@@ -63,6 +63,8 @@
   readonly engines = new FakeEngines(this.clock);
   readonly config: FakeConfig;
   readonly hosts: CapacityHost[] = [];
+  /** Hosts that were removed, which may be paused in mid-order. */
+  readonly removedHosts: CapacityHost[] = [];
   readonly sent: (SentOrder & { readonly host: string })[] = [];
   readonly homes: string[] = [];
   readonly standbys: string[] = [];
@@ -133,11 +135,12 @@
   removeHost(host: CapacityHost): void {
     host.abort.abort();
     this.hosts.splice(this.hosts.indexOf(host), 1);
+    this.removedHosts.push(host);
     this.#tellMembers();
   }
 
   async stop(): Promise<void> {
-    for (const host of this.hosts) {
+    for (const host of [...this.hosts, ...this.removedHosts]) {
       host.process.resume();
       host.abort.abort();
     }
@@ -148,6 +151,12 @@
     return this.engines.engines.get(name)!;
   }
 
+  /** Loads started so far, over all engines. */
+  loadCount(): number {
+    const engines = [...this.engines.engines.values()];
+    return engines.reduce((sum, { state }) => sum + state.generation, 0);
+  }
+
   /** Names of engines that hold a span of `version` and answer. */
   serving(version: string): string[] {
     return [...this.engines.engines.values()]
--- a/test/pipelines_fakes.ts
+++ b/test/pipelines_fakes.ts
@@ -305,12 +305,23 @@
 export class PausableProcess {
   #resume: (() => void) | undefined;
   #paused: Promise<void> | undefined;
+  #pausesAtOrder = false;
+
+  get isPaused(): boolean {
+    return this.#paused !== undefined;
+  }
 
   pause(): void {
     this.#paused ??= new Promise((resolve) => this.#resume = resolve);
   }
 
+  /** Pauses between the next order's last check and its sending. */
+  pauseAtNextOrder(): void {
+    this.#pausesAtOrder = true;
+  }
+
   resume(): void {
+    this.#pausesAtOrder = false;
     this.#resume?.();
     this.#paused = undefined;
   }
@@ -338,6 +349,7 @@
         return await engines.readState(...call);
       },
       order: async (...call) => {
+        if (this.#pausesAtOrder) this.pause();
         await this.#paused;
         return await engines.order(...call);
       },
