Wire configuration rounds, and call an overtaken patch stale at once

Cause: the test of racing operators got 503 where a host had read the winning version from the log but most hosts had not confirmed it yet; and the problem document named the version in force, not the one its own text named. Ruled out: answering the loser only after the confirmation (it is decided by the log's order already). Change: a patch whose base the log has passed is stale-version whether or not the newer one is confirmed; the failure carries currentVersion; ConfigPeers joins the platform's list with the members, so that hosts which do not answer still count. Conclusion: one winner a version, the others told the present number.

--- a/src/common/verdict.ts
+++ b/src/common/verdict.ts
@@ -47,6 +47,8 @@
   readonly retryAtWallMs?: number;
   /** The target at fault, where a stage of a chain named it. */
   readonly target?: string;
+  /** The present version, where a request was based on an older one. */
+  readonly currentVersion?: number;
   /** Each fault of a document that was refused whole. */
   readonly faults?: readonly Fault[];
 }
@@ -60,7 +62,7 @@
 /** What a failure may carry besides its code and message. */
 export type FailureDetails = Pick<
   Failure,
-  "retryAtWallMs" | "target" | "faults"
+  "retryAtWallMs" | "target" | "currentVersion" | "faults"
 >;
 
 /** A value or the failure that took its place. */
--- a/src/config/config_service.ts
+++ b/src/config/config_service.ts
@@ -179,6 +179,7 @@
     if (planned.isErr()) return planned;
     const reach = await this.#checkReach();
     if (reach.isErr()) return reach;
+    if (this.#isOvertaken(request)) return this.#staleVersion(request);
     if (this.#holder.hasPending) return this.#pendingVersion();
     const appended = await this.#append(request, options);
     if (appended.isErr()) return appended;
@@ -275,6 +276,7 @@
     return notRun(
       "stale-version",
       `version ${request.baseVersion} is not in force; the present version is ${version}`,
+      { currentVersion: version },
     );
   }
 
--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -6,11 +6,14 @@
  */
 
 import "reflect-metadata";
-import { Container } from "inversify";
+import { Container, type ResolutionContext } from "inversify";
 import { type Clock, systemClock } from "../common/clock.ts";
 import { createLog, ILog } from "../common/logging.ts";
 import { IMetrics, Metrics } from "../common/metrics.ts";
-import { ConfigService } from "../config/config_service.ts";
+import {
+  type ConfigPeerOptions,
+  ConfigService,
+} from "../config/config_service.ts";
 import { IConfigService } from "../config/services.ts";
 import { Dissemination } from "../fleet/dissemination.ts";
 import { HostListWatcher } from "../fleet/host_list_watcher.ts";
@@ -55,6 +58,7 @@
   IQuarantineService,
   IRequestJournal,
 } from "../requests/services.ts";
+import { ConfigPeers } from "./config_peers.ts";
 import type { Settings } from "./settings.ts";
 
 /** What the container needs besides the settings. */
@@ -118,6 +122,7 @@
     return new ConfigService({
       log: context.get(ILogClient),
       host: hostName,
+      peering: configPeering(context),
       clock,
       onLogFailure: (failure) =>
         log.warn("the log did not answer", { ...failure }),
@@ -126,6 +131,20 @@
   container.bind(IConfigService).toService(ConfigService);
 }
 
+/** Joins the configuration, a lower layer, to the hosts of the fleet. */
+function configPeering(context: ResolutionContext): ConfigPeerOptions {
+  const { name, url } = context.get(IMembership).self;
+  const transport = context.get(IPeerTransport);
+  const hosts = context.get(ConfigPeers);
+  return {
+    self: { name, url },
+    peers: () => hosts.current,
+    callPeer: (peerUrl, request, options) =>
+      transport.call(peerUrl, request, options),
+    handlePeer: (method, handler) => transport.handle(method, handler),
+  };
+}
+
 function bindFleet(
   container: Container,
   options: ContainerOptions,
@@ -147,6 +166,12 @@
     return new HostListWatcher({ client: context.get(IHostListClient), clock });
   });
   container.bind(IHostListWatcher).toService(HostListWatcher);
+  container.bind(ConfigPeers).toDynamicValue((context) => {
+    return new ConfigPeers({
+      membership: context.get(IMembership),
+      hostList: context.get(IHostListWatcher),
+    });
+  });
   container.bind(Membership).toDynamicValue((context) => {
     const { failureDomain, region } = settings;
     return new Membership({
--- a/src/http/operator_routes.ts
+++ b/src/http/operator_routes.ts
@@ -251,11 +251,7 @@
   }
 
   #refuse(response: Response, failure: Failure): void {
-    const { clock, config } = this.#options;
-    const extra = failure.code === "stale-version"
-      ? { currentVersion: config.state.version }
-      : undefined;
-    sendFailure(response, failure, clock, extra);
+    sendFailure(response, failure, this.#options.clock);
   }
 }
 
--- a/src/http/problem.ts
+++ b/src/http/problem.ts
@@ -66,6 +66,9 @@
     detail: failure.message,
     code: failure.code,
     verdict: failure.verdict,
+    ...(failure.currentVersion === undefined
+      ? {}
+      : { currentVersion: failure.currentVersion }),
     ...(failure.faults === undefined ? {} : { faults: failure.faults }),
     ...options.extra,
   };
--- a/test/whole_path_test.ts
+++ b/test/whole_path_test.ts
@@ -67,7 +67,11 @@
     ),
   );
   const statuses = answers.map((answer) => answer.statusCode).sort();
-  expect(statuses).toEqual([200, 409, 409]);
+  expect(statuses, JSON.stringify(answers.map(({ body }) => body))).toEqual([
+    200,
+    409,
+    409,
+  ]);
   for (const answer of answers.filter(({ statusCode }) => statusCode === 409)) {
     expect(answer.body).toMatchObject({
       currentVersion: current.version + 1,
