--- a/src/requests/call_once_test.ts
+++ b/src/requests/call_once_test.ts
@@ -49,6 +49,39 @@
   );
 }, FUZZ_WITHIN_MS);
 
+/** Longest time that a call without faults takes, from claim to outcome. */
+const CALL_MS = 320;
+
+test.each(["kill", "freeze"] as const)(
+  "%s of each host at each step of a call",
+  async (fault) => {
+    for (let host = 0; host < HOST_COUNT; host += 1) {
+      for (let atMs = 0; atMs < CALL_MS; atMs += 2) {
+        const { violations } = await play({
+          seed: atMs,
+          faults: 0,
+          steps: stepsAround({ kind: fault, host }, atMs),
+        });
+        expect(violations, `${fault} of ${host} at ${atMs}`).toEqual([]);
+      }
+    }
+  },
+  FUZZ_WITHIN_MS,
+);
+
+/** A call at host 0, a fault, then the caller's next try at host 1. */
+function stepsAround(fault: Step, atMs: number): Step[] {
+  const key = KEYS[0];
+  return [
+    { kind: "send", key, host: 0, withinMs: 2_000 },
+    { kind: "wait", waitMs: atMs },
+    fault,
+    { kind: "wait", waitMs: 2_500 },
+    { kind: "send", key, host: 1, withinMs: 2_000 },
+    { kind: "wait", waitMs: 2_500 },
+  ];
+}
+
 test("a table of keys on each host breaks the promise", async () => {
   const found: string[] = [];
   await fc.assert(
