--- a/src/pipelines/chain_picker.ts
+++ b/src/pipelines/chain_picker.ts
@@ -200,6 +200,7 @@
     const parts = chainParts(path);
     this.#parts.set(chain, parts);
     for (const part of parts) this.#load.addInFlight(part, 1);
+    this.#deadline.noteStart(chain);
     const startMs = this.#clock.nowMs();
     let isTaken = true;
     return toDisposable(() => {
@@ -207,9 +208,24 @@
       isTaken = false;
       for (const part of parts) this.#load.addInFlight(part, -1);
       this.#load.noteDuration(this.#clock.nowMs() - startMs);
+      this.#noteEnd(chain, startMs);
     });
   }
 
+  /**
+   * A chain given up after its deadline, for which no target was blamed, was
+   * slow as a whole: its deadline widens, lest every further try fails alike.
+   */
+  #noteEnd(chain: readonly ChainStage[], startMs: number): void {
+    const isBlamed = chain.some(({ target }) =>
+      this.#load.failedSince(target, startMs)
+    );
+    if (isBlamed) return;
+    const withinMs = this.#deadline.withinMs(chain, "decode");
+    if (this.#deadline.silentForMs(chain) < withinMs) return;
+    for (const { target } of chain) this.#deadline.noteStall(target);
+  }
+
   #retain(targets: Readonly<Record<string, unknown>>): void {
     const isKept = (part: string) => part in targets || part.includes(">");
     this.#load.retain(isKept);
--- a/src/pipelines/chain_picker_test.ts
+++ b/src/pipelines/chain_picker_test.ts
@@ -183,3 +183,21 @@
   }
   expect(slowCount).toBeLessThan(20);
 });
+
+test("a fleet that slows down as a whole gets wider deadlines", async () => {
+  const { picker, clock } = setUp();
+  const widths: number[] = [];
+  for (let attempt = 0; attempt < 12; attempt++) {
+    const pick = picker.pick({ ...REQUEST, prefixHash: attempt }).unwrap();
+    for (let token = 0; attempt < 6 && token < 32; token++) {
+      await clock.advance(20);
+      picker.reportProgress(pick.chain, { phase: "decode", gapMs: 20 });
+    }
+    const withinMs = picker.progressWithinMs(pick.chain, "decode");
+    if (attempt >= 6) await clock.advance(withinMs + 1);
+    widths.push(withinMs);
+    pick.dispose();
+  }
+  expect(widths[5]).toBeLessThan(100);
+  expect(widths[11]).toBeGreaterThan(3 * widths[5]);
+});
--- a/src/pipelines/progress_deadline.ts
+++ b/src/pipelines/progress_deadline.ts
@@ -20,6 +20,10 @@
 const FIRST_PREFILL_MS = 2_000;
 /** Gaps after which a chain's own history is trusted alone. */
 const TRUSTED_GAPS = 16;
+/** Gaps after which what a target showed in any chain is trusted. */
+const TRUSTED_TARGET_GAPS = 6;
+/** Room for a chain of which only others are known. */
+const STRANGER_FACTOR = 1.5;
 const MEAN_GAIN = 1 / 8;
 const DEVIATION_GAIN = 1 / 4;
 const DEVIATIONS = 4;
@@ -27,8 +31,8 @@
 const PEAK_FACTOR = 1.5;
 const MEAN_FACTOR = 2.5;
 /** A stall is a gap of at least the deadline, so later deadlines grow by this. */
-const STALL_FACTOR = 1.5;
-const MAX_STALL_FACTOR = 16;
+const STALL_FACTOR = 2;
+const MAX_STALL_FACTOR = 32;
 const STALL_HALF_LIFE_MS = 10_000;
 const MAX_CHAINS = 2_048;
 
@@ -52,6 +56,7 @@
 
 /** Statistics that one pick of a chain adds to, looked up once a pick. */
 interface ChainHandle {
+  progressAtMs: number;
   readonly targets: readonly string[];
   readonly gaps: Readonly<Record<Phase, TrackedGaps>>;
 }
@@ -59,6 +64,8 @@
 interface TrackedGaps {
   readonly ofChain: GapStatistics;
   readonly ofTargets: readonly GapStatistics[];
+  /** All chains of this host. */
+  readonly ofAll: GapStatistics;
 }
 
 /** A chain, as far as this module looks at it. */
@@ -70,6 +77,7 @@
   /** By phase and chain, the least recently picked first. */
   readonly #chains = new Map<string, GapStatistics>();
   readonly #targets = new Map<string, GapStatistics>();
+  readonly #all = { prefill: newStatistics(), decode: newStatistics() };
   readonly #stalls = new Map<string, StallRecord>();
   readonly #handles = new WeakMap<Chain, ChainHandle>();
 
@@ -89,16 +97,29 @@
     return Math.min(CEILING_MS, Math.max(floorMs, normalMs) * stallFactor);
   }
 
+  /** Notes that the chain was picked just now. */
+  noteStart(chain: Chain): void {
+    this.#handle(chain).progressAtMs = this.#clock.nowMs();
+  }
+
   /** Notes a gap that ended with a token. */
   noteGap(
     chain: Chain,
     observation: { readonly phase: Phase; readonly gapMs: number },
   ): void {
-    const { ofChain, ofTargets } = this.#handle(chain).gaps[observation.phase];
+    const handle = this.#handle(chain);
+    handle.progressAtMs = this.#clock.nowMs();
+    const { ofChain, ofTargets, ofAll } = handle.gaps[observation.phase];
     addGap(ofChain, observation.gapMs);
+    addGap(ofAll, observation.gapMs);
     for (const statistics of ofTargets) addGap(statistics, observation.gapMs);
   }
 
+  /** Time since the last token of the chain, or since it was picked. */
+  silentForMs(chain: Chain): number {
+    return this.#clock.nowMs() - this.#handle(chain).progressAtMs;
+  }
+
   /** Notes that a chain through `target` did not progress in time. */
   noteStall(target: string): void {
     const factor = this.#stallFactor(target) * STALL_FACTOR;
@@ -132,7 +153,7 @@
       prefill: this.#track(targets, "prefill"),
       decode: this.#track(targets, "decode"),
     };
-    handle = { targets, gaps };
+    handle = { progressAtMs: this.#clock.nowMs(), targets, gaps };
     this.#handles.set(chain, handle);
     return handle;
   }
@@ -148,6 +169,7 @@
     }
     return {
       ofChain,
+      ofAll: this.#all[phase],
       ofTargets: targets.map((target) => this.#ofTarget(target, phase)),
     };
   }
@@ -168,13 +190,15 @@
 }
 
 function normalGapMs(gaps: TrackedGaps, phase: Phase): number {
-  if (gaps.ofChain.count >= TRUSTED_GAPS) return upperGapMs(gaps.ofChain);
+  const { ofChain, ofTargets, ofAll } = gaps;
+  if (ofChain.count >= TRUSTED_GAPS) return upperGapMs(ofChain);
   let normalMs = 0;
-  for (const statistics of gaps.ofTargets) {
-    if (statistics.count < TRUSTED_GAPS) continue;
+  for (const statistics of ofTargets) {
+    if (statistics.count < TRUSTED_TARGET_GAPS) continue;
     normalMs = Math.max(normalMs, upperGapMs(statistics));
   }
   if (normalMs > 0) return normalMs;
+  if (ofAll.count >= TRUSTED_GAPS) return STRANGER_FACTOR * upperGapMs(ofAll);
   return phase === "decode" ? FIRST_DECODE_MS : FIRST_PREFILL_MS;
 }
 
