--- a/src/fleet/member_sync.ts
+++ b/src/fleet/member_sync.ts
@@ -16,6 +16,7 @@
 const MAX_ROUNDS = 64;
 const FIRST_INTERVAL_MS = 2_000;
 const MAX_INTERVAL_MS = 32_000;
+const BUSY_WAIT_MS = 10_000;
 
 /** Collaborators of a {@link MemberSync}. */
 export interface MemberSyncOptions {
@@ -55,9 +56,16 @@
     );
   }
 
-  /** Pulls unless that was done a short time ago. */
-  async pullIfDue(entry: MemberEntry): Promise<void> {
-    if (this.#clock.nowMs() < this.#dueMs) return;
+  /**
+   * Pulls unless that was done a short time ago. While updates still travel
+   * tables differ anyway, so that a busy host waits longer.
+   */
+  async pullIfDue(
+    entry: MemberEntry,
+    options: { readonly isBusy: boolean },
+  ): Promise<void> {
+    const dueMs = this.#dueMs + (options.isBusy ? BUSY_WAIT_MS : 0);
+    if (this.#clock.nowMs() < dueMs) return;
     await this.pull(entry);
   }
 
--- a/src/fleet/membership.ts
+++ b/src/fleet/membership.ts
@@ -229,8 +229,8 @@
     for (const [key, extra] of this.#extras) {
       extra.hear(ping.extras[key], member);
     }
-    if (ping.digest !== this.#table.digest.whole && this.#queue.size === 0) {
-      void this.#sync.pullIfDue(entry);
+    if (ping.digest !== this.#table.digest.whole) {
+      void this.#sync.pullIfDue(entry, { isBusy: this.#queue.size > 0 });
     }
     return true;
   }
