--- /dev/null
+++ b/measure/fleet_membership.ts
@@ -0,0 +1,283 @@
+/**
+ * Membership in virtual time: detection, false removals, messages and bytes at
+ * four sizes, with loss and pauses, for full probing, probes with travelling
+ * updates, and broadcast suspicions; then the bad moments.
+ * Run: node dist/measure/fleet_membership.js [largest size]
+ *
+ * @module
+ */
+
+import { FleetHosts, type FleetHostsOptions } from "../test/fleet_hosts.ts";
+import { FullProbing } from "../test/fleet_full_probing.ts";
+
+const SEED = 7;
+const SIZES = [9, 100, 400, 1_600];
+const FULL_PROBING_LIMIT = 400;
+const LOSS_FRACTION = 0.02;
+const STEP_MS = 250;
+const STEADY_MS = 40_000;
+const DETECTION_MS = 30_000;
+const KILL_COUNT = 3;
+const OBSERVER_COUNT = 200;
+/** Mean time between two pauses of one host. */
+const PAUSE_EVERY_MS = 300_000;
+
+type Variant = "updates with probes" | "broadcast suspicions";
+
+const VARIANTS: Record<Variant, FleetHostsOptions["membership"]> = {
+  "updates with probes": { announces: "own" },
+  "broadcast suspicions": { announces: "own-and-suspect" },
+};
+
+/** Prints the tables. */
+export async function run(
+  options: { readonly largest?: number } = {},
+): Promise<void> {
+  const startedMs = performance.now();
+  const sizes = SIZES.filter((size) => size <= (options.largest ?? Infinity));
+  console.log(
+    `Seed ${SEED}, loss ${LOSS_FRACTION} of requests and answers, ` +
+      `a pause of 0.5 to 3 s of each host every ${PAUSE_EVERY_MS / 1_000} s\n`,
+  );
+  console.log("Out of members() after a kill, over all observers\n");
+  console.log(
+    "| hosts | way | p50 s | p95 s | last s | false removals | calls/s | bytes/s | own processor ms/s |",
+  );
+  console.log("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+  for (const size of sizes) {
+    if (size <= FULL_PROBING_LIMIT) await measureFullProbing(size);
+    for (const variant of Object.keys(VARIANTS) as Variant[]) {
+      await measureSteady(size, variant);
+    }
+  }
+  console.log("\ncalls/s and bytes/s: sent and received by one host");
+  console.log("\nBad moments\n");
+  console.log(
+    "| hosts | moment | way | whole again after s | peak bytes/s of a host | mean bytes/s |",
+  );
+  console.log("| --- | --- | --- | --- | --- | --- |");
+  for (const size of sizes.filter((size) => size >= 100)) {
+    await measureBadMoments(size);
+  }
+  const tookS = (performance.now() - startedMs) / 1_000;
+  console.log(`\nRun time ${tookS.toFixed(0)} s`);
+}
+
+async function startFleet(
+  size: number,
+  membership: FleetHostsOptions["membership"],
+): Promise<FleetHosts> {
+  const fleet: FleetHosts = new FleetHosts({
+    seed: SEED,
+    network: {
+      lossFraction: LOSS_FRACTION,
+      countsBytes: true,
+      delayMs: () => 1 + 2 * fleet.random(),
+    },
+    membership,
+  });
+  await fleet.startAll(size);
+  await fleet.clock.advance(5_000);
+  return fleet;
+}
+
+async function measureSteady(size: number, variant: Variant): Promise<void> {
+  const fleet = await startFleet(size, VARIANTS[variant]);
+  fleet.network.resetCounts();
+  const before = process.cpuUsage();
+  const falseRemovals = await runWithPauses(fleet);
+  const used = process.cpuUsage(before);
+  const cost = costOf(fleet, STEADY_MS);
+  const ownMs = (used.user + used.system) / size / STEADY_MS;
+  const times = await detect(fleet, (observer, name) => {
+    const state = fleet.get(observer).membership.stateOf(name);
+    return state === undefined || state === "down";
+  });
+  printRow([size, variant, ...times, falseRemovals, ...cost, ownMs]);
+  fleet.stop();
+}
+
+async function measureFullProbing(size: number): Promise<void> {
+  const fleet = new FleetHosts({
+    seed: SEED,
+    network: { lossFraction: LOSS_FRACTION, countsBytes: true },
+  });
+  const probing = new FullProbing(fleet, size);
+  await fleet.clock.advance(2_000);
+  fleet.network.resetCounts();
+  const before = process.cpuUsage();
+  const spanMs = Math.min(STEADY_MS, 4_000_000 / size);
+  await fleet.clock.advance(spanMs);
+  const used = process.cpuUsage(before);
+  const cost = costOf(fleet, spanMs);
+  const ownMs = (used.user + used.system) / size / spanMs;
+  const falseRemovals = probing.countFalseRemovals();
+  const times = await detect(
+    fleet,
+    (observer, name) => probing.isGone(observer, name),
+  );
+  printRow([size, "full probing", ...times, falseRemovals, ...cost, ownMs]);
+  fleet.stop();
+}
+
+/** Pauses hosts at random; returns the removals of hosts that still ran. */
+async function runWithPauses(fleet: FleetHosts): Promise<number> {
+  const hosts = fleet.up();
+  const observers = hosts.slice(0, OBSERVER_COUNT);
+  const removed = new Set<string>();
+  for (let atMs = 0; atMs < STEADY_MS; atMs += 1_000) {
+    for (const host of hosts) {
+      if (fleet.random() >= 1_000 / PAUSE_EVERY_MS) continue;
+      void host.network.clock.pause(500 + 2_500 * fleet.random());
+    }
+    await fleet.clock.advance(1_000);
+    for (const observer of observers) {
+      for (const host of hosts) {
+        const { name } = host.listed;
+        if (observer.membership.stateOf(name) !== "down") continue;
+        removed.add(`${observer.listed.name}/${name}`);
+      }
+    }
+  }
+  return removed.size;
+}
+
+/** Kills hosts and returns p50, p95 and the last of the detection times, s. */
+async function detect(
+  fleet: FleetHosts,
+  isGone: (observer: string, name: string) => boolean,
+): Promise<number[]> {
+  const victims = fleet.up().slice(0, KILL_COUNT).map((h) => h.listed.name);
+  for (const name of victims) fleet.kill(name);
+  const observers = fleet.up().slice(0, OBSERVER_COUNT).map((h) =>
+    h.listed.name
+  );
+  const waiting = new Set(
+    observers.flatMap((o) => victims.map((v) => `${o} ${v}`)),
+  );
+  const timesMs: number[] = [];
+  for (let atMs = STEP_MS; atMs <= DETECTION_MS; atMs += STEP_MS) {
+    await fleet.clock.advance(STEP_MS);
+    for (const pair of waiting) {
+      const [observer, victim] = pair.split(" ");
+      if (!isGone(observer, victim)) continue;
+      waiting.delete(pair);
+      timesMs.push(atMs);
+    }
+    if (waiting.size === 0) break;
+  }
+  for (const _ of waiting) timesMs.push(Infinity);
+  return [0.5, 0.95, 1].map((part) =>
+    timesMs[Math.max(0, Math.ceil(timesMs.length * part) - 1)] / 1_000
+  );
+}
+
+async function measureBadMoments(size: number): Promise<void> {
+  for (const variant of Object.keys(VARIANTS) as Variant[]) {
+    const fleet = await startFleet(size, VARIANTS[variant]);
+    const victims = fleet.up().filter((_, index) => index % 14 === 0);
+    for (const host of victims) fleet.kill(host.listed.name);
+    await untilWhole(fleet, { moment: "domain lost", way: variant });
+    fleet.stop();
+  }
+  const removals = { "kept 10 min": 600_000, "removed at once": 1 };
+  for (const [way, forgetMs] of Object.entries(removals)) {
+    const fleet = await startFleet(size, { forgetMs });
+    const hosts = fleet.up();
+    hosts.forEach((host, index) => host.network.side = index % 5 === 0 ? 1 : 0);
+    await fleet.clock.advance(120_000);
+    hosts.forEach((host) => host.network.side = 0);
+    const moment = "region back after 120 s";
+    await untilWhole(fleet, { moment, way, listEveryMs: 10_000 });
+    fleet.stop();
+  }
+  const fleet = await startFleet(size, {});
+  await restartAll(fleet);
+  const moment = "all restarted within 180 s";
+  await untilWhole(fleet, { moment, way: "chosen", listEveryMs: 30_000 });
+  fleet.stop();
+}
+
+async function restartAll(fleet: FleetHosts): Promise<void> {
+  const hosts = fleet.up();
+  const perSecond = Math.ceil(hosts.length / 180);
+  for (let at = 0; at < hosts.length; at += perSecond) {
+    for (const host of hosts.slice(at, at + perSecond)) {
+      const { name, url } = host.listed;
+      fleet.kill(name);
+      const fresh = fleet.add(`${name}-b`, url);
+      fleet.readList(fresh);
+      fleet.start(fresh);
+    }
+    await fleet.clock.advance(1_000);
+  }
+}
+
+/** Advances until every running host lists exactly the running ones. */
+async function untilWhole(
+  fleet: FleetHosts,
+  options: {
+    readonly moment: string;
+    readonly way: string;
+    readonly listEveryMs?: number;
+  },
+): Promise<void> {
+  const limitS = 300;
+  let peak = 0;
+  let totalBytes = 0;
+  let atS = 0;
+  while (atS < limitS) {
+    fleet.network.resetCounts();
+    if (options.listEveryMs && (atS * 1_000) % options.listEveryMs === 0) {
+      fleet.publishList();
+    }
+    await fleet.clock.advance(1_000);
+    atS += 1;
+    const bytes = fleet.up().map((host) =>
+      host.network.sentBytes + host.network.receivedBytes
+    );
+    peak = bytes.reduce((most, value) => Math.max(most, value), peak);
+    totalBytes += bytes.reduce((sum, value) => sum + value, 0) / bytes.length;
+    if (isWhole(fleet)) break;
+  }
+  const result = isWhole(fleet) ? atS : `not within ${limitS}`;
+  const mean = totalBytes / atS;
+  printRow([
+    fleet.up().length,
+    options.moment,
+    options.way,
+    result,
+    peak,
+    mean,
+  ]);
+}
+
+function isWhole(fleet: FleetHosts): boolean {
+  const up = fleet.up();
+  return up.every((host) => host.membership.members().length === up.length);
+}
+
+function costOf(fleet: FleetHosts, spanMs: number): number[] {
+  const up = fleet.up();
+  const spanS = spanMs / 1_000;
+  const sum = (read: (host: typeof up[number]["network"]) => number) =>
+    up.reduce((total, host) => total + read(host.network), 0) / up.length /
+    spanS;
+  return [
+    sum((network) => network.sentCalls + network.receivedCalls),
+    sum((network) => network.sentBytes + network.receivedBytes),
+  ];
+}
+
+function printRow(cells: readonly (string | number)[]): void {
+  const texts = cells.map((cell) =>
+    typeof cell === "string"
+      ? cell
+      : String(cell >= 100 ? Math.round(cell) : Number(cell.toFixed(3)))
+  );
+  console.log(`| ${texts.join(" | ")} |`);
+}
+
+if (process.argv[1] === import.meta.filename) {
+  await run({ largest: Number(process.argv[2] ?? Infinity) });
+}
--- a/src/fleet/dissemination.ts
+++ b/src/fleet/dissemination.ts
@@ -19,6 +19,7 @@
 import { CallBudget } from "./call_budget.ts";
 import { FactStore } from "./fact_store.ts";
 import { FactSync } from "./fact_sync.ts";
+import { rankOf, STATE_COUNT } from "./member_table.ts";
 import { HASH_SPACE, MemberRing, type RingRange } from "./member_ring.ts";
 import type { Membership } from "./membership.ts";
 import type { Fact, IDissemination, IPeerTransport } from "./services.ts";
@@ -178,7 +179,7 @@
     this.publish({
       topic: "member",
       key: update.name,
-      sequence: update.incarnation,
+      sequence: update.incarnation * STATE_COUNT + rankOf(update.state),
       data: update,
       expiresAtWallMs: this.#clock.wallMs() + MEMBER_FACT_MS,
     });
--- a/src/fleet/dissemination_test.ts
+++ b/src/fleet/dissemination_test.ts
@@ -1,7 +1,7 @@
 import { afterEach, describe, expect, test } from "vitest";
 import { FleetHosts } from "../../test/fleet_hosts.ts";
 import { FactStore } from "./fact_store.ts";
-import type { Fact } from "./services.ts";
+import type { Fact, PeerMethod } from "./services.ts";
 
 const SEEDS = [1, 2];
 const COUNT = 40;
@@ -27,7 +27,9 @@
 function listen(fleet: FleetHosts, heard: Map<string, Fact[]>, name: string) {
   const facts: Fact[] = [];
   heard.set(name, facts);
-  fleet.get(name).dissemination.onFact((fact) => facts.push(fact));
+  fleet.get(name).dissemination.onFact((fact) => {
+    if (fact.topic === "strike") facts.push(fact);
+  });
 }
 
 function makeFact(fleet: FleetHosts, extra: Partial<Fact> = {}): Fact {
@@ -47,12 +49,21 @@
 }
 
 describe.each(SEEDS)("seed %i", (seed) => {
-  test("a fact reaches every host once within a second", async () => {
+  test("a fact reaches every host once within a second, in one message each", async () => {
     const { fleet, heard } = await startFleet(seed);
+    let pushCount = 0;
+    for (const { network } of fleet.up()) {
+      const push = network.methods.get("facts.push") as PeerMethod;
+      network.methods.set("facts.push", (parameters, from) => {
+        pushCount += 1;
+        return push(parameters, from);
+      });
+    }
     fleet.get("host-0").dissemination.publish(makeFact(fleet));
     await fleet.clock.advance(1_000);
     expect(countHolding(heard, 1)).toBe(COUNT - 1);
     await fleet.clock.advance(10_000);
+    expect(pushCount).toBe(COUNT - 1);
     expect(heard.get("host-0")).toEqual([]);
     expect([...heard.values()].every((facts) => facts.length <= 1)).toBe(true);
   });
--- a/src/fleet/fact_sync.ts
+++ b/src/fleet/fact_sync.ts
@@ -17,6 +17,8 @@
 const CALL_TIMEOUT_MS = 1_000;
 const MAX_ITEMS = 64;
 const FIRST_INTERVAL_MS = 500;
+const SETTLE_MS = 400;
+const MAX_BUSY_COUNT = 3;
 const MAX_INTERVAL_MS = 16_000;
 
 /** Collaborators of a {@link FactSync}. */
@@ -35,6 +37,7 @@
   readonly #owned = new DisposableStore();
   #intervalMs = FIRST_INTERVAL_MS;
   #dueMs = 0;
+  #busyCount = 0;
   #isPulling = false;
 
   constructor(options: FactSyncOptions) {
@@ -64,12 +67,29 @@
 
   async #pull(from: Member): Promise<void> {
     this.#isPulling = true;
-    const newCount = await this.#exchange(from);
+    if (await this.#differsForGood()) {
+      const newCount = await this.#exchange(from);
+      this.#intervalMs = newCount > 0
+        ? FIRST_INTERVAL_MS
+        : Math.min(MAX_INTERVAL_MS, this.#intervalMs * 2);
+      this.#dueMs = this.#options.clock.nowMs() + this.#intervalMs;
+    }
     this.#isPulling = false;
-    this.#intervalMs = newCount > 0
-      ? FIRST_INTERVAL_MS
-      : Math.min(MAX_INTERVAL_MS, this.#intervalMs * 2);
-    this.#dueMs = this.#options.clock.nowMs() + this.#intervalMs;
+  }
+
+  /**
+   * A broadcast under way makes digests differ for a short time. True when no
+   * fact comes in meanwhile, or facts keep coming in.
+   */
+  async #differsForGood(): Promise<boolean> {
+    const { store, clock } = this.#options;
+    const before = store.digest.whole;
+    await clock.sleep(SETTLE_MS);
+    const isQuiet = store.digest.whole === before;
+    this.#busyCount = isQuiet ? 0 : this.#busyCount + 1;
+    if (this.#busyCount < MAX_BUSY_COUNT) return isQuiet;
+    this.#busyCount = 0;
+    return true;
   }
 
   /** Returns how many facts were new to either side. */
--- a/src/fleet/member_ring.ts
+++ b/src/fleet/member_ring.ts
@@ -28,29 +28,35 @@
 /** The other members that can be reached, in order. */
 export class MemberRing implements Disposable {
   readonly #membership: Membership;
+  readonly #selfHash: number;
   readonly #owned = new DisposableStore();
   #places: readonly Place[] | undefined;
 
   constructor(membership: Membership) {
     this.#membership = membership;
+    this.#selfHash = hash32(membership.self.name);
     this.#owned.add(
       membership.onChange(() => this.#places = undefined),
     );
   }
 
-  /** Splits a range into at most `count` parts that hold equally many members. */
+  /**
+   * Splits a range, without this host, into about `count` parts that hold
+   * equally many members.
+   */
   split(range: RingRange, count: number): RingRange[] {
-    const places = this.#within(range);
-    const partCount = Math.min(count, places.length);
-    const parts: RingRange[] = [];
-    let firstHash = range.firstHash;
-    for (let part = 1; part <= partCount; part += 1) {
-      const next = places[Math.floor(part * places.length / partCount)];
-      const endHash = part === partCount ? range.endHash : next.hash;
-      parts.push({ firstHash, endHash });
-      firstHash = endHash;
-    }
-    return parts;
+    const { firstHash, endHash } = range;
+    const isWithin = firstHash <= this.#selfHash && this.#selfHash < endHash;
+    if (!isWithin) return this.#splitEvenly(range, count);
+    const left = { firstHash, endHash: this.#selfHash };
+    const right = { firstHash: this.#selfHash + 1, endHash };
+    const leftCount = this.#within(left).length;
+    const total = leftCount + this.#within(right).length;
+    const leftParts = Math.ceil(count * leftCount / Math.max(1, total));
+    return [
+      ...this.#splitEvenly(left, leftParts),
+      ...this.#splitEvenly(right, Math.max(1, count - leftParts)),
+    ];
   }
 
   /** Picks a member of a range at random; a suspect one only as the last. */
@@ -70,6 +76,20 @@
     this.#owned.dispose();
   }
 
+  #splitEvenly(range: RingRange, count: number): RingRange[] {
+    const places = this.#within(range);
+    const partCount = Math.min(count, places.length);
+    const parts: RingRange[] = [];
+    let firstHash = range.firstHash;
+    for (let part = 1; part <= partCount; part += 1) {
+      const next = places[Math.floor(part * places.length / partCount)];
+      const endHash = part === partCount ? range.endHash : next.hash;
+      parts.push({ firstHash, endHash });
+      firstHash = endHash;
+    }
+    return parts;
+  }
+
   #within(range: RingRange): readonly Place[] {
     this.#places ??= this.#membership.peers()
       .map((member) => ({ hash: hash32(member.name), member }))
--- a/src/fleet/member_table.ts
+++ b/src/fleet/member_table.ts
@@ -23,6 +23,14 @@
   down: 3,
 };
 
+/** Number of states; ranks are below it. */
+export const STATE_COUNT = 4;
+
+/** How grave a state is; of one incarnation the gravest holds. */
+export function rankOf(state: MemberState): number {
+  return STATE_RANK[state];
+}
+
 /** One entry of the table. */
 export interface MemberEntry {
   readonly name: string;
--- a/src/fleet/membership.ts
+++ b/src/fleet/membership.ts
@@ -22,7 +22,12 @@
   IPeerTransport,
   Member,
 } from "./services.ts";
-import type { MemberAddress, MemberUpdate, Ping } from "./types.ts";
+import type {
+  MemberAddress,
+  MemberState,
+  MemberUpdate,
+  Ping,
+} from "./types.ts";
 import { UpdateQueue } from "./update_queue.ts";
 
 const DEFAULT_PERIOD_MS = 1_000;
@@ -47,6 +52,8 @@
   readonly suspectMs?: number;
   /** How long a member that is down is kept, and probed now and then. */
   readonly forgetMs?: number;
+  /** Which updates go out by {@link Membership.onAnnounce} and not with probes only. */
+  readonly announces?: "own" | "own-and-suspect";
 }
 
 /** A small value that travels along with probes. */
@@ -62,6 +69,7 @@
   readonly #clock: Clock;
   readonly #random: Random;
   readonly #periodMs: number;
+  readonly #announces: "own" | "own-and-suspect";
   readonly #table: MemberTable;
   readonly #queue = new UpdateQueue();
   readonly #prober: Prober;
@@ -75,7 +83,7 @@
   #members: readonly Member[] | undefined;
 
   readonly onChange = this.#changes.event;
-  /** Fires when this host says something of itself that all should know soon. */
+  /** Fires with what all should know soon: above all that this host leaves. */
   readonly onAnnounce = this.#announcements.event;
 
   constructor(options: MembershipOptions) {
@@ -85,6 +93,7 @@
     this.#clock = options.clock ?? systemClock;
     this.#random = options.random ?? Math.random;
     this.#periodMs = options.periodMs ?? DEFAULT_PERIOD_MS;
+    this.#announces = options.announces ?? "own-and-suspect";
     this.#table = new MemberTable({
       selfName: name,
       suspectMs: options.suspectMs ?? DEFAULT_SUSPECT_MS,
@@ -127,6 +136,11 @@
     return this.#table.reachable().map(toMember);
   }
 
+  /** What is known of a member; undefined when it is unknown or forgotten. */
+  stateOf(name: string): MemberState | undefined {
+    return this.#table.get(name)?.state;
+  }
+
   /** Lets a small value travel along with each probe and answer. */
   addExtra(key: string, extra: ProbeExtra): void {
     this.#extras.set(key, extra);
@@ -193,7 +207,8 @@
   #suspect(name: string): void {
     const update = this.#table.suspect(name, this.#clock.nowMs());
     if (update === undefined) return;
-    this.#queue.add(update);
+    if (this.#announces === "own") this.#queue.add(update);
+    else this.#announcements.fire(update);
     this.#noteChange();
   }
 
@@ -277,7 +292,8 @@
     const isTrue = update.state === (this.#isLeaving ? "leaving" : "alive");
     if (isTrue && update.incarnation === this.#incarnation) return;
     this.#incarnation = update.incarnation + 1;
-    this.#say();
+    const said = this.#say();
+    if (this.#announces !== "own") this.#announcements.fire(said);
   }
 
   /** Puts what this host says of itself into the table and the queue. */
--- a/test/fleet_hosts.ts
+++ b/test/fleet_hosts.ts
@@ -35,7 +35,7 @@
   readonly network?: Partial<FleetNetworkOptions>;
   readonly membership?: Pick<
     MembershipOptions,
-    "periodMs" | "suspectMs" | "forgetMs"
+    "periodMs" | "suspectMs" | "forgetMs" | "announces"
   >;
 }
 
@@ -45,7 +45,7 @@
   readonly random: Random;
   readonly network: FleetNetwork;
   readonly hosts = new Map<string, FleetHost>();
-  readonly #lists = new Emitter<readonly ListedHost[]>();
+  readonly #lists = new Map<string, Emitter<readonly ListedHost[]>>();
   readonly #options: FleetHostsOptions;
 
   constructor(options: FleetHostsOptions) {
@@ -70,10 +70,12 @@
       role: "entry",
       state: "live",
     };
+    const lists = new Emitter<readonly ListedHost[]>();
+    this.#lists.set(name, lists);
     const membership = new Membership({
       self: listed,
       transport: network,
-      watcher: { onList: this.#lists.event },
+      watcher: { onList: lists.event },
       clock: network.clock,
       random: this.random,
       ...this.#options.membership,
@@ -107,12 +109,15 @@
     await this.clock.advance(0);
   }
 
-  /** Lets every host read the list; dead hosts stay on it when told so. */
-  publishList(options: { readonly withDead?: boolean } = {}): void {
-    const list = [...this.hosts.values()]
-      .filter((host) => options.withDead || host.network.isUp)
-      .map((host) => host.listed);
-    this.#lists.fire(list);
+  /** Lets every running host read the list of the running hosts. */
+  publishList(): void {
+    for (const host of this.up()) this.readList(host);
+  }
+
+  /** Lets one host read the list of the running hosts. */
+  readList(host: FleetHost): void {
+    const list = this.up().map((other) => other.listed);
+    this.#lists.get(host.listed.name)?.fire(list);
   }
 
   kill(name: string): void {
