Lend shares of a customer's limits from a home to the hosts with demand

Cause: dividing a limit evenly by the member count admits less than 70% of what is allowed when the demand is skewed (test 'an even split ...'). Change: a rendezvous-chosen home for each partition of customers lends rate and slots by demand (max-min), borrowers renew all customers of a partition in one call, give back early what they do not use, fall back to a floor. A new home only renews what borrowers hold for one lease time; a home that was cut off lends its part only; what shares lost lately is lent again, bounded to a second's worth.

--- /dev/null
+++ b/src/fleet/limit_account.ts
@@ -0,0 +1,180 @@
+/**
+ * One customer's account on this host: its share, what it used of it, and how
+ * much is asked for.
+ *
+ * @module
+ */
+
+/** Tokens kept are worth this much time of the share's rate. */
+const BURST_MS = 500;
+/** Least room for tokens; a slow share would else lose those it cannot keep. */
+const MIN_BURST = 3;
+/** Demand is taken over the shortest window that holds enough arrivals. */
+const WINDOWS_MS = [250, 700, 3_000, 10_000];
+const ENOUGH_ARRIVALS = 6;
+/** A shorter window is believed at once when it holds less than this part. */
+const DROP_FRACTION = 0.5;
+const DROP_ARRIVALS = 5;
+const USED_WINDOW_MS = 1_000;
+/** Slots asked for, as a factor of those used, after a refusal. */
+const SHORT_SLOTS_FACTOR = 1.25;
+/** Part of the peak of running requests that counts on at the next ask. */
+const PEAK_KEPT_FRACTION = 0.8;
+const MIN_AGE_MS = 300;
+
+/** Share of the limits that is in force on this host. */
+export interface Share {
+  readonly requestsPerS: number;
+  readonly slots: number;
+}
+
+/** Tokens, running requests and demand of one customer. */
+export class LimitAccount {
+  #tokens = 1;
+  #atMs: number;
+  readonly #rates: readonly ArrivalRate[];
+  readonly #used: ArrivalRate;
+  #refusedSlots = 0;
+  #peakRunning = 0;
+  running = 0;
+  lease: Share | undefined;
+  leaseEndsMs = 0;
+  lastUsedMs: number;
+  lastAskedMs = -Infinity;
+  lastWantedPerS = 0;
+  /** How long to wait before a short share is asked for again. */
+  askWaitMs = 0;
+  /** Set when a request was refused for want of a share. */
+  isShort = true;
+
+  constructor(nowMs: number) {
+    this.#atMs = nowMs;
+    this.#rates = WINDOWS_MS.map((windowMs) =>
+      new ArrivalRate(windowMs, nowMs)
+    );
+    this.#used = new ArrivalRate(USED_WINDOW_MS, nowMs);
+    this.lastUsedMs = nowMs;
+  }
+
+  /** Requests a second that arrived lately, refused ones included. */
+  demandPerS(nowMs: number): number {
+    const { steadyPerS, shorter } = this.#steadyRate(nowMs);
+    for (const rate of shorter) {
+      const perS = rate.perS(nowMs);
+      const isDrop = perS < steadyPerS * DROP_FRACTION;
+      if (isDrop && rate.expects(steadyPerS) >= DROP_ARRIVALS) return perS;
+    }
+    return steadyPerS;
+  }
+
+  /** Requests a second that were admitted lately. */
+  usedPerS(nowMs: number): number {
+    return this.#used.perS(nowMs);
+  }
+
+  /** Requests that would have run at once since this was last asked. */
+  takeWantedSlots(): number {
+    const peak = Math.max(1, Math.ceil(this.#peakRunning));
+    const wanted = this.#refusedSlots > 0
+      ? Math.ceil(peak * SHORT_SLOTS_FACTOR) + 1
+      : peak;
+    this.#refusedSlots = 0;
+    this.#peakRunning = Math.max(
+      this.running,
+      this.#peakRunning * PEAK_KEPT_FRACTION,
+    );
+    return wanted;
+  }
+
+  noteArrival(nowMs: number): void {
+    for (const rate of this.#rates) rate.add(nowMs);
+    this.lastUsedMs = nowMs;
+  }
+
+  /** Takes a token and a slot; else says which was lacking. */
+  take(share: Share, nowMs: number): "taken" | "rate" | "slots" {
+    this.#refill(share, nowMs);
+    if (this.running >= share.slots) {
+      this.#refusedSlots += 1;
+      return "slots";
+    }
+    if (this.#tokens < 1) return "rate";
+    this.#tokens -= 1;
+    this.#used.add(nowMs);
+    this.running += 1;
+    this.#peakRunning = Math.max(this.#peakRunning, this.running);
+    return "taken";
+  }
+
+  /** How long until the share has earned the next token. */
+  nextTokenMs(share: Share): number {
+    return (1 - this.#tokens) * 1_000 / Math.max(share.requestsPerS, 0.001);
+  }
+
+  /** Earns tokens under the share that was in force until now. */
+  refill(share: Share, nowMs: number): void {
+    this.#refill(share, nowMs);
+  }
+
+  /** The rate over the shortest window with enough arrivals, or the longest. */
+  #steadyRate(
+    nowMs: number,
+  ): { steadyPerS: number; shorter: readonly ArrivalRate[] } {
+    let mostPerS = Infinity;
+    let steadyPerS = 0;
+    for (const [index, rate] of this.#rates.entries()) {
+      steadyPerS = Math.min(mostPerS, rate.perS(nowMs));
+      if (steadyPerS >= rate.enoughPerS) {
+        return { steadyPerS, shorter: this.#rates.slice(0, index) };
+      }
+      mostPerS = rate.enoughPerS;
+    }
+    return { steadyPerS, shorter: this.#rates };
+  }
+
+  #refill(share: Share, nowMs: number): void {
+    const earned = (nowMs - this.#atMs) * share.requestsPerS / 1_000;
+    const room = Math.max(MIN_BURST, share.requestsPerS * BURST_MS / 1_000);
+    this.#tokens = Math.min(room, this.#tokens + earned);
+    this.#atMs = nowMs;
+  }
+}
+
+/** Arrivals a second, weighted towards the recent ones. */
+class ArrivalRate {
+  /** The rate from which on the window holds enough arrivals. */
+  readonly enoughPerS: number;
+  readonly #windowMs: number;
+  readonly #startMs: number;
+  #count = 0;
+  #atMs: number;
+
+  constructor(windowMs: number, nowMs: number) {
+    this.#windowMs = windowMs;
+    this.enoughPerS = ENOUGH_ARRIVALS * 1_000 / windowMs;
+    this.#startMs = nowMs;
+    this.#atMs = nowMs;
+  }
+
+  /** Arrivals in the window at a rate. */
+  expects(perS: number): number {
+    return perS * this.#windowMs / 1_000;
+  }
+
+  add(nowMs: number): void {
+    this.#decay(nowMs);
+    this.#count += 1;
+  }
+
+  perS(nowMs: number): number {
+    this.#decay(nowMs);
+    const ageMs = Math.max(MIN_AGE_MS, nowMs - this.#startMs);
+    const seen = 1 - Math.exp(-ageMs / this.#windowMs);
+    return this.#count * 1_000 / (this.#windowMs * seen);
+  }
+
+  #decay(nowMs: number): void {
+    this.#count *= Math.exp(-(nowMs - this.#atMs) / this.#windowMs);
+    this.#atMs = nowMs;
+  }
+}
--- /dev/null
+++ b/src/fleet/limit_borrower.ts
@@ -0,0 +1,215 @@
+/**
+ * The borrowing side of limits: keeps an account of each customer with
+ * traffic on this host, and renews all shares of one partition in one call.
+ * While a home does not answer, the next one in rendezvous order is asked,
+ * which renews what is held; past the lease only a floor is left.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import type { CustomerLimits } from "./limit_lender.ts";
+import { LimitAccount, type Share } from "./limit_account.ts";
+import { type LimitHomes, partitionOf } from "./limit_homes.ts";
+import type { IPeerTransport, Member } from "./services.ts";
+import type { BorrowAnswer, BorrowAsk, BorrowRequest } from "./types.ts";
+
+const CALL_TIMEOUT_MS = 400;
+const MAX_TRIES = 3;
+/** Part of the limit that all hosts together may use without any lease. */
+const FLOOR_FRACTION = 0.05;
+/** Asking again soon is worth while as long as shares grow by this factor. */
+const GAIN_FACTOR = 1.05;
+/** A share of which less than this part is used is given back early. */
+const WASTE_FRACTION = 0.7;
+/** An account unused for this many lease times is dropped. */
+const IDLE_LEASES = 4;
+
+/** Collaborators of a {@link LimitBorrower}. */
+export interface LimitBorrowerOptions {
+  readonly transport: IPeerTransport;
+  readonly clock: Clock;
+  readonly homes: LimitHomes;
+  readonly memberCount: () => number;
+  readonly limitsOf: (customer: string) => CustomerLimits | undefined;
+  readonly leaseMs: () => number;
+  readonly periodMs: () => number;
+  /** Least time between two asks for one customer. */
+  readonly tickMs: () => number;
+  /** Answers where this host is the home itself. */
+  readonly lendHere: (request: BorrowRequest) => BorrowAnswer;
+}
+
+/** Accounts of this host and their leases. */
+export class LimitBorrower {
+  readonly #options: LimitBorrowerOptions;
+  readonly #accounts = new Map<string, LimitAccount>();
+  readonly #asking = new Set<number>();
+
+  constructor(options: LimitBorrowerOptions) {
+    this.#options = options;
+  }
+
+  /** Number of customers that cost anything now. */
+  get accountCount(): number {
+    return this.#accounts.size;
+  }
+
+  accountOf(customer: string): LimitAccount {
+    let account = this.#accounts.get(customer);
+    if (account === undefined) {
+      account = new LimitAccount(this.#options.clock.nowMs());
+      this.#accounts.set(customer, account);
+    }
+    return account;
+  }
+
+  /** The share in force: the lease, or the floor once it has run out. */
+  shareOf(account: LimitAccount, limits: CustomerLimits): Share {
+    const nowMs = this.#options.clock.nowMs();
+    if (account.lease !== undefined && nowMs < account.leaseEndsMs) {
+      return account.lease;
+    }
+    const part = FLOOR_FRACTION / this.#options.memberCount();
+    return {
+      requestsPerS: limits.requestsPerS * part,
+      slots: Math.max(1, Math.floor(limits.slots * part)),
+    };
+  }
+
+  /** Asks at once where that is allowed, else at the next tick. */
+  askSoon(customer: string): void {
+    const account = this.accountOf(customer);
+    account.isShort = true;
+    const nowMs = this.#options.clock.nowMs();
+    if (nowMs >= account.lastAskedMs + account.askWaitMs) {
+      void this.#ask(partitionOf(customer));
+    }
+  }
+
+  /** Asks for every share that is due, and drops accounts not in use. */
+  tick(): void {
+    const partitions = new Set<number>();
+    const nowMs = this.#options.clock.nowMs();
+    const idleMs = IDLE_LEASES * this.#options.leaseMs();
+    for (const [customer, account] of this.#accounts) {
+      const isIdle = nowMs - account.lastUsedMs > idleMs;
+      if (isIdle && account.running === 0) this.#accounts.delete(customer);
+      else if (this.#isDue(customer, account)) {
+        partitions.add(partitionOf(customer));
+      }
+    }
+    for (const partition of partitions) void this.#ask(partition);
+  }
+
+  /** True when the share is short, far too large, or to be renewed. */
+  #isDue(customer: string, account: LimitAccount): boolean {
+    const nowMs = this.#options.clock.nowMs();
+    const mayAskAgain = nowMs >= account.lastAskedMs + account.askWaitMs;
+    if (account.isShort && mayAskAgain) return true;
+    const demandPerS = account.demandPerS(nowMs);
+    const { lease } = account;
+    if (lease !== undefined) {
+      const isWaste = demandPerS < lease.requestsPerS * WASTE_FRACTION &&
+        demandPerS < account.lastWantedPerS * WASTE_FRACTION;
+      const isOld = nowMs >= account.lastAskedMs + this.#options.periodMs();
+      return isWaste || isOld;
+    }
+    const limits = this.#options.limitsOf(customer);
+    if (limits === undefined) return false;
+    // A quiet customer, for which the floor is enough, costs no message.
+    const floor = this.shareOf(account, limits);
+    return demandPerS > floor.requestsPerS || account.running > floor.slots;
+  }
+
+  async #ask(partition: number): Promise<void> {
+    if (this.#asking.has(partition)) return;
+    const asks = this.#makeAsks(partition);
+    if (asks.length === 0) return;
+    this.#asking.add(partition);
+    const answer = await this.#askHomes({ partition, asks });
+    this.#asking.delete(partition);
+    if (answer !== undefined) this.#takeLeases(answer);
+  }
+
+  /** Asks the home; twice, since a lost answer may have made a share smaller. */
+  async #askHomes(request: BorrowRequest): Promise<BorrowAnswer | undefined> {
+    for (let count = 0; count < MAX_TRIES; count += 1) {
+      const home = this.#options.homes.homeOf(request.partition);
+      if (home === undefined) return undefined;
+      const answer = await this.#send(home, request);
+      if (answer !== undefined) return answer;
+      if (count > 0) this.#options.homes.avoid(home);
+    }
+    return undefined;
+  }
+
+  async #send(
+    home: Member,
+    request: BorrowRequest,
+  ): Promise<BorrowAnswer | undefined> {
+    const { transport, clock, homes, lendHere } = this.#options;
+    if (homes.isSelf(home)) return lendHere(request);
+    const outcome = await transport.call(
+      home.url,
+      { method: "limits.borrow", parameters: request },
+      { deadlineMs: clock.nowMs() + CALL_TIMEOUT_MS },
+    );
+    return outcome.isOk() ? outcome.value as BorrowAnswer : undefined;
+  }
+
+  /** Asks for all accounts of a partition that are due or hold a lease. */
+  #makeAsks(partition: number): BorrowAsk[] {
+    const asks: BorrowAsk[] = [];
+    for (const [customer, account] of this.#accounts) {
+      if (partitionOf(customer) !== partition) continue;
+      if (!this.#isDue(customer, account)) continue;
+      asks.push(this.#makeAsk(customer, account));
+    }
+    return asks;
+  }
+
+  #makeAsk(customer: string, account: LimitAccount): BorrowAsk {
+    const nowMs = this.#options.clock.nowMs();
+    const isHeld = nowMs < account.leaseEndsMs;
+    const held = isHeld ? account.lease : undefined;
+    const wantedPerS = account.demandPerS(nowMs);
+    account.lastAskedMs = nowMs;
+    account.lastWantedPerS = wantedPerS;
+    account.askWaitMs = Math.max(account.askWaitMs, this.#options.tickMs());
+    account.isShort = false;
+    return {
+      customer,
+      wantedPerS: round(wantedPerS < MIN_DEMAND_PER_S ? 0 : wantedPerS),
+      usedPerS: round(account.usedPerS(nowMs)),
+      heldPerS: round(held?.requestsPerS ?? 0),
+      wantedSlots: account.takeWantedSlots(),
+      heldSlots: Math.max(account.running, held?.slots ?? 0),
+    };
+  }
+
+  #takeLeases(answer: BorrowAnswer): void {
+    const { clock, limitsOf } = this.#options;
+    const nowMs = clock.nowMs();
+    const endsMs = nowMs + answer.expiresAtWallMs - clock.wallMs();
+    for (const lease of answer.leases) {
+      const account = this.#accounts.get(lease.customer);
+      const limits = limitsOf(lease.customer);
+      if (account === undefined || limits === undefined) continue;
+      const share = this.shareOf(account, limits);
+      account.refill(share, nowMs);
+      const isMore = lease.requestsPerS > share.requestsPerS * GAIN_FACTOR;
+      account.askWaitMs = isMore
+        ? this.#options.tickMs()
+        : Math.min(account.askWaitMs * 2, this.#options.periodMs() / 2);
+      account.lease = lease;
+      account.leaseEndsMs = endsMs;
+    }
+  }
+}
+
+const MIN_DEMAND_PER_S = 0.001;
+
+function round(value: number): number {
+  return Math.round(value * 1_000) / 1_000;
+}
--- /dev/null
+++ b/src/fleet/limit_lender.ts
@@ -0,0 +1,275 @@
+/**
+ * The home's side of limits: lends shares of a customer's rate and slots to
+ * the hosts that ask, never more in all than the limit. Shares follow demand
+ * (max-min fair between hosts) and what stays free is lent in proportion.
+ *
+ * A host that has just become home does not know what its predecessor lent.
+ * For the length of one lease it only renews what the borrowers say they hold,
+ * and so does a host that is asked while it does not take itself for the home.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import type { BorrowAnswer, BorrowAsk, BorrowRequest } from "./types.ts";
+
+/**
+ * A lease that ran out unrenewed stays reserved this many lease times more: its
+ * borrower may have renewed it at another host.
+ */
+const RESERVE_LEASES = 1;
+
+/** Part of the limit that all shares together may come to. */
+const MAX_LENT_FRACTION = 1.05;
+/** Bound of the credit, as time at the limit's rate, and time to spend it in. */
+const MAX_CREDIT_MS = 1_000;
+const SPEND_CREDIT_MS = 3_000;
+/** Part of what nobody wants that is lent; the rest waits for the next to ask. */
+const SPARE_FRACTION = 0.7;
+/** Spare room is divided as if at least this many hosts had asked. */
+const MIN_SPARE_PARTS = 4;
+
+/** Limits of one customer over the fleet. */
+export interface CustomerLimits {
+  readonly requestsPerS: number;
+  readonly slots: number;
+}
+
+/** Collaborators of a {@link LimitLender}. */
+export interface LimitLenderOptions {
+  readonly clock: Clock;
+  readonly leaseMs: () => number;
+  /** Limits of a customer; undefined when it is not configured. */
+  readonly limitsOf: (customer: string) => CustomerLimits | undefined;
+  /** Share of the fleet that this host can reach, 1 when nobody is cut off. */
+  readonly reachableFraction: () => number;
+  /** How long this host has been home of a partition. */
+  readonly homeForMs: (partition: number) => number;
+}
+
+interface Loan {
+  wantedPerS: number;
+  requestsPerS: number;
+  usedPerS: number;
+  wantedSlots: number;
+  slots: number;
+  expiresMs: number;
+}
+
+interface PartitionState {
+  readonly partition: number;
+  usedMs: number;
+  readonly customers: Map<string, CustomerState>;
+}
+
+interface CustomerState {
+  readonly loans: Map<string, Loan>;
+  /** Requests that the limit allowed and nobody made, up to a bound. */
+  credit: number;
+  creditAtMs: number;
+}
+
+/** Lends shares of the customers whose home this host is. */
+export class LimitLender {
+  readonly #options: LimitLenderOptions;
+  readonly #partitions = new Map<number, PartitionState>();
+
+  constructor(options: LimitLenderOptions) {
+    this.#options = options;
+  }
+
+  /** Answers one host's asks for a partition. */
+  lend(request: BorrowRequest, borrower: string): BorrowAnswer {
+    const { clock, leaseMs } = this.#options;
+    const state = this.#stateOf(request.partition);
+    const expiresMs = clock.nowMs() + leaseMs();
+    const leases = request.asks.flatMap((ask) => {
+      const loan = this.#renew(state, { ask, borrower, expiresMs });
+      if (loan === undefined) return [];
+      const { requestsPerS, slots } = loan;
+      return [{ customer: ask.customer, requestsPerS, slots }];
+    });
+    return { leases, expiresAtWallMs: Math.floor(clock.wallMs() + leaseMs()) };
+  }
+
+  /** Forgets partitions that nobody has asked about for long. */
+  expire(): void {
+    const { clock, leaseMs } = this.#options;
+    const staleMs = clock.nowMs() - (2 + RESERVE_LEASES) * leaseMs();
+    for (const [partition, state] of this.#partitions) {
+      if (state.usedMs < staleMs) this.#partitions.delete(partition);
+    }
+  }
+
+  #stateOf(partition: number): PartitionState {
+    const nowMs = this.#options.clock.nowMs();
+    let state = this.#partitions.get(partition);
+    if (state === undefined) {
+      state = { partition, usedMs: nowMs, customers: new Map() };
+      this.#partitions.set(partition, state);
+    }
+    state.usedMs = nowMs;
+    return state;
+  }
+
+  #renew(
+    state: PartitionState,
+    asked: {
+      readonly ask: BorrowAsk;
+      readonly borrower: string;
+      readonly expiresMs: number;
+    },
+  ): Loan | undefined {
+    const { ask, borrower, expiresMs } = asked;
+    const limits = this.#limitsNow(ask.customer);
+    if (limits === undefined) return undefined;
+    const customer = this.#customerOf(state, ask.customer);
+    const { loans } = customer;
+    this.#dropOld(loans);
+    loans.delete(borrower);
+    const others = [...loans.values()];
+    const { wantedPerS, wantedSlots, usedPerS } = ask;
+    const isSettled = this.#options.homeForMs(state.partition) >=
+      this.#options.leaseMs();
+    const usedByAll = usedPerS + sum(others.map((loan) => loan.usedPerS));
+    const allowedPerS = this.#allow(customer, {
+      limitPerS: limits.requestsPerS,
+      usedPerS: usedByAll,
+    });
+    const rate = grant(wantedPerS, {
+      limit: allowedPerS,
+      others: others.map((loan) => ({
+        wanted: loan.wantedPerS,
+        held: loan.requestsPerS,
+      })),
+    });
+    const slots = grantSlots(wantedSlots, {
+      limit: limits.slots,
+      others: others.map((loan) => ({
+        wanted: loan.wantedSlots,
+        held: loan.slots,
+      })),
+    });
+    const loan: Loan = {
+      wantedPerS,
+      usedPerS,
+      requestsPerS: isSettled ? rate : Math.min(rate, ask.heldPerS),
+      wantedSlots,
+      slots: isSettled ? slots : Math.min(slots, ask.heldSlots),
+      expiresMs,
+    };
+    const isIdle = wantedPerS === 0 && loan.slots === 0;
+    if (!isIdle) {
+      // Slots in use cannot be lent again before their requests end.
+      const slotsInUse = Math.max(loan.slots, ask.heldSlots);
+      loans.set(borrower, { ...loan, slots: slotsInUse });
+    }
+    return loan;
+  }
+
+  #limitsNow(customer: string): CustomerLimits | undefined {
+    const limits = this.#options.limitsOf(customer);
+    const fraction = this.#options.reachableFraction();
+    if (limits === undefined || fraction >= 1) return limits;
+    return {
+      requestsPerS: limits.requestsPerS * fraction,
+      slots: Math.ceil(limits.slots * fraction),
+    };
+  }
+
+  #customerOf(state: PartitionState, name: string): CustomerState {
+    let customer = state.customers.get(name);
+    if (customer === undefined) {
+      const creditAtMs = this.#options.clock.nowMs();
+      customer = { loans: new Map(), credit: 0, creditAtMs };
+      state.customers.set(name, customer);
+    }
+    return customer;
+  }
+
+  /** Drops loans that no longer count. */
+  #dropOld(loans: Map<string, Loan>): void {
+    const nowMs = this.#options.clock.nowMs();
+    const reserveMs = RESERVE_LEASES * this.#options.leaseMs();
+    for (const [borrower, loan] of loans) {
+      if (loan.expiresMs + reserveMs <= nowMs) loans.delete(borrower);
+    }
+  }
+
+  /**
+   * What may be lent now: the limit, and what was left of it lately. Without
+   * this all that shares lose by being late or not quite used would be lost.
+   */
+  #allow(
+    customer: CustomerState,
+    rates: { readonly limitPerS: number; readonly usedPerS: number },
+  ): number {
+    const { limitPerS, usedPerS } = rates;
+    const nowMs = this.#options.clock.nowMs();
+    const spanS = (nowMs - customer.creditAtMs) / 1_000;
+    const credit = customer.credit + (limitPerS - usedPerS) * spanS;
+    const most = limitPerS * MAX_CREDIT_MS / 1_000;
+    customer.credit = Math.min(most, Math.max(0, credit));
+    customer.creditAtMs = nowMs;
+    return limitPerS + customer.credit * 1_000 / SPEND_CREDIT_MS;
+  }
+}
+
+/** What a grant depends on besides the demand of the one who asks. */
+interface GrantContext {
+  readonly limit: number;
+  /** Loans of the others: what each wants, and what it holds. */
+  readonly others: readonly { wanted: number; held: number }[];
+}
+
+/**
+ * The share of one that wants `wanted`. One that wants less than it holds
+ * counts with what it wants, so that no part of the limit lies idle; all that
+ * is held together never exceeds `MAX_LENT_FRACTION` of the limit.
+ */
+function grant(wanted: number, { limit, others }: GrantContext): number {
+  const demands = [...others.map((loan) => loan.wanted), wanted];
+  const total = sum(demands);
+  const held = sum(others.map((loan) => loan.held));
+  const used = sum(others.map((loan) => Math.min(loan.held, loan.wanted)));
+  const most = limit * MAX_LENT_FRACTION;
+  const isScarce = total > limit;
+  const level = isScarce ? waterLevel(demands, limit) : Infinity;
+  const spare = isScarce ? most - limit : (most - total) * SPARE_FRACTION;
+  const isLevelled = wanted >= level;
+  const bonus = isLevelled
+    ? 0
+    : spare / Math.max(demands.length, MIN_SPARE_PARTS);
+  const target = Math.min(wanted, level) + bonus;
+  const free = isLevelled ? limit - used : Infinity;
+  return Math.max(0, Math.min(target, free, most - held));
+}
+
+/** As {@link grant} for slots, which cannot be divided. */
+function grantSlots(wanted: number, { limit, others }: GrantContext): number {
+  const held = sum(others.map((loan) => loan.held));
+  const free = Math.max(0, Math.floor(limit - held));
+  const demands = [...others.map((loan) => loan.wanted), wanted];
+  const spare = (limit - sum(demands)) /
+    Math.max(demands.length, MIN_SPARE_PARTS);
+  const target = spare >= 0
+    ? wanted + Math.floor(spare * SPARE_FRACTION)
+    : Math.min(wanted, Math.floor(waterLevel(demands, limit)));
+  return Math.min(free, wanted > 0 ? Math.max(1, target) : 0);
+}
+
+/** The level at which the parts of demand below it add up to `limit`. */
+export function waterLevel(demands: readonly number[], limit: number): number {
+  const sorted = [...demands].sort((one, other) => one - other);
+  let left = limit;
+  for (const [index, demand] of sorted.entries()) {
+    const even = left / (sorted.length - index);
+    if (demand > even) return even;
+    left -= demand;
+  }
+  return Infinity;
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- a/src/fleet/limit_service.ts
+++ b/src/fleet/limit_service.ts
@@ -1,91 +1,178 @@
 /**
- * Limits of customers: rate and concurrency, admitted or refused at once.
+ * Limits of customers over the whole fleet: rate and concurrency, admitted or
+ * refused at once and without a call. Shares are lent by the home of each
+ * customer, spent here, and run out at a deadline.
  *
  * @module
  */
 
 import { Ok } from "ts-results-es";
 import { type Clock, systemClock } from "../common/clock.ts";
-import { type Disposable, toDisposable } from "../common/lifecycle.ts";
+import {
+  type Disposable,
+  DisposableStore,
+  toDisposable,
+} from "../common/lifecycle.ts";
+import type { Random } from "../common/random.ts";
 import { notRun, type Outcome } from "../common/verdict.ts";
 import type { IConfigService } from "../config/services.ts";
+import type { LimitAccount, Share } from "./limit_account.ts";
+import { LimitBorrower } from "./limit_borrower.ts";
+import { LimitHomes } from "./limit_homes.ts";
+import { type CustomerLimits, LimitLender } from "./limit_lender.ts";
 import type {
   Admission,
   ILimitService,
   IMembership,
   IPeerTransport,
 } from "./services.ts";
+import type { BorrowRequest } from "./types.ts";
 
-const BURST_MS = 1_000;
-const RETRY_WAIT_MS = 250;
+/** Bounds of the time between two renewals. */
+const MIN_PERIOD_MS = 1_000;
+const MAX_PERIOD_MS = 20_000;
+/** Grows the period with the fleet, so that a home is not asked too often. */
+const PERIOD_MS_PER_MEMBER = 25;
+const LEASE_PERIODS = 4;
+const TICKS_PER_PERIOD = 8;
+const JITTER_FRACTION = 0.2;
+const MIN_RETRY_MS = 100;
+const MAX_RETRY_MS = 30_000;
 
 /** Collaborators and defaults of a {@link LimitService}. */
 export interface LimitServiceOptions {
   readonly config: IConfigService;
-  readonly membership: IMembership;
+  readonly membership: IMembership & { readonly reachableFraction?: number };
   readonly transport: IPeerTransport;
   readonly clock?: Clock;
+  readonly random?: Random;
 }
 
-interface Usage {
-  tokens: number;
-  atMs: number;
-  running: number;
-}
-
-/** Admits requests against the limits in the configuration. */
+/** Admits requests against shares of the limits in the configuration. */
 export class LimitService implements ILimitService, Disposable {
-  readonly #config: IConfigService;
+  readonly #options: LimitServiceOptions;
   readonly #clock: Clock;
-  readonly #usage = new Map<string, Usage>();
+  readonly #random: Random;
+  readonly #homes: LimitHomes;
+  readonly #lender: LimitLender;
+  readonly #borrower: LimitBorrower;
+  readonly #owned = new DisposableStore();
 
   constructor(options: LimitServiceOptions) {
-    this.#config = options.config;
+    this.#options = options;
     this.#clock = options.clock ?? systemClock;
+    this.#random = options.random ?? Math.random;
+    const clock = this.#clock;
+    const { membership, transport } = options;
+    const limitsOf = (customer: string) => this.#limitsOf(customer);
+    const leaseMs = () => LEASE_PERIODS * this.#periodMs();
+    this.#homes = this.#owned.add(new LimitHomes({ membership, clock }));
+    this.#lender = new LimitLender({
+      clock,
+      leaseMs,
+      limitsOf,
+      reachableFraction: () => membership.reachableFraction ?? 1,
+      homeForMs: (partition) => this.#homes.homeForMs(partition),
+    });
+    this.#borrower = new LimitBorrower({
+      transport,
+      clock,
+      homes: this.#homes,
+      memberCount: () => Math.max(1, membership.members().length),
+      limitsOf,
+      leaseMs,
+      periodMs: () => this.#periodMs(),
+      tickMs: () => this.#periodMs() / TICKS_PER_PERIOD,
+      lendHere: (request) => this.#lender.lend(request, membership.self.name),
+    });
+    this.#owned.add(
+      transport.handle(
+        "limits.borrow",
+        (request, from) => this.#lender.lend(request as BorrowRequest, from),
+      ),
+    );
+  }
+
+  /** Number of customers that have an account on this host. */
+  get accountCount(): number {
+    return this.#borrower.accountCount;
   }
 
   admit(customer: string): Outcome<Admission> {
-    const limit = this.#config.state.config.customers[customer];
-    if (limit === undefined) {
+    const limits = this.#limitsOf(customer);
+    if (limits === undefined) {
       return notRun("forbidden", `customer ${customer} is not configured`);
     }
     const nowMs = this.#clock.nowMs();
-    const burst = Math.max(1, limit.requestsPerS * BURST_MS / 1_000);
-    const usage = this.#usage.get(customer) ??
-      { tokens: burst, atMs: nowMs, running: 0 };
-    const earned = (nowMs - usage.atMs) * limit.requestsPerS / 1_000;
-    usage.tokens = Math.min(burst, usage.tokens + earned);
-    usage.atMs = nowMs;
-    this.#usage.set(customer, usage);
-    const message = `customer ${customer} is over its limit`;
-    if (usage.running >= limit.concurrentRequests) {
-      const retryAtWallMs = this.#clock.wallMs() + RETRY_WAIT_MS;
-      return notRun("rate-limited", message, { retryAtWallMs });
-    }
-    if (usage.tokens < 1) {
-      const waitMs = (1 - usage.tokens) * 1_000 / limit.requestsPerS;
-      const retryAtWallMs = Math.ceil(this.#clock.wallMs() + waitMs);
-      return notRun("rate-limited", message, { retryAtWallMs });
+    const account = this.#borrower.accountOf(customer);
+    account.noteArrival(nowMs);
+    const share = this.#borrower.shareOf(account, limits);
+    const result = account.take(share, nowMs);
+    if (account.lease === undefined || result !== "taken") {
+      this.#borrower.askSoon(customer);
     }
-    usage.tokens -= 1;
-    usage.running += 1;
-    return new Ok(releaseOnce(usage));
+    if (result === "taken") return new Ok(releaseOnce(account));
+    return this.#refuse(customer, { result, account, share });
   }
 
-  /** Keeps shares fresh until `signal` aborts. */
+  /** Renews shares until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) await this.#clock.sleep(1_000, signal);
+    while (!signal.aborted) {
+      this.#homes.refresh();
+      this.#lender.expire();
+      this.#borrower.tick();
+      const jitter = 1 + JITTER_FRACTION * (2 * this.#random() - 1);
+      const tickMs = this.#periodMs() / TICKS_PER_PERIOD;
+      await this.#clock.sleep(tickMs * jitter, signal);
+    }
   }
 
   dispose(): void {
-    this.#usage.clear();
+    this.#owned.dispose();
+  }
+
+  #limitsOf(customer: string): CustomerLimits | undefined {
+    const { customers } = this.#options.config.state.config;
+    const limits = Object.hasOwn(customers, customer)
+      ? customers[customer]
+      : undefined;
+    if (limits === undefined) return undefined;
+    const { requestsPerS, concurrentRequests } = limits;
+    return { requestsPerS, slots: concurrentRequests };
+  }
+
+  #periodMs(): number {
+    const wantedMs = PERIOD_MS_PER_MEMBER *
+      this.#options.membership.members().length;
+    return Math.min(MAX_PERIOD_MS, Math.max(MIN_PERIOD_MS, wantedMs));
+  }
+
+  #refuse(
+    customer: string,
+    refusal: {
+      readonly result: "rate" | "slots";
+      readonly account: LimitAccount;
+      readonly share: Share;
+    },
+  ): Outcome<never> {
+    const { result, account, share } = refusal;
+    const what = result === "rate"
+      ? `${share.requestsPerS.toFixed(2)} requests a second`
+      : `${share.slots} requests at once`;
+    const waitMs = result === "rate" ? account.nextTokenMs(share) : 0;
+    const retryMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs));
+    return notRun(
+      "rate-limited",
+      `customer ${customer} has used its share of ${what} on this host`,
+      { retryAtWallMs: Math.ceil(this.#clock.wallMs() + retryMs) },
+    );
   }
 }
 
-function releaseOnce(usage: Usage): Admission {
-  let released = false;
+function releaseOnce(account: LimitAccount): Admission {
+  let isReleased = false;
   return toDisposable(() => {
-    if (!released) usage.running -= 1;
-    released = true;
+    if (!isReleased) account.running -= 1;
+    isReleased = true;
   });
 }
--- /dev/null
+++ b/src/fleet/limit_service_test.ts
@@ -0,0 +1,144 @@
+import { afterEach, describe, expect, test } from "vitest";
+import { FleetHosts } from "../../test/fleet_hosts.ts";
+import {
+  type Admit,
+  admitWith,
+  evenSplit,
+  makeConfig,
+  startLimits,
+  Traffic,
+} from "../../test/fleet_limits.ts";
+import type { Membership } from "./membership.ts";
+import { LimitHomes, partitionOf } from "./limit_homes.ts";
+
+const SEEDS = [1, 2];
+const COUNT = 9;
+const LIMITS = { requestsPerS: 90, concurrentRequests: 10_000 };
+const CUSTOMER = "customer-a";
+const SPAN_S = 60;
+const WARM_UP_S = 5;
+/** How long the platform's list goes on naming a dead host. */
+const LIST_LAG_MS = 10_000;
+const fleets: FleetHosts[] = [];
+
+afterEach(() => {
+  for (const fleet of fleets.splice(0)) fleet.stop();
+});
+
+type Demand = (index: number, atS: number) => number;
+
+/** Requests a second at host `index`, `atS` seconds after the start. */
+const DEMANDS: Record<string, Demand> = {
+  "twice the limit, even": () => 20,
+  "half of the limit, even": () => 5,
+  "at one host only": (index) => index === 4 ? 180 : 0,
+  "skewed": (index) => index === 4 ? 90 : 5,
+  "moving every 15 s": (index, atS) =>
+    index === Math.floor(atS / 15) % COUNT ? 130 : 3,
+  "bursts of 6 s": (index, atS) =>
+    (Math.floor(atS / 6) + index) % 3 === 0 ? 40 : 1,
+};
+
+async function startFleet(seed: number, way: "lent" | "even split" = "lent") {
+  const fleet = new FleetHosts({ seed, network: { lossFraction: 0.01 } });
+  fleets.push(fleet);
+  await fleet.startAll(COUNT);
+  await fleet.clock.advance(3_000);
+  const config = makeConfig({ [CUSTOMER]: LIMITS });
+  const admits = new Map<string, Admit>();
+  const add = (name: string) => {
+    const admit = way === "lent"
+      ? admitWith(startLimits(fleet, fleet.get(name), config))
+      : evenSplit(fleet, LIMITS);
+    admits.set(name, admit);
+  };
+  for (const name of fleet.hosts.keys()) add(name);
+  await fleet.clock.advance(5_000);
+  return { fleet, admits, add };
+}
+
+function indexOf(host: string): number {
+  return Number(host.split("-")[1]);
+}
+
+function makeTraffic(
+  { fleet, admits }: Awaited<ReturnType<typeof startFleet>>,
+  demand: Demand,
+): Traffic {
+  return new Traffic(fleet, {
+    customer: CUSTOMER,
+    demandPerS: (host, atMs) => demand(indexOf(host), atMs / 1_000),
+    admitOf: (host) => admits.get(host),
+  });
+}
+
+/** Name of the home of the customer, as the first running host sees it. */
+function homeName(fleet: FleetHosts): string {
+  const membership: Membership = fleet.up()[0].membership;
+  const homes = new LimitHomes({ membership, clock: fleet.clock });
+  return homes.homeOf(partitionOf(CUSTOMER))?.name ?? "";
+}
+
+function expectWithin(traffic: Traffic): void {
+  const part = traffic.admittedPart(LIMITS.requestsPerS, WARM_UP_S);
+  expect(part).toBeGreaterThanOrEqual(0.95);
+  expect(traffic.worstPart(LIMITS.requestsPerS, 10)).toBeLessThanOrEqual(1.1);
+}
+
+test("an even split admits far too little of a skewed demand", async () => {
+  const started = await startFleet(1, "even split");
+  const traffic = makeTraffic(started, DEMANDS["skewed"]);
+  await traffic.run(SPAN_S * 1_000);
+  expect(traffic.admittedPart(LIMITS.requestsPerS, WARM_UP_S)).toBeLessThan(
+    0.7,
+  );
+});
+
+describe.each(SEEDS)("seed %i", (seed) => {
+  test.each(Object.keys(DEMANDS))("%s", async (name) => {
+    const traffic = makeTraffic(await startFleet(seed), DEMANDS[name]);
+    await traffic.run(SPAN_S * 1_000);
+    expectWithin(traffic);
+  });
+
+  test("hosts die and join", async () => {
+    const started = await startFleet(seed);
+    const { fleet, add } = started;
+    const traffic = makeTraffic(started, (index) => index % 2 === 0 ? 30 : 5);
+    await traffic.run(20_000);
+    const others = fleet.up().map((host) => host.listed.name)
+      .filter((name) => name !== homeName(fleet));
+    fleet.kill(others[0]);
+    fleet.kill(others[1]);
+    const fresh = fleet.add("host-21");
+    fleet.start(fresh);
+    fleet.publishList();
+    add("host-21");
+    await traffic.run(40_000);
+    expectWithin(traffic);
+  });
+
+  test("the home dies", async () => {
+    const started = await startFleet(seed);
+    const traffic = makeTraffic(started, DEMANDS["twice the limit, even"]);
+    await traffic.run(20_000);
+    started.fleet.kill(homeName(started.fleet));
+    await traffic.run(LIST_LAG_MS);
+    started.fleet.publishList();
+    await traffic.run(40_000 - LIST_LAG_MS);
+    expectWithin(traffic);
+  });
+
+  test("the home is cut off and goes on taking requests", async () => {
+    const started = await startFleet(seed);
+    const { fleet } = started;
+    const traffic = makeTraffic(started, DEMANDS["twice the limit, even"]);
+    await traffic.run(20_000);
+    const cut = fleet.get(homeName(fleet));
+    cut.network.side = 1;
+    await traffic.run(60_000);
+    cut.network.side = 0;
+    await traffic.run(40_000);
+    expectWithin(traffic);
+  });
+});
--- a/src/fleet/membership.ts
+++ b/src/fleet/membership.ts
@@ -137,6 +137,18 @@
     return this.#table.reachable().map(toMember);
   }
 
+  /**
+   * The part of the fleet that this host can reach, itself included: 1 unless
+   * members are down that the platform lists as live, or nobody answers.
+   */
+  get reachableFraction(): number {
+    const reachable = this.#table.reachable().length + 1;
+    const cutOff = this.#table.down()
+      .filter((entry) => this.#listed.has(entry.name)).length;
+    const all = reachable + cutOff;
+    return this.#prober.isIsolated ? 1 / all : reachable / all;
+  }
+
   /** What is known of a member; undefined when it is unknown or forgotten. */
   stateOf(name: string): MemberState | undefined {
     return this.#table.get(name)?.state;
--- a/src/fleet/prober.ts
+++ b/src/fleet/prober.ts
@@ -18,6 +18,8 @@
 const INDIRECT_COUNT = 3;
 /** One probe in this many goes to a member that is down, when there is one. */
 const DOWN_PROBE_EVERY = 4;
+/** Probes in a row that nobody answered, after which a host is cut off. */
+const ISOLATED_PROBE_COUNT = 2;
 /** Failures in a row after which a host that reaches nobody suspects others. */
 const ISOLATED_FAILURE_COUNT = 5;
 /** An answer this late means that this host was paused while it waited. */
@@ -67,6 +69,11 @@
     );
   }
 
+  /** True while neither members nor helpers answer this host. */
+  get isIsolated(): boolean {
+    return this.#isolatedCount >= ISOLATED_PROBE_COUNT;
+  }
+
   /** The member to probe next. */
   next(): MemberEntry | undefined {
     this.#probeCount += 1;
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -79,3 +79,37 @@
   /** End of the range, excluded. */
   readonly endHash: number;
 }
+
+/** What a host asks of the home of a customer's limits. */
+export interface BorrowAsk {
+  readonly customer: string;
+  /** Requests a second that arrive here. */
+  readonly wantedPerS: number;
+  /** Requests a second that were admitted here. */
+  readonly usedPerS: number;
+  /** Share that the host holds by a lease that has not expired. */
+  readonly heldPerS: number;
+  /** Requests that would run here at once. */
+  readonly wantedSlots: number;
+  /** Slots held by lease, or in use by running requests if these are more. */
+  readonly heldSlots: number;
+}
+
+/** Asks for all customers of one partition. */
+export interface BorrowRequest {
+  readonly partition: number;
+  readonly asks: readonly BorrowAsk[];
+}
+
+/** A share of one customer's limits. */
+export interface LimitLease {
+  readonly customer: string;
+  readonly requestsPerS: number;
+  readonly slots: number;
+}
+
+/** Leases, in force until one deadline. */
+export interface BorrowAnswer {
+  readonly leases: readonly LimitLease[];
+  readonly expiresAtWallMs: number;
+}
