Cut what the clients add to a token and a request

Change: chunks are read from the response itself, plain requests pass only the four options they use, aborts carry a constant reason, and a finished stream keeps the timer that it has until its connection is given back.

--- /dev/null
+++ b/measure/platform_client.ts
@@ -0,0 +1,280 @@
+/**
+ * Processor time that the engine client takes a token and a request, beside a
+ * bare `node:http` client that reads the same answers and throws them away.
+ * The answers come from a process of their own, paced as at the letter's size.
+ * Run: node dist/measure/platform_client.js
+ *
+ * @module
+ */
+
+import { type ChildProcess, fork } from "node:child_process";
+import {
+  Agent,
+  createServer,
+  request as httpRequest,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+import { systemClock } from "../src/common/clock.ts";
+import { EngineClient } from "../src/platform/engine_client.ts";
+import { HttpClient } from "../src/platform/http_client.ts";
+
+const SELF = fileURLToPath(import.meta.url);
+/** Tokens a second that one host carries at the letter's size. */
+const HOST_TOKENS_PER_S = 5_060;
+const STREAM_COUNT = 152;
+const TICK_MS = 10;
+const TOKENS_PER_CHUNK = [1, 4, 16, 64];
+const WARM_UP_MS = 600;
+const WINDOW_MS = 250;
+const WINDOW_COUNT = 6;
+const ROUND_COUNT = 3;
+const REQUEST_COUNT = 400;
+const REQUESTS_AT_ONCE = 16;
+/** First index of a stream, so that all events have one length. */
+const FIRST_INDEX = 100_000;
+const EVENT_BYTES = Buffer.byteLength(tokenEvent("s000", FIRST_INDEX));
+
+type ClientKind = "bare" | "client";
+
+interface Reading {
+  tokenCount: number;
+}
+
+/** Prints both tables. */
+export async function run(): Promise<void> {
+  console.log(`seed: none, nothing is random; ${STREAM_COUNT} streams`);
+  console.log(
+    `each figure: lower quartile of ${ROUND_COUNT} rounds of ${WINDOW_COUNT} ` +
+      "windows, bare and client in turn, since others use the machine too",
+  );
+  console.log(
+    "\n| tokens a chunk | bare µs a token | client µs a token | added | " +
+      `client, share of a core at ${HOST_TOKENS_PER_S} tokens/s |`,
+  );
+  console.log("| --- | --- | --- | --- | --- |");
+  for (const perChunk of TOKENS_PER_CHUNK) {
+    const { bare, client } = await sideBySide((kind) =>
+      measureTokens(kind, perChunk)
+    );
+    const share = client * HOST_TOKENS_PER_S / 1e6;
+    console.log(
+      `| ${perChunk} | ${bare.toFixed(1)} | ${client.toFixed(1)} | ${
+        (client - bare).toFixed(1)
+      } | ${(share * 100).toFixed(1)}% |`,
+    );
+  }
+  const { bare, client } = await sideBySide(measureRequests);
+  console.log("\n| | bare | client | added |\n| --- | --- | --- | --- |");
+  console.log(
+    `| µs a request of one token | ${bare.toFixed(0)} | ${
+      client.toFixed(0)
+    } | ${(client - bare).toFixed(0)} |`,
+  );
+}
+
+/** Measures both clients in turn, after a round that does not count. */
+async function sideBySide(
+  measure: (kind: ClientKind) => Promise<number[]>,
+): Promise<Record<ClientKind, number>> {
+  const costs: Record<ClientKind, number[]> = { bare: [], client: [] };
+  for (let round = 0; round <= ROUND_COUNT; round++) {
+    for (const kind of ["bare", "client"] as const) {
+      const windows = await measure(kind);
+      if (round > 0) costs[kind].push(...windows);
+    }
+  }
+  return { bare: quartile(costs.bare), client: quartile(costs.client) };
+}
+
+async function measureTokens(
+  kind: ClientKind,
+  perChunk: number,
+): Promise<number[]> {
+  const { source, url } = await startSource(perChunk);
+  const hangUps: AbortController[] = [];
+  const reading = { tokenCount: 0 };
+  const read = kind === "bare" ? bareReader(reading) : clientReader(reading);
+  const streams = Array.from({ length: STREAM_COUNT }, (_, place) => {
+    const attemptId = `s${String(place).padStart(3, "0")}`;
+    const hangUp = new AbortController();
+    hangUps.push(hangUp);
+    return read(url, { attemptId, signal: hangUp.signal });
+  });
+  await systemClock.sleep(WARM_UP_MS);
+  const costs = await repeatWindows(async () => {
+    const startCount = reading.tokenCount;
+    await systemClock.sleep(WINDOW_MS);
+    return reading.tokenCount - startCount;
+  });
+  for (const hangUp of hangUps) hangUp.abort();
+  await Promise.allSettled(streams);
+  source.kill();
+  return costs;
+}
+
+async function measureRequests(kind: ClientKind): Promise<number[]> {
+  const { source, url } = await startSource(1);
+  const reading = { tokenCount: 0 };
+  const read = kind === "bare" ? bareReader(reading) : clientReader(reading);
+  const send = () => {
+    const { signal } = new AbortController();
+    return read(url, { attemptId: "once", signal });
+  };
+  await repeat(REQUESTS_AT_ONCE, send);
+  const costs = await repeatWindows(async () => {
+    await repeat(REQUEST_COUNT, send);
+    return REQUEST_COUNT;
+  });
+  source.kill();
+  return costs;
+}
+
+/** Processor time for each of what `work` counts, window by window. */
+async function repeatWindows(work: () => Promise<number>): Promise<number[]> {
+  const costs: number[] = [];
+  for (let window = 0; window < WINDOW_COUNT; window++) {
+    const startUsage = process.cpuUsage();
+    const count = await work();
+    const { user, system } = process.cpuUsage(startUsage);
+    costs.push((user + system) / count);
+  }
+  return costs;
+}
+
+async function repeat(count: number, send: () => Promise<void>): Promise<void> {
+  let left = count;
+  const lane = async () => {
+    while (left-- > 0) await send();
+  };
+  await Promise.all(Array.from({ length: REQUESTS_AT_ONCE }, lane));
+}
+
+type Reader = (
+  url: string,
+  options: { readonly attemptId: string; readonly signal: AbortSignal },
+) => Promise<void>;
+
+function clientReader(reading: Reading): Reader {
+  const client = new EngineClient({ http: new HttpClient() });
+  return async (url, { attemptId, signal }) => {
+    const attempt = { attemptId, fromIndex: FIRST_INDEX };
+    const outcome = await client.reattach(url, attempt, {
+      deadlineMs: systemClock.nowMs() + 600_000,
+      signal,
+      onTokens: (tokens) => reading.tokenCount += tokens.length,
+    });
+    if (outcome.isErr() && outcome.error.code !== "cancelled") {
+      throw new Error(outcome.error.message);
+    }
+  };
+}
+
+function bareReader(reading: Reading): Reader {
+  const agent = new Agent({ keepAlive: true });
+  let sizeBytes = 0;
+  return (url, { attemptId, signal }) =>
+    new Promise((resolve, reject) => {
+      const path = `${url}/v1/attempts/${attemptId}/reattach`;
+      const body = JSON.stringify({ fromIndex: FIRST_INDEX });
+      const headers = {
+        "content-type": "application/json",
+        "content-length": body.length,
+      };
+      const options = { method: "POST", agent, signal, headers };
+      const request = httpRequest(path, options, (response) => {
+        response.on("data", (chunk: Buffer) => {
+          sizeBytes += chunk.length;
+          reading.tokenCount = Math.floor(sizeBytes / EVENT_BYTES);
+        });
+        response.once("error", reject);
+        response.once("end", () => resolve());
+      });
+      request.once("error", reject);
+      request.end(body);
+    });
+}
+
+function tokenEvent(attemptId: string, index: number): string {
+  const ran = "engine-1:0-12@3,engine-2:12-24@3,engine-3:24-36@7";
+  const token = { attemptId, index, id: 50_000, text: " river", ran };
+  return `event: token\ndata: ${JSON.stringify(token)}\n\n`;
+}
+
+function startSource(
+  perChunk: number,
+): Promise<{ source: ChildProcess; url: string }> {
+  const source = fork(SELF, ["source", String(perChunk)]);
+  return new Promise((resolve) => {
+    source.once("message", (url) => resolve({ source, url: String(url) }));
+  });
+}
+
+interface SourceStream {
+  readonly attemptId: string;
+  readonly response: ServerResponse;
+  index: number;
+  credit: number;
+}
+
+/** The other process: streams that write a chunk whenever it has come due. */
+function runSource(perChunk: number): void {
+  const streams = new Set<SourceStream>();
+  const server = createServer((request, response) => {
+    request.resume();
+    const attemptId = request.url?.split("/")[3] ?? "";
+    if (attemptId === "once") return answerOnce(response, attemptId);
+    response.writeHead(200, { "content-type": "text/event-stream" });
+    const credit = streams.size / STREAM_COUNT * perChunk;
+    const stream = { attemptId, response, index: FIRST_INDEX, credit };
+    streams.add(stream);
+    response.once("close", () => streams.delete(stream));
+  });
+  server.listen(0, "127.0.0.1", () => {
+    const { port } = server.address() as AddressInfo;
+    process.send?.(`http://127.0.0.1:${port}`);
+  });
+  let tickedAtMs = performance.now();
+  setInterval(() => {
+    const nowMs = performance.now();
+    const due = HOST_TOKENS_PER_S / STREAM_COUNT * (nowMs - tickedAtMs) / 1_000;
+    tickedAtMs = nowMs;
+    for (const stream of streams) writeDue(stream, due, perChunk);
+  }, TICK_MS);
+  process.once("disconnect", () => process.exit(0));
+}
+
+function writeDue(stream: SourceStream, due: number, perChunk: number): void {
+  stream.credit += due;
+  while (stream.credit >= perChunk) {
+    stream.credit -= perChunk;
+    let chunk = "";
+    for (let count = 0; count < perChunk; count++) {
+      chunk += tokenEvent(stream.attemptId, stream.index++);
+    }
+    stream.response.write(chunk);
+  }
+}
+
+function answerOnce(response: ServerResponse, attemptId: string): void {
+  const tokenCount = FIRST_INDEX + 1;
+  const end = { attemptId, tokenCount, reason: "length" };
+  response.writeHead(200, { "content-type": "text/event-stream" });
+  response.end(
+    `${tokenEvent(attemptId, FIRST_INDEX)}event: end\ndata: ${
+      JSON.stringify(end)
+    }\n\n`,
+  );
+}
+
+function quartile(values: readonly number[]): number {
+  return [...values].sort((a, b) => a - b)[values.length >> 2];
+}
+
+if (process.argv[1] === SELF) {
+  const [mode, perChunk] = process.argv.slice(2);
+  if (mode === "source") runSource(Number(perChunk));
+  else await run().then(() => process.exit(0));
+}
--- a/src/platform/http_client.ts
+++ b/src/platform/http_client.ts
@@ -13,6 +13,7 @@
   type IncomingHttpHeaders,
   type IncomingMessage,
   request as httpRequest,
+  type RequestOptions,
 } from "node:http";
 import { Agent as HttpsAgent, request as httpsRequest } from "node:https";
 import { Ok } from "ts-results-es";
@@ -29,8 +30,8 @@
 
 const DEFAULT_MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 const DEFAULT_MAX_SOCKETS = 1_024;
-/** How long a connection may take to end after the answer is known. */
-const DRAIN_MS = 1_000;
+/** Reason of aborts that nobody reads; the default one costs a stack trace. */
+const ENDED = Symbol("ended");
 
 /** One request to send. */
 export interface HttpRequest {
@@ -58,6 +59,12 @@
   readonly readChunk?: ChunkReader;
 }
 
+/** How an answer that is being read ends. */
+interface Reading extends ExchangeOptions {
+  readonly resolve: (outcome: Outcome<HttpAnswer>) => void;
+  readonly cut: (code: FailureCode, reason: string) => void;
+}
+
 export interface HttpClientOptions {
   readonly clock?: Clock;
   readonly got?: Got;
@@ -119,15 +126,15 @@
     const stream = this.#open(request, watch);
     const ended = new AbortController();
     return new Promise((resolve) => {
-      const settle = (outcome: Outcome<HttpAnswer>) => {
-        ended.abort();
+      const release = () => {
+        ended.abort(ENDED);
         options.signal?.removeEventListener("abort", cancel);
-        resolve(outcome);
       };
       const cut = (code: FailureCode, reason: string) => {
         const message = `${request.url}: ${reason}`;
         const fail = watch.mayHaveSent ? mayHaveRun : notRun;
-        settle(fail(code, message));
+        resolve(fail(code, message));
+        release();
         stream.destroy();
       };
       const cancel = () => cut("cancelled", "cancelled");
@@ -137,7 +144,12 @@
       });
       stream.on("error", (error) => cut("connection-failed", error.message));
       stream.once("response", (response: IncomingMessage) => {
-        this.#readAnswer(stream, response, { ...options, settle, cut });
+        // Until then a far side that does not end its answer can be cut.
+        response.once("close", () => {
+          if (response.complete) release();
+          else cut("connection-failed", "the answer was cut short");
+        });
+        this.#readAnswer(response, { ...options, resolve, cut });
       });
     });
   }
@@ -152,80 +164,67 @@
       body: body as string | undefined,
       allowGetBody: body !== undefined,
       request: (url, requestOptions, onResponse) => {
-        const send = url.protocol === "https:" ? httpsRequest : httpRequest;
-        const sent: ClientRequest = send(url, requestOptions, onResponse);
+        const sent = url.protocol === "https:"
+          ? httpsRequest(url, requestOptions, onResponse)
+          : httpRequest(url, plainOptions(requestOptions), onResponse);
         watch.watch(sent);
         return sent;
       },
     });
   }
 
-  #readAnswer(
-    stream: Request,
-    response: IncomingMessage,
-    options: ExchangeOptions & {
-      settle: (outcome: Outcome<HttpAnswer>) => void;
-      cut: (code: FailureCode, reason: string) => void;
-    },
-  ): void {
-    const { settle, cut, readChunk } = options;
+  #readAnswer(response: IncomingMessage, reading: Reading): void {
+    // got would relay each chunk through a second stream.
+    response.removeAllListeners("readable");
+    if (reading.readChunk && response.statusCode === 200) {
+      readStream(response, { ...reading, readChunk: reading.readChunk });
+    } else this.#readWhole(response, reading);
+  }
+
+  #readWhole(response: IncomingMessage, { resolve, cut }: Reading): void {
     const { statusCode: status = 0, headers } = response;
-    if (readChunk && status === 200) {
-      this.#readStream(stream, {
-        readChunk,
-        cut,
-        done: () => settle(new Ok({ status, headers, body: Buffer.alloc(0) })),
-      });
-      return;
-    }
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
-    stream.on("data", (chunk: Buffer) => {
+    response.on("data", (chunk: Buffer) => {
       sizeBytes += chunk.length;
       chunks.push(chunk);
       if (sizeBytes <= this.#maxAnswerBytes) return;
       cut("bad-answer", `answer longer than ${this.#maxAnswerBytes} bytes`);
     });
-    stream.once("end", () => {
+    response.once("end", () => {
       if (!hasKnownLength(response)) {
         return cut("bad-answer", "answer without a length may be cut short");
       }
-      settle(new Ok({ status, headers, body: Buffer.concat(chunks) }));
+      resolve(new Ok({ status, headers, body: Buffer.concat(chunks) }));
     });
   }
+}
 
-  #readStream(
-    stream: Request,
-    options: {
-      readChunk: ChunkReader;
-      cut: (code: FailureCode, reason: string) => void;
-      done: () => void;
-    },
-  ): void {
-    let isDone = false;
-    stream.on("data", (chunk: Buffer) => {
-      if (isDone) return;
-      const next = options.readChunk(chunk);
-      if (next === "cut") options.cut("bad-answer", "stream does not hold");
-      if (next !== "done") return;
-      isDone = true;
-      options.done();
-      this.#drain(stream);
-    });
-    stream.once("end", () => {
-      if (!isDone) options.cut("connection-failed", "stream without an end");
-    });
-  }
+/** Hands chunks over until the reader has what it wants. */
+function readStream(
+  response: IncomingMessage,
+  reading: Reading & { readonly readChunk: ChunkReader },
+): void {
+  const { statusCode: status = 0, headers } = response;
+  const { readChunk, resolve, cut } = reading;
+  let isDone = false;
+  response.on("data", (chunk: Buffer) => {
+    if (isDone) return;
+    const next = readChunk(chunk);
+    if (next === "cut") cut("bad-answer", "stream does not hold");
+    isDone = next !== "more";
+    if (next !== "done") return;
+    resolve(new Ok({ status, headers, body: Buffer.alloc(0) }));
+  });
+  response.once("end", () => {
+    if (!isDone) cut("connection-failed", "stream without an end");
+  });
+}
 
-  /** Lets a finished exchange give its connection back, or cuts it. */
-  #drain(stream: Request): void {
-    const ended = new AbortController();
-    stream.once("end", () => ended.abort());
-    stream.once("close", () => ended.abort());
-    void this.#clock.sleep(DRAIN_MS, ended.signal).then(() => {
-      if (!ended.signal.aborted) stream.destroy();
-    });
-  }
+/** Options of a request without TLS; the others only cost copying. */
+function plainOptions(options: RequestOptions): RequestOptions {
+  const { agent, headers, lookup, method } = options;
+  return { agent, headers, lookup, method };
 }
 
 /** False when only the connection's end would say where the body ends. */
