--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -6,11 +6,14 @@
  */
 
 import "reflect-metadata";
-import { Container } from "inversify";
+import { Container, type ResolutionContext } from "inversify";
 import { type Clock, systemClock } from "../common/clock.ts";
 import { createLog, ILog } from "../common/logging.ts";
 import { IMetrics, Metrics } from "../common/metrics.ts";
-import { ConfigService } from "../config/config_service.ts";
+import {
+  type ConfigPeerOptions,
+  ConfigService,
+} from "../config/config_service.ts";
 import { IConfigService } from "../config/services.ts";
 import { Dissemination } from "../fleet/dissemination.ts";
 import { HostListWatcher } from "../fleet/host_list_watcher.ts";
@@ -24,10 +27,14 @@
   IMembership,
   IPeerTransport,
 } from "../fleet/services.ts";
+import { CapacityKeeper } from "../pipelines/capacity_keeper.ts";
 import { ChainPicker } from "../pipelines/chain_picker.ts";
+import { LeaseService } from "../pipelines/lease_service.ts";
 import { IChainPicker, ITargetDirectory } from "../pipelines/services.ts";
 import { TargetDirectory } from "../pipelines/target_directory.ts";
+import { TargetSubset } from "../pipelines/target_subset.ts";
 import { TargetWatcher } from "../pipelines/target_watcher.ts";
+import { WatchAssignment } from "../pipelines/watch_assignment.ts";
 import { EngineClient } from "../platform/engine_client.ts";
 import { HostListClient } from "../platform/host_list_client.ts";
 import { HttpClient } from "../platform/http_client.ts";
@@ -51,6 +58,7 @@
   IQuarantineService,
   IRequestJournal,
 } from "../requests/services.ts";
+import { ConfigPeers } from "./config_peers.ts";
 import type { Settings } from "./settings.ts";
 
 /** What the container needs besides the settings. */
@@ -70,7 +78,7 @@
   bindCommon(container, options);
   bindPlatform(container, options, clock);
   bindFleet(container, options, clock);
-  bindPipelines(container, clock);
+  bindPipelines(container, options, clock);
   bindRequests(container, clock);
   return container;
 }
@@ -114,6 +122,7 @@
     return new ConfigService({
       log: context.get(ILogClient),
       host: hostName,
+      peering: configPeering(context),
       clock,
       onLogFailure: (failure) =>
         log.warn("the log did not answer", { ...failure }),
@@ -122,6 +131,20 @@
   container.bind(IConfigService).toService(ConfigService);
 }
 
+/** Joins the configuration, a lower layer, to the hosts of the fleet. */
+function configPeering(context: ResolutionContext): ConfigPeerOptions {
+  const { name, url } = context.get(IMembership).self;
+  const transport = context.get(IPeerTransport);
+  const hosts = context.get(ConfigPeers);
+  return {
+    self: { name, url },
+    peers: () => hosts.current,
+    callPeer: (peerUrl, request, options) =>
+      transport.call(peerUrl, request, options),
+    handlePeer: (method, handler) => transport.handle(method, handler),
+  };
+}
+
 function bindFleet(
   container: Container,
   options: ContainerOptions,
@@ -143,6 +166,12 @@
     return new HostListWatcher({ client: context.get(IHostListClient), clock });
   });
   container.bind(IHostListWatcher).toService(HostListWatcher);
+  container.bind(ConfigPeers).toDynamicValue((context) => {
+    return new ConfigPeers({
+      membership: context.get(IMembership),
+      hostList: context.get(IHostListWatcher),
+    });
+  });
   container.bind(Membership).toDynamicValue((context) => {
     const { failureDomain, region } = settings;
     return new Membership({
@@ -172,7 +201,11 @@
   container.bind(ILimitService).toService(LimitService);
 }
 
-function bindPipelines(container: Container, clock: Clock): void {
+function bindPipelines(
+  container: Container,
+  options: ContainerOptions,
+  clock: Clock,
+): void {
   container.bind(TargetDirectory).toDynamicValue((context) => {
     return new TargetDirectory({
       config: context.get(IConfigService),
@@ -181,20 +214,67 @@
     });
   });
   container.bind(ITargetDirectory).toService(TargetDirectory);
+  container.bind(TargetSubset).toDynamicValue((context) => {
+    return new TargetSubset({
+      config: context.get(IConfigService),
+      directory: context.get(TargetDirectory),
+      membership: context.get(IMembership),
+    });
+  });
+  container.bind(WatchAssignment).toDynamicValue((context) => {
+    return new WatchAssignment({
+      config: context.get(IConfigService),
+      membership: context.get(IMembership),
+    });
+  });
   container.bind(TargetWatcher).toDynamicValue((context) => {
+    const assignment = context.get(WatchAssignment);
+    const subset = context.get(TargetSubset);
     return new TargetWatcher({
       config: context.get(IConfigService),
       engines: context.get(IEngineClient),
       directory: context.get(TargetDirectory),
       hostList: context.get(IHostListWatcher),
       clock,
+      pollIntervalMs: () => assignment.intervalMs(),
+      watches: (target) => assignment.watches(target),
+      uses: () => subset.all(),
     });
   });
   container.bind(IChainPicker).toDynamicValue((context) => {
+    const subset = context.get(TargetSubset);
     return new ChainPicker({
       config: context.get(IConfigService),
       directory: context.get(TargetDirectory),
       clock,
+      subset: (pipeline, targets) => subset.choose(pipeline, targets),
+    });
+  });
+  bindCapacity(container, options, clock);
+}
+
+function bindCapacity(
+  container: Container,
+  options: ContainerOptions,
+  clock: Clock,
+): void {
+  container.bind(LeaseService).toDynamicValue((context) => {
+    return new LeaseService({
+      log: context.get(ILogClient),
+      host: options.hostName,
+      clock,
+    });
+  });
+  container.bind(CapacityKeeper).toDynamicValue((context) => {
+    const log = context.get(ILog);
+    return new CapacityKeeper({
+      config: context.get(IConfigService),
+      directory: context.get(TargetDirectory),
+      engines: context.get(IEngineClient),
+      leases: context.get(LeaseService),
+      membership: context.get(IMembership),
+      clock,
+      onOrder: (order) => log.info("an order was sent", { ...order }),
     });
   });
 }
--- a/src/requests/completion_service.ts
+++ b/src/requests/completion_service.ts
@@ -41,8 +41,10 @@
 const DEFAULT_POLICY: CompletionPolicy = {
   maxAttempts: 8,
   probeWithinMs: 100,
+  stallProbeWithinMs: 50,
   waitForChainMs: 10_000,
   repickEveryMs: 50,
+  retryLockEveryMs: 20,
   comeBackAfterMs: 1_000,
 };
 
@@ -54,10 +56,10 @@
   constructor(options: CompletionServiceOptions) {
     this.#policy = { ...DEFAULT_POLICY, ...options.policy };
     this.#options = {
-      clock: systemClock,
-      retryBudget: new RetryBudget(),
-      newId: randomUUID,
       ...options,
+      clock: options.clock ?? systemClock,
+      retryBudget: options.retryBudget ?? new RetryBudget(),
+      newId: options.newId ?? randomUUID,
       policy: this.#policy,
     };
   }
--- a/test/requests_engines.ts
+++ b/test/requests_engines.ts
@@ -36,7 +36,7 @@
   "foreign",
   "duplicate",
   "reorder",
-  "short-end",
+  "lost-tail",
   "late",
 ] as const;
 export type EngineFault = typeof ENGINE_FAULTS[number];
@@ -48,6 +48,12 @@
   readonly stage: number;
 }
 
+/** Content that crashes a stage when it computes a token. */
+export interface PlannedCrash {
+  readonly atIndex: number;
+  readonly stage: number;
+}
+
 interface TestEngine {
   readonly target: string;
   first: number;
@@ -63,11 +69,16 @@
   end?: "stop" | "broken" | "failed";
   isCut: boolean;
   isCancelled: boolean;
+  /** Tokens after these are computed but never arrive. */
+  tailFrom: number;
+  /** Nothing is sent before this time, and then all of it. */
+  heldUntilMs: number;
 }
 
 export const LAYER_COUNT = 12;
 export const TOKEN_MS = 10;
 const CRAWL_MS = 5_000;
+const LATE_MS = 700;
 
 /** The text that an unbroken generation of token `index` gives. */
 export function expectedText(prompt: string, index: number): string {
@@ -78,13 +89,25 @@
 export class TestEngines implements IEngineClient {
   readonly engines = new Map<string, TestEngine>();
   readonly attempts = new Map<string, TestAttempt>();
+  /** Targets lost to each prompt that crashes its targets. */
+  readonly lostTo = new Map<string, Set<string>>();
+  readonly #crash: (prompt: string) => PlannedCrash | undefined;
+  readonly #onCrash: (target: string) => void;
   readonly #clock: Clock;
   readonly #length: number;
   #faults: PlannedFault[];
 
   constructor(
-    options: { clock: Clock; length: number; faults?: PlannedFault[] },
+    options: {
+      clock: Clock;
+      length: number;
+      faults?: PlannedFault[];
+      crash?: (prompt: string) => PlannedCrash | undefined;
+      onCrash?: (target: string) => void;
+    },
   ) {
+    this.#onCrash = options.onCrash ?? (() => {});
+    this.#crash = options.crash ?? (() => undefined);
     this.#clock = options.clock;
     this.#length = options.length;
     this.#faults = [...(options.faults ?? [])];
@@ -121,6 +144,8 @@
       tokens: [],
       isCut: false,
       isCancelled: false,
+      tailFrom: Infinity,
+      heldUntilMs: 0,
     };
     this.attempts.set(request.attemptId, attempt);
     void this.#produce(attempt);
@@ -197,6 +222,7 @@
       const isSlow = chain.some((engine) => engine.crawls);
       await this.#clock.sleep(isSlow ? CRAWL_MS : TOKEN_MS);
       if (attempt.isCancelled || attempt.end) return;
+      this.#crashOn(request.prompt, index, chain);
       if (chain.some((engine) => engine.state === "frozen")) return;
       const lost = chain.findIndex((engine) => engine.state === "dead");
       if (lost >= 0) {
@@ -222,6 +248,21 @@
     return { attemptId, index, id: hash32(text), text, ran };
   }
 
+  #crashOn(
+    prompt: string,
+    index: number,
+    chain: readonly TestEngine[],
+  ): void {
+    const crash = this.#crash(prompt);
+    if (crash?.atIndex !== index) return;
+    const engine = chain[crash.stage % chain.length];
+    if (engine.state !== "alive") return;
+    engine.state = "dead";
+    const lost = this.lostTo.get(prompt) ?? new Set<string>();
+    this.lostTo.set(prompt, lost.add(engine.target));
+    this.#onCrash(engine.target);
+  }
+
   #strike(
     attempt: TestAttempt,
     index: number,
@@ -269,25 +310,15 @@
       case "reorder":
         if (last) tokens.push({ ...last, index: last.index + 2 });
         return;
-      case "short-end":
-        attempt.end = "stop";
+      case "lost-tail":
+        attempt.tailFrom = tokens.length;
         return;
       case "late":
-        void this.#sendLate(attempt);
+        attempt.heldUntilMs = this.#clock.nowMs() + LATE_MS;
         return;
     }
   }
 
-  /** Stalls the stream, then sends it all the same, cancelled or not. */
-  async #sendLate(attempt: TestAttempt): Promise<void> {
-    attempt.end = undefined;
-    const { tokens } = attempt;
-    await this.#clock.sleep(700);
-    const index = tokens.at(-1)?.index ?? 0;
-    const { attemptId } = attempt.request;
-    tokens.push({ attemptId, index, id: 0, text: "late ", ran: "" });
-  }
-
   async #deliver(
     attempt: TestAttempt,
     fromIndex: number,
@@ -299,10 +330,11 @@
       if (attempt.isCut) {
         return mayHaveRun("connection-failed", "the connection broke");
       }
-      if (sent < attempt.tokens.length) {
-        options.onTokens(attempt.tokens.slice(sent));
-        sent = attempt.tokens.length;
-      }
+      const heldMs = attempt.heldUntilMs - this.#clock.nowMs();
+      if (heldMs > 0) await this.#clock.sleep(heldMs);
+      const arriving = attempt.tokens.slice(sent, attempt.tailFrom);
+      if (arriving.length > 0) options.onTokens(arriving);
+      sent += arriving.length;
       const tokenCount = generated.length + attempt.tokens.length;
       if (attempt.end === "stop") {
         return new Ok({ attemptId, tokenCount, reason: "stop" });
@@ -323,6 +355,9 @@
 /** Picks at random among engines as they were when last looked at. */
 export class TestPicker implements IChainPicker {
   openPicks = 0;
+  pickCount = 0;
+  /** The version of each pick; a roll-out changes it. */
+  versionAt = (_pickCount: number) => "v1";
   readonly #engines: TestEngines;
   readonly #random: Random;
   readonly #spans: readonly { first: number; end: number }[];
@@ -353,7 +388,8 @@
     }
     this.openPicks += 1;
     const dispose = () => void (this.openPicks -= 1);
-    return new Ok({ chain, model: "m", version: "v1", dispose });
+    const version = this.versionAt(this.pickCount++);
+    return new Ok({ chain, model: "m", version, dispose });
   }
 
   reportFailure(target: string): void {
