--- a/src/platform/clients_test.ts
+++ b/src/platform/clients_test.ts
@@ -106,5 +106,8 @@
   faults.apply({ action: "leave" });
   expect((await client.call(url, request, within())).unwrapErr())
     .toMatchObject({ verdict: "not-run", code: "shutting-down" });
+  faults.apply({ action: "down" });
+  expect((await client.call(url, request, within())).unwrapErr())
+    .toMatchObject({ verdict: "not-run", code: "overloaded" });
   expect(service.executions.get("k")).toBe(2);
 });
--- a/src/platform/log_client.ts
+++ b/src/platform/log_client.ts
@@ -6,7 +6,7 @@
 
 import { z } from "zod";
 import { type Clock, systemClock } from "../common/clock.ts";
-import type { Outcome } from "../common/verdict.ts";
+import type { Failure, Outcome } from "../common/verdict.ts";
 import type { HttpClient } from "./http_client.ts";
 import { callJson, joinUrl } from "./json_call.ts";
 import type { ILogClient } from "./services.ts";
@@ -43,7 +43,7 @@
     this.#clock = options.clock ?? systemClock;
   }
 
-  append(
+  async append(
     stream: string,
     entries: readonly LogEntry[],
     options: CallOptions,
@@ -54,10 +54,11 @@
       data: { records: entries },
       schema: appendedSchema,
     } as const;
-    return callJson(this.#collaborators(), call, options);
+    const outcome = await callJson(this.#collaborators(), call, options);
+    return outcome.mapErr(asLogFailure);
   }
 
-  read(
+  async read(
     stream: string,
     fromOffset: number,
     options: CallOptions & {
@@ -70,7 +71,8 @@
     if (options.limit) query.set("limit", String(options.limit));
     const url = `${this.#url(stream)}?${query}`;
     const call = { method: "GET", url, schema: pageSchema } as const;
-    return callJson(this.#collaborators(), call, options);
+    const outcome = await callJson(this.#collaborators(), call, options);
+    return outcome.mapErr(asLogFailure);
   }
 
   #url(stream: string): string {
@@ -82,3 +84,9 @@
     return { http: this.#options.http, clock: this.#clock };
   }
 }
+
+/** A log that turns work away for a while is unavailable to its readers. */
+function asLogFailure(failure: Failure): Failure {
+  if (failure.code !== "overloaded") return failure;
+  return { ...failure, code: "log-unavailable" };
+}
--- a/src/platform/refusals.ts
+++ b/src/platform/refusals.ts
@@ -30,7 +30,7 @@
     "leaving": "shutting-down",
     "overloaded": "overloaded",
     "loading": "target-refused",
-    "unavailable": "log-unavailable",
+    "unavailable": "overloaded",
   },
 };
 
