--- /dev/null
+++ b/measure/config_convergence.ts
@@ -0,0 +1,193 @@
+/**
+ * Time until a change is in force on every host, and what that costs a host,
+ * with rounds among hosts and with polling the log alone. All hosts run in
+ * this process on the system's clock, with a network and a log in memory.
+ * Run: node dist/measure/config_convergence.js
+ *
+ * @module
+ */
+
+import { systemClock } from "../src/common/clock.ts";
+import { seededRandom } from "../src/common/random.ts";
+import { ConfigFleet } from "../src/config/testing/config_fleet.ts";
+import { markerChange } from "../src/config/testing/config_history.ts";
+import { describeFit, type Point, printRows } from "./config_fit.ts";
+
+const SEED = 5;
+const HOST_COUNTS = [9, 100, 400, 1_600];
+const CHANGES = 5;
+const START_WITHIN_MS = 60_000;
+const IDLE_MS = 6_000;
+const ONE_WAY_MS = { least: 1, most: 10 };
+const CHANGE_WITHIN_MS = 5_000;
+
+interface Cost {
+  readonly hostCount: number;
+  readonly way: "rounds" | "poll only";
+  readonly startMs: number;
+  readonly meanForceMs: number;
+  readonly worstForceMs: number;
+  readonly logReadsPerS: number;
+  /** Of one host, sent and received. */
+  readonly messagesPerS: number;
+  readonly bytesPerS: number;
+  readonly processorMsPerS: number;
+  readonly messagesPerChange: number;
+  readonly bytesPerChange: number;
+  readonly processorMsPerChange: number;
+}
+
+/** Prints the tables. */
+export async function run(): Promise<void> {
+  console.log(`seed ${SEED}, ${CHANGES} changes each\n`);
+  const costs: Cost[] = [];
+  for (const way of ["rounds", "poll only"] as const) {
+    for (const hostCount of HOST_COUNTS) {
+      costs.push(await measure(hostCount, way));
+    }
+  }
+  printCosts(costs);
+  printFits(costs.filter(({ way }) => way === "rounds"));
+}
+
+async function measure(hostCount: number, way: Cost["way"]): Promise<Cost> {
+  const random = seededRandom(SEED);
+  const spanMs = ONE_WAY_MS.most - ONE_WAY_MS.least;
+  const fleet = new ConfigFleet({
+    clock: systemClock,
+    random,
+    hostCount,
+    hasPeers: way === "rounds",
+    delayMs: () => ONE_WAY_MS.least + random() * spanMs,
+  });
+  const startMs = await waitFor(
+    () => fleet.hosts.every(({ service }) => service.isReady),
+    START_WITHIN_MS,
+  );
+  const idle = await observe(fleet, () => systemClock.sleep(IDLE_MS));
+  const forceMs: number[] = [];
+  const busy = await observe(fleet, async () => {
+    for (let index = 0; index < CHANGES; index++) {
+      forceMs.push(await change(fleet, index));
+    }
+  });
+  fleet.dispose();
+  await systemClock.sleep(1_000);
+  const idlePerS = (value: number) => value / hostCount / idle.spanS;
+  const extra = (during: number, usual: number) =>
+    (during - usual * busy.spanS / idle.spanS) / hostCount / CHANGES;
+  return {
+    hostCount,
+    way,
+    startMs,
+    meanForceMs: forceMs.reduce((sum, value) => sum + value, 0) / CHANGES,
+    worstForceMs: Math.max(...forceMs),
+    logReadsPerS: idle.reads / idle.spanS,
+    messagesPerS: idlePerS(2 * idle.messages),
+    bytesPerS: idlePerS(2 * idle.bytes),
+    processorMsPerS: idlePerS(idle.processorMs),
+    messagesPerChange: extra(2 * busy.messages, 2 * idle.messages),
+    bytesPerChange: extra(2 * busy.bytes, 2 * idle.bytes),
+    processorMsPerChange: extra(busy.processorMs, idle.processorMs),
+  };
+}
+
+/** Submits a change at some host; the time until the last host has it. */
+async function change(fleet: ConfigFleet, index: number): Promise<number> {
+  const { hosts } = fleet;
+  const { service } = hosts[(index * 7) % hosts.length];
+  const version = service.state.version;
+  const beganMs = performance.now();
+  const deadlineMs = beganMs + CHANGE_WITHIN_MS;
+  const outcome = await service.patch(markerChange(index, version), {
+    deadlineMs,
+  });
+  outcome.unwrap();
+  await waitFor(
+    () => hosts.every((host) => host.service.state.version > version),
+    CHANGE_WITHIN_MS,
+  );
+  return performance.now() - beganMs;
+}
+
+async function waitFor(
+  isDone: () => boolean,
+  withinMs: number,
+): Promise<number> {
+  const beganMs = performance.now();
+  while (!isDone()) {
+    if (performance.now() - beganMs > withinMs) {
+      throw new Error(`not done within ${withinMs} ms`);
+    }
+    await systemClock.sleep(2);
+  }
+  return performance.now() - beganMs;
+}
+
+async function observe(fleet: ConfigFleet, act: () => Promise<void>) {
+  const { messageCount, byteCount } = fleet;
+  const { readCount } = fleet.log;
+  const beganMs = performance.now();
+  const used = process.cpuUsage();
+  await act();
+  const { user, system } = process.cpuUsage(used);
+  return {
+    spanS: (performance.now() - beganMs) / 1_000,
+    messages: fleet.messageCount - messageCount,
+    bytes: fleet.byteCount - byteCount,
+    reads: fleet.log.readCount - readCount,
+    processorMs: (user + system) / 1_000,
+  };
+}
+
+function printCosts(costs: readonly Cost[]): void {
+  console.log(
+    "messages and bytes of one host, sent and received, bodies only\n",
+  );
+  printRows([
+    [
+      "hosts",
+      "way",
+      "all ready, ms",
+      "in force mean, ms",
+      "worst, ms",
+      "log reads/s, fleet",
+      "idle messages/s",
+      "idle bytes/s",
+      "idle processor ms/s",
+      "messages/change",
+      "bytes/change",
+      "processor ms/change",
+    ],
+    ...costs.map((cost) => [
+      cost.hostCount,
+      cost.way,
+      cost.startMs,
+      cost.meanForceMs,
+      cost.worstForceMs,
+      cost.logReadsPerS,
+      cost.messagesPerS,
+      cost.bytesPerS,
+      cost.processorMsPerS,
+      cost.messagesPerChange,
+      cost.bytesPerChange,
+      cost.processorMsPerChange,
+    ]),
+  ]);
+}
+
+function printFits(costs: readonly Cost[]): void {
+  const against = (pick: (cost: Cost) => number): Point[] =>
+    costs.map((cost) => ({ x: cost.hostCount, y: pick(cost) }));
+  console.log("\nlines through the rounds, by number of hosts\n");
+  printRows([
+    ["value", "slope a host", "intercept", "largest residual"],
+    describeFit("in force mean, ms", against((cost) => cost.meanForceMs)),
+    describeFit("log reads/s", against((cost) => cost.logReadsPerS)),
+    describeFit("idle messages/s", against((cost) => cost.messagesPerS)),
+    describeFit("idle bytes/s", against((cost) => cost.bytesPerS)),
+    describeFit("idle processor ms/s", against((cost) => cost.processorMsPerS)),
+  ]);
+}
+
+if (process.argv[1] === import.meta.filename) await run();
--- a/src/config/config_rounds.ts
+++ b/src/config/config_rounds.ts
@@ -6,15 +6,12 @@
  * A round that most hosts answer proves two things without the log: the
  * changes that the sender holds are accepted, and no accepted change is
  * missing, since every accepted change is known to most hosts and two
- * majorities share a host. Which host sends rounds only matters for cost: the
- * first by rendezvous hashing sends one a second, and the next stands in when
- * no round has come for a little longer.
+ * majorities share a host. Which host sends rounds matters for cost only.
  *
  * @module
  */
 
 import { type Clock, systemClock } from "../common/clock.ts";
-import { rendezvousRank } from "../common/hash.ts";
 import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
 import type { Random } from "../common/random.ts";
 import type { LogRecord } from "../platform/types.ts";
@@ -40,6 +37,7 @@
   sortPeers,
   splitRange,
 } from "./peer_tree.ts";
+import { RoundSchedule } from "./round_schedule.ts";
 
 const FAN_OUT = 8;
 /** A round's first level answers within this time, each lower one sooner. */
@@ -53,17 +51,6 @@
 const PEERS_ASKED_FOR_STATE = 2;
 /** Longest run of records that travels in a round; more is fetched. */
 const MAX_CARRIED_RECORDS = 32;
-const ROUND_EVERY_MS = 1_000;
-const RANK_STEP_MS = 200;
-const LAST_RANK = 8;
-const JITTER_MS = 1_000;
-const CHECK_EVERY_MS = 100;
-/** A host this stale tries rounds of its own, however many it hears. */
-const STALE_AFTER_MS = 2_000;
-/** Time between such rounds of one host, for each host of the fleet. */
-const STAND_IN_MS_A_HOST = 250;
-const ROLE_KEY = "config-rounds";
-
 /** Options of the rounds of one host. */
 export interface ConfigRoundsOptions {
   readonly holder: ConfigHolder;
@@ -99,20 +86,11 @@
   readonly #callPeer: CallPeer;
   readonly #clock: Clock;
   readonly #random: Random;
+  readonly #schedule: RoundSchedule;
   readonly #owned = new DisposableStore();
   #known: readonly ConfigPeer[] | undefined;
   #sorted: readonly ConfigPeer[] = [];
-  #rank = 0;
-  /** The freshest word that any round has carried past this host. */
-  #spreadAsOfMs = -Infinity;
   #spreadOffset = 0;
-  #lastRoundMs = -Infinity;
-  /** When the last round of any host passed here. */
-  #lastHeardMs = -Infinity;
-  #jitterMs = 0;
-  #standInEveryMs = ROUND_EVERY_MS;
-  #isWanted = false;
-  #wake = new AbortController();
 
   constructor(options: ConfigRoundsOptions) {
     this.#holder = options.holder;
@@ -121,6 +99,7 @@
     this.#callPeer = options.callPeer;
     this.#clock = options.clock ?? systemClock;
     this.#random = options.random ?? Math.random;
+    this.#schedule = new RoundSchedule(options);
     const { handlePeer } = options;
     this.#owned.add(handlePeer(ROUND_METHOD, (value) => this.#receive(value)));
     this.#owned.add(
@@ -132,36 +111,18 @@
     this.#owned.dispose();
   }
 
-  /** This host's place among all for the roles that save work; 0 is the first. */
-  get rank(): number {
+  /** When rounds are due, and this host's place for roles. */
+  get schedule(): RoundSchedule {
     this.#refreshPeers();
-    return this.#rank;
-  }
-
-  /** How long this host lets the fleet's word grow old before it stands in. */
-  get patienceMs(): number {
-    const rank = Math.min(this.rank, LAST_RANK);
-    const jitterMs = rank < LAST_RANK ? 0 : this.#jitterMs;
-    return ROUND_EVERY_MS + rank * RANK_STEP_MS + jitterMs;
-  }
-
-  /** Asks for a round soon, for instance because there are new records. */
-  request(): void {
-    this.#isWanted = true;
-    this.#wake.abort();
+    return this.#schedule;
   }
 
   /** Sends rounds when they are due, until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const wake = () => this.#wake.abort();
-    signal.addEventListener("abort", wake, { once: true });
     while (!signal.aborted) {
-      if (this.#isDue()) await this.round();
-      if (this.#isWanted) continue;
-      this.#wake = new AbortController();
-      await this.#clock.sleep(CHECK_EVERY_MS, this.#wake.signal);
+      await this.schedule.waitUntilDue(() => this.#holder.asOfMs, signal);
+      if (!signal.aborted) await this.round();
     }
-    signal.removeEventListener("abort", wake);
   }
 
   /** Takes the state of a few peers, until one is grounded. */
@@ -178,13 +139,8 @@
   /** Sends one round; resolves as soon as it is confirmed or has ended. */
   async round(): Promise<RoundResult> {
     this.#refreshPeers();
-    this.#isWanted = false;
-    this.#jitterMs = this.#random() * JITTER_MS;
-    this.#standInEveryMs = (0.5 + this.#random()) * STAND_IN_MS_A_HOST *
-      (this.#sorted.length + 1);
+    this.#schedule.noteOwn();
     const startedMs = this.#clock.nowMs();
-    this.#lastRoundMs = startedMs;
-    this.#lastHeardMs = startedMs;
     const message = this.#compose();
     this.#noteSpread(message);
     const reply = await this.#gather(message);
@@ -220,27 +176,16 @@
     this.#holder.markStable(nextOffset);
     this.#holder.confirm(startedMs, nextOffset);
     // The others wait for the word that the change is accepted.
-    if (hadPending) this.request();
+    if (hadPending) this.#schedule.request();
   }
 
   async #catchUp(reply: RoundReply): Promise<void> {
     if (reply.newestUrl === null) return;
     const deadlineMs = this.#clock.nowMs() + PULL_WITHIN_MS;
     await this.#pull(reply.newestUrl, deadlineMs);
-    if (this.#holder.nextOffset >= reply.newestOffset) this.request();
-  }
-
-  #isDue(): boolean {
-    if (this.#isWanted) return true;
-    const nowMs = this.#clock.nowMs();
-    const sinceOwnMs = nowMs - this.#lastRoundMs;
-    if (sinceOwnMs < ROUND_EVERY_MS) return false;
-    const { patienceMs } = this;
-    if (nowMs - this.#lastHeardMs >= patienceMs) return true;
-    const { asOfMs, ageMs } = this.#holder;
-    if (asOfMs - this.#spreadAsOfMs >= patienceMs) return true;
-    // Rounds come, but they prove nothing: others may reach more hosts.
-    return ageMs >= STALE_AFTER_MS && sinceOwnMs >= this.#standInEveryMs;
+    if (this.#holder.nextOffset >= reply.newestOffset) {
+      this.#schedule.request();
+    }
   }
 
   #compose(): RoundCore {
@@ -267,8 +212,7 @@
     this.#spreadOffset = Math.max(this.#spreadOffset, message.nextOffset);
     if (message.asOfWallMs === null) return;
     const ageMs = this.#clock.wallMs() - message.asOfWallMs;
-    const asOfMs = this.#clock.nowMs() - Math.max(0, ageMs);
-    this.#spreadAsOfMs = Math.max(this.#spreadAsOfMs, asOfMs);
+    this.#schedule.noteSpread(this.#clock.nowMs() - Math.max(0, ageMs));
   }
 
   async #receive(parameters: unknown): Promise<RoundReply> {
@@ -277,7 +221,7 @@
       throw new Error(`host ${message.to} is no longer at this address`);
     }
     this.#refreshPeers();
-    this.#lastHeardMs = this.#clock.nowMs();
+    this.#schedule.noteHeard();
     this.#holder.takeRecords(message.records as LogRecord[]);
     if (this.#holder.nextOffset < message.nextOffset) {
       const deadlineMs = this.#clock.nowMs() + MIN_LEVEL_MS;
@@ -298,6 +242,7 @@
     this.#holder.markStable(message.stableOffset);
     this.#noteSpread(message);
     if (message.asOfWallMs === null) return;
+    this.#holder.ground();
     const ageMs = Math.max(0, this.#clock.wallMs() - message.asOfWallMs);
     this.#holder.confirm(this.#clock.nowMs() - ageMs, message.stableOffset);
   }
@@ -380,8 +325,10 @@
     this.#known = known;
     const others = (known ?? []).filter(({ name }) => name !== this.#self.name);
     this.#sorted = sortPeers(others);
-    const names = [this.#self.name, ...others.map(({ name }) => name)];
-    this.#rank = rendezvousRank(ROLE_KEY, names).indexOf(this.#self.name);
+    this.#schedule.setFleet(
+      this.#self.name,
+      others.map(({ name }) => name),
+    );
   }
 
   #pick(peers: readonly ConfigPeer[]): ConfigPeer {
--- a/src/config/config_service.ts
+++ b/src/config/config_service.ts
@@ -33,6 +33,7 @@
 } from "./types.ts";
 
 const RETRY_WAIT_MS = 250;
+const GROUND_EVERY_MS = 1_000;
 
 /** How hosts of one fleet reach each other. */
 export type ConfigPeerOptions = Pick<
@@ -92,9 +93,10 @@
     this.#follower = new LogFollower({
       ...options,
       holder,
-      rank: () => rounds?.rank ?? 0,
-      patienceMs: () => rounds?.patienceMs ?? 0,
-      onNewRecords: () => rounds?.request(),
+      rank: () => rounds?.schedule.rank ?? 0,
+      patienceMs: () => rounds?.schedule.patienceMs ?? 0,
+      onRead: (isNews) =>
+        isNews ? rounds?.schedule.request() : rounds?.schedule.check(),
     });
   }
 
@@ -281,7 +283,7 @@
   async #runUpkeep(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       if (!this.#holder.isGrounded) await this.#rounds?.ground();
-      await this.#clock.sleep(RETRY_WAIT_MS, signal);
+      await this.#clock.sleep(GROUND_EVERY_MS, signal);
     }
   }
 }
--- a/src/config/log_follower.ts
+++ b/src/config/log_follower.ts
@@ -18,7 +18,7 @@
 const READER_COUNT = 3;
 const CALL_WITHIN_MS = 2_000;
 const WAIT_MS = 500;
-const CHECK_EVERY_MS = 100;
+const MIN_WAIT_MS = 50;
 const PAGE_LIMIT = 500;
 const RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 4_000;
@@ -49,8 +49,8 @@
   readonly rank?: () => number;
   /** How stale the host's state may grow before it reads the log itself. */
   readonly patienceMs?: () => number;
-  /** Called when the log held records that this host did not know. */
-  readonly onNewRecords?: () => void;
+  /** Called after a read, with whether the other hosts should hear of it at once. */
+  readonly onRead?: (isNews: boolean) => void;
   readonly onLogFailure?: (failure: Failure) => void;
 }
 
@@ -65,11 +65,12 @@
   readonly #snapshotPolicy: SnapshotPolicy;
   readonly #rank: () => number;
   readonly #patienceMs: () => number;
-  readonly #onNewRecords: () => void;
+  readonly #onRead: (isNews: boolean) => void;
   readonly #onLogFailure: (failure: Failure) => void;
   /** Where to go on in the search for a snapshot, while one is needed. */
   #searchOffset = 0;
-  #snapshotBaseWallMs: number;
+  readonly #startedMs: number;
+  readonly #startedWallMs: number;
   #lastSnapshotTryMs = -Infinity;
   #nextAcceptedTryMs = -Infinity;
 
@@ -87,17 +88,19 @@
     };
     this.#rank = options.rank ?? (() => 0);
     this.#patienceMs = options.patienceMs ?? (() => 0);
-    this.#onNewRecords = options.onNewRecords ?? (() => {});
+    this.#onRead = options.onRead ?? (() => {});
     this.#onLogFailure = options.onLogFailure ?? (() => {});
-    this.#snapshotBaseWallMs = this.#clock.wallMs();
+    this.#startedMs = this.#clock.nowMs();
+    this.#startedWallMs = this.#clock.wallMs();
   }
 
   /** Reads whenever this host should, until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     let retryAfterMs = RETRY_AFTER_MS;
     while (!signal.aborted) {
-      if (!this.#shouldRead()) {
-        await this.#clock.sleep(CHECK_EVERY_MS, signal);
+      const waitMs = this.#readInMs();
+      if (waitMs > 0) {
+        await this.#clock.sleep(Math.max(waitMs, MIN_WAIT_MS), signal);
         continue;
       }
       const outcome = await this.readOnce({
@@ -108,7 +111,7 @@
       if (signal.aborted) return;
       if (outcome.isOk()) {
         retryAfterMs = RETRY_AFTER_MS;
-        if (!outcome.value) await this.#clock.sleep(CHECK_EVERY_MS, signal);
+        if (!outcome.value) await this.#clock.sleep(MIN_WAIT_MS, signal);
         continue;
       }
       this.#onLogFailure(outcome.error);
@@ -122,7 +125,7 @@
     options: { deadlineMs: number; waitMs?: number; signal?: AbortSignal },
   ): Promise<Outcome<boolean>> {
     const startedMs = this.#clock.nowMs();
-    const { nextOffset } = this.#holder;
+    const { nextOffset, isGrounded: wasGrounded } = this.#holder;
     const fromOffset = Math.max(nextOffset, this.#searchOffset);
     const read = await this.#log.read(CONFIG_STREAM, fromOffset, {
       ...options,
@@ -136,15 +139,19 @@
         this.#holder.confirm(startedMs, page.nextOffset);
         this.#writeIfDue(page);
       }
-      if (this.#holder.nextOffset > nextOffset) this.#onNewRecords();
+      const isNews = this.#holder.nextOffset > nextOffset || !wasGrounded;
+      const spreads = wasGrounded || this.#rank() < READER_COUNT;
+      if (isCaughtUp) this.#onRead(isNews && spreads);
       return isCaughtUp;
     });
   }
 
-  #shouldRead(): boolean {
-    if (!this.#holder.isGrounded) return true;
-    if (this.#rank() < READER_COUNT) return true;
-    return this.#holder.ageMs > this.#patienceMs();
+  /** Time until this host should read; 0 or less when it should now. */
+  #readInMs(): number {
+    if (this.#rank() < READER_COUNT) return 0;
+    const sinceStartMs = this.#clock.nowMs() - this.#startedMs;
+    const ageMs = Math.min(this.#holder.ageMs, sinceStartMs);
+    return this.#patienceMs() - ageMs;
   }
 
   #takePage(page: LogPage, fromOffset: number): void {
@@ -224,7 +231,7 @@
     const { everyRecords, everyMs } = this.#snapshotPolicy;
     const recordCount = nextOffset - (last?.nextOffset ?? 0);
     if (recordCount >= everyRecords * patience) return true;
-    const sinceWallMs = last?.atWallMs ?? this.#snapshotBaseWallMs;
+    const sinceWallMs = last?.atWallMs ?? this.#startedWallMs;
     return this.#clock.wallMs() - sinceWallMs >= everyMs * patience;
   }
 }
--- a/src/config/testing/config_fleet.ts
+++ b/src/config/testing/config_fleet.ts
@@ -6,7 +6,6 @@
  */
 
 import { Ok } from "ts-results-es";
-import type { ManualClock } from "../../../test/manual_clock.ts";
 import type { Clock } from "../../common/clock.ts";
 import { toDisposable } from "../../common/lifecycle.ts";
 import type { Random } from "../../common/random.ts";
@@ -19,7 +18,7 @@
 
 /** What a fleet is made of. */
 export interface ConfigFleetOptions {
-  readonly clock: ManualClock;
+  readonly clock: Clock;
   readonly random: Random;
   readonly hostCount: number;
   /** Time of one way between hosts and to the log. */
@@ -77,7 +76,7 @@
   readonly log: FakeLog;
   readonly hosts: FleetHost[] = [];
   readonly #options: ConfigFleetOptions;
-  readonly #clock: ManualClock;
+  readonly #clock: Clock;
   readonly #byUrl = new Map<string, FleetHost>();
   #listed: ConfigPeer[] = [];
   #startCount = 0;
