--- a/src/config/config_rounds.ts
+++ b/src/config/config_rounds.ts
@@ -136,7 +136,10 @@
     await Promise.all(asked.map((peer) => this.#pull(peer.url, deadlineMs)));
   }
 
-  /** Sends one round; resolves as soon as it is confirmed or has ended. */
+  /**
+   * Sends one round; resolves as soon as it is confirmed or has ended. A second
+   * one follows when the first put a change in force.
+   */
   async round(): Promise<RoundResult> {
     this.#refreshPeers();
     this.#schedule.noteOwn();
@@ -145,7 +148,13 @@
     this.#noteSpread(message);
     const reply = await this.#gather(message);
     const result = this.#judge(reply, message.nextOffset);
-    if (result.isConfirmed) this.#confirm(startedMs, message.nextOffset);
+    const hadPending = this.#holder.hasPending;
+    if (result.isConfirmed) {
+      this.#holder.markStable(message.nextOffset);
+      this.#holder.confirm(startedMs, message.nextOffset);
+    }
+    // The others wait for the word that the change is accepted.
+    if (hadPending && !this.#holder.hasPending) await this.round();
     if (reply.newestOffset > message.nextOffset) await this.#catchUp(reply);
     return result;
   }
@@ -171,14 +180,6 @@
     return { holding, hostCount, isConfirmed };
   }
 
-  #confirm(startedMs: number, nextOffset: number): void {
-    const hadPending = this.#holder.hasPending;
-    this.#holder.markStable(nextOffset);
-    this.#holder.confirm(startedMs, nextOffset);
-    // The others wait for the word that the change is accepted.
-    if (hadPending) this.#schedule.request();
-  }
-
   async #catchUp(reply: RoundReply): Promise<void> {
     if (reply.newestUrl === null) return;
     const deadlineMs = this.#clock.nowMs() + PULL_WITHIN_MS;
--- a/src/config/config_service.ts
+++ b/src/config/config_service.ts
@@ -33,6 +33,8 @@
 } from "./types.ts";
 
 const RETRY_WAIT_MS = 250;
+/** Rounds sent before a change is refused because too few hosts answer. */
+const REACH_TRIES = 3;
 const GROUND_EVERY_MS = 1_000;
 
 /** How hosts of one fleet reach each other. */
@@ -189,10 +191,14 @@
 
   /** A change is submitted only where most hosts can hear of it. */
   async #checkReach(): Promise<Outcome<void>> {
-    const round = await this.#rounds?.round();
-    if (round === undefined || 2 * round.holding > round.hostCount) {
-      return new Ok(undefined);
+    if (this.#rounds === undefined) return new Ok(undefined);
+    let round = await this.#rounds.round();
+    let tried = 1;
+    while (2 * round.holding <= round.hostCount && tried < REACH_TRIES) {
+      round = await this.#rounds.round();
+      tried += 1;
     }
+    if (2 * round.holding > round.hostCount) return new Ok(undefined);
     return notRun(
       "log-unavailable",
       `only ${round.holding} of ${round.hostCount} hosts can be reached; a change needs most of them`,
--- a/src/config/log_follower.ts
+++ b/src/config/log_follower.ts
@@ -69,6 +69,8 @@
   readonly #onLogFailure: (failure: Failure) => void;
   /** Where to go on in the search for a snapshot, while one is needed. */
   #searchOffset = 0;
+  /** The change that this host has spoken up for. */
+  #spokenOffset = -1;
   readonly #startedMs: number;
   readonly #startedWallMs: number;
   #lastSnapshotTryMs = -Infinity;
@@ -139,13 +141,28 @@
         this.#holder.confirm(startedMs, page.nextOffset);
         this.#writeIfDue(page);
       }
-      const isNews = this.#holder.nextOffset > nextOffset || !wasGrounded;
-      const spreads = wasGrounded || this.#rank() < READER_COUNT;
-      if (isCaughtUp) this.#onRead(isNews && spreads);
+      const isNew = this.#holder.nextOffset > nextOffset;
+      if (isCaughtUp) this.#onRead(this.#isUrgent(isNew, wasGrounded));
       return isCaughtUp;
     });
   }
 
+  /**
+   * Whether the other hosts should hear at once of what was read: a change that
+   * waits for their word. The first reader speaks up when it sees the change,
+   * the others when it still waits at their next read.
+   */
+  #isUrgent(isNew: boolean, wasGrounded: boolean): boolean {
+    const rank = this.#rank();
+    if (!wasGrounded) return rank === 0;
+    const { hasPending, stableOffset } = this.#holder;
+    const hasSpoken = stableOffset === this.#spokenOffset;
+    if (!hasPending || hasSpoken || rank >= READER_COUNT) return false;
+    if (isNew !== (rank === 0)) return false;
+    this.#spokenOffset = stableOffset;
+    return true;
+  }
+
   /** Time until this host should read; 0 or less when it should now. */
   #readInMs(): number {
     if (this.#rank() < READER_COUNT) return 0;
