--- a/src/requests/quarantine_service_test.ts
+++ b/src/requests/quarantine_service_test.ts
@@ -70,9 +70,9 @@
     host: at % HOST_COUNT,
     afterMs: 0,
   }));
-  const crash = { prompt: "crash", host: 0, afterMs: 1 };
+  const crash = { prompt: "crash", host: 0, afterMs: 0 };
   const { lostCount, ended } = await play(
-    { seed: 3, atIndex: 0, stage: 0, sendings: [...sendings, crash] },
+    { seed: 3, atIndex: 0, stage: 0, sendings: [crash, ...sendings] },
     { replicas: 3 },
   );
   expect(lostCount).toBe(MAX_TARGETS_LOST);
