--- a/measure/requests_recovery.ts
+++ b/measure/requests_recovery.ts
@@ -7,8 +7,8 @@
  * @module
  */
 
-import { Ok } from "ts-results-es";
 import type { IQuarantineService } from "../src/requests/services.ts";
+import { NO_QUARANTINE } from "../test/requests_completions.ts";
 import { quarantineFleet } from "../test/requests_quarantine.ts";
 
 const SEED = 42;
@@ -18,13 +18,6 @@
 const VICTIMS = [1, 4, 16, 32, 64];
 const FAULT_AT_MS = 205;
 
-const NO_ISOLATION: IQuarantineService = {
-  admit: () => Ok.EMPTY,
-  strike: () => Promise.resolve(),
-  isolate: () => Promise.resolve({ kind: "unsuspected" }),
-  absolve: () => {},
-};
-
 /** Prints the table. */
 export async function run(): Promise<void> {
   const startMs = performance.now();
@@ -36,7 +29,7 @@
   );
   console.log("| --- | --- | ---: | ---: | ---: | ---: | ---: |");
   for (const fault of ["dead", "frozen"] as const) {
-    for (const isolation of [undefined, NO_ISOLATION]) {
+    for (const isolation of [undefined, NO_QUARANTINE]) {
       for (const victims of VICTIMS) {
         await printRow(fault, isolation, victims);
       }
--- /dev/null
+++ b/measure/requests_tokens.ts
@@ -0,0 +1,148 @@
+/**
+ * Processor time that the requests layer adds to a token and to a stream:
+ * the same tokens delivered to a listener that does nothing, and through
+ * `CompletionService`, in one run. Engines and picker are fakes that cost
+ * next to nothing; sockets and parsing are not part of it.
+ *
+ * @module
+ */
+
+import { Ok } from "ts-results-es";
+import type { Outcome } from "../src/common/verdict.ts";
+import type { IChainPicker } from "../src/pipelines/services.ts";
+import type { IEngineClient, TokenListener } from "../src/platform/services.ts";
+import {
+  chainSignature,
+  type ChainStage,
+  type EngineEnd,
+} from "../src/platform/types.ts";
+import { CompletionService } from "../src/requests/completion_service.ts";
+import { RequestJournal } from "../src/requests/request_journal.ts";
+import { NO_QUARANTINE, pipelineConfig } from "../test/requests_completions.ts";
+
+const TOKENS_PER_STREAM = [16, 64, 256, 1_024];
+const TOTAL_TOKENS = 400_000;
+const TOKENS_PER_ARRIVAL = [1, 8];
+
+const CHAIN: ChainStage[] = [0, 1, 2, 3].map((at) => ({
+  target: `escriba-${at}`,
+  url: `http://escriba-${at}`,
+  first: 8 * at,
+  end: 8 * at + 8,
+  generation: 3,
+}));
+const SIGNATURE = chainSignature(CHAIN);
+
+/** Prints the table. */
+export async function run(): Promise<void> {
+  const startMs = performance.now();
+  console.log(`${TOTAL_TOKENS} tokens a row, 64 streams at a time`);
+  console.log(
+    "\n| tokens/stream | tokens/arrival | plain µs/token | service µs/token | added µs/token | tokens/s of one core |",
+  );
+  console.log("| ---: | ---: | ---: | ---: | ---: | ---: |");
+  await measure(plain, 64, 1);
+  await measure(throughService(), 64, 1);
+  for (const arrival of TOKENS_PER_ARRIVAL) {
+    for (const length of TOKENS_PER_STREAM) {
+      const bare = await measure(plain, length, arrival);
+      const served = await measure(throughService(), length, arrival);
+      const cells = [
+        length,
+        arrival,
+        bare.toFixed(2),
+        served.toFixed(2),
+        (served - bare).toFixed(2),
+        Math.round(1e6 / served),
+      ];
+      console.log(`| ${cells.join(" | ")} |`);
+    }
+  }
+  const tookS = (performance.now() - startMs) / 1_000;
+  console.log(`\nrun time ${tookS.toFixed(0)} s`);
+}
+
+type Serve = (length: number, arrival: number) => Promise<void>;
+
+/** Processor microseconds a token. */
+async function measure(
+  serve: Serve,
+  length: number,
+  arrival: number,
+): Promise<number> {
+  const before = process.cpuUsage();
+  let left = Math.ceil(TOTAL_TOKENS / length);
+  async function worker(): Promise<void> {
+    while (left-- > 0) await serve(length, arrival);
+  }
+  await Promise.all(Array.from({ length: 64 }, worker));
+  const used = process.cpuUsage(before);
+  return (used.user + used.system) / TOTAL_TOKENS;
+}
+
+async function plain(length: number, arrival: number): Promise<void> {
+  let count = 0;
+  const onTokens: TokenListener = (tokens) => void (count += tokens.length);
+  await deliver("plain", { length, arrival, onTokens });
+}
+
+function throughService(): Serve {
+  let nextId = 0;
+  let arrivalNow = 1;
+  const engines = {
+    generate: (_url, { attemptId, maxTokens }, { onTokens }) =>
+      deliver(attemptId, { length: maxTokens, arrival: arrivalNow, onTokens }),
+  } as Partial<IEngineClient> as IEngineClient;
+  const picker: IChainPicker = {
+    pick: () =>
+      new Ok({ chain: CHAIN, model: "m", version: "v1", dispose: () => {} }),
+    reportFailure: () => {},
+    reportLoad: () => {},
+    progressWithinMs: () => 1_000,
+    reportProgress: () => {},
+  };
+  const service = new CompletionService({
+    config: pipelineConfig(),
+    picker,
+    engines,
+    journal: new RequestJournal(),
+    quarantine: NO_QUARANTINE,
+  });
+  return async (length, arrival) => {
+    arrivalNow = arrival;
+    let count = 0;
+    const outcome = await service.complete({
+      requestId: `r${nextId++}`,
+      customer: "ferias",
+      pipeline: "escriba",
+      prompt: "Describe the entry.",
+      maxTokens: length,
+      deadlineMs: performance.now() + 60_000,
+      signal: new AbortController().signal,
+    }, (tokens) => void (count += tokens.length));
+    if (outcome.isErr() || count !== length) throw new Error("not whole");
+  };
+}
+
+/** Sends the tokens of one stream, one turn of the event loop an arrival. */
+async function deliver(
+  attemptId: string,
+  stream: { length: number; arrival: number; onTokens: TokenListener },
+): Promise<Outcome<EngineEnd>> {
+  for (let from = 0; from < stream.length; from += stream.arrival) {
+    await new Promise((resolve) => setImmediate(resolve));
+    const count = Math.min(stream.arrival, stream.length - from);
+    stream.onTokens(
+      Array.from({ length: count }, (_, at) => ({
+        attemptId,
+        index: from + at,
+        id: from,
+        text: "word ",
+        ran: SIGNATURE.slice(),
+      })),
+    );
+  }
+  return new Ok({ attemptId, tokenCount: stream.length, reason: "length" });
+}
+
+if (process.argv[1] === import.meta.filename) await run();
--- a/src/requests/quarantine_service_test.ts
+++ b/src/requests/quarantine_service_test.ts
@@ -1,7 +1,6 @@
 import fc from "fast-check";
-import { Ok } from "ts-results-es";
 import { expect, test } from "vitest";
-import { LENGTH } from "../../test/requests_completions.ts";
+import { LENGTH, NO_QUARANTINE } from "../../test/requests_completions.ts";
 import {
   type Ended,
   quarantineFleet,
@@ -28,13 +27,6 @@
   readonly sendings: readonly Sending[];
 }
 
-const PLAIN = {
-  admit: () => Ok.EMPTY,
-  strike: () => Promise.resolve(),
-  isolate: () => Promise.resolve({ kind: "unsuspected" as const }),
-  absolve: () => {},
-};
-
 test(`a crashing request costs two targets, seed ${SEED}`, async () => {
   await fc.assert(
     fc.asyncProperty(scenario(), async (planned) => {
@@ -59,7 +51,7 @@
       afterMs: 5_000,
     })),
   };
-  const plain = await play(planned, { quarantine: PLAIN });
+  const plain = await play(planned, { quarantine: NO_QUARANTINE });
   expect(plain.lostCount).toBeGreaterThan(5);
   expect((await play(planned)).lostCount).toBe(MAX_TARGETS_LOST);
 });
--- a/test/requests_completions.ts
+++ b/test/requests_completions.ts
@@ -46,7 +46,8 @@
   },
 });
 
-const NO_QUARANTINE: IQuarantineService = {
+/** A quarantine that lets everything pass. */
+export const NO_QUARANTINE: IQuarantineService = {
   admit: () => Ok.EMPTY,
   strike: () => Promise.resolve(),
   isolate: () => Promise.resolve({ kind: "unsuspected" }),
