Test two crashing contents at once and strikes in a large fleet

Cause: quarantine was tested with one crashing content on a few hosts. Change: two contents at once, and a fleet in which every live host must hear of a strike in time.

--- a/src/requests/quarantine_service_test.ts
+++ b/src/requests/quarantine_service_test.ts
@@ -1,11 +1,15 @@
 import fc from "fast-check";
 import { expect, test } from "vitest";
+import { ManualClock } from "../../test/manual_clock.ts";
+import { TestNetwork } from "../../test/requests_host.ts";
 import { LENGTH, NO_QUARANTINE } from "../../test/requests_completions.ts";
 import {
   type Ended,
   quarantineFleet,
   type QuarantineFleetOptions,
 } from "../../test/requests_quarantine.ts";
+import { seededRandom } from "../common/random.ts";
+import { QuarantineService } from "./quarantine_service.ts";
 import { StrikeLedger } from "./strike_ledger.ts";
 
 const SEED = 20_261_205;
@@ -56,6 +60,70 @@
   expect((await play(planned)).lostCount).toBe(MAX_TARGETS_LOST);
 });
 
+test("two crashing contents at once cost two targets each", async () => {
+  for (let seed = 0; seed < 100; seed += 1) {
+    const random = seededRandom(seed);
+    const crash = () => ({
+      atIndex: Math.floor(random() * LENGTH),
+      stage: Math.floor(random() * 3),
+    });
+    const { clock, engines, send } = quarantineFleet({
+      seed,
+      hostCount: HOST_COUNT,
+      replicas: 12,
+      crashes: new Map([["x", crash()], ["y", crash()]]),
+    });
+    const open: Promise<Ended>[] = [];
+    for (const prompt of ["a", "b", "x", "c", "d", "y", "e", "f", "g"]) {
+      open.push(send(prompt, Math.floor(random() * HOST_COUNT)));
+      await clock.advance(Math.floor(random() * 30));
+    }
+    await clock.runUntil(Promise.all(open));
+    for (const lost of engines.lostTo.values()) {
+      expect(lost.size, `seed ${seed}`).toBeLessThanOrEqual(MAX_TARGETS_LOST);
+    }
+  }
+}, FUZZ_WITHIN_MS);
+
+test("a strike reaches every live host of a large fleet in time", async () => {
+  const clock = new ManualClock();
+  const random = seededRandom(6);
+  const network = new TestNetwork({ clock, random });
+  const hosts = Array.from(
+    { length: 150 },
+    (_, at) => network.add(`host-${at}`),
+  );
+  const dissemination = {
+    publish: () => {},
+    onFact: () => ({ dispose: () => {} }),
+  };
+  const services = hosts.map((host) =>
+    new QuarantineService({
+      clock: host.clock(clock),
+      membership: network.membership(host),
+      transport: network.transport(host),
+      dissemination,
+    })
+  );
+  for (const host of hosts.slice(1)) if (random() < 0.1) host.kill();
+  const startMs = clock.nowMs();
+  for (const target of ["t1", "t2"]) {
+    await clock.runUntil(
+      services[0].strike("f", {
+        target,
+        startedMs: clock.nowMs() - 50,
+        isAlone: target === "t2",
+        deadlineMs: clock.nowMs() + 10_000,
+      }),
+    );
+  }
+  expect(clock.nowMs() - startMs).toBeLessThanOrEqual(400);
+  for (const [at, service] of services.entries()) {
+    if (!hosts[at].isDead) expect(service.admit("f").isErr()).toBe(true);
+  }
+  expect(network.callCount).toBeLessThanOrEqual(2 * hosts.length);
+});
+
 test("more suspects than chains are all answered in turn", async () => {
   const sendings = Array.from({ length: 40 }, (_, at) => ({
     prompt: `innocent ${at}`,
