--- /dev/null
+++ b/src/config/config_service.ts
@@ -0,0 +1,296 @@
+/**
+ * The configuration in force on this host. The parts are the holder of what
+ * this host knows, the follower of the log, and the rounds among hosts; this
+ * module joins them and submits operators' patches.
+ *
+ * @module
+ */
+
+import { Ok } from "ts-results-es";
+import { type Clock, systemClock } from "../common/clock.ts";
+import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
+import type { Random } from "../common/random.ts";
+import {
+  type Failure,
+  mayHaveRun,
+  notRun,
+  type Outcome,
+} from "../common/verdict.ts";
+import type { ILogClient } from "../platform/services.ts";
+import type { LogEntry } from "../platform/types.ts";
+import { ConfigHolder } from "./config_holder.ts";
+import { ConfigRounds, type ConfigRoundsOptions } from "./config_rounds.ts";
+import { LogFollower, type SnapshotPolicy } from "./log_follower.ts";
+import { applyPatch } from "./patch.ts";
+import { CONFIG_STREAM, type RecordResult } from "./records.ts";
+import type { Config } from "./schema.ts";
+import type { IConfigService } from "./services.ts";
+import type {
+  AuditEntry,
+  ConfigChange,
+  ConfigState,
+  PatchRequest,
+} from "./types.ts";
+
+const RETRY_WAIT_MS = 250;
+
+/** How hosts of one fleet reach each other. */
+export type ConfigPeerOptions = Pick<
+  ConfigRoundsOptions,
+  "self" | "peers" | "callPeer" | "handlePeer"
+>;
+
+/** Options of the configuration service. */
+export interface ConfigServiceOptions {
+  readonly log: ILogClient;
+  /** Name of this host, written into snapshots. */
+  readonly host: string;
+  /** Without it the host is alone: it reads the log itself and asks nobody. */
+  readonly peering?: ConfigPeerOptions;
+  readonly clock?: Clock;
+  readonly random?: Random;
+  /** Makes the id of a record; unique over all hosts and restarts. */
+  readonly createId?: () => string;
+  readonly snapshotPolicy?: Partial<SnapshotPolicy>;
+  /** Called with a failure of the log that the service will retry. */
+  readonly onLogFailure?: (failure: Failure) => void;
+}
+
+/** What an operator may want to know of a host's configuration. */
+export interface ConfigStatus {
+  readonly isReady: boolean;
+  readonly version: number;
+  /** Set while a newer version waits for the word of most hosts. */
+  readonly pendingVersion?: number;
+  /** Time since this host surely held every accepted change; absent if never. */
+  readonly ageMs?: number;
+}
+
+/** See {@link IConfigService}. */
+export class ConfigService implements IConfigService, Disposable {
+  readonly #log: ILogClient;
+  readonly #clock: Clock;
+  readonly #createId: () => string;
+  readonly #holder: ConfigHolder;
+  readonly #follower: LogFollower;
+  readonly #rounds: ConfigRounds | undefined;
+  readonly #owned = new DisposableStore();
+
+  readonly onChange;
+
+  constructor(options: ConfigServiceOptions) {
+    const { peering, clock = systemClock } = options;
+    this.#log = options.log;
+    this.#clock = clock;
+    this.#createId = options.createId ?? (() => crypto.randomUUID());
+    this.#holder = new ConfigHolder({ clock, isAlone: peering === undefined });
+    this.onChange = this.#holder.onChange;
+    const holder = this.#holder;
+    const rounds = peering &&
+      new ConfigRounds({ ...peering, holder, clock, random: options.random });
+    this.#rounds = rounds && this.#owned.add(rounds);
+    this.#follower = new LogFollower({
+      ...options,
+      holder,
+      rank: () => rounds?.rank ?? 0,
+      patienceMs: () => rounds?.patienceMs ?? 0,
+      onNewRecords: () => rounds?.request(),
+    });
+  }
+
+  get state(): ConfigState {
+    return this.#holder.state;
+  }
+
+  get isReady(): boolean {
+    return this.#holder.isReady;
+  }
+
+  get status(): ConfigStatus {
+    const { isReady, state, ledger, ageMs } = this.#holder;
+    const pending = ledger.state.version;
+    return {
+      isReady,
+      version: state.version,
+      ...(pending > state.version ? { pendingVersion: pending } : {}),
+      ...(Number.isFinite(ageMs) ? { ageMs: Math.round(ageMs) } : {}),
+    };
+  }
+
+  history(options: { limit: number }): readonly AuditEntry[] {
+    return this.#holder.history(options.limit);
+  }
+
+  dispose(): void {
+    this.#owned.dispose();
+  }
+
+  /** Follows the log and the peers until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const siblings = new AbortController();
+    const stop = () => siblings.abort();
+    signal.addEventListener("abort", stop, { once: true });
+    if (signal.aborted) stop();
+    try {
+      await this.#rounds?.ground();
+      await Promise.all([
+        this.#follower.run(siblings.signal),
+        this.#rounds?.run(siblings.signal),
+        this.#runUpkeep(siblings.signal),
+      ]);
+    } finally {
+      stop();
+      signal.removeEventListener("abort", stop);
+    }
+  }
+
+  plan(request: PatchRequest): Outcome<Config> {
+    const { version, config } = this.#holder.ledger.state;
+    if (request.baseVersion !== version) return this.#staleVersion(request);
+    return applyPatch(config, request);
+  }
+
+  /** Resolves once the state is surely not older than the call; fails if that cannot be told. */
+  async confirm(
+    options: { deadlineMs: number },
+  ): Promise<Outcome<ConfigState>> {
+    const calledMs = this.#clock.nowMs();
+    while (this.#clock.nowMs() < options.deadlineMs) {
+      if (this.#rounds === undefined) await this.#follower.readOnce(options);
+      else await this.#rounds.round();
+      const { asOfMs, hasPending, state } = this.#holder;
+      if (asOfMs >= calledMs && !hasPending) return new Ok(state);
+      await this.#clock.sleep(RETRY_WAIT_MS);
+    }
+    return notRun(
+      "log-unavailable",
+      `version ${this.state.version} may not be the newest: neither the log nor most hosts answer`,
+    );
+  }
+
+  async patch(
+    request: PatchRequest,
+    options: { deadlineMs: number },
+  ): Promise<Outcome<ConfigChange>> {
+    if (request.baseVersion > this.#holder.ledger.state.version) {
+      await this.#follower.readOnce(options);
+    }
+    const planned = this.plan(request);
+    if (planned.isErr()) return planned;
+    const reach = await this.#checkReach();
+    if (reach.isErr()) return reach;
+    if (this.#isOvertaken(request)) return this.#staleVersion(request);
+    if (this.#holder.hasPending) return this.#pendingVersion();
+    const appended = await this.#append(request, options);
+    if (appended.isErr()) return appended;
+    return await this.#awaitAcceptance(appended.value, options);
+  }
+
+  /** A change is submitted only where most hosts can hear of it. */
+  async #checkReach(): Promise<Outcome<void>> {
+    const round = await this.#rounds?.round();
+    if (round === undefined || 2 * round.holding > round.hostCount) {
+      return new Ok(undefined);
+    }
+    return notRun(
+      "log-unavailable",
+      `only ${round.holding} of ${round.hostCount} hosts can be reached; a change needs most of them`,
+    );
+  }
+
+  /** Appends until the log shows what became of the record. */
+  async #append(
+    request: PatchRequest,
+    options: { deadlineMs: number },
+  ): Promise<Outcome<RecordResult>> {
+    const entry = this.#toEntry(request);
+    const { installCount } = this.#holder.ledger;
+    let isAppended = false;
+    let isSent = false;
+    while (this.#clock.nowMs() < options.deadlineMs) {
+      if (!isAppended) {
+        const answer = await this.#log.append(CONFIG_STREAM, [entry], options);
+        isAppended = answer.isOk();
+        isSent ||= answer.isOk() || answer.error.verdict === "may-have-run";
+        if (answer.isErr() && !isSent) return logUnavailable(answer.error);
+      }
+      await this.#follower.readOnce(options);
+      const result = this.#holder.ledger.resultOf(entry.id);
+      if (result?.result === "accepted") return new Ok(result);
+      // A state taken whole does not tell which records led to it.
+      if (this.#holder.ledger.installCount !== installCount) break;
+      if (this.#isOvertaken(request)) return this.#staleVersion(request);
+      await this.#clock.sleep(RETRY_WAIT_MS);
+    }
+    return mayHaveRun(
+      "log-unavailable",
+      `the log did not tell whether the change to version ${request.baseVersion} was accepted; read the version before trying again`,
+    );
+  }
+
+  #toEntry(request: PatchRequest): LogEntry {
+    const { baseVersion, format, patch, operator, note } = request;
+    const fields = { baseVersion, format, patch, operator, note };
+    const atWallMs = this.#clock.wallMs();
+    return {
+      id: this.#createId(),
+      data: { kind: "change", ...fields, atWallMs },
+    };
+  }
+
+  /** Once the version has moved on, no copy of the record can be accepted any more. */
+  #isOvertaken(request: PatchRequest): boolean {
+    return this.#holder.ledger.state.version > request.baseVersion;
+  }
+
+  /** Waits until most hosts hold the change, and so for its being in force here. */
+  async #awaitAcceptance(
+    result: RecordResult,
+    options: { deadlineMs: number },
+  ): Promise<Outcome<ConfigChange>> {
+    const version = result.version!;
+    const { offset } = result;
+    while (this.#clock.nowMs() < options.deadlineMs) {
+      const round = await this.#rounds?.round();
+      if (round === undefined || round.isConfirmed) {
+        return new Ok({ version, offset });
+      }
+      await this.#clock.sleep(RETRY_WAIT_MS);
+    }
+    return mayHaveRun(
+      "log-unavailable",
+      `version ${version} is in the log, but most hosts have not confirmed it; read the version before trying again`,
+    );
+  }
+
+  #pendingVersion(): Outcome<never> {
+    const { version } = this.#holder.ledger.state;
+    return notRun(
+      "log-unavailable",
+      `version ${version} is not confirmed by most hosts yet`,
+    );
+  }
+
+  #staleVersion(request: PatchRequest): Outcome<never> {
+    const { version } = this.#holder.ledger.state;
+    return notRun(
+      "stale-version",
+      `version ${request.baseVersion} is not in force; the present version is ${version}`,
+      { currentVersion: version },
+    );
+  }
+
+  async #runUpkeep(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (!this.#holder.isGrounded) await this.#rounds?.ground();
+      await this.#clock.sleep(RETRY_WAIT_MS, signal);
+    }
+  }
+}
+
+function logUnavailable(failure: Failure): Outcome<never> {
+  return notRun(
+    "log-unavailable",
+    `the log did not take the change: ${failure.message}`,
+  );
+}
--- /dev/null
+++ b/src/fleet/member_sync.ts
@@ -0,0 +1,170 @@
+/**
+ * Repairs what updates missed: two members compare the digests of their tables
+ * and exchange the buckets that differ, in messages of bounded size.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
+import type { MemberEntry, MemberTable } from "./member_table.ts";
+import type { IPeerTransport } from "./services.ts";
+import type { MemberSyncAnswer, MemberUpdate, SyncRequest } from "./types.ts";
+
+const CALL_TIMEOUT_MS = 2_000;
+/** Items of one answer when a host joins, and when it repairs its table. */
+const JOIN_ITEMS = 200;
+const REPAIR_ITEMS = 40;
+const MAX_ROUNDS = 64;
+/** Pause after each item that a repair brought, so that repairs stay cheap. */
+const PACE_MS_PER_ITEM = 100;
+const FIRST_INTERVAL_MS = 2_000;
+const MAX_INTERVAL_MS = 32_000;
+const BUSY_WAIT_MS = 10_000;
+
+/** Collaborators of a {@link MemberSync}. */
+export interface MemberSyncOptions {
+  readonly transport: IPeerTransport;
+  readonly clock: Clock;
+  readonly table: MemberTable;
+  /** Takes in what the other side knew; returns how much of it was new. */
+  readonly take: (updates: readonly MemberUpdate[]) => number;
+}
+
+interface PullResult {
+  /** Entries that were new to either side. */
+  readonly newCount: number;
+  readonly itemCount: number;
+  readonly isWhole: boolean;
+}
+
+/** Pulls from a member what differs, and gives back what it lacks. */
+export class MemberSync implements Disposable {
+  readonly #transport: IPeerTransport;
+  readonly #clock: Clock;
+  readonly #table: MemberTable;
+  readonly #take: (updates: readonly MemberUpdate[]) => number;
+  readonly #owned = new DisposableStore();
+  #intervalMs = FIRST_INTERVAL_MS;
+  #dueMs = 0;
+
+  constructor(options: MemberSyncOptions) {
+    this.#transport = options.transport;
+    this.#clock = options.clock;
+    this.#table = options.table;
+    this.#take = options.take;
+    this.#owned.add(
+      this.#transport.handle(
+        "members.sync",
+        (request) => this.#answer(request as SyncRequest),
+      ),
+    );
+    this.#owned.add(
+      this.#transport.handle(
+        "members.push",
+        (updates) => this.#take(updates as MemberUpdate[]),
+      ),
+    );
+  }
+
+  /**
+   * Pulls unless that was done a short time ago. While updates still travel
+   * tables differ anyway, so that a busy host waits longer.
+   */
+  async pullIfDue(
+    entry: MemberEntry,
+    options: { readonly isBusy: boolean },
+  ): Promise<void> {
+    const dueMs = this.#dueMs + (options.isBusy ? BUSY_WAIT_MS : 0);
+    if (this.#clock.nowMs() < dueMs) return;
+    this.#dueMs = this.#clock.nowMs() + this.#intervalMs;
+    const result = await this.#pull(entry, REPAIR_ITEMS);
+    this.#intervalMs = result !== undefined && result.newCount > 0
+      ? FIRST_INTERVAL_MS
+      : Math.min(MAX_INTERVAL_MS, this.#intervalMs * 2);
+    const paceMs = (result?.itemCount ?? 0) * PACE_MS_PER_ITEM;
+    this.#dueMs = this.#clock.nowMs() + Math.max(this.#intervalMs, paceMs);
+  }
+
+  /** Pulls the whole table; false when the member did not answer. */
+  async pullAll(entry: MemberEntry): Promise<boolean> {
+    for (let round = 0; round < MAX_ROUNDS; round += 1) {
+      const result = await this.#pull(entry, JOIN_ITEMS);
+      if (result === undefined) return false;
+      if (result.isWhole) break;
+    }
+    return true;
+  }
+
+  dispose(): void {
+    this.#owned.dispose();
+  }
+
+  async #pull(
+    entry: MemberEntry,
+    maxItems: number,
+  ): Promise<PullResult | undefined> {
+    const answer = await this.#ask(entry, maxItems);
+    if (answer === undefined) return undefined;
+    const newHere = this.#take(answer.updates);
+    const newThere = await this.#giveBack(entry, answer);
+    return {
+      newCount: newHere + newThere,
+      itemCount: answer.updates.length,
+      isWhole: answer.isWhole,
+    };
+  }
+
+  async #ask(
+    entry: MemberEntry,
+    maxItems: number,
+  ): Promise<MemberSyncAnswer | undefined> {
+    const { buckets } = this.#table.digest;
+    const parameters: SyncRequest = { buckets, maxItems };
+    const outcome = await this.#call(entry, "members.sync", parameters);
+    return outcome as MemberSyncAnswer | undefined;
+  }
+
+  #answer(request: SyncRequest): MemberSyncAnswer {
+    const indexes = this.#table.digest.differing(request.buckets);
+    const { items, covered } = this.#table.updatesIn(
+      indexes,
+      Math.min(JOIN_ITEMS, request.maxItems),
+    );
+    return {
+      updates: items,
+      covered,
+      isWhole: covered.length === indexes.length,
+    };
+  }
+
+  async #giveBack(
+    entry: MemberEntry,
+    answer: MemberSyncAnswer,
+  ): Promise<number> {
+    const said = new Map(answer.updates.map((update) => [update.name, update]));
+    const { items } = this.#table.updatesIn(answer.covered, Infinity);
+    const lacking = items.filter((item) => {
+      const theirs = said.get(item.name);
+      if (theirs === undefined) return true;
+      return theirs.incarnation !== item.incarnation ||
+        theirs.state !== item.state;
+    }).slice(0, REPAIR_ITEMS);
+    if (lacking.length === 0) return 0;
+    const outcome = await this.#call(entry, "members.push", lacking);
+    return typeof outcome === "number" ? outcome : 0;
+  }
+
+  async #call(
+    entry: MemberEntry,
+    method: string,
+    parameters: unknown,
+  ): Promise<unknown> {
+    const outcome = await this.#transport.call(
+      entry.address.url,
+      { method, parameters },
+      { deadlineMs: this.#clock.nowMs() + CALL_TIMEOUT_MS },
+    );
+    return outcome.isOk() ? outcome.value : undefined;
+  }
+}
--- /dev/null
+++ b/src/pipelines/target_directory.ts
@@ -0,0 +1,318 @@
+/**
+ * What this host knows of each target: the state it published last, signs
+ * that it leaves, and whether it is suspected or lost. The earliest sign of
+ * leaving counts, whoever brings it, and is spread to the other hosts.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import { systemClock } from "../common/clock.ts";
+import { Emitter } from "../common/emitter.ts";
+import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
+import type { IConfigService } from "../config/services.ts";
+import type { Fact, IDissemination } from "../fleet/services.ts";
+import type { EngineState } from "../platform/types.ts";
+import type { ITargetDirectory } from "./services.ts";
+
+/** How long a peer's notice of leaving holds after it was last repeated. */
+const PEER_NOTICE_HOLD_MS = 30_000;
+/** Notices of one period are one fact, whichever host publishes it. */
+const NOTICE_PERIOD_MS = 10_000;
+/** Time after which a loss that goes on is told again. */
+const SILENCE_REPEAT_MS = 5_000;
+/** How long a published state is passed on to hosts that join. */
+const STATE_FACT_HOLD_MS = 120_000;
+
+/** Where a sign of leaving came from. */
+export type LeavingSource = Parameters<ITargetDirectory["noteLeaving"]>[1];
+
+/** Collaborators of a `TargetDirectory`. */
+export interface TargetDirectoryOptions {
+  readonly config: IConfigService;
+  /** Left out, signs stay on this host. */
+  readonly dissemination?: IDissemination;
+  readonly clock?: Clock;
+  readonly peerNoticeHoldMs?: number;
+  /** Whether this host spreads the states that it reads of a target; true by default. */
+  readonly spreadsState?: (target: string) => boolean;
+}
+
+interface TargetEntry {
+  state?: EngineState;
+  /** Sequence of the last fact about its silence, heard or published. */
+  silenceSequence: number;
+  /** When some host read the state, on that host's clock. */
+  readAtWallMs: number;
+  /** When the state came to offer what it offers. */
+  offerSinceMs: number;
+  isSuspected: boolean;
+  /** Since when the target has been silent; undefined while it answers. */
+  silentSinceMs?: number;
+  isLost: boolean;
+  /** Signs that hold until the same source takes them back. */
+  readonly leavingSources: Set<LeavingSource>;
+  peerNoticeUntilMs: number;
+  /** Period of the last notice heard or published. */
+  noticePeriod: number;
+}
+
+/** What a fact about a target carries. */
+interface TargetFact {
+  readonly state?: EngineState;
+  /** The target did not answer some host. */
+  readonly isSilent?: boolean;
+}
+
+/** Holds what is known of each target; one owner for each daemon. */
+export class TargetDirectory implements ITargetDirectory, Disposable {
+  readonly #config: IConfigService;
+  readonly #dissemination: IDissemination | undefined;
+  readonly #clock: Clock;
+  readonly #peerNoticeHoldMs: number;
+  readonly #spreadsState: (target: string) => boolean;
+  readonly #entries = new Map<string, TargetEntry>();
+  readonly #store = new DisposableStore();
+  readonly #changed = this.#store.add(new Emitter<string>());
+  readonly onChange = this.#changed.event;
+  readonly #published = this.#store.add(new Emitter<EngineState>());
+  /** Fires for each published state that this host reads, changed or not. */
+  readonly onState = this.#published.event;
+  readonly #doubted = this.#store.add(new Emitter<string>());
+  /** Fires for a target whose state is to be read again at once. */
+  readonly onDoubt = this.#doubted.event;
+
+  constructor(options: TargetDirectoryOptions) {
+    this.#config = options.config;
+    this.#dissemination = options.dissemination;
+    this.#clock = options.clock ?? systemClock;
+    this.#peerNoticeHoldMs = options.peerNoticeHoldMs ?? PEER_NOTICE_HOLD_MS;
+    this.#spreadsState = options.spreadsState ?? (() => true);
+    this.#store.add(
+      this.#config.onChange(({ config }) => this.#forget(config.targets)),
+    );
+    if (this.#dissemination) {
+      this.#store.add(
+        this.#dissemination.onFact((fact) => this.#hearFact(fact)),
+      );
+    }
+  }
+
+  engineState(target: string): EngineState | undefined {
+    const entry = this.#entries.get(target);
+    return entry?.isLost ? undefined : entry?.state;
+  }
+
+  /** The last state published, also of a target that does not answer now. */
+  lastState(target: string): EngineState | undefined {
+    return this.#entries.get(target)?.state;
+  }
+
+  takesNewWork(target: string): boolean {
+    if (this.isLeaving(target)) return false;
+    const entry = this.#entries.get(target);
+    return !entry || (!entry.isLost && !entry.isSuspected);
+  }
+
+  /** True while any sign of leaving holds, an operator's drain included. */
+  isLeaving(target: string): boolean {
+    if (this.#config.state.config.targets[target]?.draining) return true;
+    const entry = this.#entries.get(target);
+    if (!entry) return false;
+    return entry.leavingSources.size > 0 ||
+      entry.peerNoticeUntilMs > this.#clock.nowMs();
+  }
+
+  /** For how long the target has offered the same, as this host knows. */
+  offeredForMs(target: string): number {
+    const entry = this.#entries.get(target);
+    return entry?.state ? this.#clock.nowMs() - entry.offerSinceMs : 0;
+  }
+
+  /** How long the target has not answered, 0 for one that does. */
+  silentForMs(target: string): number {
+    const sinceMs = this.#entries.get(target)?.silentSinceMs;
+    return sinceMs === undefined ? 0 : this.#clock.nowMs() - sinceMs;
+  }
+
+  /** Targets that answered no more, for as long as they stay configured. */
+  silentTargets(): string[] {
+    return [...this.#entries]
+      .filter(([, entry]) => entry.isLost || entry.isSuspected)
+      .map(([target]) => target);
+  }
+
+  noteLeaving(target: string, source: LeavingSource): void {
+    const wasLeaving = this.isLeaving(target);
+    const entry = this.#entry(target);
+    if (source === "peer") {
+      entry.peerNoticeUntilMs = this.#clock.nowMs() + this.#peerNoticeHoldMs;
+    } else {
+      entry.leavingSources.add(source);
+      this.#spread(target, entry);
+    }
+    if (!wasLeaving) this.#changed.fire(target);
+  }
+
+  /** Takes back a sign of leaving; those of other sources still hold. */
+  noteStaying(target: string, source: LeavingSource): void {
+    const entry = this.#entries.get(target);
+    if (!entry?.leavingSources.delete(source)) return;
+    if (!this.isLeaving(target)) this.#changed.fire(target);
+  }
+
+  /** Repeats the notices whose signs still hold; called about once a second. */
+  repeatNotices(): void {
+    for (const [target, entry] of this.#entries) {
+      if (entry.leavingSources.size > 0) this.#spread(target, entry);
+    }
+  }
+
+  noteState(state: EngineState): void {
+    const known = this.#entries.get(state.target)?.state;
+    this.#takeState(state, this.#clock.wallMs());
+    if (!known || !isSameOffer(known, state)) {
+      this.#spreadState(state);
+    }
+    this.#published.fire(state);
+  }
+
+  /** Keeps new work away until the target publishes its state again. */
+  noteSuspected(target: string): void {
+    const entry = this.#entry(target);
+    if (entry.isSuspected) return;
+    entry.isSuspected = true;
+    this.#spreadSilence(target, entry);
+    entry.silentSinceMs ??= this.#clock.nowMs();
+    this.#changed.fire(target);
+  }
+
+  /** Asks for a fresh look at a target that failed or refused a request. */
+  noteDoubt(target: string): void {
+    this.#doubted.fire(target);
+  }
+
+  noteLost(target: string): void {
+    const entry = this.#entry(target);
+    if (entry.isLost) return;
+    entry.isLost = true;
+    entry.silentSinceMs ??= this.#clock.nowMs();
+    this.#spreadSilence(target, entry);
+    this.#changed.fire(target);
+  }
+
+  dispose(): void {
+    this.#store.dispose();
+  }
+
+  #entry(target: string): TargetEntry {
+    let entry = this.#entries.get(target);
+    if (!entry) {
+      entry = {
+        silenceSequence: 0,
+        readAtWallMs: 0,
+        offerSinceMs: 0,
+        isSuspected: false,
+        isLost: false,
+        leavingSources: new Set(),
+        peerNoticeUntilMs: 0,
+        noticePeriod: -1,
+      };
+      this.#entries.set(target, entry);
+    }
+    return entry;
+  }
+
+  #forget(known: Readonly<Record<string, unknown>>): void {
+    for (const target of this.#entries.keys()) {
+      if (!(target in known)) this.#entries.delete(target);
+    }
+  }
+
+  #spread(target: string, entry: TargetEntry): void {
+    const wallMs = this.#clock.wallMs();
+    const period = Math.floor(wallMs / NOTICE_PERIOD_MS);
+    if (!this.#dissemination || period <= entry.noticePeriod) return;
+    entry.noticePeriod = period;
+    this.#dissemination.publish({
+      topic: "leaving",
+      key: target,
+      sequence: period,
+      data: {},
+      expiresAtWallMs: wallMs + this.#peerNoticeHoldMs,
+    });
+  }
+
+  #takeState(state: EngineState, readAtWallMs: number): void {
+    const entry = this.#entry(state.target);
+    const changed = entry.isLost || entry.isSuspected || !entry.state ||
+      !isSameOffer(entry.state, state);
+    if (changed) entry.offerSinceMs = this.#clock.nowMs();
+    entry.state = state;
+    entry.readAtWallMs = readAtWallMs;
+    entry.isSuspected = false;
+    entry.silentSinceMs = undefined;
+    entry.isLost = false;
+    if (state.leaving) this.noteLeaving(state.target, "target");
+    else this.noteStaying(state.target, "target");
+    if (changed) this.#changed.fire(state.target);
+  }
+
+  #spreadState(state: EngineState): void {
+    if (!this.#spreadsState(state.target)) return;
+    const sequence = Math.floor(this.#clock.wallMs());
+    this.#publish(state.target, { state }, sequence);
+  }
+
+  /** Hosts that notice a loss in one second publish one and the same fact. */
+  #spreadSilence(target: string, entry: TargetEntry): void {
+    const sequence = Math.floor(this.#clock.wallMs() / 1_000) * 1_000;
+    if (sequence - entry.silenceSequence < SILENCE_REPEAT_MS) return;
+    entry.silenceSequence = sequence;
+    this.#publish(target, { isSilent: true }, sequence);
+  }
+
+  #publish(target: string, data: TargetFact, sequence: number): void {
+    this.#dissemination?.publish({
+      topic: "target",
+      key: target,
+      sequence,
+      data,
+      expiresAtWallMs: this.#clock.wallMs() + STATE_FACT_HOLD_MS,
+    });
+  }
+
+  #hearFact(fact: Fact): void {
+    if (fact.expiresAtWallMs <= this.#clock.wallMs()) return;
+    if (!(fact.key in this.#config.state.config.targets)) return;
+    if (fact.topic === "leaving") this.#hearLeaving(fact);
+    if (fact.topic === "target") this.#hearTarget(fact);
+  }
+
+  #hearLeaving(fact: Fact): void {
+    const entry = this.#entry(fact.key);
+    entry.noticePeriod = Math.max(entry.noticePeriod, fact.sequence);
+    this.noteLeaving(fact.key, "peer");
+  }
+
+  /** A peer's word on a silence only causes a look: the peer may be cut off. */
+  #hearTarget(fact: Fact): void {
+    const { state, isSilent } = fact.data as TargetFact;
+    if (isSilent) {
+      this.#entry(fact.key).silenceSequence = fact.sequence;
+      return this.noteDoubt(fact.key);
+    }
+    if (state?.target !== fact.key) return;
+    const known = this.#entries.get(fact.key);
+    if (fact.sequence <= (known?.readAtWallMs ?? 0)) return;
+    this.#takeState(state, fact.sequence);
+  }
+}
+
+/** True when two states offer the same work; the load does not count. */
+export function isSameOffer(a: EngineState, b: EngineState): boolean {
+  return a.generation === b.generation && a.first === b.first &&
+    a.end === b.end && a.model === b.model && a.version === b.version &&
+    a.role === b.role && a.loading === b.loading && a.leaving === b.leaving &&
+    a.adapters.join() === b.adapters.join();
+}
