--- a/src/requests/chain_chooser.ts
+++ b/src/requests/chain_chooser.ts
@@ -118,7 +118,7 @@
       pipeline: request.pipeline,
       prefixHash: hash32(request.prompt.slice(0, PREFIX_LENGTH)),
       avoid: new Set([...this.avoid, ...taken]),
-      version: this.#first?.version,
+      ...(this.#first && versionOf(this.#first)),
     };
     const first = picker.pick(wanted);
     const picked = first.isErr() && wanted.avoid.size > 0
@@ -138,3 +138,8 @@
     return notRun("no-target", message);
   }
 }
+
+/** What a resumed answer must keep from its first chain. */
+function versionOf({ model, version, adapter }: ChainPick) {
+  return { model, version, adapter };
+}
--- a/src/requests/completion_run.ts
+++ b/src/requests/completion_run.ts
@@ -64,6 +64,8 @@
 /** Tokens past the point of a loss after which content is cleared of it. */
 const CLEARED_AFTER_TOKENS = 2;
 
+type FailedAttempt = Extract<AttemptEnd, { kind: "failed" }>;
+
 /** Runs one completion; `run` is called once. */
 export class CompletionRun {
   readonly #options: CompletionRunOptions;
@@ -155,10 +157,10 @@
         await this.#locateStall(pick.chain);
         return ended;
       case "stale-generation":
-        await this.#locateChange(pick.chain);
+        await this.#locateChange(pick.chain, ended.failure.target);
         return ended;
       case "refused":
-        this.#chooser.avoid.add(pick.chain[0].target);
+        this.#chooser.avoid.add(ended.failure.target ?? pick.chain[0].target);
         return ended;
       case "bad-answer":
         attempt.cut();
@@ -172,7 +174,7 @@
   async #afterBreak(
     attempt: CompletionAttempt,
     pick: ChainPick,
-    ended: AttemptEnd,
+    ended: FailedAttempt,
   ): Promise<AttemptEnd> {
     const found = await this.#probe(pick.chain);
     this.#blame(found.lost, "broken");
@@ -181,7 +183,9 @@
     await this.#strike([...found.lost, ...found.silent]);
     const isIntact = found.lost.length + found.silent.length +
         found.changed.length === 0;
-    if (!isIntact) return ended;
+    const { code, target } = ended.failure;
+    if (target !== undefined) this.#chooser.avoid.add(target);
+    if (!isIntact || code !== "connection-failed") return ended;
     const again = await attempt.reattach();
     if (again.kind === "whole") return again;
     this.#noteFailure(again.fault, again.failure);
@@ -200,7 +204,11 @@
   }
 
   /** Names the engines that changed since the chain was planned. */
-  async #locateChange(chain: readonly ChainStage[]): Promise<void> {
+  async #locateChange(
+    chain: readonly ChainStage[],
+    named?: string,
+  ): Promise<void> {
+    if (named !== undefined) return this.#blame([named], "stale-generation");
     const found = await this.#probe(chain);
     this.#blame(found.changed, "stale-generation");
     this.#blame(found.silent, "stalled");
@@ -251,7 +259,7 @@
 
   /** Returns the failure to give up with, or undefined for another attempt. */
   #refuseRetry(
-    ended: Extract<AttemptEnd, { kind: "failed" }>,
+    ended: FailedAttempt,
   ): Failure | undefined {
     const { clock, policy, request, retryBudget } = this.#options;
     const isFinal = ended.fault === "given-up" ||
