--- a/measure/recovery.ts
+++ b/measure/recovery.ts
@@ -166,7 +166,7 @@
     quarantine: {
       admit: () => new Ok(undefined),
       strike: () => Promise.resolve(),
-      isolate: () => Promise.resolve({ kind: "unsuspected" }),
+      isolate: () => Promise.resolve({ kind: "unsuspected" as const }),
       absolve: () => {},
     },
   });
