Tell a frozen stage from a slow one by the chain's own pace

A fixed timeout finds a frozen stage after 5 s. Deadlines now are the mean gap of the chain times the tail of that ratio over all chains of the host (99.8 of 100, with room), so one late token in a hundred is no alarm.

Ruled out: a decaying peak for each chain (one answer in ten stalled falsely where 1 in 100 tokens is 4 times late); widening the deadline of a target blamed for a stall, which made each further stream on a frozen stage wait twice as long. A stall widens only when no target was to blame, or when the target answers after all.

--- a/measure/chains_flow.ts
+++ b/measure/chains_flow.ts
@@ -14,7 +14,7 @@
   type FakeTarget,
   PlainPicker,
   printTable,
-} from "./chains_fakes.ts";
+} from "./chains/fakes.ts";
 
 const SEED = 20_261;
 const HOSTS = 9;
--- a/measure/chains_herding.ts
+++ b/measure/chains_herding.ts
@@ -13,7 +13,7 @@
   PlainPicker,
   printTable,
   quantileOf,
-} from "./chains_fakes.ts";
+} from "./chains/fakes.ts";
 
 const SEED = 4_107;
 const TARGETS = 30;
--- /dev/null
+++ b/measure/chains_subset.ts
@@ -0,0 +1,237 @@
+/**
+ * What one host holds, polls and computes of the targets as the fleet grows
+ * to the size of the letter, and how evenly subsets load the targets.
+ *
+ * @module
+ */
+
+import { FakeConfig, FakeMembership, member } from "../test/pipelines_fakes.ts";
+import type { ConfigDocument } from "../src/config/schema.ts";
+import { seededRandom } from "../src/common/random.ts";
+import { ChainPicker } from "../src/pipelines/chain_picker.ts";
+import { TargetDirectory } from "../src/pipelines/target_directory.ts";
+import { TargetSubset } from "../src/pipelines/target_subset.ts";
+import { WatchAssignment } from "../src/pipelines/watch_assignment.ts";
+import type { EngineState } from "../src/platform/types.ts";
+import { EventQueue, printTable, quantileOf } from "./chains/fakes.ts";
+
+const SEED = 515;
+const SIZES = [
+  { hosts: 100, targets: 344 },
+  { hosts: 400, targets: 1_375 },
+  { hosts: 800, targets: 2_750 },
+  { hosts: 1_600, targets: 5_500 },
+];
+const PIPELINES = 25;
+const STAGES = 5;
+const LAYERS = 40;
+const REGIONS = 5;
+const PICKS = 2_000;
+/** Request line, headers and status of one poll on a kept connection. */
+const POLL_HEADER_BYTES = 320;
+/** States that change over the whole fleet, for 1,600 hosts, a second. */
+const CHANGES_PER_S = 0.1;
+/** Times that a fact passes a host when it is spread. */
+const FACT_COPIES = 3;
+
+/** Prints both tables. */
+export function run(): Promise<void> {
+  const startMs = performance.now();
+  printTable(
+    [
+      "hosts",
+      "targets",
+      "targets polled",
+      "polls/s",
+      "poll bytes/s",
+      "if all were polled each s",
+      "change bytes/s",
+      "targets used",
+      "µs a pick",
+      "ms a replan",
+      "ms a member change",
+      "MB held",
+    ],
+    SIZES.map(measureSize),
+  );
+  console.log("");
+  printTable(
+    ["replicas used", "hosts", "least", "p5", "median", "p95", "most"],
+    [4, 8, 16].flatMap((replicas) =>
+      SIZES.map(({ hosts, targets }) => imbalance(replicas, hosts, targets))
+    ),
+  );
+  const seconds = ((performance.now() - startMs) / 1_000).toFixed(1);
+  console.log(
+    `\nseed ${SEED}, ${PIPELINES} pipelines of ${STAGES} stages, ` +
+      `run time ${seconds} s`,
+  );
+  return Promise.resolve();
+}
+
+function document(targetCount: number): ConfigDocument {
+  const targets: ConfigDocument["targets"] = {};
+  const pipelines: ConfigDocument["pipelines"] = {};
+  const perStage = targetCount / PIPELINES / STAGES;
+  for (let pipeline = 0; pipeline < PIPELINES; pipeline++) {
+    const stages = [];
+    for (let stage = 0; stage < STAGES; stage++) {
+      const group = pipeline * STAGES + stage;
+      const count = Math.floor((group + 1) * perStage) -
+        Math.floor(group * perStage);
+      const names = Array.from(
+        { length: Math.max(1, count) },
+        (_, index) => `t-${pipeline}-${stage}-${index}`,
+      );
+      names.forEach((name, index) => {
+        targets[name] = {
+          kind: "engine",
+          url: `http://${name}`,
+          failureDomain: `fd-${index % 14}`,
+          region: `r-${index % REGIONS}`,
+          layerTokensPerS: 40_000,
+        };
+      });
+      const width = LAYERS / STAGES;
+      const span = { first: stage * width, end: (stage + 1) * width };
+      stages.push({ ...span, targets: names });
+    }
+    const model = { model: `m-${pipeline}`, version: "v1" };
+    const common = { ...model, layerCount: LAYERS, customers: [] };
+    pipelines[`p-${pipeline}`] = { ...common, stages };
+  }
+  return { targets, pipelines };
+}
+
+function publishAll(
+  config: FakeConfig,
+  directory: TargetDirectory,
+  asOfWallMs: number,
+): EngineState[] {
+  const states: EngineState[] = [];
+  const { pipelines } = config.state.config;
+  for (const { model, version, stages } of Object.values(pipelines)) {
+    for (const { first, end, targets } of stages) {
+      for (const target of targets) {
+        const load = { running: 20, queued: 0, asOfWallMs };
+        const flags = { leaving: false, loading: false };
+        const span = { target, first, end, model, version };
+        const fixed = { adapters: [], role: "both" as const };
+        const numbers = { generation: 1, fence: 0 };
+        const state = { ...span, ...fixed, ...numbers, ...flags, load };
+        directory.noteState(state);
+        states.push(state);
+      }
+    }
+  }
+  return states;
+}
+
+function hostNames(count: number): string[] {
+  return Array.from({ length: count }, (_, index) => `host-${index}`);
+}
+
+function makeHost(config: FakeConfig, hosts: number) {
+  const clock = new EventQueue();
+  const members = hostNames(hosts).map((name, index) =>
+    member(name, `r-${index % REGIONS}`)
+  );
+  const membership = new FakeMembership("host-0", hostNames(hosts), "r-0");
+  membership.set(members);
+  const assignment = new WatchAssignment({ config, membership });
+  const directory = new TargetDirectory({ config, clock });
+  const subset = new TargetSubset({ config, directory, membership });
+  const picker = new ChainPicker({
+    ...{ config, directory, clock, random: seededRandom(SEED) },
+    subset: (pipeline, targets) => subset.choose(pipeline, targets),
+  });
+  return { clock, members, membership, assignment, directory, subset, picker };
+}
+
+function measureSize(
+  { hosts, targets }: { hosts: number; targets: number },
+): (string | number)[] {
+  const config = new FakeConfig(document(targets));
+  const names = Object.keys(config.state.config.targets);
+  const heldBefore = heapBytes();
+  const host = makeHost(config, hosts);
+  const states = publishAll(config, host.directory, host.clock.wallMs());
+  for (let index = 0; index < PIPELINES; index++) pickOnce(host, index);
+  const heldBytes = heapBytes() - heldBefore;
+  const polled = names.filter((name) => host.assignment.watches(name)).length;
+  const pollsPerS = polled * 1_000 / host.assignment.intervalMs();
+  const stateBytes = JSON.stringify(states[0]).length;
+  const pollBytes = stateBytes + POLL_HEADER_BYTES;
+  const factBytes = (stateBytes + 120) * FACT_COPIES;
+  const changesPerS = CHANGES_PER_S * hosts / 1_600;
+  const pickUs = timeMs(() => {
+    for (let index = 0; index < PICKS; index++) pickOnce(host, index);
+  }) * 1_000 / PICKS;
+  const replanMs = timeMs(() => {
+    host.directory.noteState({ ...states[0], generation: 2 });
+    pickOnce(host, 0);
+  });
+  const memberMs = timeMs(() => host.membership.set(host.members.slice(1)));
+  return [
+    hosts,
+    names.length,
+    polled,
+    pollsPerS.toFixed(1),
+    (pollsPerS * pollBytes).toFixed(0),
+    (names.length * pollBytes).toFixed(0),
+    (changesPerS * factBytes).toFixed(0),
+    host.subset.all().size,
+    pickUs.toFixed(0),
+    replanMs.toFixed(1),
+    memberMs.toFixed(1),
+    (heldBytes / 1e6).toFixed(1),
+  ];
+}
+
+function pickOnce(host: ReturnType<typeof makeHost>, index: number): void {
+  host.picker.pick({
+    pipeline: `p-${index % PIPELINES}`,
+    prefixHash: index,
+    avoid: new Set(),
+  }).unwrap().dispose();
+}
+
+/** Use of each target of one stage, against its even share. */
+function imbalance(
+  minReplicas: number,
+  hosts: number,
+  targets: number,
+): (string | number)[] {
+  const config = new FakeConfig(document(targets));
+  const { pipelines } = config.state.config;
+  const stage = pipelines["p-0"].stages[0].targets;
+  const clock = new EventQueue();
+  const directory = new TargetDirectory({ config, clock });
+  const use = new Map(stage.map((name) => [name, 0]));
+  hostNames(hosts).forEach((name, index) => {
+    const region = `r-${index % REGIONS}`;
+    const membership = new FakeMembership(name, hostNames(hosts), region);
+    const options = { config, directory, membership, minReplicas };
+    const chosen = new TargetSubset(options).choose("p-0", stage);
+    for (const target of chosen) {
+      use.set(target, use.get(target)! + 1 / chosen.length);
+    }
+  });
+  const even = hosts / stage.length;
+  const shares = [...use.values()].map((value) => value / even);
+  const at = (quantile: number) => quantileOf(shares, quantile).toFixed(2);
+  return [minReplicas, hosts, at(0), at(0.05), at(0.5), at(0.95), at(1)];
+}
+
+function timeMs(work: () => void): number {
+  const startMs = performance.now();
+  work();
+  return performance.now() - startMs;
+}
+
+function heapBytes(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
+if (process.argv[1]?.endsWith("chains_subset.js")) await run();
--- /dev/null
+++ b/measure/recovery.ts
@@ -0,0 +1,307 @@
+/**
+ * Recovery: from a killed, a frozen and a slowed stage to the next token at
+ * the caller, and from the loss to restored capacity.
+ *
+ * @module
+ */
+
+import { Ok } from "ts-results-es";
+import { CapacityFleet } from "../test/pipelines_capacity.ts";
+import type { Clock } from "../src/common/clock.ts";
+import { hash32 } from "../src/common/hash.ts";
+import { seededRandom } from "../src/common/random.ts";
+import type { ChainPicker } from "../src/pipelines/chain_picker.ts";
+import type { IChainPicker } from "../src/pipelines/services.ts";
+import { CompletionService } from "../src/requests/completion_service.ts";
+import { printTable, quantileOf } from "./chains/fakes.ts";
+import { TokenEngines } from "./chains/token_engines.ts";
+
+const SEEDS = 20;
+const STREAMS = 12;
+const ANSWER_TOKENS = 48;
+const WARM_UP_MS = 6_000;
+const WATCHED_MS = 6_000;
+const SLOW_FACTOR = 20;
+const LOAD_MS = 20_000;
+const PLAIN_TIMEOUT_MS = 5_000;
+const FLEET = {
+  hostCount: 3,
+  targetsPerStage: 3,
+  standbyCount: 2,
+  checksFence: true,
+};
+
+type Fault = "killed" | "frozen" | "slowed" | "none";
+/** `looked at often`: the dispatcher looks for overdue tokens every 20 ms. */
+type Way =
+  | "learned deadline"
+  | "learned, looked at often"
+  | "plain, 5 s timeout";
+const WAYS: readonly Way[] = [
+  "learned deadline",
+  "learned, looked at often",
+  "plain, 5 s timeout",
+];
+const LOOK_EVERY_MS = 20;
+
+/** Prints both tables. */
+export async function run(): Promise<void> {
+  const startMs = performance.now();
+  const rows: (string | number)[][] = [];
+  for (const fault of ["killed", "frozen", "slowed", "none"] as Fault[]) {
+    for (const way of WAYS) {
+      const gaps: number[] = [];
+      let failedCount = 0;
+      let stalledCount = 0;
+      for (let seed = 1; seed <= SEEDS; seed++) {
+        const result = await nextTokenGaps(fault, way, seed);
+        gaps.push(...result.gapsMs);
+        failedCount += result.failedCount;
+        stalledCount += result.stalledCount;
+      }
+      const withinCount = gaps.filter((gapMs) => gapMs <= 360).length;
+      const within = gaps.length > 0 ? withinCount / gaps.length : 1;
+      rows.push([
+        fault,
+        way,
+        gaps.length,
+        ms(quantileOf(gaps, 0.5)),
+        ms(quantileOf(gaps, 0.95)),
+        ms(quantileOf(gaps, 1)),
+        gaps.length > 0 ? `${(100 * within).toFixed(1)}%` : "",
+        stalledCount,
+        failedCount,
+      ]);
+    }
+  }
+  printTable(
+    [
+      "stage",
+      "way",
+      "streams hit",
+      "p50 ms",
+      "p95 ms",
+      "max ms",
+      "within 360 ms",
+      "stalls noted",
+      "failed answers",
+    ],
+    rows,
+  );
+  console.log("");
+  await printCapacity();
+  const seconds = ((performance.now() - startMs) / 1_000).toFixed(1);
+  console.log(
+    `\nweights load in ${LOAD_MS} ms, seeds 1 to ${SEEDS}, run time ${seconds} s`,
+  );
+}
+
+function ms(value: number): string {
+  return value.toFixed(0);
+}
+
+interface GapResult {
+  readonly gapsMs: number[];
+  readonly failedCount: number;
+  readonly stalledCount: number;
+}
+
+/** Times from the fault to the next token, of the streams through the target. */
+async function nextTokenGaps(
+  fault: Fault,
+  way: Way,
+  seed: number,
+): Promise<GapResult> {
+  const fleet = makeFleet(seed, { loadMs: LOAD_MS, standbysReady: true });
+  const random = seededRandom(hash32(`seed ${seed}`));
+  const engines = new TokenEngines(fleet.engines, fleet.clock, random);
+  const { picker } = fleet.hosts[0];
+  const streams = makeStreams(fleet, { engines, picker, way });
+  await fleet.clock.advance(WARM_UP_MS + random() * 200);
+  const { homes } = fleet;
+  const target = homes[Math.floor(random() * homes.length)];
+  const faultMs = fleet.clock.nowMs();
+  if (fault !== "none") streams.noteFault(target, faultMs);
+  const { settings } = fleet.engine(target);
+  if (fault === "killed") settings.isDown = true;
+  if (fault === "frozen") settings.isFrozen = true;
+  if (fault === "slowed") engines.slowFactors.set(target, SLOW_FACTOR);
+  await fleet.clock.advance(WATCHED_MS);
+  streams.stop();
+  await fleet.stop();
+  return { gapsMs: streams.gapsMs(), ...streams.counts };
+}
+
+function makeFleet(
+  seed: number,
+  options: { readonly loadMs: number; readonly standbysReady: boolean },
+): CapacityFleet {
+  return new CapacityFleet({ ...FLEET, seed, ...options });
+}
+
+/** Keeps streams going and notes, for those hit, when the next token came. */
+function makeStreams(
+  fleet: CapacityFleet,
+  options: {
+    readonly engines: TokenEngines;
+    readonly picker: ChainPicker;
+    readonly way: Way;
+  },
+) {
+  const { clock } = fleet;
+  const { engines, way } = options;
+  const abort = new AbortController();
+  const chains = new Map<string, string[]>();
+  const waiting = new Map<string, number>();
+  const gapsMs: number[] = [];
+  const counts = { failedCount: 0, stalledCount: 0 };
+  const service = new CompletionService({
+    config: openTo(fleet),
+    picker: way === "plain, 5 s timeout"
+      ? plainDeadline(options.picker)
+      : options.picker,
+    engines,
+    clock: way === "learned, looked at often" ? shortSleeps(clock) : clock,
+    journal: {
+      note: (requestId, step, details) => {
+        if (step === "attempt") {
+          chains.set(requestId, details?.chain as string[]);
+        }
+        if (details?.fault === "stalled") counts.stalledCount++;
+      },
+      explain: () => undefined,
+    },
+    quarantine: {
+      admit: () => new Ok(undefined),
+      strike: () => Promise.resolve(),
+    },
+  });
+  for (let stream = 0; stream < STREAMS; stream++) void keepGoing(stream);
+  return {
+    noteFault: (target: string, faultMs: number) => {
+      for (const [requestId, chain] of chains) {
+        if (chain.includes(target)) waiting.set(requestId, faultMs);
+      }
+    },
+    gapsMs: () => [
+      ...gapsMs,
+      ...[...waiting.values()].map((sinceMs) => clock.nowMs() - sinceMs),
+    ],
+    counts,
+    stop: () => abort.abort(),
+  };
+
+  async function keepGoing(stream: number): Promise<void> {
+    for (let count = 0; !abort.signal.aborted; count++) {
+      await clock.sleep(7 * stream + 1);
+      const requestId = `r-${stream}-${count}`;
+      const ended = await service.complete({
+        requestId,
+        customer: "c",
+        pipeline: "p",
+        prompt: requestId,
+        maxTokens: ANSWER_TOKENS,
+        deadlineMs: clock.nowMs() + 60_000,
+        signal: abort.signal,
+      }, () => noteToken(requestId));
+      chains.delete(requestId);
+      if (ended.isErr() && !abort.signal.aborted) counts.failedCount++;
+    }
+  }
+
+  function noteToken(requestId: string): void {
+    const sinceMs = waiting.get(requestId);
+    if (sinceMs === undefined) return;
+    gapsMs.push(clock.nowMs() - sinceMs);
+    waiting.delete(requestId);
+  }
+
+  function openTo({ config }: CapacityFleet) {
+    const document = fleet.document("v1");
+    const customer = {
+      keyDigests: [],
+      requestsPerS: 1_000,
+      concurrentRequests: 1_000,
+    };
+    document.pipelines!.p.customers = ["c"];
+    config.set({ ...document, customers: { c: customer } });
+    return config;
+  }
+}
+
+/** The same choice of chains, with one fixed timeout and nothing learned. */
+function plainDeadline(picker: ChainPicker): IChainPicker {
+  return {
+    pick: (request) => picker.pick(request),
+    reportFailure: (target, kind) => {
+      if (kind === "connect") picker.reportFailure(target, kind);
+    },
+    reportLoad: (target, load) => picker.reportLoad(target, load),
+    progressWithinMs: () => PLAIN_TIMEOUT_MS,
+    reportProgress: () => {},
+  };
+}
+
+/** Wakes the dispatcher's watch early, which then looks again. */
+function shortSleeps(clock: Clock): Clock {
+  return {
+    nowMs: () => clock.nowMs(),
+    wallMs: () => clock.wallMs(),
+    sleep: (waitMs, signal) =>
+      clock.sleep(Math.min(waitMs, LOOK_EVERY_MS), signal),
+  };
+}
+
+async function printCapacity(): Promise<void> {
+  const rows: (string | number)[][] = [];
+  const cases = [
+    ["span ready on a standby", { standbyCount: 2, stage: 0 }],
+    ["standby has another span, weights to fetch", {
+      standbyCount: 1,
+      stage: 1,
+    }],
+    ["no standby", { standbyCount: 0, stage: 0 }],
+  ] as const;
+  for (const [name, options] of cases) {
+    const times: number[] = [];
+    for (let seed = 1; seed <= SEEDS; seed++) {
+      times.push(await restoredAfterMs(seed, options));
+    }
+    const at = (quantile: number) => {
+      const value = quantileOf(times, quantile);
+      return Number.isFinite(value) ? ms(value) : "never";
+    };
+    rows.push([name, at(0.5), at(0.95), at(1)]);
+  }
+  printTable(["capacity after a kill", "p50 ms", "p95 ms", "max ms"], rows);
+}
+
+/** Time until every host again plans with the capacity that is normal. */
+async function restoredAfterMs(
+  seed: number,
+  options: { readonly standbyCount: number; readonly stage: number },
+): Promise<number> {
+  const { standbyCount, stage } = options;
+  const ready = { loadMs: LOAD_MS, standbysReady: true };
+  const fleet = new CapacityFleet({ ...FLEET, ...ready, seed, standbyCount });
+  const random = seededRandom(hash32(`seed ${seed}`));
+  await fleet.clock.advance(WARM_UP_MS + random() * 2_000);
+  const normal = FLEET.targetsPerStage * 10_000 / 4;
+  const homes = fleet.homes.filter((name) => name.startsWith(`s${stage}-`));
+  const target = homes[Math.floor(random() * homes.length)];
+  fleet.engine(target).settings.isDown = true;
+  const startMs = fleet.clock.nowMs();
+  const isRestored = () =>
+    fleet.hosts.every(({ picker, directory }) =>
+      !directory.takesNewWork(target) &&
+      picker.boundTokensPerS("p") >= normal * 0.999
+    );
+  while (!isRestored() && fleet.clock.nowMs() - startMs < 60_000) {
+    await fleet.clock.advance(20);
+  }
+  const tookMs = isRestored() ? fleet.clock.nowMs() - startMs : Infinity;
+  await fleet.stop();
+  return tookMs;
+}
+
+if (process.argv[1]?.endsWith("recovery.js")) await run();
--- a/src/pipelines/chain_picker.ts
+++ b/src/pipelines/chain_picker.ts
@@ -68,6 +68,8 @@
   readonly #slowParts: SlowParts;
   /** The parts of each chain in use. */
   readonly #parts = new WeakMap<readonly ChainStage[], readonly string[]>();
+  /** Targets blamed for a stall that have not been heard since. */
+  readonly #stalledTargets = new Set<string>();
   readonly #affinity = new PrefixAffinity();
 
   constructor(options: ChainPickerOptions) {
@@ -83,9 +85,10 @@
     this.#slowParts = new SlowParts({ clock: this.#clock });
     this.#deadline = new ProgressDeadline({ clock: this.#clock });
     this.#store.add(
-      this.#directory.onState(({ target, load }) =>
-        this.#load.noteReport(target, load)
-      ),
+      this.#directory.onState(({ target, load }) => {
+        this.#load.noteReport(target, load);
+        this.#noteAlive(target);
+      }),
     );
     this.#store.add(
       this.#config.onChange(({ config }) => this.#retain(config.targets)),
@@ -111,7 +114,7 @@
     kind: Parameters<IChainPicker["reportFailure"]>[1],
   ): void {
     if (kind === "connect") this.#directory.noteSuspected(target);
-    if (kind === "stalled") this.#deadline.noteStall(target);
+    if (kind === "stalled") this.#stalledTargets.add(target);
     if (kind !== "stale-generation") this.#load.noteFailure(target);
     this.#directory.noteDoubt(target);
   }
@@ -200,6 +203,7 @@
     const parts = chainParts(path);
     this.#parts.set(chain, parts);
     for (const part of parts) this.#load.addInFlight(part, 1);
+    this.#deadline.noteStart(chain);
     const startMs = this.#clock.nowMs();
     let isTaken = true;
     return toDisposable(() => {
@@ -207,12 +211,36 @@
       isTaken = false;
       for (const part of parts) this.#load.addInFlight(part, -1);
       this.#load.noteDuration(this.#clock.nowMs() - startMs);
+      this.#noteEnd(chain, startMs);
     });
   }
 
+  /**
+   * A chain given up after its deadline, for which no target was blamed, was
+   * slow as a whole: its deadline widens, lest every further try fails alike.
+   */
+  #noteEnd(chain: readonly ChainStage[], startMs: number): void {
+    const withinMs = this.#deadline.withinMs(chain, "decode");
+    if (this.#deadline.silentForMs(chain) < withinMs) return;
+    this.#deadline.noteLate(chain);
+    const isBlamed = chain.some(({ target }) =>
+      this.#load.failedSince(target, startMs)
+    );
+    if (isBlamed) return;
+    for (const { target } of chain) this.#deadline.noteStall(target);
+  }
+
+  /** A target that stalled and yet answers is slow, so it gets more time. */
+  #noteAlive(target: string): void {
+    if (this.#stalledTargets.delete(target)) this.#deadline.noteStall(target);
+  }
+
   #retain(targets: Readonly<Record<string, unknown>>): void {
     const isKept = (part: string) => part in targets || part.includes(">");
     this.#load.retain(isKept);
+    for (const target of this.#stalledTargets) {
+      if (!isKept(target)) this.#stalledTargets.delete(target);
+    }
     this.#deadline.retain(isKept);
     this.#slowParts.retain(isKept);
   }
--- a/src/pipelines/chain_picker_test.ts
+++ b/src/pipelines/chain_picker_test.ts
@@ -183,3 +183,21 @@
   }
   expect(slowCount).toBeLessThan(20);
 });
+
+test("eight tries are enough for a fleet that became three times as slow", async () => {
+  const { picker, clock } = setUp();
+  const widths: number[] = [];
+  for (let attempt = 0; attempt < 24; attempt++) {
+    const pick = picker.pick({ ...REQUEST, prefixHash: attempt }).unwrap();
+    for (let token = 0; attempt < 16 && token < 64; token++) {
+      await clock.advance(20);
+      picker.reportProgress(pick.chain, { phase: "decode", gapMs: 20 });
+    }
+    const withinMs = picker.progressWithinMs(pick.chain, "decode");
+    if (attempt >= 16) await clock.advance(withinMs + 1);
+    widths.push(withinMs);
+    pick.dispose();
+  }
+  expect(widths[15]).toBeLessThan(100);
+  expect(widths[23]).toBeGreaterThan(3 * widths[15]);
+});
--- a/src/pipelines/progress_deadline.ts
+++ b/src/pipelines/progress_deadline.ts
@@ -8,6 +8,7 @@
 
 import type { Clock } from "../common/clock.ts";
 import { systemClock } from "../common/clock.ts";
+import { GapTail } from "./gap_tail.ts";
 
 /** A phase of a generation: until its first token, or between tokens. */
 export type Phase = "prefill" | "decode";
@@ -20,24 +21,23 @@
 const FIRST_PREFILL_MS = 2_000;
 /** Gaps after which a chain's own history is trusted alone. */
 const TRUSTED_GAPS = 16;
-const MEAN_GAIN = 1 / 8;
-const DEVIATION_GAIN = 1 / 4;
-const DEVIATIONS = 4;
-const PEAK_DECAY = 0.98;
-const PEAK_FACTOR = 1.5;
-const MEAN_FACTOR = 2.5;
+/** Gaps after which what a target showed in any chain is trusted. */
+const TRUSTED_TARGET_GAPS = 6;
+/** Room for a chain of which only others are known. */
+const STRANGER_FACTOR = 1.5;
+const MEAN_GAIN = 1 / 16;
+/** A deadline is at least this many mean gaps. */
+const MIN_RATIO = 2.5;
 /** A stall is a gap of at least the deadline, so later deadlines grow by this. */
-const STALL_FACTOR = 1.5;
-const MAX_STALL_FACTOR = 16;
-const STALL_HALF_LIFE_MS = 10_000;
+const STALL_FACTOR = 2;
+const MAX_STALL_FACTOR = 32;
+const STALL_HALF_LIFE_MS = 5_000;
 const MAX_CHAINS = 2_048;
 
-/** Running statistics of gaps: mean, mean deviation and a decaying peak. */
+/** Moving mean of gaps. */
 interface GapStatistics {
   count: number;
   meanMs: number;
-  deviationMs: number;
-  peakMs: number;
 }
 
 interface StallRecord {
@@ -52,6 +52,7 @@
 
 /** Statistics that one pick of a chain adds to, looked up once a pick. */
 interface ChainHandle {
+  progressAtMs: number;
   readonly targets: readonly string[];
   readonly gaps: Readonly<Record<Phase, TrackedGaps>>;
 }
@@ -59,6 +60,8 @@
 interface TrackedGaps {
   readonly ofChain: GapStatistics;
   readonly ofTargets: readonly GapStatistics[];
+  /** All chains of this host. */
+  readonly ofAll: GapStatistics;
 }
 
 /** A chain, as far as this module looks at it. */
@@ -70,6 +73,8 @@
   /** By phase and chain, the least recently picked first. */
   readonly #chains = new Map<string, GapStatistics>();
   readonly #targets = new Map<string, GapStatistics>();
+  readonly #all = { prefill: newStatistics(), decode: newStatistics() };
+  readonly #tails = { prefill: new GapTail(), decode: new GapTail() };
   readonly #stalls = new Map<string, StallRecord>();
   readonly #handles = new WeakMap<Chain, ChainHandle>();
 
@@ -80,7 +85,7 @@
   /** Time within which the next token of the chain is to arrive. */
   withinMs(chain: Chain, phase: Phase): number {
     const { gaps, targets } = this.#handle(chain);
-    const normalMs = normalGapMs(gaps[phase], phase);
+    const normalMs = this.#normalMs(gaps[phase], phase);
     const floorMs = phase === "decode" ? DECODE_FLOOR_MS : PREFILL_FLOOR_MS;
     let stallFactor = 1;
     for (const target of targets) {
@@ -89,14 +94,36 @@
     return Math.min(CEILING_MS, Math.max(floorMs, normalMs) * stallFactor);
   }
 
+  /** Notes that the chain was picked just now. */
+  noteStart(chain: Chain): void {
+    this.#handle(chain).progressAtMs = this.#clock.nowMs();
+  }
+
   /** Notes a gap that ended with a token. */
   noteGap(
     chain: Chain,
     observation: { readonly phase: Phase; readonly gapMs: number },
   ): void {
-    const { ofChain, ofTargets } = this.#handle(chain).gaps[observation.phase];
-    addGap(ofChain, observation.gapMs);
-    for (const statistics of ofTargets) addGap(statistics, observation.gapMs);
+    const handle = this.#handle(chain);
+    handle.progressAtMs = this.#clock.nowMs();
+    const { phase, gapMs } = observation;
+    const { ofChain, ofTargets, ofAll } = handle.gaps[phase];
+    if (ofChain.count > 0) this.#tails[phase].note(gapMs / ofChain.meanMs);
+    addGap(ofChain, gapMs);
+    addGap(ofAll, gapMs);
+    for (const statistics of ofTargets) addGap(statistics, gapMs);
+  }
+
+  /** Time since the last token of the chain, or since it was picked. */
+  silentForMs(chain: Chain): number {
+    return this.#clock.nowMs() - this.#handle(chain).progressAtMs;
+  }
+
+  /** Notes that a chain was given up before its next token came. */
+  noteLate(chain: Chain): void {
+    const { ofChain } = this.#handle(chain).gaps.decode;
+    if (ofChain.count < TRUSTED_GAPS) return;
+    this.#tails.decode.note(this.silentForMs(chain) / ofChain.meanMs);
   }
 
   /** Notes that a chain through `target` did not progress in time. */
@@ -124,6 +151,14 @@
     }
   }
 
+  #normalMs(gaps: TrackedGaps, phase: Phase): number {
+    const meanMs = meanGapMs(gaps);
+    if (meanMs !== undefined) {
+      return meanMs * Math.max(MIN_RATIO, this.#tails[phase].ratio);
+    }
+    return phase === "decode" ? FIRST_DECODE_MS : FIRST_PREFILL_MS;
+  }
+
   #handle(chain: Chain): ChainHandle {
     let handle = this.#handles.get(chain);
     if (handle) return handle;
@@ -132,7 +167,7 @@
       prefill: this.#track(targets, "prefill"),
       decode: this.#track(targets, "decode"),
     };
-    handle = { targets, gaps };
+    handle = { progressAtMs: this.#clock.nowMs(), targets, gaps };
     this.#handles.set(chain, handle);
     return handle;
   }
@@ -148,6 +183,7 @@
     }
     return {
       ofChain,
+      ofAll: this.#all[phase],
       ofTargets: targets.map((target) => this.#ofTarget(target, phase)),
     };
   }
@@ -167,39 +203,27 @@
   }
 }
 
-function normalGapMs(gaps: TrackedGaps, phase: Phase): number {
-  if (gaps.ofChain.count >= TRUSTED_GAPS) return upperGapMs(gaps.ofChain);
-  let normalMs = 0;
-  for (const statistics of gaps.ofTargets) {
-    if (statistics.count < TRUSTED_GAPS) continue;
-    normalMs = Math.max(normalMs, upperGapMs(statistics));
+/** Mean gap to expect of a chain; undefined while nothing is known at all. */
+function meanGapMs(gaps: TrackedGaps): number | undefined {
+  const { ofChain, ofTargets, ofAll } = gaps;
+  if (ofChain.count >= TRUSTED_GAPS) return ofChain.meanMs;
+  let meanMs = 0;
+  for (const statistics of ofTargets) {
+    if (statistics.count < TRUSTED_TARGET_GAPS) continue;
+    meanMs = Math.max(meanMs, statistics.meanMs);
   }
-  if (normalMs > 0) return normalMs;
-  return phase === "decode" ? FIRST_DECODE_MS : FIRST_PREFILL_MS;
+  if (meanMs > 0) return meanMs;
+  return ofAll.count >= TRUSTED_GAPS
+    ? STRANGER_FACTOR * ofAll.meanMs
+    : undefined;
 }
 
 function newStatistics(): GapStatistics {
-  return { count: 0, meanMs: 0, deviationMs: 0, peakMs: 0 };
+  return { count: 0, meanMs: 0 };
 }
 
 function addGap(statistics: GapStatistics, gapMs: number): void {
   statistics.count++;
-  if (statistics.count === 1) {
-    statistics.meanMs = gapMs;
-    statistics.deviationMs = gapMs / 2;
-  }
-  const errorMs = gapMs - statistics.meanMs;
-  statistics.meanMs += errorMs * MEAN_GAIN;
-  statistics.deviationMs += DEVIATION_GAIN *
-    (Math.abs(errorMs) - statistics.deviationMs);
-  statistics.peakMs = Math.max(gapMs, statistics.peakMs * PEAK_DECAY);
-}
-
-function upperGapMs(statistics: GapStatistics): number {
-  const { meanMs, deviationMs, peakMs } = statistics;
-  return Math.max(
-    meanMs * MEAN_FACTOR,
-    meanMs + DEVIATIONS * deviationMs,
-    peakMs * PEAK_FACTOR,
-  );
+  const gain = Math.max(MEAN_GAIN, 1 / statistics.count);
+  statistics.meanMs += (gapMs - statistics.meanMs) * gain;
 }
--- a/src/pipelines/target_directory.ts
+++ b/src/pipelines/target_directory.ts
@@ -19,6 +19,8 @@
 const PEER_NOTICE_HOLD_MS = 30_000;
 /** Notices of one period are one fact, whichever host publishes it. */
 const NOTICE_PERIOD_MS = 10_000;
+/** Time after which a loss that goes on is told again. */
+const SILENCE_REPEAT_MS = 5_000;
 /** How long a published state is passed on to hosts that join. */
 const STATE_FACT_HOLD_MS = 120_000;
 
@@ -38,6 +40,8 @@
 
 interface TargetEntry {
   state?: EngineState;
+  /** Sequence of the last fact about its silence, heard or published. */
+  silenceSequence: number;
   /** When some host read the state, on that host's clock. */
   readAtWallMs: number;
   /** When the state came to offer what it offers. */
@@ -56,7 +60,8 @@
 /** What a fact about a target carries. */
 interface TargetFact {
   readonly state?: EngineState;
-  readonly isLost?: boolean;
+  /** The target did not answer some host. */
+  readonly isSilent?: boolean;
 }
 
 /** Holds what is known of each target; one owner for each daemon. */
@@ -167,7 +172,7 @@
     const known = this.#entries.get(state.target)?.state;
     this.#takeState(state, this.#clock.wallMs());
     if (!known || !isSameOffer(known, state)) {
-      this.#publish(state.target, { state });
+      this.#spreadState(state);
     }
     this.#published.fire(state);
   }
@@ -177,6 +182,7 @@
     const entry = this.#entry(target);
     if (entry.isSuspected) return;
     entry.isSuspected = true;
+    this.#spreadSilence(target, entry);
     entry.silentSinceMs ??= this.#clock.nowMs();
     this.#changed.fire(target);
   }
@@ -191,7 +197,7 @@
     if (entry.isLost) return;
     entry.isLost = true;
     entry.silentSinceMs ??= this.#clock.nowMs();
-    this.#publish(target, { isLost: true });
+    this.#spreadSilence(target, entry);
     this.#changed.fire(target);
   }
 
@@ -203,6 +209,7 @@
     let entry = this.#entries.get(target);
     if (!entry) {
       entry = {
+        silenceSequence: 0,
         readAtWallMs: 0,
         offerSinceMs: 0,
         isSuspected: false,
@@ -251,15 +258,27 @@
     if (changed) this.#changed.fire(state.target);
   }
 
-  #publish(target: string, data: TargetFact): void {
-    if (!this.#spreadsState(target)) return;
-    const wallMs = this.#clock.wallMs();
+  #spreadState(state: EngineState): void {
+    if (!this.#spreadsState(state.target)) return;
+    const sequence = Math.floor(this.#clock.wallMs());
+    this.#publish(state.target, { state }, sequence);
+  }
+
+  /** Hosts that notice a loss in one second publish one and the same fact. */
+  #spreadSilence(target: string, entry: TargetEntry): void {
+    const sequence = Math.floor(this.#clock.wallMs() / 1_000) * 1_000;
+    if (sequence - entry.silenceSequence < SILENCE_REPEAT_MS) return;
+    entry.silenceSequence = sequence;
+    this.#publish(target, { isSilent: true }, sequence);
+  }
+
+  #publish(target: string, data: TargetFact, sequence: number): void {
     this.#dissemination?.publish({
       topic: "target",
       key: target,
-      sequence: Math.floor(wallMs),
+      sequence,
       data,
-      expiresAtWallMs: wallMs + STATE_FACT_HOLD_MS,
+      expiresAtWallMs: this.#clock.wallMs() + STATE_FACT_HOLD_MS,
     });
   }
 
@@ -276,10 +295,13 @@
     this.noteLeaving(fact.key, "peer");
   }
 
-  /** A peer's word on a loss only causes a look: the peer may be cut off. */
+  /** A peer's word on a silence only causes a look: the peer may be cut off. */
   #hearTarget(fact: Fact): void {
-    const { state, isLost } = fact.data as TargetFact;
-    if (isLost) return this.noteDoubt(fact.key);
+    const { state, isSilent } = fact.data as TargetFact;
+    if (isSilent) {
+      this.#entry(fact.key).silenceSequence = fact.sequence;
+      return this.noteDoubt(fact.key);
+    }
     if (state?.target !== fact.key) return;
     const known = this.#entries.get(fact.key);
     if (fact.sequence <= (known?.readAtWallMs ?? 0)) return;
--- a/src/pipelines/target_load.ts
+++ b/src/pipelines/target_load.ts
@@ -150,6 +150,13 @@
     if (entry && entry.failures > 0) entry.failures *= 1 - PROGRESS_RELIEF;
   }
 
+  /** True when a failure of the part was noted at or after `sinceMs`. */
+  failedSince(part: string, sinceMs: number): boolean {
+    const entry = this.#entries.get(part);
+    return entry !== undefined && entry.failures > 0 &&
+      entry.failedAtMs >= sinceMs;
+  }
+
   /** Failures of late, each fading by half every few seconds. */
   failures(part: string): number {
     const entry = this.#entries.get(part);
--- a/src/pipelines/target_watcher.ts
+++ b/src/pipelines/target_watcher.ts
@@ -17,6 +17,8 @@
 import type { TargetDirectory } from "./target_directory.ts";
 
 const POLL_INTERVAL_MS = 1_000;
+/** Time between polls of an engine that did not answer the last one. */
+const RETRY_INTERVAL_MS = 500;
 const POLL_TIMEOUT_MS = 800;
 /** Failed polls in a row after which a target counts as lost. */
 const LOST_AFTER_POLLS = 3;
@@ -111,12 +113,21 @@
 
   async #lookInto(target: string, signal: AbortSignal): Promise<void> {
     if (this.#doubted.has(target) || signal.aborted) return;
+    if (!this.#isOfUse(target)) return;
     this.#doubted.add(target);
     await this.#clock.sleep(this.#random() * DOUBT_SPREAD_MS, signal);
     if (!signal.aborted) await this.poll(target, signal);
     this.#doubted.delete(target);
   }
 
+  #isOfUse(target: string): boolean {
+    if (this.#pollers.has(target) || !this.#options.uses) return true;
+    for (const used of this.#options.uses()) {
+      if (used === target) return true;
+    }
+    return false;
+  }
+
   /** Reads some of the engines in use that are not polled and not known well. */
   async #lookAround(signal: AbortSignal): Promise<void> {
     const { directory, uses } = this.#options;
@@ -166,7 +177,11 @@
       if (failedPolls >= lostAfterPolls) {
         this.#options.directory.noteLost(target);
       }
-      await this.#clock.sleep(this.#nextWaitMs(), signal);
+      const waitMs = this.#nextWaitMs();
+      await this.#clock.sleep(
+        answered ? waitMs : Math.min(waitMs, RETRY_INTERVAL_MS),
+        signal,
+      );
     }
   }
 
