Count tokens of answers in time as they are made

Cause: goodput counted whole answers, so answers cut by the window's edge gave more than 100% of the bound. Change: tokens count when they are made, for answers that end in time.

--- a/measure/chains_flow.ts
+++ b/measure/chains_flow.ts
@@ -144,6 +144,10 @@
   let goodTokens = 0;
   let refused = 0;
   let offered = 0;
+  /** Streams not ended, with the tokens they got while measured. */
+  const active = new Set<{ readonly startMs: number; tokens: number }>();
+  const isInTime = ({ startMs }: { readonly startMs: number }) =>
+    events.nowMs() - startMs <= ANSWER_WITHIN_MS;
   const isMeasured = () => events.nowMs() >= WARM_UP_MS;
   const arrive = () => {
     events.after(-Math.log(1 - random()) / requestsPerMs, arrive);
@@ -154,19 +158,26 @@
       if (isMeasured()) refused++;
       return;
     }
+    const stream = { startMs, tokens: 0 };
+    active.add(stream);
     fleet.stream(picked.chain, {
       pieces: ANSWER_TOKENS / PIECE_TOKENS,
       pieceTokens: PIECE_TOKENS,
-      onPiece: () => {},
+      onPiece: () => {
+        if (isMeasured()) stream.tokens += PIECE_TOKENS;
+      },
       onEnd: () => {
         picked.dispose();
-        const isInTime = events.nowMs() - startMs <= ANSWER_WITHIN_MS;
-        if (isMeasured() && isInTime) goodTokens += ANSWER_TOKENS;
+        active.delete(stream);
+        if (isInTime(stream)) goodTokens += stream.tokens;
       },
     });
   };
   arrive();
   events.runUntil(WARM_UP_MS + MEASURED_MS);
+  for (const stream of active) {
+    if (isInTime(stream)) goodTokens += stream.tokens;
+  }
   return {
     goodputShare: goodTokens / (MEASURED_MS / 1_000) / bound,
     refusedShare: refused / offered,
