--- a/measure/chains_subset.ts
+++ b/measure/chains_subset.ts
@@ -5,12 +5,23 @@
  * @module
  */
 
-import { FakeConfig, FakeMembership, member } from "../test/pipelines_fakes.ts";
+import {
+  FakeConfig,
+  FakeEngine,
+  FakeEngines,
+  FakeLog,
+  FakeMembership,
+  member,
+} from "../test/pipelines_fakes.ts";
+import { settle } from "../test/manual_clock.ts";
 import type { ConfigDocument } from "../src/config/schema.ts";
 import { seededRandom } from "../src/common/random.ts";
+import { CapacityKeeper } from "../src/pipelines/capacity_keeper.ts";
 import { ChainPicker } from "../src/pipelines/chain_picker.ts";
+import { LeaseService } from "../src/pipelines/lease_service.ts";
 import { TargetDirectory } from "../src/pipelines/target_directory.ts";
 import { TargetSubset } from "../src/pipelines/target_subset.ts";
+import { TargetWatcher } from "../src/pipelines/target_watcher.ts";
 import { WatchAssignment } from "../src/pipelines/watch_assignment.ts";
 import type { EngineState } from "../src/platform/types.ts";
 import { EventQueue, printTable, quantileOf } from "./chains/fakes.ts";
@@ -26,6 +37,7 @@
 const STAGES = 5;
 const LAYERS = 40;
 const REGIONS = 5;
+const CONTROL_SECONDS = 60;
 const PICKS = 2_000;
 /** Request line, headers and status of one poll on a kept connection. */
 const POLL_HEADER_BYTES = 320;
@@ -35,8 +47,10 @@
 const FACT_COPIES = 3;
 
 /** Prints both tables. */
-export function run(): Promise<void> {
+export async function run(): Promise<void> {
   const startMs = performance.now();
+  const rows: (string | number)[][] = [];
+  for (const size of SIZES) rows.push(await measureSize(size));
   printTable(
     [
       "hosts",
@@ -50,9 +64,10 @@
       "µs a pick",
       "ms a replan",
       "ms a member change",
+      "control ms/s",
       "MB held",
     ],
-    SIZES.map(measureSize),
+    rows,
   );
   console.log("");
   printTable(
@@ -66,7 +81,6 @@
     `\nseed ${SEED}, ${PIPELINES} pipelines of ${STAGES} stages, ` +
       `run time ${seconds} s`,
   );
-  return Promise.resolve();
 }
 
 function document(targetCount: number): ConfigDocument {
@@ -148,9 +162,9 @@
   return { clock, members, membership, assignment, directory, subset, picker };
 }
 
-function measureSize(
+async function measureSize(
   { hosts, targets }: { hosts: number; targets: number },
-): (string | number)[] {
+): Promise<(string | number)[]> {
   const config = new FakeConfig(document(targets));
   const names = Object.keys(config.state.config.targets);
   const heldBefore = heapBytes();
@@ -184,6 +198,7 @@
     pickUs.toFixed(0),
     replanMs.toFixed(1),
     memberMs.toFixed(1),
+    (await controlMsPerS(config, host)).toFixed(1),
     (heldBytes / 1e6).toFixed(1),
   ];
 }
@@ -196,6 +211,46 @@
   }).unwrap().dispose();
 }
 
+/** Processor time that watching and keeping capacity take while all is well. */
+async function controlMsPerS(
+  config: FakeConfig,
+  host: ReturnType<typeof makeHost>,
+): Promise<number> {
+  const { clock, directory, membership, assignment, subset } = host;
+  const engines = new FakeEngines(clock);
+  for (const target of Object.keys(config.state.config.targets)) {
+    const state = directory.lastState(target)!;
+    engines.add(new FakeEngine(state));
+  }
+  const common = { config, clock, directory, engines };
+  const watcher = new TargetWatcher({
+    ...common,
+    watches: (target) => assignment.watches(target),
+    uses: () => subset.all(),
+    pollIntervalMs: () => assignment.intervalMs(),
+  });
+  const log = new FakeLog(clock);
+  const leases = new LeaseService({ log, host: "host-0", clock });
+  const keeper = new CapacityKeeper({ ...common, membership, leases });
+  const abort = new AbortController();
+  void watcher.run(abort.signal);
+  void keeper.run(abort.signal);
+  await advance(clock, 5);
+  const startUs = process.cpuUsage();
+  await advance(clock, CONTROL_SECONDS);
+  const { user, system } = process.cpuUsage(startUs);
+  abort.abort();
+  return (user + system) / 1_000 / CONTROL_SECONDS;
+}
+
+async function advance(clock: EventQueue, seconds: number): Promise<void> {
+  const untilMs = clock.nowMs() + seconds * 1_000;
+  while (clock.nowMs() < untilMs) {
+    clock.runUntil(clock.nowMs() + 50);
+    await settle();
+  }
+}
+
 /** Use of each target of one stage, against its even share. */
 function imbalance(
   minReplicas: number,
--- a/src/pipelines/capacity_keeper.ts
+++ b/src/pipelines/capacity_keeper.ts
@@ -14,6 +14,7 @@
 import type { Clock } from "../common/clock.ts";
 import { systemClock } from "../common/clock.ts";
 import { rendezvousRank } from "../common/hash.ts";
+import { DisposableStore } from "../common/lifecycle.ts";
 import type { IConfigService } from "../config/services.ts";
 import type { IMembership } from "../fleet/services.ts";
 import type { IEngineClient } from "../platform/services.ts";
@@ -63,6 +64,13 @@
   readonly accepted: boolean;
 }
 
+/** A pool that this host looks after. */
+interface PoolDuty {
+  readonly pool: Pool;
+  /** 0 for the host that acts first. */
+  readonly rank: number;
+}
+
 /** What this host knows of its work on one pool. */
 interface PoolWork {
   lease?: Lease;
@@ -78,6 +86,8 @@
 export class CapacityKeeper {
   readonly #options: CapacityKeeperOptions;
   readonly #clock: Clock;
+  /** Computed again after a change of configuration or members. */
+  #duties: readonly PoolDuty[] | undefined;
   readonly #work = new Map<string, PoolWork>();
 
   constructor(options: CapacityKeeperOptions) {
@@ -87,11 +97,17 @@
 
   /** Works until `signal` aborts, then gives its leases back. */
   async run(signal: AbortSignal): Promise<void> {
+    const store = new DisposableStore();
+    const forget = () => this.#duties = undefined;
+    store.add(this.#options.config.onChange(forget));
+    store.add(this.#options.membership.onChange(forget));
+    forget();
     while (!signal.aborted) {
-      const own = pools(this.#options.config.state.config);
-      await Promise.all(own.map((pool) => this.#round(pool)));
+      const duties = this.#ownDuties();
+      await Promise.all(duties.map((duty) => this.#round(duty)));
       await this.#clock.sleep(ROUND_INTERVAL_MS, signal);
     }
+    store.dispose();
     const held = [...this.#work.values()];
     await Promise.all(held.map((work) => this.#releaseLease(work)));
   }
@@ -101,9 +117,7 @@
     return this.#work.get(pool)?.plan?.blocked ?? [];
   }
 
-  async #round(pool: Pool): Promise<void> {
-    const rank = this.#rank(pool);
-    if (rank < 0) return;
+  async #round({ pool, rank }: PoolDuty): Promise<void> {
     const work = this.#workOf(pool);
     work.plan = this.#plan(pool);
     if (work.plan.isSettled) {
@@ -125,15 +139,21 @@
     await Promise.all(orders.map((planned) => this.#send(planned, work)));
   }
 
-  /** This host's place among those that look after the pool, or -1. */
-  #rank(pool: Pool): number {
-    const { membership } = this.#options;
+  /** The pools that this host looks after, with its place among the candidates. */
+  #ownDuties(): readonly PoolDuty[] {
+    if (this.#duties) return this.#duties;
+    const { membership, config } = this.#options;
     const names = membership.members()
       .filter(({ state }) => state !== "leaving")
       .map(({ name }) => name);
-    return rendezvousRank(`pool ${pool.name}`, names)
-      .slice(0, CANDIDATES)
-      .indexOf(membership.self.name);
+    this.#duties = pools(config.state.config)
+      .map((pool) => {
+        const ranked = rendezvousRank(`pool ${pool.name}`, names);
+        const rank = ranked.slice(0, CANDIDATES).indexOf(membership.self.name);
+        return { pool, rank };
+      })
+      .filter(({ rank }) => rank >= 0);
+    return this.#duties;
   }
 
   #workOf(pool: Pool): PoolWork {
--- a/src/pipelines/leaving_test.ts
+++ b/src/pipelines/leaving_test.ts
@@ -49,7 +49,7 @@
     { length: HOSTS },
     () => new Emitter<readonly ListedHost[]>(),
   );
-  const seen = { lastDispatchMs: 0, picksOfA: 0 };
+  const seen = { lastDispatchMs: 0, picksOfA: 0, hostsOfA: new Set<number>() };
   for (let host = 0; host < HOSTS; host++) {
     const dissemination = options.gossips ? gossip.join(`h${host}`) : undefined;
     const random = seededRandom(host);
@@ -68,16 +68,17 @@
     });
     void watcher.run(abort.signal);
     const picker = new ChainPicker({ config, directory, clock, random });
-    void dispatch(picker);
+    void dispatch(picker, host);
   }
   return { clock, config, engines, lists, seen, stop: () => abort.abort() };
 
-  async function dispatch(picker: ChainPicker): Promise<void> {
+  async function dispatch(picker: ChainPicker, host: number): Promise<void> {
     for (let prefixHash = 0; !abort.signal.aborted; prefixHash++) {
       const request = { pipeline: "p", prefixHash, avoid: new Set<string>() };
       const pick = picker.pick(request).unwrap();
       if (pick.chain[0].target === "a") {
         seen.picksOfA++;
+        seen.hostsOfA.add(host);
         seen.lastDispatchMs = clock.nowMs();
       }
       pick.dispose();
@@ -140,10 +141,10 @@
   await fleet.clock.advance(1_000);
   fleet.lists[3].fire([LISTED]);
   await fleet.clock.advance(5_000);
-  const before = fleet.seen.picksOfA;
+  fleet.seen.hostsOfA.clear();
   fleet.lists[3].fire([{ ...LISTED, state: "live" }]);
   await fleet.clock.advance(45_000);
-  expect(fleet.seen.picksOfA).toBeGreaterThan(before + 50);
+  expect(fleet.seen.hostsOfA.size).toBe(HOSTS);
   fleet.stop();
   await fleet.clock.advance(2_000);
 });
--- a/src/pipelines/target_directory.ts
+++ b/src/pipelines/target_directory.ts
@@ -72,6 +72,12 @@
   readonly #peerNoticeHoldMs: number;
   readonly #spreadsState: (target: string) => boolean;
   readonly #entries = new Map<string, TargetEntry>();
+  /** Targets with a sign of leaving that this host knows at first hand. */
+  readonly #leaving = new Set<string>();
+  /** Targets of which peers said that they leave. */
+  readonly #noticed = new Set<string>();
+  /** Targets that are suspected or lost. */
+  readonly #silent = new Set<string>();
   readonly #store = new DisposableStore();
   readonly #changed = this.#store.add(new Emitter<string>());
   readonly onChange = this.#changed.event;
@@ -137,9 +143,7 @@
 
   /** Targets that answered no more, for as long as they stay configured. */
   silentTargets(): string[] {
-    return [...this.#entries]
-      .filter(([, entry]) => entry.isLost || entry.isSuspected)
-      .map(([target]) => target);
+    return [...this.#silent];
   }
 
   noteLeaving(target: string, source: LeavingSource): void {
@@ -147,8 +151,10 @@
     const entry = this.#entry(target);
     if (source === "peer") {
       entry.peerNoticeUntilMs = this.#clock.nowMs() + this.#peerNoticeHoldMs;
+      this.#noticed.add(target);
     } else {
       entry.leavingSources.add(source);
+      this.#leaving.add(target);
       this.#spread(target, entry);
     }
     if (!wasLeaving) this.#changed.fire(target);
@@ -158,13 +164,22 @@
   noteStaying(target: string, source: LeavingSource): void {
     const entry = this.#entries.get(target);
     if (!entry?.leavingSources.delete(source)) return;
+    if (entry.leavingSources.size === 0) this.#leaving.delete(target);
     if (!this.isLeaving(target)) this.#changed.fire(target);
   }
 
-  /** Repeats the notices whose signs still hold; called about once a second. */
-  repeatNotices(): void {
-    for (const [target, entry] of this.#entries) {
-      if (entry.leavingSources.size > 0) this.#spread(target, entry);
+  /**
+   * Repeats this host's notices whose signs still hold and drops those of
+   * peers that ran out; called about once a second.
+   */
+  refreshNotices(): void {
+    for (const target of this.#noticed) {
+      if (this.#entry(target).peerNoticeUntilMs > this.#clock.nowMs()) continue;
+      this.#noticed.delete(target);
+      if (!this.isLeaving(target)) this.#changed.fire(target);
+    }
+    for (const target of this.#leaving) {
+      this.#spread(target, this.#entry(target));
     }
   }
 
@@ -182,6 +197,7 @@
     const entry = this.#entry(target);
     if (entry.isSuspected) return;
     entry.isSuspected = true;
+    this.#silent.add(target);
     this.#spreadSilence(target, entry);
     entry.silentSinceMs ??= this.#clock.nowMs();
     this.#changed.fire(target);
@@ -196,6 +212,7 @@
     const entry = this.#entry(target);
     if (entry.isLost) return;
     entry.isLost = true;
+    this.#silent.add(target);
     entry.silentSinceMs ??= this.#clock.nowMs();
     this.#spreadSilence(target, entry);
     this.#changed.fire(target);
@@ -225,7 +242,11 @@
 
   #forget(known: Readonly<Record<string, unknown>>): void {
     for (const target of this.#entries.keys()) {
-      if (!(target in known)) this.#entries.delete(target);
+      if (target in known) continue;
+      this.#entries.delete(target);
+      this.#leaving.delete(target);
+      this.#noticed.delete(target);
+      this.#silent.delete(target);
     }
   }
 
@@ -251,6 +272,7 @@
     entry.state = state;
     entry.readAtWallMs = readAtWallMs;
     entry.isSuspected = false;
+    this.#silent.delete(state.target);
     entry.silentSinceMs = undefined;
     entry.isLost = false;
     if (state.leaving) this.noteLeaving(state.target, "target");
--- a/src/pipelines/target_subset.ts
+++ b/src/pipelines/target_subset.ts
@@ -7,6 +7,7 @@
  */
 
 import { rendezvousRank } from "../common/hash.ts";
+import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
 import type { IConfigService } from "../config/services.ts";
 import type { IMembership } from "../fleet/services.ts";
 import { pipelineTargets } from "./chain_graph.ts";
@@ -28,11 +29,18 @@
 }
 
 /** Chooses this host's targets. */
-export class TargetSubset {
+export class TargetSubset implements Disposable {
   readonly #options: TargetSubsetOptions;
+  readonly #store = new DisposableStore();
+  /** Computed again after a change of anything that it rests on. */
+  #all: Set<string> | undefined;
 
   constructor(options: TargetSubsetOptions) {
     this.#options = options;
+    const forget = () => this.#all = undefined;
+    this.#store.add(options.config.onChange(forget));
+    this.#store.add(options.membership.onChange(forget));
+    this.#store.add(options.directory.onChange(forget));
   }
 
   /** The targets that this host uses of those that a pipeline offers. */
@@ -50,7 +58,15 @@
   }
 
   /** Every target that this host uses, over all pipelines. */
-  all(): Set<string> {
+  all(): ReadonlySet<string> {
+    return this.#all ??= this.#chooseAll();
+  }
+
+  dispose(): void {
+    this.#store.dispose();
+  }
+
+  #chooseAll(): Set<string> {
     const { pipelines } = this.#options.config.state.config;
     const used = new Set<string>();
     for (const [name, pipeline] of Object.entries(pipelines)) {
--- a/src/pipelines/target_watcher.ts
+++ b/src/pipelines/target_watcher.ts
@@ -59,6 +59,7 @@
   readonly #clock: Clock;
   readonly #random: Random;
   readonly #pollIntervalMs: () => number;
+  #engines: readonly { readonly target: string; readonly url: string }[] = [];
   readonly #doubted = new Set<string>();
   readonly #pollers = new Map<string, Poller>();
 
@@ -74,14 +75,15 @@
   async run(signal: AbortSignal): Promise<void> {
     const { config, directory, hostList } = this.#options;
     const store = new DisposableStore();
-    store.add(config.onChange(() => this.#follow()));
+    store.add(config.onChange(() => this.#readConfig()));
+    this.#readConfig();
     store.add(
       directory.onDoubt((target) => void this.#lookInto(target, signal)),
     );
     if (hostList) store.add(hostList.onList((list) => this.#hearList(list)));
     while (!signal.aborted) {
       this.#follow();
-      directory.repeatNotices();
+      directory.refreshNotices();
       await this.#lookAround(signal);
       await this.#clock.sleep(POLL_INTERVAL_MS, signal);
     }
@@ -142,20 +144,27 @@
     await Promise.all(chosen.map((target) => this.poll(target, signal)));
   }
 
-  #follow(): void {
+  #readConfig(): void {
     const { targets } = this.#options.config.state.config;
-    const watches = this.#options.watches ?? (() => true);
-    for (const [target, poller] of [...this.#pollers]) {
-      const isWanted = targets[target]?.url === poller.url && watches(target);
-      if (!isWanted) this.#stop(target);
+    this.#engines = Object.entries(targets)
+      .filter(([, { kind }]) => kind === "engine")
+      .map(([target, { url }]) => ({ target, url }));
+    for (const [target, { url }] of [...this.#pollers]) {
+      if (targets[target]?.url !== url) this.#stop(target);
     }
-    for (const [target, { kind, url }] of Object.entries(targets)) {
-      if (kind !== "engine" || this.#pollers.has(target)) continue;
+    this.#follow();
+  }
+
+  #follow(): void {
+    const watches = this.#options.watches ?? (() => true);
+    for (const { target, url } of this.#engines) {
       if (watches(target)) this.#start(target, url);
+      else this.#stop(target);
     }
   }
 
   #start(target: string, url: string): void {
+    if (this.#pollers.has(target)) return;
     const abort = new AbortController();
     const done = this.#pollForever(target, abort.signal);
     this.#pollers.set(target, { url, abort, done });
