--- a/measure/chains/token_engines.ts
+++ b/measure/chains/token_engines.ts
@@ -20,6 +20,9 @@
 
 const TOKEN_MS = 30;
 const TOKEN_JITTER = 0.3;
+/** Share of tokens that come late by nature, and how late. */
+const LATE_SHARE = 0.01;
+const LATE_FACTOR = 4;
 const PREFILL_MS = 80;
 const PREFILL_TOKEN_MS = 0.2;
 /** Step in which a wait looks whether its chain broke. */
@@ -55,10 +58,7 @@
     const prefix = request.generated.length;
     await this.#wait(PREFILL_MS + prefix * PREFILL_TOKEN_MS, request);
     for (let index = prefix; index < request.maxTokens; index++) {
-      await this.#wait(
-        TOKEN_MS * (1 + (this.random() - 0.5) * 2 * TOKEN_JITTER),
-        request,
-      );
+      await this.#wait(this.#tokenMs(), request);
       if (options.signal?.aborted) return cut();
       if (this.#isBroken(request)) {
         await this.clock.sleep(BREAK_NOTICE_MS);
@@ -81,6 +81,12 @@
     return Promise.resolve(new Ok(undefined));
   }
 
+  #tokenMs(): number {
+    const isLate = this.random() < LATE_SHARE;
+    const jitter = 1 + (this.random() - 0.5) * 2 * TOKEN_JITTER;
+    return TOKEN_MS * jitter * (isLate ? LATE_FACTOR : 1);
+  }
+
   #refusal(request: GenerateRequest): Outcome<EngineEnd> | undefined {
     const first = this.engines.engines.get(request.chain[0].target)!;
     if (first.settings.isDown) return notRun("connection-failed", "refused");
