Hold a starting host back until it knows its targets, and read long lists seldom

Change: TargetReadiness, ConfigPeers remembers who left, the list is read at 1,000 B/s a host at every size; tests for each; prompts of the process tests are chosen so that the answer has its full length.

--- a/src/daemon/config_peers.ts
+++ b/src/daemon/config_peers.ts
@@ -1,7 +1,8 @@
 /**
  * The hosts that a round of the configuration counts. Hosts that do not
  * answer at present count too, since a side of a cut must not take itself for
- * most of the fleet; so the platform's list is joined to the members.
+ * most of the fleet; so the platform's list is joined to the members. A host
+ * that said it leaves no longer counts, though the list may name it for long.
  *
  * @module
  */
@@ -22,6 +23,8 @@
   readonly #membership: IMembership;
   readonly #owned = new DisposableStore();
   #listed: readonly ConfigPeer[] | undefined;
+  /** Hosts that left; a host has a new name at each start. */
+  #left = new Set<string>();
   #peers: readonly ConfigPeer[] | undefined;
 
   constructor(options: ConfigPeersOptions) {
@@ -43,20 +46,21 @@
     this.#listed = list
       .filter((host) => host.role === "entry" && host.state === "live")
       .map(({ name, url }) => ({ name, url }));
+    const listed = new Set(list.map(({ name }) => name));
+    this.#left = new Set([...this.#left].filter((name) => listed.has(name)));
     this.#join();
   }
 
   #join(): void {
     if (this.#listed === undefined) return;
     const own = this.#membership.self.name;
-    const leaving = new Set<string>();
     const byName = new Map(this.#listed.map((peer) => [peer.name, peer]));
     for (const { name, url, state } of this.#membership.members()) {
-      if (state === "leaving") leaving.add(name);
+      if (state === "leaving") this.#left.add(name);
       else byName.set(name, { name, url });
     }
     const peers = [...byName.values()]
-      .filter(({ name }) => name !== own && !leaving.has(name))
+      .filter(({ name }) => name !== own && !this.#left.has(name))
       .sort((a, b) => a.name < b.name ? -1 : 1);
     if (!isSame(peers, this.#peers)) this.#peers = peers;
   }
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -30,6 +30,7 @@
 import { OperatorRoutes } from "../http/operator_routes.ts";
 import { PeerRoutes } from "../http/peer_routes.ts";
 import { TargetDirectory } from "../pipelines/target_directory.ts";
+import { TargetSubset } from "../pipelines/target_subset.ts";
 import {
   ICallService,
   ICompletionService,
@@ -40,6 +41,7 @@
 import { readStatus } from "./host_status.ts";
 import { startHostTree } from "./host_tree.ts";
 import { registerProcessMetrics } from "./process_metrics.ts";
+import { TargetReadiness } from "./target_readiness.ts";
 import type { Settings } from "./settings.ts";
 
 const IN_FLIGHT_CHECK_MS = 20;
@@ -68,6 +70,7 @@
   readonly #state = new HostState();
   readonly #owned = new DisposableStore();
   readonly #gate: CallerGate;
+  readonly #targets: TargetReadiness;
   readonly #callerServer: HttpServer;
   readonly #operatorServer: HttpServer;
   readonly #peerServer: HttpServer;
@@ -103,6 +106,11 @@
       undefined,
     );
     this.#gate = this.#createGate();
+    this.#targets = new TargetReadiness({
+      clock: this.#clock,
+      subset: this.#container.get(TargetSubset),
+      directory: this.#container.get(TargetDirectory),
+    });
     this.#owned.add(
       registerProcessMetrics(this.#container.get(IMetrics)),
     );
@@ -247,6 +255,7 @@
     if (!this.#container.get(IConfigService).isReady) {
       blockers.push("configuration not confirmed");
     }
+    if (!this.#targets.isReady) blockers.push("targets not read");
     return blockers;
   }
 
--- a/src/fleet/host_list_watcher.ts
+++ b/src/fleet/host_list_watcher.ts
@@ -1,6 +1,8 @@
 /**
  * Polls the platform's list of hosts and targets once for everybody on this
- * host. An outage of the list changes nothing: the last list stays.
+ * host. An outage of the list changes nothing: the last list stays. The longer
+ * the list, the more seldom each host reads it, so that reading it costs a host
+ * the same at every size; what one host reads is spread to the others.
  *
  * @module
  */
@@ -13,7 +15,10 @@
 import type { ListedHost } from "../platform/types.ts";
 import type { IHostListWatcher } from "./services.ts";
 
-const DEFAULT_POLL_MS = 1_000;
+const MIN_POLL_MS = 1_000;
+/** What reading the list may cost a host. */
+const LIST_BYTES_PER_S = 1_000;
+const ENTRY_BYTES = 150;
 const DEFAULT_CALL_TIMEOUT_MS = 2_000;
 const JITTER_FRACTION = 0.25;
 const MAX_BACKOFF_FACTOR = 8;
@@ -45,7 +50,7 @@
     this.#client = options.client;
     this.#clock = options.clock ?? systemClock;
     this.#random = options.random ?? Math.random;
-    this.#pollMs = options.pollMs ?? (() => DEFAULT_POLL_MS);
+    this.#pollMs = options.pollMs ?? (() => pollMsFor(this.#last.length));
     this.#callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
   }
 
@@ -85,3 +90,9 @@
     return this.#pollMs() * jitter * backoff;
   }
 }
+
+/** Mean time between two reads of a list by one host. */
+function pollMsFor(entryCount: number): number {
+  const readMs = entryCount * ENTRY_BYTES * 1_000 / LIST_BYTES_PER_S;
+  return Math.max(MIN_POLL_MS, readMs);
+}
--- a/test/local_fleet.ts
+++ b/test/local_fleet.ts
@@ -224,6 +224,13 @@
     });
   }
 
+  /** Takes a host or target off the platform's list. */
+  async unlist(name: string): Promise<void> {
+    await got.delete(`${this.hostListUrl}/hosts/${name}`, {
+      retry: { limit: 0 },
+    });
+  }
+
   async #register(
     name: string,
     url: string,
--- a/test/whole_path_test.ts
+++ b/test/whole_path_test.ts
@@ -20,6 +20,7 @@
 const CALLER = { customer: "cooperativa", key: "caller-key" };
 const STREAM_COUNT = 12;
 const TOKENS = 60;
+const LONG_TOKENS = 400;
 
 let fleet: LocalFleet;
 
@@ -113,42 +114,35 @@
 });
 
 test("a killed host never ends a cut answer cleanly, and the others go on", async () => {
-  const doomed = await fleet.startHost();
-  await fleet.waitForVersion(1);
-  const index = fleet.hosts.indexOf(doomed);
-  const lost = startStreams([index], 4);
+  const [doomed] = await startExtraHosts(1);
+  const lost = startStreams([doomed], 4, LONG_TOKENS);
   const kept = startStreams([0], 4);
   await Promise.all([lost.started, kept.started]);
   doomed.program.kill("SIGKILL");
+  await fleet.unlist(doomed.name);
   for (const { answer } of await lost.finished) {
     expect(answer?.ended ?? false).toBe(false);
   }
   await expectWhole(kept);
-  fleet.hosts.splice(index, 1);
 });
 
 test("two hosts stopped at once under load, the log down, cut and refuse nothing", async () => {
-  const stopping = [await fleet.startHost(), await fleet.startHost()];
-  await fleet.waitForVersion(1);
-  const indexes = stopping.map((host) => fleet.hosts.indexOf(host));
-  const running = startStreams(indexes, STREAM_COUNT);
+  const stopping = await startExtraHosts(2);
+  const running = startStreams(stopping, STREAM_COUNT);
   await running.started;
   await fleet.control(fleet.platformLog, { action: "down" });
   for (const host of stopping) host.program.kill("SIGTERM");
-  const late = startStreams(indexes, 4);
+  const late = startStreams(stopping, 4);
   await expectWhole(running);
   await expectWhole(late);
   expect(await Promise.all(stopping.map((host) => host.program.exited)))
     .toEqual([0, 0]);
   await fleet.control(fleet.platformLog, { action: "up" });
-  for (const host of stopping) fleet.hosts.splice(fleet.hosts.indexOf(host), 1);
 });
 
 test("a second signal ends a stopping host at once", async () => {
-  const host = await fleet.startHost();
-  await fleet.waitForVersion(1);
-  fleet.hosts.splice(fleet.hosts.indexOf(host), 1);
-  const streams = startStreams([host], 1, 2_000);
+  const [host] = await startExtraHosts(1);
+  const streams = startStreams([host], 1, LONG_TOKENS);
   await streams.started;
   host.program.kill("SIGTERM");
   await waitUntil("the host to be unready", 5_000, async () => {
@@ -172,6 +166,18 @@
   expect(run.stderr).toMatch(/--failure-domain .*missing/);
 });
 
+/** Hosts that the test may end; those of the fleet stay as they are. */
+async function startExtraHosts(count: number): Promise<LocalHost[]> {
+  const extra: LocalHost[] = [];
+  while (extra.length < count) extra.push(await fleet.startHost());
+  try {
+    await fleet.waitForVersion(1);
+  } finally {
+    fleet.hosts.splice(-count);
+  }
+  return extra;
+}
+
 interface StreamResult {
   readonly prompt: string;
   readonly maxTokens: number;
@@ -188,7 +194,7 @@
     const host = hosts[index % hosts.length];
     const { callerUrl } = typeof host === "number" ? fleet.hosts[host] : host;
     const client = new CallerClient({ baseUrl: callerUrl, key: CALLER.key });
-    const prompt = `briefing ${index} ${callerUrl}`;
+    const prompt = longPrompt(index, maxTokens);
     let begin = () => {};
     const started = new Promise<void>((resolve) => begin = resolve);
     const finished = client.stream(
@@ -211,13 +217,30 @@
   streams: { finished: Promise<StreamResult[]> },
 ): Promise<void> {
   for (const { prompt, maxTokens, answer } of await streams.finished) {
-    const model = {
-      model: DEMO_MODEL,
-      version: DEMO_VERSION,
-      layerCount: LAYER_COUNT,
-    };
-    const { text } = expectedAnswer({ ...model, prompt, maxTokens });
-    expect(answer).toMatchObject({ status: 200, ended: true, text });
+    const { text } = rightAnswer(prompt, maxTokens);
+    expect(answer, JSON.stringify(answer)).toMatchObject({
+      status: 200,
+      ended: true,
+      text,
+    });
+  }
+}
+
+function rightAnswer(prompt: string, maxTokens: number) {
+  return expectedAnswer({
+    model: DEMO_MODEL,
+    version: DEMO_VERSION,
+    layerCount: LAYER_COUNT,
+    prompt,
+    maxTokens,
+  });
+}
+
+/** A prompt whose answer does not stop before its full length. */
+function longPrompt(index: number, maxTokens: number): string {
+  for (let variant = 0;; variant++) {
+    const prompt = `briefing ${index}, ${variant}`;
+    if (rightAnswer(prompt, maxTokens).reason === "length") return prompt;
   }
 }
 
