--- a/src/fleet/membership.ts
+++ b/src/fleet/membership.ts
@@ -22,7 +22,12 @@
   IPeerTransport,
   Member,
 } from "./services.ts";
-import type { MemberAddress, MemberUpdate, Ping } from "./types.ts";
+import type {
+  MemberAddress,
+  MemberState,
+  MemberUpdate,
+  Ping,
+} from "./types.ts";
 import { UpdateQueue } from "./update_queue.ts";
 
 const DEFAULT_PERIOD_MS = 1_000;
@@ -47,6 +52,8 @@
   readonly suspectMs?: number;
   /** How long a member that is down is kept, and probed now and then. */
   readonly forgetMs?: number;
+  /** Which updates go out by {@link Membership.onAnnounce} and not with probes only. */
+  readonly announces?: "own" | "own-and-suspect";
 }
 
 /** A small value that travels along with probes. */
@@ -62,10 +69,12 @@
   readonly #clock: Clock;
   readonly #random: Random;
   readonly #periodMs: number;
+  readonly #announces: "own" | "own-and-suspect";
   readonly #table: MemberTable;
   readonly #queue = new UpdateQueue();
   readonly #prober: Prober;
   readonly #sync: MemberSync;
+  #listed: ReadonlySet<string> = new Set();
   readonly #extras = new Map<string, ProbeExtra>();
   readonly #owned = new DisposableStore();
   readonly #changes = this.#owned.add(new Emitter<readonly Member[]>());
@@ -75,7 +84,7 @@
   #members: readonly Member[] | undefined;
 
   readonly onChange = this.#changes.event;
-  /** Fires when this host says something of itself that all should know soon. */
+  /** Fires with what all should know soon: above all that this host leaves. */
   readonly onAnnounce = this.#announcements.event;
 
   constructor(options: MembershipOptions) {
@@ -85,6 +94,7 @@
     this.#clock = options.clock ?? systemClock;
     this.#random = options.random ?? Math.random;
     this.#periodMs = options.periodMs ?? DEFAULT_PERIOD_MS;
+    this.#announces = options.announces ?? "own-and-suspect";
     this.#table = new MemberTable({
       selfName: name,
       suspectMs: options.suspectMs ?? DEFAULT_SUSPECT_MS,
@@ -127,6 +137,23 @@
     return this.#table.reachable().map(toMember);
   }
 
+  /**
+   * The part of the fleet that this host can reach, itself included: 1 unless
+   * members are down that the platform lists as live, or nobody answers.
+   */
+  get reachableFraction(): number {
+    const reachable = this.#table.reachable().length + 1;
+    const cutOff = this.#table.down()
+      .filter((entry) => this.#listed.has(entry.name)).length;
+    const all = reachable + cutOff;
+    return this.#prober.isIsolated ? 1 / all : reachable / all;
+  }
+
+  /** What is known of a member; undefined when it is unknown or forgotten. */
+  stateOf(name: string): MemberState | undefined {
+    return this.#table.get(name)?.state;
+  }
+
   /** Lets a small value travel along with each probe and answer. */
   addExtra(key: string, extra: ProbeExtra): void {
     this.#extras.set(key, extra);
@@ -175,7 +202,7 @@
       random: this.#random,
     });
     if (entry === undefined) return false;
-    return await this.#sync.pull(entry);
+    return await this.#sync.pullAll(entry);
   }
 
   async #probeNext(): Promise<void> {
@@ -193,14 +220,13 @@
   #suspect(name: string): void {
     const update = this.#table.suspect(name, this.#clock.nowMs());
     if (update === undefined) return;
-    this.#queue.add(update);
+    if (this.#announces === "own") this.#queue.add(update);
+    else this.#announcements.fire(update);
     this.#noteChange();
   }
 
   #expire(nowMs: number): void {
-    const updates = this.#table.expire(nowMs);
-    for (const update of updates) this.#queue.add(update);
-    if (updates.length > 0) this.#noteChange();
+    if (this.#table.expire(nowMs).length > 0) this.#noteChange();
   }
 
   #makePing(to: string): Ping {
@@ -229,13 +255,15 @@
     for (const [key, extra] of this.#extras) {
       extra.hear(ping.extras[key], member);
     }
-    if (ping.digest !== this.#table.digest.whole && this.#queue.size === 0) {
-      void this.#sync.pullIfDue(entry);
+    if (ping.digest !== this.#table.digest.whole) {
+      void this.#sync.pullIfDue(entry, { isBusy: this.#queue.size > 0 });
     }
     return true;
   }
 
   #seed(list: readonly ListedHost[]): void {
+    const live = list.filter((host) => host.state === "live");
+    this.#listed = new Set(live.map((host) => host.name));
     const updates: MemberUpdate[] = [];
     for (const host of list) {
       if (host.role !== "entry" || host.name === this.#name) continue;
@@ -263,21 +291,37 @@
         this.#refute(update);
         continue;
       }
+      const wasDown = this.stateOf(update.name) === "down";
       if (!this.#table.apply(update, nowMs)) continue;
       newCount += 1;
       if (options.spread) this.#queue.add(update);
+      if (wasDown && update.state === "alive") this.#noteReturn(update);
     }
     if (newCount > 0) this.#noteChange();
     return newCount;
   }
 
+  /**
+   * A member that was down has come back: its failure domain was cut off. The
+   * other members of it need not come back one by one.
+   */
+  #noteReturn(update: MemberUpdate): void {
+    const entry = this.#table.get(update.name);
+    if (entry === undefined) return;
+    this.#table.revive(entry.address.failureDomain, {
+      isListed: (name) => this.#listed.has(name),
+      nowMs: this.#clock.nowMs(),
+    });
+  }
+
   /** Contradicts an update about this host that does not hold. */
   #refute(update: MemberUpdate): void {
     if (update.incarnation < this.#incarnation) return;
     const isTrue = update.state === (this.#isLeaving ? "leaving" : "alive");
     if (isTrue && update.incarnation === this.#incarnation) return;
     this.#incarnation = update.incarnation + 1;
-    this.#say();
+    const said = this.#say();
+    if (this.#announces !== "own") this.#announcements.fire(said);
   }
 
   /** Puts what this host says of itself into the table and the queue. */
--- a/src/pipelines/target_directory.ts
+++ b/src/pipelines/target_directory.ts
@@ -19,6 +19,8 @@
 const PEER_NOTICE_HOLD_MS = 30_000;
 /** Notices of one period are one fact, whichever host publishes it. */
 const NOTICE_PERIOD_MS = 10_000;
+/** Time after which a loss that goes on is told again. */
+const SILENCE_REPEAT_MS = 5_000;
 /** How long a published state is passed on to hosts that join. */
 const STATE_FACT_HOLD_MS = 120_000;
 
@@ -38,6 +40,8 @@
 
 interface TargetEntry {
   state?: EngineState;
+  /** Sequence of the last fact about its silence, heard or published. */
+  silenceSequence: number;
   /** When some host read the state, on that host's clock. */
   readAtWallMs: number;
   /** When the state came to offer what it offers. */
@@ -56,7 +60,8 @@
 /** What a fact about a target carries. */
 interface TargetFact {
   readonly state?: EngineState;
-  readonly isLost?: boolean;
+  /** The target did not answer some host. */
+  readonly isSilent?: boolean;
 }
 
 /** Holds what is known of each target; one owner for each daemon. */
@@ -67,6 +72,12 @@
   readonly #peerNoticeHoldMs: number;
   readonly #spreadsState: (target: string) => boolean;
   readonly #entries = new Map<string, TargetEntry>();
+  /** Targets with a sign of leaving that this host knows at first hand. */
+  readonly #leaving = new Set<string>();
+  /** Targets of which peers said that they leave. */
+  readonly #noticed = new Set<string>();
+  /** Targets that are suspected or lost. */
+  readonly #silent = new Set<string>();
   readonly #store = new DisposableStore();
   readonly #changed = this.#store.add(new Emitter<string>());
   readonly onChange = this.#changed.event;
@@ -132,9 +143,7 @@
 
   /** Targets that answered no more, for as long as they stay configured. */
   silentTargets(): string[] {
-    return [...this.#entries]
-      .filter(([, entry]) => entry.isLost || entry.isSuspected)
-      .map(([target]) => target);
+    return [...this.#silent];
   }
 
   noteLeaving(target: string, source: LeavingSource): void {
@@ -142,8 +151,10 @@
     const entry = this.#entry(target);
     if (source === "peer") {
       entry.peerNoticeUntilMs = this.#clock.nowMs() + this.#peerNoticeHoldMs;
+      this.#noticed.add(target);
     } else {
       entry.leavingSources.add(source);
+      this.#leaving.add(target);
       this.#spread(target, entry);
     }
     if (!wasLeaving) this.#changed.fire(target);
@@ -153,13 +164,22 @@
   noteStaying(target: string, source: LeavingSource): void {
     const entry = this.#entries.get(target);
     if (!entry?.leavingSources.delete(source)) return;
+    if (entry.leavingSources.size === 0) this.#leaving.delete(target);
     if (!this.isLeaving(target)) this.#changed.fire(target);
   }
 
-  /** Repeats the notices whose signs still hold; called about once a second. */
-  repeatNotices(): void {
-    for (const [target, entry] of this.#entries) {
-      if (entry.leavingSources.size > 0) this.#spread(target, entry);
+  /**
+   * Repeats this host's notices whose signs still hold and drops those of
+   * peers that ran out; called about once a second.
+   */
+  refreshNotices(): void {
+    for (const target of this.#noticed) {
+      if (this.#entry(target).peerNoticeUntilMs > this.#clock.nowMs()) continue;
+      this.#noticed.delete(target);
+      if (!this.isLeaving(target)) this.#changed.fire(target);
+    }
+    for (const target of this.#leaving) {
+      this.#spread(target, this.#entry(target));
     }
   }
 
@@ -167,7 +187,7 @@
     const known = this.#entries.get(state.target)?.state;
     this.#takeState(state, this.#clock.wallMs());
     if (!known || !isSameOffer(known, state)) {
-      this.#publish(state.target, { state });
+      this.#spreadState(state);
     }
     this.#published.fire(state);
   }
@@ -177,6 +197,8 @@
     const entry = this.#entry(target);
     if (entry.isSuspected) return;
     entry.isSuspected = true;
+    this.#silent.add(target);
+    this.#spreadSilence(target, entry);
     entry.silentSinceMs ??= this.#clock.nowMs();
     this.#changed.fire(target);
   }
@@ -190,8 +212,9 @@
     const entry = this.#entry(target);
     if (entry.isLost) return;
     entry.isLost = true;
+    this.#silent.add(target);
     entry.silentSinceMs ??= this.#clock.nowMs();
-    this.#publish(target, { isLost: true });
+    this.#spreadSilence(target, entry);
     this.#changed.fire(target);
   }
 
@@ -203,6 +226,7 @@
     let entry = this.#entries.get(target);
     if (!entry) {
       entry = {
+        silenceSequence: 0,
         readAtWallMs: 0,
         offerSinceMs: 0,
         isSuspected: false,
@@ -218,7 +242,11 @@
 
   #forget(known: Readonly<Record<string, unknown>>): void {
     for (const target of this.#entries.keys()) {
-      if (!(target in known)) this.#entries.delete(target);
+      if (target in known) continue;
+      this.#entries.delete(target);
+      this.#leaving.delete(target);
+      this.#noticed.delete(target);
+      this.#silent.delete(target);
     }
   }
 
@@ -244,6 +272,7 @@
     entry.state = state;
     entry.readAtWallMs = readAtWallMs;
     entry.isSuspected = false;
+    this.#silent.delete(state.target);
     entry.silentSinceMs = undefined;
     entry.isLost = false;
     if (state.leaving) this.noteLeaving(state.target, "target");
@@ -251,15 +280,27 @@
     if (changed) this.#changed.fire(state.target);
   }
 
-  #publish(target: string, data: TargetFact): void {
-    if (!this.#spreadsState(target)) return;
-    const wallMs = this.#clock.wallMs();
+  #spreadState(state: EngineState): void {
+    if (!this.#spreadsState(state.target)) return;
+    const sequence = Math.floor(this.#clock.wallMs());
+    this.#publish(state.target, { state }, sequence);
+  }
+
+  /** Hosts that notice a loss in one second publish one and the same fact. */
+  #spreadSilence(target: string, entry: TargetEntry): void {
+    const sequence = Math.floor(this.#clock.wallMs() / 1_000) * 1_000;
+    if (sequence - entry.silenceSequence < SILENCE_REPEAT_MS) return;
+    entry.silenceSequence = sequence;
+    this.#publish(target, { isSilent: true }, sequence);
+  }
+
+  #publish(target: string, data: TargetFact, sequence: number): void {
     this.#dissemination?.publish({
       topic: "target",
       key: target,
-      sequence: Math.floor(wallMs),
+      sequence,
       data,
-      expiresAtWallMs: wallMs + STATE_FACT_HOLD_MS,
+      expiresAtWallMs: this.#clock.wallMs() + STATE_FACT_HOLD_MS,
     });
   }
 
@@ -276,10 +317,13 @@
     this.noteLeaving(fact.key, "peer");
   }
 
-  /** A peer's word on a loss only causes a look: the peer may be cut off. */
+  /** A peer's word on a silence only causes a look: the peer may be cut off. */
   #hearTarget(fact: Fact): void {
-    const { state, isLost } = fact.data as TargetFact;
-    if (isLost) return this.noteDoubt(fact.key);
+    const { state, isSilent } = fact.data as TargetFact;
+    if (isSilent) {
+      this.#entry(fact.key).silenceSequence = fact.sequence;
+      return this.noteDoubt(fact.key);
+    }
     if (state?.target !== fact.key) return;
     const known = this.#entries.get(fact.key);
     if (fact.sequence <= (known?.readAtWallMs ?? 0)) return;
