Publish past the hosts in histories, and bound messages under cuts and pauses

Change: histories append to the log directly too; tests bound the messages at 60 hosts (6 and 12 a second and host).

--- a/src/config/config_failure_test.ts
+++ b/src/config/config_failure_test.ts
@@ -236,6 +236,26 @@
   await scene.finish();
 });
 
+test.each([
+  ["cut in two without the log", 6, (scene: Scene) => {
+    const half = scene.hosts.slice(0, 30).map(({ slot }) => slot);
+    scene.split(half, scene.hosts.map(({ slot }) => slot));
+  }],
+  ["that wakes from a pause", 12, async (scene: Scene) => {
+    for (const host of scene.hosts) host.freeze();
+    await scene.pass(8_000);
+    for (const host of scene.hosts) host.thaw();
+  }],
+])("a fleet %s sends few messages", async (_, limit, strike) => {
+  const scene = await startScene(60);
+  await strike(scene);
+  const before = scene.fleet.messageCount;
+  await scene.pass(10_000);
+  const messagesPerS = (scene.fleet.messageCount - before) / 60 / 10;
+  expect(messagesPerS).toBeLessThan(limit);
+  await scene.finish();
+});
+
 test("a host that wakes from a long pause does not serve what it had", async () => {
   const scene = await startScene(5);
   scene.hosts[3].freeze();
--- a/src/config/config_fuzz_test.ts
+++ b/src/config/config_fuzz_test.ts
@@ -11,7 +11,7 @@
 
 /** An act of an operator, counted back from the end of its phase. */
 interface Act {
-  readonly kind: "patch" | "read" | "restart";
+  readonly kind: "patch" | "read" | "restart" | "publish" | "publish-invalid";
   readonly slot: number;
   readonly beforeEndMs: number;
 }
@@ -41,7 +41,16 @@
       { weight: 1, arbitrary: other },
     );
   const act: fc.Arbitrary<Act> = fc.record({
-    kind: fc.constantFrom("patch", "patch", "patch", "read", "restart"),
+    kind: fc.constantFrom(
+      "patch",
+      "patch",
+      "patch",
+      "patch",
+      "read",
+      "restart",
+      "publish",
+      "publish-invalid",
+    ),
     slot: fc.nat(hostCount - 1),
     // Near the end, the next phase's faults strike in the middle of the act.
     beforeEndMs: fc.oneof(fc.nat(60), fc.nat(10_000)),
@@ -125,6 +134,8 @@
   #act({ kind, slot }: Act): void {
     if (this.fleet.hosts[slot].isFrozen) return;
     if (kind === "patch") void this.history.operate(slot);
+    if (kind === "publish") this.history.publish(slot, true);
+    if (kind === "publish-invalid") this.history.publish(slot, false);
     if (kind === "read") void this.history.read(slot);
     if (kind === "restart") this.fleet.restart(slot);
   }
--- a/src/config/testing/config_history.ts
+++ b/src/config/testing/config_history.ts
@@ -14,6 +14,8 @@
 
 const customer = { keyDigests: [], requestsPerS: 1, concurrentRequests: 1 };
 
+const INVALID_PATCH = { services: { desk: { customers: ["nobody"] } } };
+
 interface Operation {
   readonly marker: string;
   readonly atMs: number;
@@ -66,6 +68,19 @@
     this.operations.push({ marker: `c${index}`, atMs: this.nowMs(), outcome });
   }
 
+  /** Writes a change past all hosts, against the version that a host shows. */
+  publish(slot: number, isValid: boolean): void {
+    const index = this.#operationCount++;
+    const { version } = this.fleet.hosts[slot].service.state;
+    const request = isValid
+      ? markerChange(index, version)
+      : { ...markerChange(index, version), patch: INVALID_PATCH };
+    this.fleet.log.publish({
+      id: `published-${index}`,
+      data: { kind: "change", ...request, atWallMs: 0 },
+    });
+  }
+
   /** Reads the newest version at a host, as an operator does. */
   async read(slot: number): Promise<void> {
     const beganMs = this.nowMs();
@@ -121,6 +136,7 @@
       const record = data as PatchRequest & { kind: string };
       if (record.kind !== "change") continue;
       if (record.baseVersion !== accepted.length) continue;
+      if (!("customers" in (record.patch as object))) continue;
       accepted.push(Object.keys((record.patch as MarkerPatch).customers)[0]);
     }
     return accepted;
--- a/src/config/testing/fake_log.ts
+++ b/src/config/testing/fake_log.ts
@@ -54,6 +54,14 @@
     this.firstOffset = Math.max(this.firstOffset, offset);
   }
 
+  /** Appends a record as somebody who is none of the hosts. */
+  publish(entry: LogEntry): void {
+    const offset = this.records.length;
+    const copy = structuredClone(entry);
+    this.records.push({ ...copy, offset, atWallMs: this.#clock.wallMs() });
+    for (const wake of [...this.#waiters]) wake();
+  }
+
   /** The log as `host` reaches it. */
   client(host: string): ILogClient {
     return {
@@ -73,12 +81,7 @@
     }
     this.appendCount += 1;
     const first = this.records.length;
-    for (const entry of entries) {
-      const offset = this.records.length;
-      const copy = structuredClone(entry);
-      this.records.push({ ...copy, offset, atWallMs: this.#clock.wallMs() });
-    }
-    for (const wake of [...this.#waiters]) wake();
+    for (const entry of entries) this.publish(entry);
     this.onAppended();
     await this.#clock.sleep(this.faults.delayMs());
     if (this.faults.isCut(host) || this.faults.losesAnswer()) {
