--- a/src/config/config_fuzz_test.ts
+++ b/src/config/config_fuzz_test.ts
@@ -8,6 +8,7 @@
 const SEED = Number(process.env.CONFIG_FUZZ_SEED ?? 20_261_203);
 const RUNS = Number(process.env.CONFIG_FUZZ_RUNS ?? 150);
 const SAMPLE_EVERY_MS = 200;
+const MAX_SKEW_MS = 500;
 
 /** An act of an operator, counted back from the end of its phase. */
 interface Act {
@@ -95,6 +96,7 @@
       random,
       hostCount,
       delayMs: () => 1 + Math.floor(random() * (random() < 0.1 ? 150 : 10)),
+      skewMs: () => (random() - 0.5) * 2 * MAX_SKEW_MS,
       snapshotPolicy: { everyRecords: 6, everyMs: 20_000 },
     });
     this.history = new ConfigHistory(this.fleet, () => this.clock.nowMs());
--- a/src/config/config_rounds.ts
+++ b/src/config/config_rounds.ts
@@ -160,14 +160,14 @@
   }
 
   #gather(message: RoundCore): Promise<RoundReply> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       let joined = NO_REPLY;
       const onReply = (reply: RoundReply) => {
         joined = joinReplies(joined, reply);
         const result = this.#judge(joined, message.nextOffset);
         if (result.isConfirmed) resolve(joined);
       };
-      this.#forward(message, ALL_NAMES, onReply).then(resolve);
+      this.#forward(message, ALL_NAMES, onReply).then(resolve, reject);
     });
   }
 
--- a/src/config/testing/config_fleet.ts
+++ b/src/config/testing/config_fleet.ts
@@ -23,6 +23,8 @@
   readonly hostCount: number;
   /** Time of one way between hosts and to the log. */
   readonly delayMs?: () => number;
+  /** How far a host's wall clock is from true time. */
+  readonly skewMs?: () => number;
   /** How long the list still names a host that has died. */
   readonly listLagMs?: number;
   readonly snapshotPolicy?: ConfigServiceOptions["snapshotPolicy"];
@@ -190,9 +192,10 @@
 
   #clockOf(host: FleetHost): Clock {
     const clock = this.#clock;
+    const skewMs = this.#options.skewMs?.() ?? 0;
     return {
       nowMs: () => clock.nowMs(),
-      wallMs: () => clock.wallMs(),
+      wallMs: () => clock.wallMs() + skewMs,
       async sleep(waitMs, signal) {
         await clock.sleep(waitMs, signal);
         if (!signal?.aborted) await host.whenThawed();
