--- a/standins/engine/engine.ts
+++ b/standins/engine/engine.ts
@@ -14,16 +14,13 @@
 } from "../../src/platform/types.ts";
 import type { Faults } from "../common/faults.ts";
 import { type Exchange, sleep, StandinServer } from "../common/server.ts";
-import { Attempt } from "./attempt.ts";
+import { AttemptRunner } from "./attempt_runner.ts";
 import { Batcher } from "./batcher.ts";
-import { addToken, hashPrompt, isStop } from "./expected_answer.ts";
 import { type Loaded, ModelHolder } from "./model_holder.ts";
 import { PrefixCache } from "./prefix_cache.ts";
 import { Stage } from "./stage.ts";
 import { StageLink } from "./stage_link.ts";
-import { isStageError, type OpenMessage, type StageStep } from "./types.ts";
-
-const SWEEP_MS = 100;
+import type { OpenMessage, StageStep } from "./types.ts";
 
 /** HTTP status of each error word. */
 const STATUS_OF_ERROR: Readonly<Record<string, number>> = {
@@ -61,14 +58,12 @@
 /** The engine. */
 export class Engine {
   readonly #options: EngineOptions;
-  readonly #attempts = new Map<string, Attempt>();
   readonly #holder: ModelHolder;
   readonly #cache: PrefixCache;
   readonly #link = new StageLink();
   readonly #stage: Stage;
   readonly #maxBatch: number;
-  readonly #graceMs: number;
-  readonly #sweeper: NodeJS.Timeout;
+  readonly #runner: AttemptRunner;
   #load: EngineLoad = { running: 0, queued: 0, asOfWallMs: 0 };
 
   readonly server: StandinServer;
@@ -77,7 +72,6 @@
     const { target, faults } = options;
     this.#options = options;
     this.#maxBatch = options.maxBatch ?? 64;
-    this.#graceMs = options.graceMs ?? 2_000;
     this.#holder = new ModelHolder({
       target,
       loaded: options.loaded,
@@ -105,7 +99,12 @@
       crashMarker: options.crashMarker ?? "",
       maxAttempts: options.maxAttempts ?? 4_096,
     });
-    this.#sweeper = setInterval(() => this.#sweep(), SWEEP_MS);
+    this.#runner = new AttemptRunner({
+      target,
+      stage: this.#stage,
+      graceMs: options.graceMs ?? 2_000,
+      load: () => this.#currentLoad(Date.now()),
+    });
     this.server = new StandinServer({
       faults,
       handle: (exchange) => this.#handle(exchange),
@@ -143,7 +142,7 @@
 
   /** Stops the engine's timers, connections and listener. */
   async close(): Promise<void> {
-    clearInterval(this.#sweeper);
+    this.#runner.close();
     this.#link.close();
     await this.server.close();
   }
@@ -185,9 +184,7 @@
     const request = exchange.json<GenerateRequest>();
     const failure = await this.#stage.open({ request, stageIndex: 0 });
     if (failure) return refuse(exchange, failure);
-    const attempt = new Attempt(request);
-    this.#attempts.set(request.attemptId, attempt);
-    void this.#run(attempt);
+    const attempt = this.#runner.start(request);
     if (faults.delayMs > 0) await sleep(faults.delayMs);
     await faults.whileFrozen();
     if (faults.takeLostAnswer() || exchange.response.destroyed) {
@@ -201,41 +198,6 @@
     });
   }
 
-  async #run(attempt: Attempt): Promise<void> {
-    const { request } = attempt;
-    const { attemptId, maxTokens, generated } = request;
-    let prefix = generated.reduce(addToken, hashPrompt(request.prompt));
-    let last = generated.at(-1);
-    while (!attempt.isFinished) {
-      const index = attempt.nextIndex;
-      const stopped = last !== undefined && isStop(last);
-      if (stopped || index >= maxTokens) {
-        attempt.finish({
-          attemptId,
-          tokenCount: index,
-          reason: stopped ? "stop" : "length",
-          load: this.#currentLoad(Date.now()),
-        });
-        break;
-      }
-      const result = await this.#stage.step({
-        attemptId,
-        index,
-        state: prefix,
-        ran: "",
-      });
-      if (attempt.isFinished) break;
-      if (isStageError(result)) {
-        attempt.finish(result);
-        break;
-      }
-      attempt.add({ attemptId, index, ...result });
-      last = result.id;
-      prefix = addToken(prefix, result.id);
-    }
-    void this.#stage.close(attemptId);
-  }
-
   async #open(exchange: Exchange): Promise<void> {
     const failure = await this.#stage.open(exchange.json<OpenMessage>());
     if (failure) return refuse(exchange, failure);
@@ -252,7 +214,7 @@
 
   #reattach(exchange: Exchange, attemptId: string): Promise<void> | void {
     const { fromIndex } = exchange.json<{ fromIndex: number }>();
-    const attempt = this.#attempts.get(attemptId);
+    const attempt = this.#runner.attempt(attemptId);
     const cutAfterTokens = this.#options.faults.takeCutAfterTokens();
     const options = { fromIndex, cutAfterTokens };
     if (attempt?.listen(exchange.response, options)) return;
@@ -260,7 +222,7 @@
   }
 
   async #cancel(exchange: Exchange, attemptId: string): Promise<void> {
-    await this.#end(attemptId, "cancelled");
+    await this.#runner.end(attemptId, "cancelled");
     await exchange.reply(200, {});
   }
 
@@ -273,7 +235,7 @@
   }
 
   #exportKv(exchange: Exchange, attemptId: string): Promise<void> {
-    const request = this.#attempts.get(attemptId)?.request ??
+    const request = this.#runner.attempt(attemptId)?.request ??
       this.#stage.request(attemptId);
     if (!request) return refuse(exchange, { error: "unknown-attempt" });
     const words = request.prompt.split(/\s+/).filter(Boolean);
@@ -281,26 +243,6 @@
     return exchange.reply(200, { blocks });
   }
 
-  #sweep(): void {
-    const nowWallMs = Date.now();
-    this.#stage.closeExpired(nowWallMs);
-    for (const [attemptId, attempt] of this.#attempts) {
-      const unheardMs = nowWallMs - (attempt.unheardSinceWallMs ?? nowWallMs);
-      const isLate = attempt.request.deadlineWallMs < nowWallMs;
-      if (isLate) void this.#end(attemptId, "deadline-exceeded");
-      else if (unheardMs > this.#graceMs) {
-        void this.#end(attemptId, "cancelled");
-      }
-    }
-  }
-
-  #end(attemptId: string, error: string): Promise<void> {
-    const attempt = this.#attempts.get(attemptId);
-    this.#attempts.delete(attemptId);
-    attempt?.finish({ error, target: this.#options.target });
-    return this.#stage.close(attemptId);
-  }
-
   #currentLoad(asOfWallMs: number): EngineLoad {
     const openCount = this.#stage.openCount;
     const running = Math.min(openCount, this.#maxBatch);
