Take no late answer to another request for one's own

A target that answers one request twice has its second answer read, on a kept connection, as the answer to the next request: got, node:http and the parser do not notice.

Change: each call to a plain service has a connection of its own, a refusal of a generation counts only when it names the attempt (the engine stand-in does), and a page of the log must hold the offsets asked for. Ruled out: noticing an answer that comes before the request is written, since a late one may come any time after.

--- a/src/platform/clients_test.ts
+++ b/src/platform/clients_test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { Faults } from "../../standins/common/faults.ts";
+import { RawTarget } from "../../standins/common/raw_target.ts";
 import { HostList } from "../../standins/host_list/host_list.ts";
 import { LogService } from "../../standins/log/log_service.ts";
 import { PlainService } from "../../standins/service/plain_service.ts";
@@ -45,6 +46,27 @@
   ]);
 });
 
+test.each([
+  ["of another place", [5, 6]],
+  ["with a gap", [2, 4]],
+])("a page %s is a bad answer", async (_name, offsets) => {
+  const records = offsets.map((offset) => ({
+    id: "x",
+    data: 1,
+    offset,
+    atWallMs: 0,
+  }));
+  const target = new RawTarget();
+  closers.push(() => target.close());
+  const baseUrl = await target.listen();
+  const page = JSON.stringify({ records, firstOffset: 0, nextOffset: 9 });
+  const head = `HTTP/1.1 200 OK\r\ncontent-length: ${page.length}\r\n\r\n`;
+  target.play({ answer: head + page });
+  const client = new LogClient({ baseUrl, http });
+  expect((await client.read("s", 2, within())).unwrapErr().code)
+    .toBe("bad-answer");
+});
+
 test("a log beyond its rate, or down, proves that nothing was appended", async () => {
   const wallMs = () => 0;
   const { client, faults } = await startLog({ appendsPerS: 1, wallMs });
--- /dev/null
+++ b/src/platform/crossed_answers_test.ts
@@ -0,0 +1,59 @@
+/**
+ * An answer to an earlier request that arrives late, when the next request is
+ * on the same connection, is not taken for the next one's.
+ *
+ * @module
+ */
+
+import { afterEach, beforeEach, describe, expect, test } from "vitest";
+import { RawTarget } from "../../standins/common/raw_target.ts";
+import { systemClock } from "../common/clock.ts";
+import { HttpClient } from "./http_client.ts";
+import {
+  answerOf,
+  CROSSED_BODY,
+  handedOver,
+  SENDS,
+  verdictOf,
+  WHOLE_BODY,
+  withError,
+} from "./testing/sends.ts";
+import type { ServiceAnswer } from "./types.ts";
+
+let target: RawTarget;
+let url: string;
+let http: HttpClient;
+beforeEach(async () => {
+  target = new RawTarget();
+  url = await target.listen();
+  http = new HttpClient();
+});
+afterEach(async () => {
+  http.dispose();
+  await target.close();
+});
+
+const soon = () => ({ deadlineMs: systemClock.nowMs() + 10_000 });
+
+describe.each(["call", "generate"])("%s on a kept connection", (kind) => {
+  const send = SENDS[kind];
+
+  test.each([
+    ["an answer", answerOf(200, CROSSED_BODY[kind])],
+    ["a refusal", withError(503, "leaving", "b")],
+  ])("%s to another request is not taken", async (_name, crossedAnswer) => {
+    const answer = answerOf(200, WHOLE_BODY[kind]);
+    target.play({ actAt: 1, answer, crossedAnswer }, { actAt: 1, answer });
+    expect(verdictOf(await send(url, http, soon()))).toBe("complete");
+    handedOver.length = 0;
+    const crossed = await send(url, http, soon());
+    await target.quiesce();
+    expect(handedOver).toEqual([]);
+    expect(verdictOf(crossed)).toBe(
+      kind === "call" ? "complete" : "may-have-run",
+    );
+    if (kind !== "call") return;
+    const { body } = crossed.unwrap() as ServiceAnswer;
+    expect(Buffer.from(body).toString()).toBe(WHOLE_BODY.call);
+  });
+});
--- a/src/platform/engine_client.ts
+++ b/src/platform/engine_client.ts
@@ -141,7 +141,8 @@
     if (reader.failure) return new Err(reader.failure);
     if (outcome.isErr()) return outcome;
     if (reader.end) return new Ok(reader.end);
-    return failureOf(outcome.value, { url, clock: this.#clock });
+    const { attemptId } = reader;
+    return failureOf(outcome.value, { url, clock: this.#clock, attemptId });
   }
 
   #call<S extends z.ZodType>(
--- a/src/platform/http_client.ts
+++ b/src/platform/http_client.ts
@@ -9,6 +9,7 @@
 import got, { type Got, type Method, type Request } from "got";
 import {
   Agent as HttpAgent,
+  type AgentOptions,
   type ClientRequest,
   type IncomingHttpHeaders,
   type IncomingMessage,
@@ -39,6 +40,8 @@
   readonly url: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: Uint8Array | string;
+  /** A new connection cannot carry an answer to an earlier request. */
+  readonly connection?: "kept" | "new";
 }
 
 /** One whole answer. */
@@ -78,18 +81,17 @@
   readonly #clock: Clock;
   readonly #got: Got;
   readonly #maxAnswerBytes: number;
-  readonly #agents: { readonly http: HttpAgent; readonly https: HttpsAgent };
+  readonly #agents: Readonly<Record<"kept" | "new", Agents>>;
 
   constructor(options: HttpClientOptions = {}) {
     const maxSockets = options.maxSockets ?? DEFAULT_MAX_SOCKETS;
     this.#clock = options.clock ?? systemClock;
     this.#maxAnswerBytes = options.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES;
     this.#agents = {
-      http: new HttpAgent({ keepAlive: true, maxSockets }),
-      https: new HttpsAgent({ keepAlive: true, maxSockets }),
+      kept: createAgents({ keepAlive: true, maxSockets }),
+      new: createAgents({ keepAlive: false, maxSockets }),
     };
     this.#got = (options.got ?? got).extend({
-      agent: this.#agents,
       retry: { limit: 0 },
       followRedirect: false,
       throwHttpErrors: false,
@@ -114,8 +116,10 @@
   }
 
   dispose(): void {
-    this.#agents.http.destroy();
-    this.#agents.https.destroy();
+    for (const agents of Object.values(this.#agents)) {
+      agents.http.destroy();
+      agents.https.destroy();
+    }
   }
 
   #run(
@@ -155,11 +159,12 @@
   }
 
   #open(request: HttpRequest, watch: SendWatch): Request {
-    const { url, method, headers } = request;
+    const { url, method, headers, connection = "kept" } = request;
     const mayLackBody = method === "GET" || method === "HEAD";
     const body = request.body ?? (mayLackBody ? undefined : "");
     return this.#got.stream(url, {
       method: method as Method,
+      agent: this.#agents[connection],
       headers,
       body: body as string | undefined,
       allowGetBody: body !== undefined,
@@ -221,6 +226,15 @@
   });
 }
 
+interface Agents {
+  readonly http: HttpAgent;
+  readonly https: HttpsAgent;
+}
+
+function createAgents(options: AgentOptions): Agents {
+  return { http: new HttpAgent(options), https: new HttpsAgent(options) };
+}
+
 /** Options of a request without TLS; the others only cost copying. */
 function plainOptions(options: RequestOptions): RequestOptions {
   const { agent, headers, lookup, method } = options;
--- a/src/platform/log_client.ts
+++ b/src/platform/log_client.ts
@@ -6,7 +6,7 @@
 
 import { z } from "zod";
 import { type Clock, systemClock } from "../common/clock.ts";
-import type { Failure, Outcome } from "../common/verdict.ts";
+import { type Failure, mayHaveRun, type Outcome } from "../common/verdict.ts";
 import type { HttpClient } from "./http_client.ts";
 import { callJson, joinUrl } from "./json_call.ts";
 import type { ILogClient } from "./services.ts";
@@ -72,7 +72,9 @@
     const url = `${this.#url(stream)}?${query}`;
     const call = { method: "GET", url, schema: pageSchema } as const;
     const outcome = await callJson(this.#collaborators(), call, options);
-    return outcome.mapErr(asLogFailure);
+    if (outcome.isErr()) return outcome.mapErr(asLogFailure);
+    if (followsOn(outcome.value, fromOffset)) return outcome;
+    return mayHaveRun("bad-answer", `${url}: page without ${fromOffset}`);
   }
 
   #url(stream: string): string {
@@ -85,6 +87,14 @@
   }
 }
 
+/** True when a page holds what was asked for, without a gap. */
+function followsOn(page: LogPage, fromOffset: number): boolean {
+  const firstOffset = Math.max(fromOffset, page.firstOffset);
+  return page.records.every(({ offset }, place) =>
+    offset === firstOffset + place
+  );
+}
+
 /** A log that turns work away for a while is unavailable to its readers. */
 function asLogFailure(failure: Failure): Failure {
   if (failure.code !== "overloaded") return failure;
--- a/src/platform/refusals.ts
+++ b/src/platform/refusals.ts
@@ -38,15 +38,21 @@
 interface ErrorBody {
   readonly error?: string;
   readonly target?: string;
+  readonly attemptId?: string;
 }
 
 function readErrorBody(body: Buffer): ErrorBody {
   try {
     const data: unknown = JSON.parse(body.toString("utf8"));
-    const { error, target } = Object(data) as Record<string, unknown>;
+    const fields = Object(data) as Record<string, unknown>;
+    const text = (name: keyof ErrorBody) => {
+      const value = fields[name];
+      return typeof value === "string" ? value : undefined;
+    };
     return {
-      error: typeof error === "string" ? error : undefined,
-      target: typeof target === "string" ? target : undefined,
+      error: text("error"),
+      target: text("target"),
+      attemptId: text("attemptId"),
     };
   } catch {
     return {};
@@ -62,15 +68,25 @@
   return words[error];
 }
 
-/** The failure that an answer without success stands for. */
+/**
+ * The failure that an answer without success stands for. With `attemptId` a
+ * refusal counts only when it names that attempt, as late ones do not.
+ */
 export function failureOf<T>(
   answer: HttpAnswer,
-  options: { readonly url: string; readonly clock: Clock },
+  options: {
+    readonly url: string;
+    readonly clock: Clock;
+    readonly attemptId?: string;
+  },
 ): Outcome<T> {
-  const { error = "no error word", target } = readErrorBody(answer.body);
+  const body = readErrorBody(answer.body);
+  const { error = "no error word", target } = body;
   const message = `${options.url}: status ${answer.status}, ${error}`;
   const code = refusalCode(answer);
-  if (code === undefined) {
+  const isOwn = options.attemptId === undefined ||
+    options.attemptId === body.attemptId;
+  if (code === undefined || !isOwn) {
     return mayHaveRun("target-failed", message, { target });
   }
   const details = { ...retryAt(answer, options.clock), target };
--- a/src/platform/service_client.ts
+++ b/src/platform/service_client.ts
@@ -1,6 +1,8 @@
 /**
  * Client of plain services. A service's own answer is passed on whatever its
- * status, except for the refusals that prove that it did nothing.
+ * status, except for the refusals that prove that it did nothing. A service
+ * need not name the request that it answers, so each call has a connection of
+ * its own, on which no answer to another request can arrive.
  *
  * @module
  */
@@ -38,6 +40,7 @@
     const outcome = await this.#http.exchange({
       method: request.method,
       url: target,
+      connection: "new",
       headers: headersOf(request),
       body: request.body.length > 0 ? request.body : undefined,
     }, options);
--- a/src/platform/token_reader.ts
+++ b/src/platform/token_reader.ts
@@ -34,7 +34,6 @@
 
 /** The reader of one stream. */
 export class TokenReader {
-  readonly #attemptId: string;
   readonly #onTokens: TokenListener;
   readonly #decoder = new StringDecoder("utf8");
   readonly #parser = createParser({
@@ -49,8 +48,10 @@
   #end: EngineEnd | undefined;
   #failure: Failure | undefined;
 
+  readonly attemptId: string;
+
   constructor(options: TokenReaderOptions) {
-    this.#attemptId = options.attemptId;
+    this.attemptId = options.attemptId;
     this.#onTokens = options.onTokens;
     this.#nextIndex = options.fromIndex;
   }
@@ -94,7 +95,7 @@
 
   #takeToken(token: EngineToken): void {
     if (!isToken(token)) return this.#fail("a token lacks a field");
-    if (token.attemptId !== this.#attemptId) return;
+    if (token.attemptId !== this.attemptId) return;
     if (token.index < this.#nextIndex) return;
     if (token.index > this.#nextIndex) {
       return this.#fail(`token ${token.index} came for ${this.#nextIndex}`);
@@ -104,7 +105,7 @@
   }
 
   #takeEnd(end: EngineEnd): void {
-    if (end.attemptId !== this.#attemptId) return;
+    if (end.attemptId !== this.attemptId) return;
     const isWhole = end.tokenCount === this.#nextIndex &&
       (end.reason === "stop" || end.reason === "length");
     if (isWhole) this.#end = end;
@@ -121,7 +122,7 @@
 
   #fail(message: string): void {
     this.#failure ??=
-      mayHaveRun("bad-answer", `attempt ${this.#attemptId}: ${message}`).error;
+      mayHaveRun("bad-answer", `attempt ${this.attemptId}: ${message}`).error;
   }
 }
 
--- a/src/platform/verdict_test.ts
+++ b/src/platform/verdict_test.ts
@@ -10,72 +10,18 @@
 import { afterEach, beforeEach, describe, expect, test } from "vitest";
 import { type RawScript, RawTarget } from "../../standins/common/raw_target.ts";
 import { type Clock, systemClock } from "../common/clock.ts";
-import type { Outcome } from "../common/verdict.ts";
-import { EngineClient } from "./engine_client.ts";
+import type { Outcome, Verdict } from "../common/verdict.ts";
 import { HttpClient, type HttpClientOptions } from "./http_client.ts";
-import { LogClient } from "./log_client.ts";
-import { ServiceClient } from "./service_client.ts";
-import type { CallOptions } from "./types.ts";
+import {
+  answerOf,
+  type Send,
+  SENDS,
+  verdictOf,
+  WHOLE_BODY,
+  withError,
+} from "./testing/sends.ts";
 
 const SEED = 20_261_203;
-const BODY_BYTES = 300_000;
-
-type Send = (
-  url: string,
-  http: HttpClient,
-  options: CallOptions & { readonly bodyBytes?: number },
-) => Promise<Outcome<unknown>>;
-
-const SENDS: Readonly<Record<string, Send>> = {
-  call: (url, http, options) =>
-    new ServiceClient({ http }).call(url, {
-      attemptId: "a",
-      method: "POST",
-      path: "/entries",
-      body: Buffer.alloc(options.bodyBytes ?? BODY_BYTES, "x"),
-      idempotencyKey: "k",
-    }, options),
-  append: (url, http, options) =>
-    new LogClient({ baseUrl: url, http }).append("s", [
-      { id: "r", data: "x".repeat(options.bodyBytes ?? BODY_BYTES) },
-    ], options),
-  generate: (url, http, options) =>
-    new EngineClient({ http }).generate(url, {
-      attemptId: "a",
-      requestId: "r",
-      model: "m",
-      version: "v",
-      chain: [],
-      prompt: "x".repeat(options.bodyBytes ?? BODY_BYTES),
-      generated: [],
-      maxTokens: 2,
-      priority: 5,
-      deadlineWallMs: 0,
-      cacheScope: "c",
-    }, { ...options, onTokens: () => {} }),
-};
-
-const END = { attemptId: "a", tokenCount: 1, reason: "stop" };
-const TOKEN = { attemptId: "a", index: 0, id: 1, text: "a", ran: "t:0-1@1" };
-const TOKEN_EVENT = `event: token\ndata: ${JSON.stringify(TOKEN)}\n\n`;
-const WHOLE_EVENTS = `${TOKEN_EVENT}event: end\ndata: ${
-  JSON.stringify(END)
-}\n\n`;
-const WHOLE_BODY: Readonly<Record<string, string>> = {
-  call: JSON.stringify({ run: 1 }),
-  append: JSON.stringify({ offset: 0 }),
-  generate: WHOLE_EVENTS,
-};
-
-function answerOf(status: number, body: string, headers = ""): string {
-  return `HTTP/1.1 ${status} Status\r\ncontent-length: ${body.length}\r\n` +
-    `${headers}\r\n${body}`;
-}
-
-function withError(status: number, error?: string): string {
-  return answerOf(status, error ? JSON.stringify({ error }) : "busy");
-}
-
 let target: RawTarget;
 let url: string;
 let http: HttpClient;
@@ -92,14 +38,8 @@
 const soon = () => ({ deadlineMs: systemClock.nowMs() + 10_000 });
 const impatient = () => ({ deadlineMs: systemClock.nowMs() + 100 });
 
-type Expected = "complete" | "not-run" | "may-have-run";
-
-function verdictOf(outcome: Outcome<unknown>): Expected {
-  return outcome.isOk() ? "complete" : outcome.error.verdict;
-}
-
 /** What a client would say that takes a broken connection for not run. */
-function plainVerdictOf(outcome: Outcome<unknown>): Expected {
+function plainVerdictOf(outcome: Outcome<unknown>): Verdict {
   const isBroken = outcome.isErr() &&
     (outcome.error.code === "connection-failed" ||
       outcome.error.code === "deadline-exceeded");
@@ -109,9 +49,9 @@
 interface BrokenCase {
   readonly name: string;
   readonly script: RawScript;
-  readonly expected: Expected;
+  readonly expected: Verdict;
   /** For `call` where it differs: a service's own answer is passed on. */
-  readonly expectedOfCall?: Expected;
+  readonly expectedOfCall?: Verdict;
   readonly isFrozen?: boolean;
 }
 
@@ -235,9 +175,9 @@
     const answer = answerOf(200, WHOLE_BODY[kind]);
     target.play({ ...WHOLE, answer }, { actAt: 0.001, cutAt: 0.001 });
     expect(verdictOf(await send(url, http, soon()))).toBe("complete");
-    expect(target.connectionCount).toBe(1);
     expect(verdictOf(await send(url, http, soon()))).toBe(MAY);
     expect(target.executionCount).toBe(2);
+    expect(target.connectionCount).toBe(kind === "call" ? 2 : 1);
   });
 
   test("nothing ran when no connection came about", async () => {
@@ -332,7 +272,7 @@
 /** Plays one random run; true when the verdict given holds. */
 async function holds(
   run: FuzzRun,
-  verdictGiven: (outcome: Outcome<unknown>) => Expected,
+  verdictGiven: (outcome: Outcome<unknown>) => Verdict,
 ): Promise<boolean> {
   const answer = answerOf(200, WHOLE_BODY[run.kind]);
   const client = new HttpClient();
--- a/standins/common/raw_target.ts
+++ b/standins/common/raw_target.ts
@@ -15,6 +15,8 @@
   readonly cutAt?: number;
   /** Bytes written once the request is whole; undefined to stay silent. */
   readonly answer?: string;
+  /** Second answer, written when the connection's next request begins. */
+  readonly crossedAnswer?: string;
   /** Cuts after so many bytes of the answer. */
   readonly cutAnswerAtByte?: number;
   /** Cuts once the answer is written. */
@@ -29,6 +31,7 @@
   #requestCount = 0;
   #executionCount = 0;
   #wholeCount = 0;
+  #connectionCount = 0;
 
   constructor() {
     this.#server = createServer((socket) => this.#serve(socket));
@@ -44,9 +47,9 @@
     return this.#wholeCount;
   }
 
-  /** Connections that are open. */
+  /** Connections taken since the scripts began. */
   get connectionCount(): number {
-    return this.#sockets.size;
+    return this.#connectionCount;
   }
 
   /** Plays one script for each request, the last one from then on. */
@@ -55,6 +58,7 @@
     this.#requestCount = 0;
     this.#executionCount = 0;
     this.#wholeCount = 0;
+    this.#connectionCount = 0;
   }
 
   /** Listens and returns the base URL. */
@@ -84,6 +88,7 @@
 
   #serve(socket: Socket): void {
     this.#sockets.add(socket);
+    this.#connectionCount++;
     socket.once("close", () => this.#sockets.delete(socket));
     socket.on("error", () => {});
     let script = this.#nextScript();
@@ -93,7 +98,10 @@
     }
     let received = Buffer.alloc(0);
     let hasActed = false;
+    let crossedAnswer: string | undefined;
     socket.on("data", (chunk) => {
+      if (crossedAnswer !== undefined) socket.write(crossedAnswer);
+      crossedAnswer = undefined;
       received = Buffer.concat([received, chunk]);
       const share = received.length / requestLength(received);
       if (!hasActed && share >= (script.actAt ?? Infinity)) {
@@ -107,6 +115,7 @@
       if (share < 1) return;
       this.#wholeCount++;
       answer(socket, script);
+      crossedAnswer = script.crossedAnswer;
       received = Buffer.alloc(0);
       hasActed = false;
       script = this.#nextScript();
--- a/standins/engine/engine.ts
+++ b/standins/engine/engine.ts
@@ -183,7 +183,8 @@
     const { faults } = this.#options;
     const request = exchange.json<GenerateRequest>();
     const failure = await this.#stage.open({ request, stageIndex: 0 });
-    if (failure) return refuse(exchange, failure);
+    const { attemptId } = request;
+    if (failure) return refuse(exchange, { ...failure, attemptId });
     const attempt = this.#runner.start(request);
     if (faults.delayMs > 0) await sleep(faults.delayMs);
     await faults.whileFrozen();
@@ -218,7 +219,7 @@
     const cutAfterTokens = this.#options.faults.takeCutAfterTokens();
     const options = { fromIndex, cutAfterTokens };
     if (attempt?.listen(exchange.response, options)) return;
-    return refuse(exchange, { error: "unknown-attempt" });
+    return refuse(exchange, { error: "unknown-attempt", attemptId });
   }
 
   async #cancel(exchange: Exchange, attemptId: string): Promise<void> {
@@ -252,7 +253,7 @@
 
 function refuse(
   exchange: Exchange,
-  failure: { error: string },
+  failure: { readonly error: string; readonly attemptId?: string },
 ): Promise<void> {
   return exchange.reply(STATUS_OF_ERROR[failure.error] ?? 502, failure);
 }
