--- a/src/requests/claim_grouper.ts
+++ b/src/requests/claim_grouper.ts
@@ -140,8 +140,9 @@
       return this.#refuse(fresh, appended.error);
     }
     const caughtUp = await this.#reader.catchUp(appended.unwrapOr(-1));
-    if (appended.isErr() || caughtUp.isErr()) this.#noteOutage();
-    else this.#backoffMs = 0;
+    const isRead = caughtUp.isOk() && !this.#ownRecords.delete(recordId);
+    if (isRead) this.#backoffMs = 0;
+    else this.#noteOutage();
     for (const { op, fate } of fresh) {
       fate.resolve(this.#ledger.fateOf(op) ?? unsettled());
     }
--- /dev/null
+++ b/test/requests_process_test.ts
@@ -0,0 +1,137 @@
+import got from "got";
+import { afterAll, beforeAll, expect, test } from "vitest";
+import { CallerClient } from "./caller_client.ts";
+import { documentFor, LocalFleet, urlOf, waitUntil } from "./local_fleet.ts";
+
+const CALLER = { customer: "cooperativa", key: "caller-key" };
+const HOST_COUNT = 4;
+const KEYS = Array.from({ length: 40 }, (_, at) => `entry-${at}`);
+/** Pause between two rounds of calls, so that faults fall between them. */
+const ROUND_MS = 40;
+const FROZEN_MS = 700;
+const LOG_DOWN_MS = 500;
+
+interface Told {
+  readonly key: string;
+  /** `unknown` when the host was killed under the call. */
+  readonly verdict: string;
+}
+
+let fleet: LocalFleet;
+
+beforeAll(async () => {
+  fleet = new LocalFleet({
+    hostCount: HOST_COUNT,
+    services: ["mostrador-1", "mostrador-2"],
+    engines: [{ name: "etapa", first: 0, end: 1 }],
+  });
+  await fleet.start();
+  const version = await fleet.apply(documentFor(fleet, {
+    pipeline: "escriba",
+    layerCount: 1,
+    stages: [{ first: 0, end: 1, targets: ["etapa"] }],
+    service: "mostrador",
+    callers: [CALLER],
+  }));
+  await fleet.waitForVersion(version);
+}, 60_000);
+
+afterAll(() => fleet.stop());
+
+test(
+  "a key sent to all hosts at once runs at most once while hosts and log fail",
+  async () => {
+    const told: Told[] = [];
+    const open: Promise<void>[] = [];
+    const faults = causeFaults();
+    for (const key of KEYS) {
+      for (let host = 0; host < HOST_COUNT; host += 1) {
+        open.push(
+          send(key, host).then((verdict) => {
+            told.push({ key, verdict });
+          }),
+        );
+      }
+      await pause(ROUND_MS);
+    }
+    await Promise.all([...open, faults]);
+    const runs = await runsByKey();
+    for (const key of KEYS) {
+      const verdicts = told.filter((one) => one.key === key)
+        .map((one) => one.verdict);
+      const ran = runs.get(key) ?? 0;
+      expect(ran, `${key} ${verdicts}`).toBeLessThanOrEqual(1);
+      const completes = verdicts.filter((verdict) => verdict === "complete");
+      expect(completes.length, key).toBeLessThanOrEqual(ran);
+      if (verdicts.every((verdict) => verdict === "not-run")) {
+        expect(ran, `${key} was told not-run`).toBe(0);
+      }
+    }
+    expect(runs.size).toBeGreaterThan(0);
+    await claimRefused(told, runs);
+  },
+  60_000,
+);
+
+/** A key that every host refused as not run can be claimed once all is well. */
+async function claimRefused(
+  told: readonly Told[],
+  runs: ReadonlyMap<string, number>,
+): Promise<void> {
+  const refused = KEYS.filter((key) =>
+    !runs.has(key) &&
+    told.every((one) => one.key !== key || one.verdict === "not-run")
+  );
+  for (const key of refused) {
+    await waitUntil(
+      `${key} to be claimed`,
+      20_000,
+      async () => await send(key, 0) === "complete",
+    );
+  }
+  const after = await runsByKey();
+  for (const key of KEYS) expect(after.get(key) ?? 0, key).toBeLessThan(2);
+}
+
+/** Loses answers of the log, freezes a host, stops the log, kills a host. */
+async function causeFaults(): Promise<void> {
+  await pause(3 * ROUND_MS);
+  await fleet.control(fleet.platformLog, { action: "lose-answers", count: 3 });
+  await pause(3 * ROUND_MS);
+  fleet.hosts[2].program.kill("SIGSTOP");
+  await pause(FROZEN_MS);
+  fleet.hosts[2].program.kill("SIGCONT");
+  await fleet.control(fleet.platformLog, { action: "down" });
+  await pause(LOG_DOWN_MS);
+  await fleet.control(fleet.platformLog, { action: "up" });
+  fleet.hosts[3].program.kill("SIGKILL");
+}
+
+async function send(key: string, host: number): Promise<string> {
+  const client = new CallerClient({
+    baseUrl: fleet.hosts[host].callerUrl,
+    key: CALLER.key,
+  });
+  const call = { service: "mostrador", path: "/entries", key, body: { key } };
+  const answer = await client.call(call).catch(() => undefined);
+  if (answer === undefined) return "unknown";
+  if (answer.status === 200) return "complete";
+  return (answer.body as { verdict?: string }).verdict ?? "unknown";
+}
+
+async function runsByKey(): Promise<Map<string, number>> {
+  const runs = new Map<string, number>();
+  for (const service of fleet.services.values()) {
+    const { executions } = await got.get(
+      `${urlOf(service)}/control/executions`,
+    ).json<{ executions: Record<string, number> }>();
+    for (const [key, count] of Object.entries(executions)) {
+      runs.set(key, (runs.get(key) ?? 0) + count);
+    }
+  }
+  return runs;
+}
+
+function pause(waitMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, waitMs));
+}
