Tell callers no addresses, and fix the wall-clock deadline of a claim

The wall-clock deadline of a claim is taken when it is asked for, not when it is won, so that a machine that slept in between cannot dispatch late.

--- a/src/requests/call_service.ts
+++ b/src/requests/call_service.ts
@@ -27,6 +27,7 @@
   IClaimService,
   IRequestJournal,
 } from "./services.ts";
+import { failureForCaller } from "./caller_failure.ts";
 import { ServiceTargets } from "./service_targets.ts";
 import type { CallRequest } from "./types.ts";
 import { VerdictTally } from "./verdict_tally.ts";
@@ -138,11 +139,13 @@
     for (let attempt = 1;; attempt += 1) {
       const outcome = await this.#attempt(planned, avoid);
       if (outcome.isOk()) return outcome;
+      this.#noteFailure(planned.request, outcome.error);
       tally.note(outcome.error.verdict);
       const isFinal = !this.#mayTryAgain(planned, outcome.error) ||
         attempt >= maxAttempts || !retryBudget.takeRetry();
       if (isFinal) {
-        return new Err(this.#withRetryTime(tally.finish(outcome.error)));
+        const combined = tally.finish(outcome.error);
+        return new Err(failureForCaller(combined, this.#options));
       }
     }
   }
@@ -202,11 +205,10 @@
     }
   }
 
-  #withRetryTime(failure: Failure): Failure {
-    const { clock, comeBackAfterMs } = this.#options;
-    const retryAtWallMs = failure.retryAtWallMs ??
-      clock.wallMs() + comeBackAfterMs;
-    return { ...failure, retryAtWallMs };
+  #noteFailure(request: CallRequest, failure: Failure): void {
+    const { code, message } = failure;
+    const { journal } = this.#options;
+    journal.note(request.requestId, "attempt-failed", { code, message });
   }
 
   #noteEnd(request: CallRequest, outcome: Outcome<ServiceAnswer>): void {
--- a/src/requests/call_service_test.ts
+++ b/src/requests/call_service_test.ts
@@ -21,7 +21,12 @@
 const REPLIES: Record<Reply, () => Promise<Outcome<ServiceAnswer>>> = {
   ok: () => Promise.resolve(new Ok({ status: 200, body: new Uint8Array() })),
   refused: () => Promise.resolve(notRun("connection-failed", "refused")),
-  cut: () => Promise.resolve(mayHaveRun("connection-failed", "cut")),
+  cut: () =>
+    Promise.resolve(
+      mayHaveRun("connection-failed", "http://desk-1 cut", {
+        target: "desk-1",
+      }),
+    ),
   silent: () => new Promise(() => {}),
 };
 
@@ -189,6 +194,14 @@
   expect(bench.ended).toEqual(ended);
 });
 
+test("a failure tells the caller no address and when to come back", async () => {
+  const outcome = await setUp({ replies: ["cut"] }).call();
+  const { message, target, retryAtWallMs } = outcome.unwrapErr();
+  expect(message).toBe("the connection to a target failed");
+  expect(target).toBeUndefined();
+  expect(retryAtWallMs).toBeGreaterThan(0);
+});
+
 test("targets that take no new work are not called", async () => {
   const { call, urls } = setUp({
     replies: [],
--- a/src/requests/claim_grouper.ts
+++ b/src/requests/claim_grouper.ts
@@ -6,7 +6,6 @@
  */
 
 import type { Clock } from "../common/clock.ts";
-import type { Failure } from "../common/verdict.ts";
 import type { ILogClient } from "../platform/services.ts";
 import type { AppendBudget } from "./append_budget.ts";
 import type { ClaimLedger } from "./claim_ledger.ts";
@@ -39,6 +38,7 @@
   readonly fate: Deferred<ClaimFate>;
 }
 
+const LOG_SILENT = "the log does not answer";
 const FIRST_BACKOFF_MS = 250;
 const LAST_BACKOFF_MS = 2_000;
 
@@ -80,7 +80,7 @@
     const { clock, maxPending, groupEveryMs } = this.#options;
     const untilMs = this.#outageUntilMs - clock.nowMs();
     if (untilMs > 0) {
-      return Promise.resolve(refused("the log does not answer", untilMs));
+      return Promise.resolve(refused(LOG_SILENT, untilMs));
     }
     if (this.#pending.length >= maxPending) {
       return Promise.resolve(refused("too many claims wait", groupEveryMs));
@@ -137,7 +137,7 @@
     );
     if (appended.isErr() && appended.error.verdict === "not-run") {
       this.#ownRecords.delete(recordId);
-      return this.#refuse(fresh, appended.error);
+      return this.#refuseAll(fresh);
     }
     const caughtUp = await this.#reader.catchUp(appended.unwrapOr(-1));
     const isRead = caughtUp.isOk() && !this.#ownRecords.delete(recordId);
@@ -155,7 +155,7 @@
     if (!this.#reader.hasStarted || group.some(isKnown)) {
       const caughtUp = await this.#reader.catchUp();
       if (caughtUp.isErr()) {
-        this.#refuse(group, caughtUp.error);
+        this.#refuseAll(group);
         return [];
       }
     }
@@ -177,12 +177,10 @@
     if (!isOwn && this.#reader.hasStarted) this.#options.budget().take();
   }
 
-  #refuse(group: readonly PendingOp[], failure: Failure): void {
+  #refuseAll(group: readonly PendingOp[]): void {
     this.#noteOutage();
     const waitMs = this.#outageUntilMs - this.#options.clock.nowMs();
-    for (const { fate } of group) {
-      fate.resolve(refused(failure.message, waitMs));
-    }
+    for (const { fate } of group) fate.resolve(refused(LOG_SILENT, waitMs));
   }
 
   /** Sends nothing to the log for a while, longer each time. */
--- a/src/requests/claim_service.ts
+++ b/src/requests/claim_service.ts
@@ -64,6 +64,9 @@
 /** Time for a holder to say how its claim stands. */
 const STATUS_WITHIN_MS = 250;
 
+const RUNNING = "an earlier try of the key is running";
+const MAY_HAVE_RUN = "an earlier try of the key may have run";
+
 /** What this host knows of a claim of its own. */
 interface OwnClaim {
   readonly claimId: string;
@@ -74,6 +77,8 @@
 /** Bounds of one `acquire`. */
 interface AcquireBounds {
   readonly deadlineMs: number;
+  /** The deadline by the wall clock, which goes on while a machine sleeps. */
+  readonly deadlineWallMs: number;
   /** When the asker is told that its claim did not settle. */
   readonly settleByMs: number;
   readonly signal?: AbortSignal;
@@ -139,7 +144,9 @@
       deadlineMs,
       nowMs + this.#policy.settleWithinMs,
     );
-    const bounds = { signal: options.signal, deadlineMs, settleByMs };
+    const deadlineWallMs = this.#clock.wallMs() + deadlineMs - nowMs;
+    const { signal } = options;
+    const bounds = { signal, deadlineMs, deadlineWallMs, settleByMs };
     for (;;) {
       const tried = await this.#tryOnce(digest, bounds);
       if (tried !== "free-soon") return tried;
@@ -162,14 +169,14 @@
     if (own === undefined) {
       return this.#refuse("overloaded", `${this.#own.size} claims are open`);
     }
-    const asked = this.#router.submit(this.#claimOp(own, bounds.deadlineMs), {
+    const op = this.#claimOp(own, bounds.deadlineMs);
+    const { fate, mayStillAppear } = await this.#router.submit(op, {
       deadlineMs: bounds.settleByMs,
     });
-    const { fate, mayStillAppear } = await asked;
     const isLate = this.#clock.nowMs() >= bounds.settleByMs ||
       bounds.signal?.aborted === true;
     if (fate.kind === "won" && !isLate) {
-      return new Ok(this.#hold(own, bounds.deadlineMs));
+      return new Ok(this.#hold(own, bounds));
     }
     own.status = "dead";
     if (fate.kind === "won" || mayStillAppear) this.#giveBack(own);
@@ -208,7 +215,7 @@
       case "refused":
         return this.#refuse("log-unavailable", fate.message, fate.retryAfterMs);
       case "unsettled":
-        return this.#refuse("log-unavailable", fate.message);
+        return this.#refuse("log-unavailable", "the claim did not settle");
       case "won":
       case "noted":
         return this.#refuse("deadline-exceeded", "the claim settled too late");
@@ -228,18 +235,11 @@
       case "ran":
         return mayHaveRun("already-ran", "an earlier try of the key ran");
       case "running":
-        return mayHaveRun(
-          "claim-held",
-          "an earlier try of the key is running",
-          {
-            retryAtWallMs: this.#clock.wallMs() + 1_000,
-          },
-        );
+        return mayHaveRun("claim-held", RUNNING, {
+          retryAtWallMs: this.#clock.wallMs() + 1_000,
+        });
       default:
-        return mayHaveRun(
-          "claim-held",
-          "an earlier try of the key may have run",
-        );
+        return mayHaveRun("claim-held", MAY_HAVE_RUN);
     }
   }
 
@@ -272,9 +272,8 @@
     return this.#own.get(claimId)?.status ?? "unknown";
   }
 
-  #hold(own: OwnClaim, deadlineMs: number): IClaim {
-    const deadlineWallMs = this.#clock.wallMs() + deadlineMs -
-      this.#clock.nowMs();
+  #hold(own: OwnClaim, bounds: AcquireBounds): IClaim {
+    const { deadlineMs, deadlineWallMs } = bounds;
     return {
       claimId: own.claimId,
       mayDispatch: () =>
--- a/src/requests/completion_run.ts
+++ b/src/requests/completion_run.ts
@@ -13,6 +13,7 @@
 import type { ChainPick, IChainPicker } from "../pipelines/services.ts";
 import type { IEngineClient } from "../platform/services.ts";
 import type { ChainStage, EngineToken } from "../platform/types.ts";
+import { failureForCaller } from "./caller_failure.ts";
 import {
   ChainChooser,
   type ChainChooserPolicy,
@@ -294,12 +295,9 @@
 
   #giveUp(failure: Failure): Outcome<CompletionEnd> {
     const { clock, journal, policy, request } = this.#options;
+    const { comeBackAfterMs } = policy;
     const combined = this.#tally.finish(failure);
-    const final = {
-      ...combined,
-      retryAtWallMs: combined.retryAtWallMs ??
-        clock.wallMs() + policy.comeBackAfterMs,
-    };
+    const final = failureForCaller(combined, { clock, comeBackAfterMs });
     journal.note(request.requestId, "given-up", {
       verdict: final.verdict,
       code: final.code,
--- a/test/requests_completions.ts
+++ b/test/requests_completions.ts
@@ -19,8 +19,8 @@
   expectedText,
   type PlannedFault,
   TestEngines,
-  TestPicker,
 } from "./requests_engines.ts";
+import { TestPicker } from "./requests_picker.ts";
 
 export const SPANS = [
   { first: 0, end: 4 },
--- a/test/requests_engines.ts
+++ b/test/requests_engines.ts
@@ -1,6 +1,5 @@
 /**
- * Engines in memory, chained by spans, whose faults strike at a chosen token,
- * and a picker over them that works from reports of some age.
+ * Engines in memory, chained by spans, whose faults strike at a chosen token.
  *
  * @module
  */
@@ -8,18 +7,11 @@
 import { Ok } from "ts-results-es";
 import type { Clock } from "../src/common/clock.ts";
 import { hash32 } from "../src/common/hash.ts";
-import type { Random } from "../src/common/random.ts";
 import { mayHaveRun, notRun, type Outcome } from "../src/common/verdict.ts";
-import type {
-  ChainPick,
-  IChainPicker,
-  PickRequest,
-} from "../src/pipelines/services.ts";
 import type { IEngineClient, TokenListener } from "../src/platform/services.ts";
 import {
   type CallOptions,
   chainSignature,
-  type ChainStage,
   type EngineEnd,
   type EngineState,
   type EngineToken,
@@ -351,66 +343,3 @@
     return mayHaveRun("cancelled", "the attempt was cancelled");
   }
 }
-
-/** Picks at random among engines as they were when last looked at. */
-export class TestPicker implements IChainPicker {
-  openPicks = 0;
-  pickCount = 0;
-  /** The version of each pick; a roll-out changes it. */
-  versionAt = (_pickCount: number) => "v1";
-  readonly #engines: TestEngines;
-  readonly #random: Random;
-  readonly #spans: readonly { first: number; end: number }[];
-  readonly #known = new Map<string, ChainStage>();
-
-  constructor(
-    options: {
-      engines: TestEngines;
-      random: Random;
-      spans: readonly { first: number; end: number }[];
-    },
-  ) {
-    this.#engines = options.engines;
-    this.#random = options.random;
-    this.#spans = options.spans;
-    for (const target of options.engines.engines.keys()) this.#look(target);
-  }
-
-  pick({ avoid }: PickRequest): Outcome<ChainPick> {
-    const chain: ChainStage[] = [];
-    for (const span of this.#spans) {
-      const fits = [...this.#known.values()].filter((stage) =>
-        stage.first === span.first && stage.end === span.end &&
-        !avoid.has(stage.target)
-      );
-      if (fits.length === 0) return notRun("no-target", "no engine is left");
-      chain.push(fits[Math.floor(this.#random() * fits.length)]);
-    }
-    this.openPicks += 1;
-    const dispose = () => void (this.openPicks -= 1);
-    const version = this.versionAt(this.pickCount++);
-    return new Ok({ chain, model: "m", version, dispose });
-  }
-
-  reportFailure(target: string): void {
-    this.#look(target);
-  }
-
-  reportLoad(): void {}
-
-  progressWithinMs(): number {
-    return 200;
-  }
-
-  reportProgress(): void {}
-
-  #look(target: string): void {
-    const engine = this.#engines.engines.get(target);
-    if (engine === undefined) return;
-    this.#known.delete(target);
-    if (engine.state !== "alive") return;
-    const { first, end, generation } = engine;
-    const url = `http://${target}`;
-    this.#known.set(target, { target, url, first, end, generation });
-  }
-}
--- a/test/requests_quarantine.ts
+++ b/test/requests_quarantine.ts
@@ -16,11 +16,8 @@
 import type { CompletionEnd } from "../src/requests/types.ts";
 import { ManualClock } from "./manual_clock.ts";
 import { LENGTH, pipelineConfig, SPANS } from "./requests_completions.ts";
-import {
-  type PlannedCrash,
-  TestEngines,
-  TestPicker,
-} from "./requests_engines.ts";
+import { type PlannedCrash, TestEngines } from "./requests_engines.ts";
+import { TestPicker } from "./requests_picker.ts";
 import { TestNetwork } from "./requests_host.ts";
 
 /** Options of `quarantineFleet`. */
