--- a/measure/recovery.ts
+++ b/measure/recovery.ts
@@ -53,11 +53,13 @@
       const gaps: number[] = [];
       let failedCount = 0;
       let stalledCount = 0;
+      let answerCount = 0;
       for (let seed = 1; seed <= SEEDS; seed++) {
         const result = await nextTokenGaps(fault, way, seed);
         gaps.push(...result.gapsMs);
         failedCount += result.failedCount;
         stalledCount += result.stalledCount;
+        answerCount += result.answerCount;
       }
       const withinCount = gaps.filter((gapMs) => gapMs <= 360).length;
       const within = gaps.length > 0 ? withinCount / gaps.length : 1;
@@ -70,6 +72,7 @@
         ms(quantileOf(gaps, 1)),
         gaps.length > 0 ? `${(100 * within).toFixed(1)}%` : "",
         stalledCount,
+        answerCount,
         failedCount,
       ]);
     }
@@ -84,6 +87,7 @@
       "max ms",
       "within 360 ms",
       "stalls noted",
+      "answers",
       "failed answers",
     ],
     rows,
@@ -104,6 +108,7 @@
   readonly gapsMs: number[];
   readonly failedCount: number;
   readonly stalledCount: number;
+  readonly answerCount: number;
 }
 
 /** Times from the fault to the next token, of the streams through the target. */
@@ -154,7 +159,7 @@
   const chains = new Map<string, string[]>();
   const waiting = new Map<string, number>();
   const gapsMs: number[] = [];
-  const counts = { failedCount: 0, stalledCount: 0 };
+  const counts = { failedCount: 0, stalledCount: 0, answerCount: 0 };
   const service = new CompletionService({
     config: openTo(fleet),
     picker: way === "plain, 5 s timeout"
@@ -205,6 +210,7 @@
         signal: abort.signal,
       }, () => noteToken(requestId));
       chains.delete(requestId);
+      if (ended.isOk()) counts.answerCount++;
       if (ended.isErr() && !abort.signal.aborted) counts.failedCount++;
     }
   }
--- a/src/pipelines/chain_picker.ts
+++ b/src/pipelines/chain_picker.ts
@@ -177,10 +177,13 @@
   ): SpanEdge[] | undefined {
     const hash = options.prefixHash;
     const share = this.#affinity.note(hash);
+    const isWhole = options.edges === plan.edges;
+    const usable = new Set(isWhole ? [] : options.edges);
+    const mayUse = isWhole ? undefined : (edge: SpanEdge) => usable.has(edge);
     for (let walk = 0; walk < MAX_WALKS; walk++) {
       const path = walkChain({
         plan,
-        edges: options.edges,
+        mayUse,
         load: this.#load,
         slowParts: this.#slowParts,
         random: this.#random,
--- a/src/pipelines/chain_plans.ts
+++ b/src/pipelines/chain_plans.ts
@@ -19,6 +19,7 @@
   type SpanEdge,
   spanEdge,
 } from "./chain_graph.ts";
+import { ChainSteps } from "./chain_steps.ts";
 import type { TargetDirectory } from "./target_directory.ts";
 
 /** Share of the old adapter's capacity at which only the new one is used. */
@@ -30,6 +31,7 @@
   readonly layerCount: number;
   readonly edges: readonly SpanEdge[];
   readonly flow: ChainFlow;
+  readonly steps: ChainSteps;
 }
 
 /** Collaborators of `ChainPlans`. */
@@ -168,7 +170,8 @@
       links: config.links,
       maxGapMs: this.#options.maxGapMs,
     });
-    return { choice, layerCount, edges, flow };
+    const steps = new ChainSteps(edges, flow);
+    return { choice, layerCount, edges, flow, steps };
   }
 }
 
--- a/src/pipelines/chain_walk.ts
+++ b/src/pipelines/chain_walk.ts
@@ -12,6 +12,7 @@
 import type { Random } from "../common/random.ts";
 import type { SpanEdge } from "./chain_graph.ts";
 import type { ChainPlan } from "./chain_plans.ts";
+import type { ChainStep } from "./chain_steps.ts";
 import type { SlowParts } from "./slow_parts.ts";
 import type { TargetLoad } from "./target_load.ts";
 
@@ -21,8 +22,8 @@
 /** What a walk looks at. */
 export interface ChainWalkOptions {
   readonly plan: ChainPlan;
-  /** The plan's edges that may be used, all of them on whole chains. */
-  readonly edges: readonly SpanEdge[];
+  /** Leaves out a part of the plan's targets; all are used by default. */
+  readonly mayUse?: (edge: SpanEdge) => boolean;
   readonly load: TargetLoad;
   readonly slowParts: SlowParts;
   readonly random: Random;
@@ -33,11 +34,8 @@
 }
 
 interface Candidate {
-  readonly edge: SpanEdge;
-  readonly link: string | undefined;
+  readonly step: ChainStep;
   readonly weight: number;
-  /** Best flow through the link, in tokens a second; unused without one. */
-  readonly linkFlow: number;
 }
 
 /** Name of the link between two failure domains, as a part of a chain. */
@@ -52,11 +50,11 @@
   while (boundary < options.plan.layerCount) {
     const candidates = weighCandidates(options, path.at(-1), boundary);
     if (candidates.length === 0) return undefined;
-    const { edge } = options.prefix
+    const { step } = options.prefix
       ? chooseByPrefix(candidates, options)
       : chooseByLoad(candidates, options);
-    path.push(edge);
-    boundary = edge.end;
+    path.push(step.edge);
+    boundary = step.edge.end;
   }
   return path;
 }
@@ -66,61 +64,37 @@
   last: SpanEdge | undefined,
   boundary: number,
 ): Candidate[] {
-  const { edges, plan, load, slowParts } = options;
-  const next = edges.filter((edge) => edge.first === boundary);
-  const links = next.map((edge) => last && linkPart(last, edge));
-  const flows = next.map((edge) => flowInto(edge, plan, last));
-  const hasFlow = flows.some((flow) => flow > 0);
-  const weights = hasFlow ? flows : next.map((edge) => edge.tokensPerS);
-  const tilts = load.tilts(
-    next.map(({ target }, index) => ({ target, weight: weights[index] })),
-  );
-  const targetFactors = slowParts.factors(next.map(({ target }) => target));
-  const linkFactors = slowParts.factors(links.map((link) => link ?? ""));
-  return next
-    .map((edge, index) => {
+  const { plan, load, slowParts, mayUse } = options;
+  const all = plan.steps.from(boundary, last?.failureDomain);
+  const steps = mayUse ? all.filter(({ edge }) => mayUse(edge)) : all;
+  const hasFlow = steps.some(({ tokensPerS }) => tokensPerS > 0);
+  const weighed = steps.map(({ edge, tokensPerS }) => ({
+    target: edge.target,
+    weight: hasFlow ? tokensPerS : edge.tokensPerS,
+  }));
+  const tilts = load.tilts(weighed);
+  const targetFactors = slowParts.factors(weighed.map(({ target }) => target));
+  const linkFactors = slowParts.factors(steps.map(({ link }) => link ?? ""));
+  return steps
+    .map((step, index) => {
+      const { target, weight } = weighed[index];
       const factor = tilts[index] * targetFactors[index] * linkFactors[index] *
-        load.healthFactor(edge.target);
-      const weight = weights[index] * factor;
-      const linkFlow = last ? linkFlowInto(edge, plan, last) : 0;
-      return { edge, link: links[index], weight, linkFlow };
+        load.healthFactor(target);
+      return { step, weight: weight * factor };
     })
-    .filter(({ edge, weight }) => weight > 0 && !options.isFull(edge))
-    .filter(({ edge }) => !last || !isLinkFull(options, last, edge));
+    .filter(({ step, weight }) =>
+      weight > 0 && !options.isFull(step.edge) && !isLinkFull(step, load)
+    );
 }
 
 /** A link is full at this host when its share of the link's room is used. */
 function isLinkFull(
-  { plan, load }: ChainWalkOptions,
-  last: SpanEdge,
-  edge: SpanEdge,
+  { link, linkStreams }: ChainStep,
+  load: TargetLoad,
 ): boolean {
-  const room = plan.flow.linkStreams(last.failureDomain, edge.failureDomain);
-  if (room === undefined) return false;
-  const ownRoom = Math.max(1, room / load.fleetScale());
-  return load.inFlight(linkPart(last, edge)) >= ownRoom;
-}
-
-/** Tokens a second that the best flow sends from `last` to `edge`. */
-function flowInto(
-  edge: SpanEdge,
-  plan: ChainPlan,
-  last: SpanEdge | undefined,
-): number {
-  const own = plan.flow.targetTokensPerS.get(edge.target) ?? 0;
-  if (!last) return own;
-  const link = linkFlowInto(edge, plan, last);
-  if (link <= 0) return 0;
-  return link * own /
-    plan.flow.domainTokensPerS(edge.first, edge.failureDomain);
-}
-
-function linkFlowInto(
-  { first, failureDomain }: SpanEdge,
-  plan: ChainPlan,
-  last: SpanEdge,
-): number {
-  return plan.flow.linkTokensPerS(first, last.failureDomain, failureDomain);
+  if (link === undefined || linkStreams === undefined) return false;
+  const ownRoom = Math.max(1, linkStreams / load.fleetScale());
+  return load.inFlight(link) >= ownRoom;
 }
 
 function chooseByLoad(
@@ -141,11 +115,11 @@
 }
 
 /** This host's work there for its weight, at the target or on the link. */
-function ownCost(candidate: Candidate, load: TargetLoad): number {
-  const { edge, link, weight, linkFlow } = candidate;
+function ownCost({ step, weight }: Candidate, load: TargetLoad): number {
+  const { edge, link, linkTokensPerS } = step;
   const targetCost = load.ownWork(edge.target) / weight;
-  if (link === undefined || linkFlow <= 0) return targetCost;
-  return Math.max(targetCost, load.ownWork(link) / linkFlow);
+  if (link === undefined || linkTokensPerS <= 0) return targetCost;
+  return Math.max(targetCost, load.ownWork(link) / linkTokensPerS);
 }
 
 function chooseByPrefix(
@@ -157,8 +131,8 @@
   const spread = Math.ceil(share * ranked.length);
   if (spread > 1) return chooseByLoad(ranked.slice(0, spread), options);
   if (ranked.length === 1) return ranked[0];
-  const costOf = ({ edge, weight }: Candidate) =>
-    (options.load.estimatedStreams(edge.target) + 1) / weight;
+  const costOf = ({ step, weight }: Candidate) =>
+    (options.load.estimatedStreams(step.edge.target) + 1) / weight;
   const limit = costOf(ranked[1]) * AFFINITY_LOAD_FACTOR + 1 / ranked[0].weight;
   if (costOf(ranked[0]) <= limit) return ranked[0];
   return chooseByLoad(ranked.slice(1), options);
@@ -170,7 +144,7 @@
   prefixHash: number,
 ): Candidate[] {
   const scored = candidates.map((candidate) => {
-    const { target, tokensPerS } = candidate.edge;
+    const { target, tokensPerS } = candidate.step.edge;
     const uniform = (hash32(target, prefixHash) + 0.5) / 2 ** 32;
     return { candidate, score: -tokensPerS / Math.log(uniform) };
   });
