--- a/src/requests/claim_service_test.ts
+++ b/src/requests/claim_service_test.ts
@@ -79,6 +79,12 @@
   }
   expect(Math.max(...waitsMs)).toBeLessThanOrEqual(1_500);
   expect(Math.min(...waitsMs)).toBeLessThan(20);
+  for (let asked = 0; asked < 1_000; asked += 1) {
+    const deadlineMs = clock.nowMs() + 5_000;
+    void hosts[asked % 3].claims.acquire(keyNamed(`${asked}`), { deadlineMs });
+    await clock.advance(20);
+  }
+  expect(log.failedCount).toBeLessThan(200);
   log.isDown = false;
   await clock.advance(30_000);
   const healed = hosts[1].claims.acquire(KEY, {
@@ -143,6 +149,12 @@
   expect(wonCount).toBeGreaterThan(trouble === "kill" ? 20 : 1_900);
 });
 
+test("a log that forgets a claim within its window is refused", () => {
+  const policy = { logRetentionMs: 3_600_000 };
+  expect(() => claimFleet({ seed: 1, hostCount: 1, policy }))
+    .toThrow("logRetentionMs is 3600000, at least 4500000 is needed");
+});
+
 test("keys spread over all partitions", () => {
   const counts = new Map<number, number>();
   for (let at = 0; at < 1_000; at += 1) {
