--- a/measure/recovery.ts
+++ b/measure/recovery.ts
@@ -179,6 +179,8 @@
     quarantine: {
       admit: () => new Ok(undefined),
       strike: () => Promise.resolve(),
+      isolate: () => Promise.resolve({ kind: "unsuspected" as const }),
+      absolve: () => {},
     },
   });
   for (let stream = 0; stream < STREAMS; stream++) void keepGoing(stream);
--- a/src/pipelines/progress_deadline.ts
+++ b/src/pipelines/progress_deadline.ts
@@ -126,11 +126,6 @@
     this.#tails.decode.note(this.silentForMs(chain) / ofChain.meanMs);
   }
 
-  /** Time since the last token of the chain, or since it was picked. */
-  silentForMs(chain: Chain): number {
-    return this.#clock.nowMs() - this.#handle(chain).progressAtMs;
-  }
-
   /** Notes that a chain through `target` did not progress in time. */
   noteStall(target: string): void {
     const factor = this.#stallFactor(target) * STALL_FACTOR;
