Read the engines in use at once after a change of configuration

test/api_page_test.ts failed once in two runs of the whole suite: a host that does not poll a target heard of its span only up to a second after the configuration came into force, and refused with no-target meanwhile. The watcher's round now starts with the change and goes on while it finds engines that it did not know.

--- a/src/pipelines/target_watcher.ts
+++ b/src/pipelines/target_watcher.ts
@@ -60,6 +60,7 @@
   readonly #random: Random;
   readonly #pollIntervalMs: () => number;
   #engines: readonly { readonly target: string; readonly url: string }[] = [];
+  #wake: AbortController | undefined;
   readonly #doubted = new Set<string>();
   readonly #pollers = new Map<string, Poller>();
 
@@ -84,8 +85,8 @@
     while (!signal.aborted) {
       this.#follow();
       directory.refreshNotices();
-      await this.#lookAround(signal);
-      await this.#clock.sleep(POLL_INTERVAL_MS, signal);
+      const foundSome = await this.#lookAround(signal);
+      if (!foundSome) await this.#rest(signal);
     }
     store.dispose();
     const ending = [...this.#pollers.values()].map((poller) => poller.done);
@@ -113,6 +114,14 @@
     return false;
   }
 
+  /** Waits for the next round, or for a change of the configuration. */
+  async #rest(signal: AbortSignal): Promise<void> {
+    const wake = new AbortController();
+    this.#wake = wake;
+    const either = AbortSignal.any([signal, wake.signal]);
+    await this.#clock.sleep(POLL_INTERVAL_MS, either);
+  }
+
   async #lookInto(target: string, signal: AbortSignal): Promise<void> {
     if (this.#doubted.has(target) || signal.aborted) return;
     if (!this.#isOfUse(target)) return;
@@ -130,8 +139,12 @@
     return false;
   }
 
-  /** Reads some of the engines in use that are not polled and not known well. */
-  async #lookAround(signal: AbortSignal): Promise<void> {
+  /**
+   * Reads some of the engines in use that are not polled and not known well.
+   * Resolves with true when one that was not known answered, so that a host
+   * that starts goes on at once.
+   */
+  async #lookAround(signal: AbortSignal): Promise<boolean> {
     const { directory, uses } = this.#options;
     const silent = new Set(directory.silentTargets());
     const wanted = [...uses?.() ?? []].filter((target) =>
@@ -141,7 +154,13 @@
     const start = Math.floor(this.#random() * wanted.length);
     const rotated = [...wanted.slice(start), ...wanted.slice(0, start)];
     const chosen = rotated.slice(0, LOOKS_PER_ROUND);
-    await Promise.all(chosen.map((target) => this.poll(target, signal)));
+    const found = await Promise.all(
+      chosen.map(async (target) => {
+        const wasKnown = directory.lastState(target) !== undefined;
+        return await this.poll(target, signal) && !wasKnown;
+      }),
+    );
+    return found.includes(true);
   }
 
   #readConfig(): void {
@@ -153,6 +172,7 @@
       if (targets[target]?.url !== url) this.#stop(target);
     }
     this.#follow();
+    this.#wake?.abort();
   }
 
   #follow(): void {
