Let long waits last, and read the configuration as of now

Cause: systemClock.sleep beyond 2^31 ms ended at once, so an endless deadline expired at once (found by the platform's author); GET /operator/config told the version in force on one host, so an operator going from host to host could see it go back. Ruled out: a timer library for one loop; sticky sessions for operators. Change: long waits are split; the route reads through ConfigService.confirm and refuses (not-run) where neither the log nor most hosts answer; status still tells the host's own version. Conclusion: operators never see a version go back.

--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -22,7 +22,22 @@
   sleep: sleepOnTimer,
 };
 
-function sleepOnTimer(waitMs: number, signal?: AbortSignal): Promise<void> {
+/** Longest wait that one timer holds; a longer one would end at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
+async function sleepOnTimer(
+  waitMs: number,
+  signal?: AbortSignal,
+): Promise<void> {
+  let leftMs = waitMs;
+  while (leftMs > MAX_TIMER_MS && !signal?.aborted) {
+    await waitOnTimer(MAX_TIMER_MS, signal);
+    leftMs -= MAX_TIMER_MS;
+  }
+  await waitOnTimer(leftMs, signal);
+}
+
+function waitOnTimer(waitMs: number, signal?: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
     if (signal?.aborted) return resolve();
     const timer = setTimeout(finish, Math.max(0, waitMs));
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -14,6 +14,7 @@
 import { IMetrics } from "../common/metrics.ts";
 import type { Supervisor } from "../common/supervisor.ts";
 import { notRun, type Outcome } from "../common/verdict.ts";
+import { ConfigService } from "../config/config_service.ts";
 import { IConfigService } from "../config/services.ts";
 import { PEER_NAME_HEADER } from "../fleet/peer_post.ts";
 import { PeerTransport } from "../fleet/peer_transport.ts";
@@ -242,6 +243,7 @@
         keys: this.#settings.operatorKeys,
       }),
       hostName: this.name,
+      readConfig: (options) => container.get(ConfigService).confirm(options),
       readStatus: () => this.#readStatus(),
       drainHost: (name) => this.#drainHost(name),
     });
--- a/src/http/operator_routes.ts
+++ b/src/http/operator_routes.ts
@@ -13,7 +13,7 @@
 import type { IMetrics } from "../common/metrics.ts";
 import { type Failure, notRun, type Outcome } from "../common/verdict.ts";
 import type { IConfigService } from "../config/services.ts";
-import type { PatchRequest } from "../config/types.ts";
+import type { ConfigState, PatchRequest } from "../config/types.ts";
 import type { IRequestJournal } from "../requests/services.ts";
 import type { Authenticator } from "./authenticator.ts";
 import { readJson } from "./body.ts";
@@ -27,6 +27,7 @@
 const MAX_PATCH_BYTES = 16 << 20;
 const BODY_WITHIN_MS = 10_000;
 const PATCH_WITHIN_MS = 10_000;
+const READ_WITHIN_MS = 3_000;
 const DEFAULT_AUDIT_ENTRIES = 50;
 const MAX_AUDIT_ENTRIES = 1_000;
 
@@ -49,6 +50,10 @@
   readonly journal: IRequestJournal;
   readonly authenticator: Authenticator;
   readonly hostName: string;
+  /** Reads the configuration, never older than what any host has told before. */
+  readonly readConfig: (
+    options: { readonly deadlineMs: number },
+  ) => Promise<Outcome<ConfigState>>;
   /** Collects what `status` shows. */
   readonly readStatus: () => Readonly<Record<string, unknown>>;
   /** Starts the planned stop of this host, or of a peer when `name` is another host. */
@@ -119,8 +124,11 @@
     await handler({ request, response, operator: operator.value });
   }
 
-  #getConfig({ response }: Exchange): void {
-    sendJson(response, 200, this.#options.config.state);
+  async #getConfig({ response }: Exchange): Promise<void> {
+    const deadlineMs = this.#options.clock.nowMs() + READ_WITHIN_MS;
+    const state = await this.#options.readConfig({ deadlineMs });
+    if (state.isErr()) return this.#refuse(response, state.error);
+    sendJson(response, 200, state.value);
   }
 
   async #patchConfig(exchange: Exchange): Promise<void> {
