Replace a target that loads for ever

A target that hangs in loading counted as capacity for good, so that its stage stayed short and a standby never moved. After 10 minutes it counts as lost until what it offers changes.

--- a/src/pipelines/capacity_keeper.ts
+++ b/src/pipelines/capacity_keeper.ts
@@ -39,6 +39,8 @@
 const READ_TIMEOUT_MS = 800;
 /** Time left on the lease below which it is renewed before an order. */
 const RENEW_BELOW_MS = 7_000;
+/** Longer than the slowest load through a busy weight store. */
+const LOAD_PATIENCE_MS = 600_000;
 /** Targets of a pool that load at a time. */
 const MAX_LOADS = 4;
 
@@ -52,6 +54,8 @@
   readonly clock?: Clock;
   readonly newId?: () => string;
   readonly maxLoads?: number;
+  /** Time after which a target that still loads is replaced. */
+  readonly loadPatienceMs?: number;
   /** Hears of each order sent, for the log. */
   readonly onOrder?: (order: SentOrder) => void;
 }
@@ -187,7 +191,10 @@
 
   #isAvailable(target: string): boolean {
     const { directory } = this.#options;
-    return !directory.isLeaving(target) &&
+    const patienceMs = this.#options.loadPatienceMs ?? LOAD_PATIENCE_MS;
+    const isStuck = directory.lastState(target)?.loading === true &&
+      directory.offeredForMs(target) > patienceMs;
+    return !isStuck && !directory.isLeaving(target) &&
       directory.silentForMs(target) < REPLACE_AFTER_MS;
   }
 
--- a/src/pipelines/capacity_keeper_test.ts
+++ b/src/pipelines/capacity_keeper_test.ts
@@ -138,3 +138,17 @@
     await fleet.stop();
   },
 );
+
+test("a target that loads for ever is replaced", async () => {
+  const fleet = new CapacityFleet({ ...FLEET, loadPatienceMs: 8_000 });
+  await fleet.clock.advance(5_000);
+  const stuck = fleet.engine("spare-0");
+  fleet.config.set(fleet.document("v2"));
+  stuck.settings.loadMs = 1e9;
+  await fleet.clock.advance(60_000);
+  expect(stuck.state.loading).toBe(true);
+  fleet.engine("s0-0").settings.isDown = true;
+  await fleet.clock.advance(20_000);
+  expect(fleet.chainsOf("v2")).toBe(2);
+  await fleet.stop();
+});
--- a/test/pipelines_capacity.ts
+++ b/test/pipelines_capacity.ts
@@ -37,6 +37,7 @@
   readonly standbyCount: number;
   readonly loadMs: number;
   readonly checksFence: boolean;
+  readonly loadPatienceMs?: number;
   /** Whether standbys begin with a span of the model loaded. */
   readonly standbysReady?: boolean;
 }
@@ -120,6 +121,7 @@
     const leases = new LeaseService({ log: this.log, host: name, clock });
     const keeper = new CapacityKeeper({
       ...{ config, clock, engines, directory, membership, leases },
+      loadPatienceMs: this.#options.loadPatienceMs,
       onOrder: (order) => this.sent.push({ ...order, host: name }),
     });
     const abort = new AbortController();
