Convict content only by losses of layers in common

Change: a loss names the layers of its target, and two convict only if they share some; a silent target is no loss, only one that refuses.

--- a/src/requests/completion_run.ts
+++ b/src/requests/completion_run.ts
@@ -181,7 +181,7 @@
     this.#blame(found.lost, "broken");
     this.#blame(found.silent, "stalled");
     this.#blame(found.changed, "stale-generation");
-    await this.#strike([...found.lost, ...found.silent]);
+    await this.#strike(pick.chain, found.lost);
     const isIntact = found.lost.length + found.silent.length +
         found.changed.length === 0;
     const { code, target } = ended.failure;
@@ -199,7 +199,7 @@
     const { stallProbeWithinMs } = this.#options.policy;
     const found = await this.#probe(chain, stallProbeWithinMs);
     this.#blame([...found.lost, ...found.silent], "stalled");
-    await this.#strike(found.lost);
+    await this.#strike(chain, found.lost);
     if (found.lost.length + found.silent.length > 0) return;
     for (const stage of chain) this.#chooser.avoid.add(stage.target);
   }
@@ -236,13 +236,16 @@
     }
   }
 
-  async #strike(lost: readonly string[]): Promise<void> {
+  async #strike(
+    chain: readonly ChainStage[],
+    lost: readonly string[],
+  ): Promise<void> {
     const { quarantine, fingerprint, request } = this.#options;
     const { deadlineMs } = request;
     await Promise.all(
-      lost.map((target) =>
+      chain.filter((stage) => lost.includes(stage.target)).map((stage) =>
         quarantine.strike(fingerprint, {
-          target,
+          stage,
           startedMs: this.#attemptStartedMs,
           isAlone: this.#isAlone,
           deadlineMs,
--- a/src/requests/quarantine_service.ts
+++ b/src/requests/quarantine_service.ts
@@ -20,6 +20,7 @@
   IMembership,
   IPeerTransport,
 } from "../fleet/services.ts";
+import type { ChainStage } from "../platform/types.ts";
 import type { IQuarantineService, Isolation } from "./services.ts";
 import { StrikeBroadcast } from "./strike_broadcast.ts";
 import {
@@ -124,7 +125,7 @@
   async strike(
     fingerprint: string,
     options: {
-      target: string;
+      stage: Pick<ChainStage, "target" | "first" | "end">;
       startedMs: number;
       isAlone: boolean;
       deadlineMs: number;
@@ -133,9 +134,10 @@
     const nowMs = this.#clock.nowMs();
     const wallMs = this.#clock.wallMs();
     const startedWallMs = wallMs - nowMs + options.startedMs;
-    if (this.#ledger.wasDeadAt(options.target, startedWallMs)) return;
-    const { target, isAlone } = options;
-    const loss = { target, atWallMs: wallMs, isAlone };
+    if (this.#ledger.wasDeadAt(options.stage.target, startedWallMs)) return;
+    const { target, first, end } = options.stage;
+    const { isAlone } = options;
+    const loss = { target, first, end, atWallMs: wallMs, isAlone };
     const entry = this.#ledger.strike(fingerprint, loss);
     if (entry === undefined) return;
     this.#publish(entry);
--- a/src/requests/services.ts
+++ b/src/requests/services.ts
@@ -7,7 +7,7 @@
 import type { ServiceIdentifier } from "inversify";
 import type { Disposable } from "../common/lifecycle.ts";
 import type { Outcome } from "../common/verdict.ts";
-import type { ServiceAnswer } from "../platform/types.ts";
+import type { ChainStage, ServiceAnswer } from "../platform/types.ts";
 import type {
   AnswerListener,
   CallRequest,
@@ -80,7 +80,7 @@
   strike(
     fingerprint: string,
     options: {
-      target: string;
+      stage: Pick<ChainStage, "target" | "first" | "end">;
       startedMs: number;
       /** Whether the content held an isolation lease when the target was lost. */
       isAlone: boolean;
--- a/src/requests/strike_ledger.ts
+++ b/src/requests/strike_ledger.ts
@@ -13,6 +13,9 @@
     z.strictObject({
       target: z.string().max(128),
       atWallMs: z.number(),
+      /** Layers that the target held, the last excluded. */
+      first: z.int().min(0),
+      end: z.int().min(0),
       /** Whether the content ran apart from other suspects. */
       isAlone: z.boolean(),
     }),
@@ -57,8 +60,9 @@
   }
 
   /**
-   * Whether the content has cost its full number of targets, one of them
-   * while it ran apart: copies that ran in company prove nothing.
+   * Whether the content has cost its full number of targets of some layer,
+   * one of them while it ran apart: copies that ran in company prove nothing,
+   * and content that crashes one layer does not crash those before it.
    */
   isConvicted(fingerprint: string, wallMs: number): boolean {
     const entry = this.#entries.get(fingerprint);
@@ -144,8 +148,10 @@
   }
 
   #isConvicted(entry: StrikeEntry): boolean {
-    return entry.losses.length >= this.#options.maxTargetsLost &&
-      entry.losses.some((loss) => loss.isAlone);
+    return entry.losses.filter((loss) => loss.isAlone).some((loss) =>
+      entry.losses.filter((other) => sharesLayers(loss, other)).length >=
+        this.#options.maxTargetsLost
+    );
   }
 
   #forgetOldest(): void {
@@ -155,6 +161,13 @@
   }
 }
 
+function sharesLayers(
+  one: StrikeEntry["losses"][number],
+  other: StrikeEntry["losses"][number],
+): boolean {
+  return one.first < other.end && other.first < one.end;
+}
+
 /** Adds a loss, or joins it with the report of the same loss. */
 function addLoss(
   losses: StrikeEntry["losses"],
