--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -154,6 +154,7 @@
     this.#operatorServer.destroy();
     this.#peerServer.destroy();
     await Promise.all([this.#operatorServer.close(), this.#peerServer.close()]);
+    await this.#container.unbindAll();
     this.#owned.dispose();
     this.#state.advanceTo("stopped");
     log.info("stopped", { inFlight: this.#gate.inFlightCount });
