--- a/src/fleet/limit_account.ts
+++ b/src/fleet/limit_account.ts
@@ -16,10 +16,6 @@
 const DROP_FRACTION = 0.5;
 const DROP_ARRIVALS = 5;
 const USED_WINDOW_MS = 1_000;
-/** Slots asked for, as a factor of those used, after a refusal. */
-const SHORT_SLOTS_FACTOR = 1.25;
-/** Part of the peak of running requests that counts on at the next ask. */
-const PEAK_KEPT_FRACTION = 0.8;
 const MIN_AGE_MS = 300;
 
 /** Share of the limits that is in force on this host. */
@@ -35,13 +31,14 @@
   readonly #rates: readonly ArrivalRate[];
   readonly #used: ArrivalRate;
   #refusedSlots = 0;
-  #peakRunning = 0;
   running = 0;
   lease: Share | undefined;
   leaseEndsMs = 0;
   lastUsedMs: number;
   lastAskedMs = -Infinity;
   lastWantedPerS = 0;
+  /** Slots that were idle when the lease began. */
+  lastIdleSlots = 0;
   /** How long to wait before a short share is asked for again. */
   askWaitMs = 0;
   /** Set when a request was refused for want of a share. */
@@ -72,18 +69,12 @@
     return this.#used.perS(nowMs);
   }
 
-  /** Requests that would have run at once since this was last asked. */
+  /** Requests that run, and more if one was refused since this was asked. */
   takeWantedSlots(): number {
-    const peak = Math.max(1, Math.ceil(this.#peakRunning));
-    const wanted = this.#refusedSlots > 0
-      ? Math.ceil(peak * SHORT_SLOTS_FACTOR) + 1
-      : peak;
+    const used = Math.max(1, this.running);
+    const growth = Math.min(this.#refusedSlots, used + 1);
     this.#refusedSlots = 0;
-    this.#peakRunning = Math.max(
-      this.running,
-      this.#peakRunning * PEAK_KEPT_FRACTION,
-    );
-    return wanted;
+    return used + growth;
   }
 
   noteArrival(nowMs: number): void {
@@ -102,7 +93,6 @@
     this.#tokens -= 1;
     this.#used.add(nowMs);
     this.running += 1;
-    this.#peakRunning = Math.max(this.#peakRunning, this.running);
     return "taken";
   }
 
--- a/src/fleet/limit_borrower.ts
+++ b/src/fleet/limit_borrower.ts
@@ -112,8 +112,11 @@
     if (lease !== undefined) {
       const isWaste = demandPerS < lease.requestsPerS * WASTE_FRACTION &&
         demandPerS < account.lastWantedPerS * WASTE_FRACTION;
+      const idleSlots = lease.slots - account.running;
+      const isIdle = idleSlots > lease.slots * (1 - WASTE_FRACTION) &&
+        idleSlots > account.lastIdleSlots + 1;
       const isOld = nowMs >= account.lastAskedMs + this.#options.periodMs();
-      return isWaste || isOld;
+      return isWaste || isIdle || isOld;
     }
     const limits = this.#options.limitsOf(customer);
     if (limits === undefined) return false;
@@ -184,6 +187,7 @@
       usedPerS: round(account.usedPerS(nowMs)),
       heldPerS: round(held?.requestsPerS ?? 0),
       wantedSlots: account.takeWantedSlots(),
+      usedSlots: account.running,
       heldSlots: Math.max(account.running, held?.slots ?? 0),
     };
   }
@@ -198,11 +202,13 @@
       if (account === undefined || limits === undefined) continue;
       const share = this.shareOf(account, limits);
       account.refill(share, nowMs);
-      const isMore = lease.requestsPerS > share.requestsPerS * GAIN_FACTOR;
+      const isMore = lease.requestsPerS > share.requestsPerS * GAIN_FACTOR ||
+        lease.slots > share.slots;
       account.askWaitMs = isMore
         ? this.#options.tickMs()
         : Math.min(account.askWaitMs * 2, this.#options.periodMs() / 2);
       account.lease = lease;
+      account.lastIdleSlots = lease.slots - account.running;
       account.leaseEndsMs = endsMs;
     }
   }
--- a/src/fleet/limit_lender.ts
+++ b/src/fleet/limit_lender.ts
@@ -24,6 +24,8 @@
 /** Bound of the credit, as time at the limit's rate, and time to spend it in. */
 const MAX_CREDIT_MS = 1_000;
 const SPEND_CREDIT_MS = 3_000;
+/** The same for slots, of which more lie idle for a moment. */
+const MAX_LENT_SLOTS_FRACTION = 1.08;
 /** Part of what nobody wants that is lent; the rest waits for the next to ask. */
 const SPARE_FRACTION = 0.7;
 /** Spare room is divided as if at least this many hosts had asked. */
@@ -161,7 +163,7 @@
     const isIdle = wantedPerS === 0 && loan.slots === 0;
     if (!isIdle) {
       // Slots in use cannot be lent again before their requests end.
-      const slotsInUse = Math.max(loan.slots, ask.heldSlots);
+      const slotsInUse = Math.max(loan.slots, ask.usedSlots);
       loans.set(borrower, { ...loan, slots: slotsInUse });
     }
     return loan;
@@ -247,14 +249,21 @@
 
 /** As {@link grant} for slots, which cannot be divided. */
 function grantSlots(wanted: number, { limit, others }: GrantContext): number {
+  const most = limit * MAX_LENT_SLOTS_FRACTION;
   const held = sum(others.map((loan) => loan.held));
-  const free = Math.max(0, Math.floor(limit - held));
+  const free = Math.max(0, Math.floor(most - held));
   const demands = [...others.map((loan) => loan.wanted), wanted];
-  const spare = (limit - sum(demands)) /
-    Math.max(demands.length, MIN_SPARE_PARTS);
-  const target = spare >= 0
-    ? wanted + Math.floor(spare * SPARE_FRACTION)
-    : Math.min(wanted, Math.floor(waterLevel(demands, limit)));
+  const total = sum(demands);
+  const parts = Math.max(demands.length, MIN_SPARE_PARTS);
+  const target = total <= most
+    ? wanted + Math.floor((most - total) * SPARE_FRACTION / parts)
+    : Math.min(
+      wanted,
+      Math.max(
+        Math.ceil(waterLevel(demands, most)),
+        Math.floor(free * SPARE_FRACTION),
+      ),
+    );
   return Math.min(free, wanted > 0 ? Math.max(1, target) : 0);
 }
 
--- a/src/fleet/limit_service_test.ts
+++ b/src/fleet/limit_service_test.ts
@@ -39,17 +39,21 @@
     (Math.floor(atS / 6) + index) % 3 === 0 ? 40 : 1,
 };
 
-async function startFleet(seed: number, way: "lent" | "even split" = "lent") {
+async function startFleet(
+  seed: number,
+  way: "lent" | "even split" = "lent",
+  limits = LIMITS,
+) {
   const fleet = new FleetHosts({ seed, network: { lossFraction: 0.01 } });
   fleets.push(fleet);
   await fleet.startAll(COUNT);
   await fleet.clock.advance(3_000);
-  const config = makeConfig({ [CUSTOMER]: LIMITS });
+  const config = makeConfig({ [CUSTOMER]: limits });
   const admits = new Map<string, Admit>();
   const add = (name: string) => {
     const admit = way === "lent"
       ? admitWith(startLimits(fleet, fleet.get(name), config))
-      : evenSplit(fleet, LIMITS);
+      : evenSplit(fleet, limits);
     admits.set(name, admit);
   };
   for (const name of fleet.hosts.keys()) add(name);
@@ -95,6 +99,22 @@
 });
 
 describe.each(SEEDS)("seed %i", (seed) => {
+  test("slots follow a skewed demand and are never exceeded", async () => {
+    const limits = { requestsPerS: 10_000, concurrentRequests: 200 };
+    const started = await startFleet(seed, "lent", limits);
+    const traffic = new Traffic(started.fleet, {
+      customer: CUSTOMER,
+      demandPerS: (host) => indexOf(host) === 4 ? 150 : 10,
+      admitOf: (host) => started.admits.get(host),
+      holdMs: 2_000,
+    });
+    await traffic.run(40_000);
+    const steady = traffic.running.slice(traffic.running.length / 4);
+    const mean = steady.reduce((sum, count) => sum + count) / steady.length;
+    expect(mean).toBeGreaterThanOrEqual(0.95 * 200);
+    expect(Math.max(...steady)).toBeLessThanOrEqual(1.1 * 200);
+  });
+
   test.each(Object.keys(DEMANDS))("%s", async (name) => {
     const traffic = makeTraffic(await startFleet(seed), DEMANDS[name]);
     await traffic.run(SPAN_S * 1_000);
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -89,8 +89,10 @@
   readonly usedPerS: number;
   /** Share that the host holds by a lease that has not expired. */
   readonly heldPerS: number;
-  /** Requests that would run here at once. */
+  /** Requests running here, and more of them when some were refused. */
   readonly wantedSlots: number;
+  /** Requests running here. */
+  readonly usedSlots: number;
   /** Slots held by lease, or in use by running requests if these are more. */
   readonly heldSlots: number;
 }
--- a/test/fleet_limits.ts
+++ b/test/fleet_limits.ts
@@ -101,7 +101,8 @@
 export class Traffic {
   readonly admitted: number[] = [];
   readonly asked: number[] = [];
-  readonly peakRunning: number[] = [];
+  /** Requests running at the end of each step. */
+  readonly running: number[] = [];
   readonly #startMs: number;
   #running = 0;
 
@@ -117,6 +118,7 @@
       for (const host of this.fleet.up()) {
         if (!host.network.clock.isPaused) this.#arrive(host, stepMs);
       }
+      this.running.push(this.#running);
     }
   }
 
@@ -154,16 +156,14 @@
       const end = this.options.admitOf(name)?.(this.options.customer);
       if (end === undefined) continue;
       this.admitted[second] += 1;
-      this.#hold(second, end);
+      this.#hold(end);
     }
   }
 
-  #hold(second: number, end: () => void): void {
+  #hold(end: () => void): void {
     const { holdMs } = this.options;
     if (holdMs === undefined) return end();
     this.#running += 1;
-    const peak = this.peakRunning[second] ?? 0;
-    this.peakRunning[second] = Math.max(peak, this.#running);
     void this.fleet.clock.sleep(holdMs).then(() => {
       this.#running -= 1;
       end();
