--- /dev/null
+++ b/measure/limits_shares.ts
@@ -0,0 +1,292 @@
+/**
+ * Limits of many customers at four sizes in virtual time: what is admitted of
+ * what is allowed, messages and bytes, and the even split side by side.
+ * Run: node dist/measure/limits_shares.js [largest size]
+ *
+ * @module
+ */
+
+import { type Random, seededRandom } from "../src/common/random.ts";
+import { LimitService } from "../src/fleet/limit_service.ts";
+import type { IMembership, Member } from "../src/fleet/services.ts";
+import { toDisposable } from "../src/common/lifecycle.ts";
+import { FleetClock } from "../test/fleet_clock.ts";
+import { makeConfig, type TestLimits } from "../test/fleet_limits.ts";
+import { FleetNetwork, type NetworkHost } from "../test/fleet_network.ts";
+
+const SEED = 13;
+const STEP_MS = 50;
+/** Requests a second that one host receives. */
+const REQUESTS_PER_HOST = 22;
+/** Every so many customers one asks for twice what it may have. */
+const OVER_EVERY = 10;
+const FLOOD_FACTOR = 2;
+const ROOM_FACTOR = 1.5;
+
+interface Size {
+  readonly hosts: number;
+  readonly customers: number;
+  readonly warmUpMs: number;
+  readonly spanMs: number;
+}
+
+const SIZES: readonly Size[] = [
+  { hosts: 9, customers: 10, warmUpMs: 10_000, spanMs: 60_000 },
+  { hosts: 90, customers: 500, warmUpMs: 20_000, spanMs: 60_000 },
+  { hosts: 400, customers: 2_200, warmUpMs: 60_000, spanMs: 60_000 },
+  { hosts: 1_600, customers: 8_700, warmUpMs: 80_000, spanMs: 40_000 },
+];
+
+interface Customer {
+  readonly name: string;
+  readonly demandPerS: number;
+  readonly limits: TestLimits;
+  readonly isOver: boolean;
+  asked: number;
+  admitted: number;
+  admittedEvenly: number;
+}
+
+/** Prints the table. */
+export async function run(
+  options: { readonly largest?: number } = {},
+): Promise<void> {
+  const startedMs = performance.now();
+  console.log(
+    `Seed ${SEED}, ${REQUESTS_PER_HOST} requests/s a host, demand of ` +
+      `customers by Zipf; one in ${OVER_EVERY} asks for ${FLOOD_FACTOR} times ` +
+      `its limit, the others have ${ROOM_FACTOR} times what they ask for\n`,
+  );
+  console.log(
+    "| hosts | customers | over the limit: admitted of limit, mean (five largest) | within it: admitted of asked | the same split evenly | messages/s a host, mean (most) | bytes/s a host, mean (most) | accounts a host |",
+  );
+  console.log("| --- | --- | --- | --- | --- | --- | --- | --- |");
+  for (const size of SIZES) {
+    if (size.hosts <= (options.largest ?? Infinity)) await measure(size);
+  }
+  const tookS = (performance.now() - startedMs) / 1_000;
+  console.log(
+    `\nMessages and bytes are those sent and received. Run time ${
+      tookS.toFixed(0)
+    } s`,
+  );
+}
+
+async function measure(size: Size): Promise<void> {
+  const random = seededRandom(SEED);
+  const clock = new FleetClock();
+  const network = new FleetNetwork({ clock, random, countsBytes: true });
+  const customers = makeCustomers(size);
+  const hosts = makeHosts(size, { clock, network, random, customers });
+  const abort = new AbortController();
+  for (const { limits } of hosts) void limits.run(abort.signal);
+  const traffic = new Arrivals(customers, { hosts, random, clock });
+  await traffic.run(size.warmUpMs);
+  network.resetCounts();
+  for (const customer of customers) {
+    customer.asked = customer.admitted = customer.admittedEvenly = 0;
+  }
+  await traffic.run(size.spanMs);
+  abort.abort();
+  print(size, { customers, hosts });
+}
+
+function makeCustomers(size: Size): Customer[] {
+  const weights = Array.from({ length: size.customers }, (_, i) => 1 / (i + 1));
+  const total = weights.reduce((sum, weight) => sum + weight, 0);
+  const totalPerS = size.hosts * REQUESTS_PER_HOST;
+  return weights.map((weight, index) => {
+    const demandPerS = totalPerS * weight / total;
+    const isOver = index % OVER_EVERY === 0;
+    const requestsPerS = isOver
+      ? demandPerS / FLOOD_FACTOR
+      : demandPerS * ROOM_FACTOR;
+    return {
+      name: `customer-${index}`,
+      demandPerS,
+      limits: { requestsPerS, concurrentRequests: 1_000_000 },
+      isOver,
+      asked: 0,
+      admitted: 0,
+      admittedEvenly: 0,
+    };
+  });
+}
+
+interface Host {
+  readonly network: NetworkHost;
+  readonly limits: LimitService;
+  readonly even: Map<string, { tokens: number; atMs: number }>;
+}
+
+function makeHosts(
+  size: Size,
+  parts: {
+    readonly clock: FleetClock;
+    readonly network: FleetNetwork;
+    readonly random: Random;
+    readonly customers: readonly Customer[];
+  },
+): Host[] {
+  const { clock, network, random } = parts;
+  const names = Array.from({ length: size.hosts }, (_, i) => `host-${i}`);
+  const members: Member[] = names.map((name) => ({
+    name,
+    url: `http://${name}`,
+    failureDomain: "domain",
+    region: "region",
+    state: "alive",
+  }));
+  const config = makeConfig(
+    Object.fromEntries(parts.customers.map((one) => [one.name, one.limits])),
+  );
+  return members.map((self) => {
+    const host = network.add(self.name);
+    const membership: IMembership = {
+      self,
+      members: () => members,
+      onChange: () => toDisposable(() => {}),
+      leave: () => Promise.resolve(),
+    };
+    const limits = new LimitService({
+      config,
+      membership,
+      transport: host,
+      clock,
+      random,
+    });
+    return { network: host, limits, even: new Map() };
+  });
+}
+
+/** Requests that arrive at random hosts. */
+class Arrivals {
+  readonly #bounds: number[] = [];
+  readonly #totalPerS: number;
+
+  constructor(
+    readonly customers: readonly Customer[],
+    readonly parts: {
+      readonly hosts: readonly Host[];
+      readonly random: Random;
+      readonly clock: FleetClock;
+    },
+  ) {
+    let sum = 0;
+    for (const { demandPerS } of customers) {
+      sum += demandPerS;
+      this.#bounds.push(sum);
+    }
+    this.#totalPerS = sum;
+  }
+
+  async run(spanMs: number): Promise<void> {
+    const { random, clock, hosts } = this.parts;
+    const mean = this.#totalPerS * STEP_MS / 1_000;
+    let due = 0;
+    for (let atMs = 0; atMs < spanMs; atMs += STEP_MS) {
+      await clock.advance(STEP_MS);
+      due += mean;
+      for (; due >= 1; due -= 1) {
+        const host = hosts[Math.floor(random() * hosts.length)];
+        this.#arrive(host, this.#pick(random()));
+      }
+    }
+  }
+
+  #arrive(host: Host, customer: Customer): void {
+    customer.asked += 1;
+    const outcome = host.limits.admit(customer.name);
+    if (outcome.isOk()) {
+      outcome.value.dispose();
+      customer.admitted += 1;
+    }
+    if (this.#admitEvenly(host, customer)) customer.admittedEvenly += 1;
+  }
+
+  #admitEvenly(host: Host, customer: Customer): boolean {
+    const { hosts, clock } = this.parts;
+    const nowMs = clock.nowMs();
+    const rate = customer.limits.requestsPerS / hosts.length;
+    const bucket = host.even.get(customer.name) ?? { tokens: 1, atMs: nowMs };
+    const earned = (nowMs - bucket.atMs) * rate / 1_000;
+    bucket.tokens = Math.min(Math.max(1, rate / 2), bucket.tokens + earned);
+    bucket.atMs = nowMs;
+    host.even.set(customer.name, bucket);
+    if (bucket.tokens < 1) return false;
+    bucket.tokens -= 1;
+    return true;
+  }
+
+  #pick(part: number): Customer {
+    const wanted = part * this.#totalPerS;
+    let low = 0;
+    let high = this.#bounds.length - 1;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (this.#bounds[middle] < wanted) low = middle + 1;
+      else high = middle;
+    }
+    return this.customers[low];
+  }
+}
+
+function print(
+  size: Size,
+  result: {
+    readonly customers: readonly Customer[];
+    readonly hosts: readonly Host[];
+  },
+): void {
+  const spanS = size.spanMs / 1_000;
+  const over = result.customers.filter((one) => one.isOver);
+  const within = result.customers.filter((one) => !one.isOver);
+  const ofLimit = (some: readonly Customer[], key: Admitted) =>
+    sum(some.map((one) => one[key])) /
+    sum(some.map((one) => one.limits.requestsPerS * spanS));
+  const ofAsked = (some: readonly Customer[], key: Admitted) =>
+    sum(some.map((one) => one[key])) / sum(some.map((one) => one.asked));
+  const even = "admittedEvenly";
+  const messages = result.hosts.map(({ network }) =>
+    (network.sentCalls + network.receivedCalls) / spanS
+  );
+  const bytes = result.hosts.map(({ network }) =>
+    (network.sentBytes + network.receivedBytes) / spanS
+  );
+  const accounts = result.hosts.map(({ limits }) => limits.accountCount);
+  const cells = [
+    size.hosts,
+    size.customers,
+    `${percent(ofLimit(over, "admitted"))} (${
+      percent(ofLimit(over.slice(0, 5), "admitted"))
+    })`,
+    percent(ofAsked(within, "admitted")),
+    `${percent(ofLimit(over, even))}; ${percent(ofAsked(within, even))}`,
+    `${mean(messages).toFixed(1)} (${max(messages).toFixed(0)})`,
+    `${mean(bytes).toFixed(0)} (${max(bytes).toFixed(0)})`,
+    mean(accounts).toFixed(0),
+  ];
+  console.log(`| ${cells.join(" | ")} |`);
+}
+
+type Admitted = "admitted" | "admittedEvenly";
+
+function percent(part: number): string {
+  return `${(part * 100).toFixed(1)}%`;
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+function mean(values: readonly number[]): number {
+  return sum(values) / values.length;
+}
+
+function max(values: readonly number[]): number {
+  return values.reduce((most, value) => Math.max(most, value), 0);
+}
+
+if (process.argv[1] === import.meta.filename) {
+  await run({ largest: Number(process.argv[2] ?? Infinity) });
+}
--- a/src/fleet/limit_homes.ts
+++ b/src/fleet/limit_homes.ts
@@ -1,7 +1,8 @@
 /**
  * Which host is the home of a customer's limits. Customers fall into
  * partitions, so that a host asks for many customers in one call, and each
- * partition has its home by rendezvous hashing over the members.
+ * partition has its home by rendezvous hashing over the members. A change of
+ * members costs work only for those that came or went.
  *
  * @module
  */
@@ -28,24 +29,29 @@
   readonly #owned = new DisposableStore();
   readonly #avoidUntilMs = new Map<string, number>();
   readonly #homeSinceMs = new Map<number, number>();
-  #homes: (Member | undefined)[] = [];
+  #members = new Map<string, Member>();
+  /** Name of the home of each partition, avoided ones not passed over. */
+  #homes: (string | undefined)[] = [];
   #isStale = true;
 
   constructor(options: LimitHomesOptions) {
     this.#membership = options.membership;
     this.#clock = options.clock;
     this.#owned.add(
-      this.#membership.onChange(() => {
-        this.#homes = [];
-        this.#isStale = true;
-      }),
+      this.#membership.onChange(() => this.#isStale = true),
     );
   }
 
   /** The host to ask about a partition. */
   homeOf(partition: number): Member | undefined {
-    this.#homes[partition] ??= this.#find(partition, { withAvoided: false });
-    return this.#homes[partition];
+    this.refresh();
+    const name = this.#homes[partition];
+    if (name === undefined || !this.#isAvoided(name)) {
+      return this.#members.get(name ?? "");
+    }
+    const names = [...this.#members.keys()]
+      .filter((other) => !this.#isAvoided(other));
+    return this.#members.get(rendezvousPick(keyOf(partition), names) ?? "");
   }
 
   isSelf(member: Member): boolean {
@@ -54,53 +60,52 @@
 
   /** Passes a home over for a while. */
   avoid(member: Member): void {
-    const untilMs = this.#clock.nowMs() + AVOID_MS;
-    this.#avoidUntilMs.set(member.name, untilMs);
-    this.#homes = [];
+    this.#avoidUntilMs.set(member.name, this.#clock.nowMs() + AVOID_MS);
+  }
+
+  /** How long this host has been the home of a partition, 0 when it is not. */
+  homeForMs(partition: number): number {
+    this.refresh();
+    const sinceMs = this.#homeSinceMs.get(partition);
+    return sinceMs === undefined ? 0 : this.#clock.nowMs() - sinceMs;
   }
 
-  /** Looks again at who is home, and drops what was passed over long enough. */
+  /** Takes in how the members have changed. */
   refresh(): void {
-    const nowMs = this.#clock.nowMs();
-    for (const [name, untilMs] of this.#avoidUntilMs) {
-      if (untilMs > nowMs) continue;
-      this.#avoidUntilMs.delete(name);
-      this.#homes = [];
-    }
     if (!this.#isStale) return;
     this.#isStale = false;
+    const before = this.#members;
+    const members = this.#membership.members();
+    this.#members = new Map(members.map((member) => [member.name, member]));
+    const names = [...this.#members.keys()];
+    const added = names.filter((name) => !before.has(name));
     for (let partition = 0; partition < PARTITION_COUNT; partition += 1) {
-      const home = this.#find(partition, { withAvoided: true });
-      if (home === undefined || !this.isSelf(home)) {
-        this.#homeSinceMs.delete(partition);
-      } else if (!this.#homeSinceMs.has(partition)) {
-        this.#homeSinceMs.set(partition, nowMs);
-      }
+      const home = this.#homes[partition];
+      const isKept = home !== undefined && this.#members.has(home);
+      const candidates = isKept ? [home, ...added] : names;
+      this.#homes[partition] = rendezvousPick(keyOf(partition), candidates);
+      this.#noteSince(partition);
     }
   }
 
-  /** How long this host has been the home of a partition, 0 when it is not. */
-  homeForMs(partition: number): number {
-    const sinceMs = this.#homeSinceMs.get(partition);
-    return sinceMs === undefined ? 0 : this.#clock.nowMs() - sinceMs;
-  }
-
   dispose(): void {
     this.#owned.dispose();
   }
 
-  #find(
-    partition: number,
-    options: { readonly withAvoided: boolean },
-  ): Member | undefined {
-    const nowMs = this.#clock.nowMs();
-    const isAvoided = (member: Member) =>
-      (this.#avoidUntilMs.get(member.name) ?? 0) > nowMs;
-    const members = this.#membership.members()
-      .filter((member) => options.withAvoided || !isAvoided(member));
-    const names = members.map((member) => member.name);
-    const first = rendezvousPick(`limits/${partition}`, names);
-    return members.find((member) => member.name === first);
+  #noteSince(partition: number): void {
+    const isHome = this.#homes[partition] === this.#membership.self.name;
+    if (!isHome) this.#homeSinceMs.delete(partition);
+    else if (!this.#homeSinceMs.has(partition)) {
+      this.#homeSinceMs.set(partition, this.#clock.nowMs());
+    }
+  }
+
+  #isAvoided(name: string): boolean {
+    const untilMs = this.#avoidUntilMs.get(name);
+    if (untilMs === undefined) return false;
+    if (untilMs > this.#clock.nowMs()) return true;
+    this.#avoidUntilMs.delete(name);
+    return false;
   }
 }
 
@@ -108,3 +113,7 @@
 export function partitionOf(customer: string): number {
   return hash32(customer) % PARTITION_COUNT;
 }
+
+function keyOf(partition: number): string {
+  return `limits/${partition}`;
+}
