--- a/src/fleet/limit_account.ts
+++ b/src/fleet/limit_account.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+import type { LimitLease } from "./types.ts";
+
 /** Tokens kept are worth this much time of the share's rate. */
 const BURST_MS = 500;
 /** Least room for tokens; a slow share would else lose those it cannot keep. */
@@ -32,7 +34,9 @@
   readonly #used: ArrivalRate;
   #refusedSlots = 0;
   running = 0;
-  lease: Share | undefined;
+  lease: LimitLease | undefined;
+  /** Name of the host that gave the lease. */
+  leaseHome = "";
   leaseEndsMs = 0;
   lastUsedMs: number;
   lastAskedMs = -Infinity;
@@ -96,6 +100,11 @@
     return "taken";
   }
 
+  /** Raises the tokens to a number, where the limit is not scarce. */
+  fillTo(tokens: number): void {
+    this.#tokens = Math.max(this.#tokens, tokens);
+  }
+
   /** How long until the share has earned the next token. */
   nextTokenMs(share: Share): number {
     return (1 - this.#tokens) * 1_000 / Math.max(share.requestsPerS, 0.001);
--- a/src/fleet/limit_borrower.ts
+++ b/src/fleet/limit_borrower.ts
@@ -8,11 +8,16 @@
  */
 
 import type { Clock } from "../common/clock.ts";
-import type { CustomerLimits } from "./limit_lender.ts";
+import { type CustomerLimits, PLENTY_LEASE_FACTOR } from "./limit_lender.ts";
 import { LimitAccount, type Share } from "./limit_account.ts";
 import { type LimitHomes, partitionOf } from "./limit_homes.ts";
 import type { IPeerTransport, Member } from "./services.ts";
-import type { BorrowAnswer, BorrowAsk, BorrowRequest } from "./types.ts";
+import type {
+  BorrowAnswer,
+  BorrowAsk,
+  BorrowRequest,
+  LimitLease,
+} from "./types.ts";
 
 const CALL_TIMEOUT_MS = 400;
 const MAX_TRIES = 3;
@@ -110,13 +115,12 @@
     const demandPerS = account.demandPerS(nowMs);
     const { lease } = account;
     if (lease !== undefined) {
-      const isWaste = demandPerS < lease.requestsPerS * WASTE_FRACTION &&
-        demandPerS < account.lastWantedPerS * WASTE_FRACTION;
-      const idleSlots = lease.slots - account.running;
-      const isIdle = idleSlots > lease.slots * (1 - WASTE_FRACTION) &&
-        idleSlots > account.lastIdleSlots + 1;
-      const isOld = nowMs >= account.lastAskedMs + this.#options.periodMs();
-      return isWaste || isIdle || isOld;
+      const home = this.#options.homes.homeOf(partitionOf(customer));
+      const isFast = lease.isScarce || home?.name !== account.leaseHome;
+      const waitMs = this.#options.periodMs() *
+        (isFast ? 1 : PLENTY_LEASE_FACTOR);
+      if (nowMs >= account.lastAskedMs + waitMs) return true;
+      return lease.isScarce && isWasted(account, { lease, demandPerS });
     }
     const limits = this.#options.limitsOf(customer);
     if (limits === undefined) return false;
@@ -125,26 +129,33 @@
     return demandPerS > floor.requestsPerS || account.running > floor.slots;
   }
 
+  /** Renewals due soon go along with those that are due. */
+  #isDueSoon(account: LimitAccount): boolean {
+    if (account.lease === undefined) return false;
+    const waitMs = this.#options.periodMs() *
+      (account.lease.isScarce ? 1 : PLENTY_LEASE_FACTOR);
+    const ageMs = this.#options.clock.nowMs() - account.lastAskedMs;
+    return ageMs > waitMs / 2;
+  }
+
   async #ask(partition: number): Promise<void> {
     if (this.#asking.has(partition)) return;
     const asks = this.#makeAsks(partition);
     if (asks.length === 0) return;
     this.#asking.add(partition);
-    const answer = await this.#askHomes({ partition, asks });
+    await this.#askHomes({ partition, asks });
     this.#asking.delete(partition);
-    if (answer !== undefined) this.#takeLeases(answer);
   }
 
   /** Asks the home; twice, since a lost answer may have made a share smaller. */
-  async #askHomes(request: BorrowRequest): Promise<BorrowAnswer | undefined> {
+  async #askHomes(request: BorrowRequest): Promise<void> {
     for (let count = 0; count < MAX_TRIES; count += 1) {
       const home = this.#options.homes.homeOf(request.partition);
-      if (home === undefined) return undefined;
+      if (home === undefined) return;
       const answer = await this.#send(home, request);
-      if (answer !== undefined) return answer;
+      if (answer !== undefined) return this.#takeLeases(answer, home.name);
       if (count > 0) this.#options.homes.avoid(home);
     }
-    return undefined;
   }
 
   async #send(
@@ -166,7 +177,8 @@
     const asks: BorrowAsk[] = [];
     for (const [customer, account] of this.#accounts) {
       if (partitionOf(customer) !== partition) continue;
-      if (!this.#isDue(customer, account)) continue;
+      const isDue = this.#isDue(customer, account) || this.#isDueSoon(account);
+      if (!isDue) continue;
       asks.push(this.#makeAsk(customer, account));
     }
     return asks;
@@ -192,10 +204,9 @@
     };
   }
 
-  #takeLeases(answer: BorrowAnswer): void {
+  #takeLeases(answer: BorrowAnswer, home: string): void {
     const { clock, limitsOf } = this.#options;
     const nowMs = clock.nowMs();
-    const endsMs = nowMs + answer.expiresAtWallMs - clock.wallMs();
     for (const lease of answer.leases) {
       const account = this.#accounts.get(lease.customer);
       const limits = limitsOf(lease.customer);
@@ -209,13 +220,29 @@
         : Math.min(account.askWaitMs * 2, this.#options.periodMs() / 2);
       account.lease = lease;
       account.lastIdleSlots = lease.slots - account.running;
-      account.leaseEndsMs = endsMs;
+      account.leaseEndsMs = nowMs + lease.expiresAtWallMs - clock.wallMs();
+      account.leaseHome = home;
+      if (!lease.isScarce) account.fillTo(1);
     }
   }
 }
 
 const MIN_DEMAND_PER_S = 0.001;
 
+/** True when much less is used than is held, and than when it was asked for. */
+function isWasted(
+  account: LimitAccount,
+  held: { readonly lease: LimitLease; readonly demandPerS: number },
+): boolean {
+  const { lease, demandPerS } = held;
+  const isRateIdle = demandPerS < lease.requestsPerS * WASTE_FRACTION &&
+    demandPerS < account.lastWantedPerS * WASTE_FRACTION;
+  const idleSlots = lease.slots - account.running;
+  return isRateIdle ||
+    idleSlots > lease.slots * (1 - WASTE_FRACTION) &&
+      idleSlots > account.lastIdleSlots + 1;
+}
+
 function round(value: number): number {
   return Math.round(value * 1_000) / 1_000;
 }
--- a/src/fleet/limit_homes.ts
+++ b/src/fleet/limit_homes.ts
@@ -12,7 +12,7 @@
 import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
 import type { IMembership, Member } from "./services.ts";
 
-const PARTITION_COUNT = 32;
+const PARTITION_COUNT = 16;
 /** A home that did not answer is passed over for this long, less than a lease. */
 const AVOID_MS = 3_000;
 
--- a/src/fleet/limit_lender.ts
+++ b/src/fleet/limit_lender.ts
@@ -4,8 +4,8 @@
  * (max-min fair between hosts) and what stays free is lent in proportion.
  *
  * A host that has just become home does not know what its predecessor lent.
- * For the length of one lease it only renews what the borrowers say they hold,
- * and so does a host that is asked while it does not take itself for the home.
+ * Until each borrower has asked it, it only renews what the borrowers say they
+ * hold, and so does a host that does not take itself for the home.
  *
  * @module
  */
@@ -19,6 +19,10 @@
  */
 const RESERVE_LEASES = 1;
 
+/** Demand above this part of a limit makes it scarce. */
+const SCARCE_FRACTION = 0.8;
+/** How much longer leases run while a limit is not scarce. */
+export const PLENTY_LEASE_FACTOR = 3;
 /** Part of the limit that all shares together may come to. */
 const MAX_LENT_FRACTION = 1.05;
 /** Bound of the credit, as time at the limit's rate, and time to spend it in. */
@@ -41,6 +45,8 @@
 export interface LimitLenderOptions {
   readonly clock: Clock;
   readonly leaseMs: () => number;
+  /** Time in which each borrower has asked a new home. */
+  readonly settleMs: () => number;
   /** Limits of a customer; undefined when it is not configured. */
   readonly limitsOf: (customer: string) => CustomerLimits | undefined;
   /** Share of the fleet that this host can reach, 1 when nobody is cut off. */
@@ -55,6 +61,7 @@
   usedPerS: number;
   wantedSlots: number;
   slots: number;
+  isScarce: boolean;
   expiresMs: number;
 }
 
@@ -82,22 +89,27 @@
 
   /** Answers one host's asks for a partition. */
   lend(request: BorrowRequest, borrower: string): BorrowAnswer {
-    const { clock, leaseMs } = this.#options;
+    const { clock } = this.#options;
     const state = this.#stateOf(request.partition);
-    const expiresMs = clock.nowMs() + leaseMs();
+    const nowMs = clock.nowMs();
     const leases = request.asks.flatMap((ask) => {
-      const loan = this.#renew(state, { ask, borrower, expiresMs });
+      const loan = this.#renew(state, ask, borrower);
       if (loan === undefined) return [];
-      const { requestsPerS, slots } = loan;
-      return [{ customer: ask.customer, requestsPerS, slots }];
+      const { requestsPerS, slots, isScarce } = loan;
+      const { customer } = ask;
+      const expiresAtWallMs = Math.floor(
+        clock.wallMs() + loan.expiresMs - nowMs,
+      );
+      return [{ customer, requestsPerS, slots, isScarce, expiresAtWallMs }];
     });
-    return { leases, expiresAtWallMs: Math.floor(clock.wallMs() + leaseMs()) };
+    return { leases };
   }
 
   /** Forgets partitions that nobody has asked about for long. */
   expire(): void {
     const { clock, leaseMs } = this.#options;
-    const staleMs = clock.nowMs() - (2 + RESERVE_LEASES) * leaseMs();
+    const staleMs = clock.nowMs() -
+      (PLENTY_LEASE_FACTOR + RESERVE_LEASES + 1) * leaseMs();
     for (const [partition, state] of this.#partitions) {
       if (state.usedMs < staleMs) this.#partitions.delete(partition);
     }
@@ -116,13 +128,9 @@
 
   #renew(
     state: PartitionState,
-    asked: {
-      readonly ask: BorrowAsk;
-      readonly borrower: string;
-      readonly expiresMs: number;
-    },
+    ask: BorrowAsk,
+    borrower: string,
   ): Loan | undefined {
-    const { ask, borrower, expiresMs } = asked;
     const limits = this.#limitsNow(ask.customer);
     if (limits === undefined) return undefined;
     const customer = this.#customerOf(state, ask.customer);
@@ -132,7 +140,7 @@
     const others = [...loans.values()];
     const { wantedPerS, wantedSlots, usedPerS } = ask;
     const isSettled = this.#options.homeForMs(state.partition) >=
-      this.#options.leaseMs();
+      this.#options.settleMs();
     const usedByAll = usedPerS + sum(others.map((loan) => loan.usedPerS));
     const allowedPerS = this.#allow(customer, {
       limitPerS: limits.requestsPerS,
@@ -152,13 +160,22 @@
         held: loan.slots,
       })),
     });
+    const wantedByAll = wantedPerS +
+      sum(others.map((loan) => loan.wantedPerS));
+    const slotsWanted = wantedSlots +
+      sum(others.map((loan) => loan.wantedSlots));
+    const isScarce = wantedByAll > limits.requestsPerS * SCARCE_FRACTION ||
+      slotsWanted > limits.slots * SCARCE_FRACTION;
+    const leaseMs = this.#options.leaseMs() *
+      (isScarce ? 1 : PLENTY_LEASE_FACTOR);
     const loan: Loan = {
       wantedPerS,
       usedPerS,
       requestsPerS: isSettled ? rate : Math.min(rate, ask.heldPerS),
       wantedSlots,
       slots: isSettled ? slots : Math.min(slots, ask.heldSlots),
-      expiresMs,
+      isScarce,
+      expiresMs: this.#options.clock.nowMs() + leaseMs,
     };
     const isIdle = wantedPerS === 0 && loan.slots === 0;
     if (!isIdle) {
--- a/src/fleet/limit_service.ts
+++ b/src/fleet/limit_service.ts
@@ -30,10 +30,11 @@
 
 /** Bounds of the time between two renewals. */
 const MIN_PERIOD_MS = 1_000;
-const MAX_PERIOD_MS = 20_000;
+const MAX_PERIOD_MS = 10_000;
 /** Grows the period with the fleet, so that a home is not asked too often. */
-const PERIOD_MS_PER_MEMBER = 25;
+const PERIOD_MS_PER_MEMBER = 50;
 const LEASE_PERIODS = 4;
+const SETTLE_PERIODS = 2;
 const TICKS_PER_PERIOD = 8;
 const JITTER_FRACTION = 0.2;
 const MIN_RETRY_MS = 100;
@@ -70,6 +71,7 @@
     this.#lender = new LimitLender({
       clock,
       leaseMs,
+      settleMs: () => SETTLE_PERIODS * this.#periodMs(),
       limitsOf,
       reachableFraction: () => membership.reachableFraction ?? 1,
       homeForMs: (partition) => this.#homes.homeForMs(partition),
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -108,10 +108,12 @@
   readonly customer: string;
   readonly requestsPerS: number;
   readonly slots: number;
+  /** True while all together want nearly the whole limit, or more. */
+  readonly isScarce: boolean;
+  readonly expiresAtWallMs: number;
 }
 
-/** Leases, in force until one deadline. */
+/** The answer to a {@link BorrowRequest}. */
 export interface BorrowAnswer {
   readonly leases: readonly LimitLease[];
-  readonly expiresAtWallMs: number;
 }
