Ask once a period for a partition, sooner only for what is scarce and short

Cause: each short share was asked for by itself, at many times the byte budget. Change: one call a partition and period; sooner only where the limit is scarce.

--- a/src/fleet/limit_account.ts
+++ b/src/fleet/limit_account.ts
@@ -46,9 +46,9 @@
   /** How long to wait before a short share is asked for again. */
   askWaitMs = 0;
   /** Set when a request was refused for want of a share. */
-  isShort = true;
+  isShort = false;
 
-  constructor(nowMs: number) {
+  constructor(readonly partition: number, nowMs: number) {
     this.#atMs = nowMs;
     this.#rates = WINDOWS_MS.map((windowMs) =>
       new ArrivalRate(windowMs, nowMs)
@@ -68,6 +68,10 @@
     return steadyPerS;
   }
 
+  get isUsedSinceAsked(): boolean {
+    return this.running > 0 || this.lastUsedMs > this.lastAskedMs;
+  }
+
   /** Requests a second that were admitted lately. */
   usedPerS(nowMs: number): number {
     return this.#used.perS(nowMs);
--- a/src/fleet/limit_borrower.ts
+++ b/src/fleet/limit_borrower.ts
@@ -28,7 +28,7 @@
 /** A share of which less than this part is used is given back early. */
 const WASTE_FRACTION = 0.7;
 /** An account unused for this many lease times is dropped. */
-const IDLE_LEASES = 4;
+const IDLE_LEASES = 3;
 
 /** Collaborators of a {@link LimitBorrower}. */
 export interface LimitBorrowerOptions {
@@ -49,7 +49,11 @@
 export class LimitBorrower {
   readonly #options: LimitBorrowerOptions;
   readonly #accounts = new Map<string, LimitAccount>();
+  /** The same accounts by partition. */
+  readonly #partitions = new Map<number, Map<string, LimitAccount>>();
   readonly #asking = new Set<number>();
+  /** When each partition was asked last. */
+  readonly #askedMs = new Map<number, number>();
 
   constructor(options: LimitBorrowerOptions) {
     this.#options = options;
@@ -62,10 +66,12 @@
 
   accountOf(customer: string): LimitAccount {
     let account = this.#accounts.get(customer);
-    if (account === undefined) {
-      account = new LimitAccount(this.#options.clock.nowMs());
-      this.#accounts.set(customer, account);
-    }
+    if (account !== undefined) return account;
+    const partition = partitionOf(customer);
+    account = new LimitAccount(partition, this.#options.clock.nowMs());
+    this.#accounts.set(customer, account);
+    const others = this.#partitions.get(partition) ?? new Map();
+    this.#partitions.set(partition, others.set(customer, account));
     return account;
   }
 
@@ -86,10 +92,7 @@
   askSoon(customer: string): void {
     const account = this.accountOf(customer);
     account.isShort = true;
-    const nowMs = this.#options.clock.nowMs();
-    if (nowMs >= account.lastAskedMs + account.askWaitMs) {
-      void this.#ask(partitionOf(customer));
-    }
+    if (this.#isUrgent(account)) void this.#ask(account.partition);
   }
 
   /** Asks for every share that is due, and drops accounts not in use. */
@@ -99,50 +102,64 @@
     const idleMs = IDLE_LEASES * this.#options.leaseMs();
     for (const [customer, account] of this.#accounts) {
       const isIdle = nowMs - account.lastUsedMs > idleMs;
-      if (isIdle && account.running === 0) this.#accounts.delete(customer);
-      else if (this.#isDue(customer, account)) {
-        partitions.add(partitionOf(customer));
+      if (isIdle && account.running === 0) this.#forget(customer, account);
+      else if (this.#isUrgent(account) || this.#isRoundDue(customer, account)) {
+        partitions.add(account.partition);
       }
     }
     for (const partition of partitions) void this.#ask(partition);
   }
 
-  /** True when the share is short, far too large, or to be renewed. */
+  /** Renewals of a partition go together, once a period. */
+  #isRoundDue(customer: string, account: LimitAccount): boolean {
+    const askedMs = this.#askedMs.get(account.partition) ?? -Infinity;
+    const dueMs = askedMs + this.#options.periodMs();
+    return this.#options.clock.nowMs() >= dueMs &&
+      this.#isDue(customer, account);
+  }
+
+  /** True when the share is short, or far too large. */
+  #isUrgent(account: LimitAccount): boolean {
+    const nowMs = this.#options.clock.nowMs();
+    if (account.isShort) {
+      return nowMs >= account.lastAskedMs + account.askWaitMs;
+    }
+    const { lease } = account;
+    if (lease === undefined || !lease.isScarce) return false;
+    return isWasted(account, { lease, demandPerS: account.demandPerS(nowMs) });
+  }
+
+  #forget(customer: string, account: LimitAccount): void {
+    this.#accounts.delete(customer);
+    this.#partitions.get(account.partition)?.delete(customer);
+  }
+
+  /** True when a lease is wanted, or half of the time to its renewal is over. */
   #isDue(customer: string, account: LimitAccount): boolean {
     const nowMs = this.#options.clock.nowMs();
-    const mayAskAgain = nowMs >= account.lastAskedMs + account.askWaitMs;
-    if (account.isShort && mayAskAgain) return true;
-    const demandPerS = account.demandPerS(nowMs);
     const { lease } = account;
     if (lease !== undefined) {
-      const home = this.#options.homes.homeOf(partitionOf(customer));
+      const home = this.#options.homes.homeOf(account.partition);
       const isFast = lease.isScarce || home?.name !== account.leaseHome;
       const waitMs = this.#options.periodMs() *
         (isFast ? 1 : PLENTY_LEASE_FACTOR);
-      if (nowMs >= account.lastAskedMs + waitMs) return true;
-      return lease.isScarce && isWasted(account, { lease, demandPerS });
+      const isOld = nowMs >= account.lastAskedMs + waitMs / 2;
+      return isOld && (lease.isScarce || account.isUsedSinceAsked);
     }
     const limits = this.#options.limitsOf(customer);
     if (limits === undefined) return false;
     // A quiet customer, for which the floor is enough, costs no message.
     const floor = this.shareOf(account, limits);
+    const demandPerS = account.demandPerS(nowMs);
     return demandPerS > floor.requestsPerS || account.running > floor.slots;
   }
 
-  /** Renewals due soon go along with those that are due. */
-  #isDueSoon(account: LimitAccount): boolean {
-    if (account.lease === undefined) return false;
-    const waitMs = this.#options.periodMs() *
-      (account.lease.isScarce ? 1 : PLENTY_LEASE_FACTOR);
-    const ageMs = this.#options.clock.nowMs() - account.lastAskedMs;
-    return ageMs > waitMs / 2;
-  }
-
   async #ask(partition: number): Promise<void> {
     if (this.#asking.has(partition)) return;
     const asks = this.#makeAsks(partition);
     if (asks.length === 0) return;
     this.#asking.add(partition);
+    this.#askedMs.set(partition, this.#options.clock.nowMs());
     await this.#askHomes({ partition, asks });
     this.#asking.delete(partition);
   }
@@ -175,10 +192,9 @@
   /** Asks for all accounts of a partition that are due or hold a lease. */
   #makeAsks(partition: number): BorrowAsk[] {
     const asks: BorrowAsk[] = [];
-    for (const [customer, account] of this.#accounts) {
-      if (partitionOf(customer) !== partition) continue;
-      const isDue = this.#isDue(customer, account) || this.#isDueSoon(account);
-      if (!isDue) continue;
+    const accounts = this.#partitions.get(partition) ?? new Map();
+    for (const [customer, account] of accounts) {
+      if (!this.#isUrgent(account) && !this.#isDue(customer, account)) continue;
       asks.push(this.#makeAsk(customer, account));
     }
     return asks;
@@ -193,7 +209,7 @@
     account.lastWantedPerS = wantedPerS;
     account.askWaitMs = Math.max(account.askWaitMs, this.#options.tickMs());
     account.isShort = false;
-    return {
+    const ask: BorrowAsk = {
       customer,
       wantedPerS: round(wantedPerS < MIN_DEMAND_PER_S ? 0 : wantedPerS),
       usedPerS: round(account.usedPerS(nowMs)),
@@ -202,6 +218,7 @@
       usedSlots: account.running,
       heldSlots: Math.max(account.running, held?.slots ?? 0),
     };
+    return ask;
   }
 
   #takeLeases(answer: BorrowAnswer, home: string): void {
@@ -220,7 +237,8 @@
         : Math.min(account.askWaitMs * 2, this.#options.periodMs() / 2);
       account.lease = lease;
       account.lastIdleSlots = lease.slots - account.running;
-      account.leaseEndsMs = nowMs + lease.expiresAtWallMs - clock.wallMs();
+      account.leaseEndsMs = nowMs - clock.wallMs() +
+        (lease.isScarce ? answer.scarceUntilWallMs : answer.plentyUntilWallMs);
       account.leaseHome = home;
       if (!lease.isScarce) account.fillTo(1);
     }
--- a/src/fleet/limit_lender.ts
+++ b/src/fleet/limit_lender.ts
@@ -11,7 +11,12 @@
  */
 
 import type { Clock } from "../common/clock.ts";
-import type { BorrowAnswer, BorrowAsk, BorrowRequest } from "./types.ts";
+import type {
+  BorrowAnswer,
+  BorrowAsk,
+  BorrowRequest,
+  LimitLease,
+} from "./types.ts";
 
 /**
  * A lease that ran out unrenewed stays reserved this many lease times more: its
@@ -89,20 +94,22 @@
 
   /** Answers one host's asks for a partition. */
   lend(request: BorrowRequest, borrower: string): BorrowAnswer {
-    const { clock } = this.#options;
+    const { clock, leaseMs } = this.#options;
     const state = this.#stateOf(request.partition);
-    const nowMs = clock.nowMs();
-    const leases = request.asks.flatMap((ask) => {
+    const leases = request.asks.flatMap((ask): LimitLease[] => {
       const loan = this.#renew(state, ask, borrower);
       if (loan === undefined) return [];
-      const { requestsPerS, slots, isScarce } = loan;
-      const { customer } = ask;
-      const expiresAtWallMs = Math.floor(
-        clock.wallMs() + loan.expiresMs - nowMs,
-      );
-      return [{ customer, requestsPerS, slots, isScarce, expiresAtWallMs }];
+      const { slots, isScarce } = loan;
+      const requestsPerS = Math.round(loan.requestsPerS * 1_000) / 1_000;
+      const lease = { customer: ask.customer, requestsPerS, slots };
+      return [isScarce ? { ...lease, isScarce } : lease];
     });
-    return { leases };
+    const wallMs = Math.floor(clock.wallMs());
+    return {
+      leases,
+      scarceUntilWallMs: wallMs + leaseMs(),
+      plentyUntilWallMs: wallMs + leaseMs() * PLENTY_LEASE_FACTOR,
+    };
   }
 
   /** Forgets partitions that nobody has asked about for long. */
--- a/src/fleet/limit_service.ts
+++ b/src/fleet/limit_service.ts
@@ -35,7 +35,8 @@
 const PERIOD_MS_PER_MEMBER = 50;
 const LEASE_PERIODS = 4;
 const SETTLE_PERIODS = 2;
-const TICKS_PER_PERIOD = 8;
+const MAX_TICK_FRACTION = 1 / 2;
+const TICK_FRACTION_PER_MS = 1 / 8_000;
 const JITTER_FRACTION = 0.2;
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 30_000;
@@ -84,7 +85,7 @@
       limitsOf,
       leaseMs,
       periodMs: () => this.#periodMs(),
-      tickMs: () => this.#periodMs() / TICKS_PER_PERIOD,
+      tickMs: () => this.#tickMs(),
       lendHere: (request) => this.#lender.lend(request, membership.self.name),
     });
     this.#owned.add(
@@ -110,9 +111,7 @@
     account.noteArrival(nowMs);
     const share = this.#borrower.shareOf(account, limits);
     const result = account.take(share, nowMs);
-    if (account.lease === undefined || result !== "taken") {
-      this.#borrower.askSoon(customer);
-    }
+    if (result !== "taken") this.#borrower.askSoon(customer);
     if (result === "taken") return new Ok(releaseOnce(account));
     return this.#refuse(customer, { result, account, share });
   }
@@ -124,8 +123,7 @@
       this.#lender.expire();
       this.#borrower.tick();
       const jitter = 1 + JITTER_FRACTION * (2 * this.#random() - 1);
-      const tickMs = this.#periodMs() / TICKS_PER_PERIOD;
-      await this.#clock.sleep(tickMs * jitter, signal);
+      await this.#clock.sleep(this.#tickMs() * jitter, signal);
     }
   }
 
@@ -149,6 +147,13 @@
     return Math.min(MAX_PERIOD_MS, Math.max(MIN_PERIOD_MS, wantedMs));
   }
 
+  /** An eighth of the shortest period, and half of a long one. */
+  #tickMs(): number {
+    const periodMs = this.#periodMs();
+    const factor = Math.min(MAX_TICK_FRACTION, periodMs * TICK_FRACTION_PER_MS);
+    return periodMs * factor;
+  }
+
   #refuse(
     customer: string,
     refusal: {
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -109,11 +109,13 @@
   readonly requestsPerS: number;
   readonly slots: number;
   /** True while all together want nearly the whole limit, or more. */
-  readonly isScarce: boolean;
-  readonly expiresAtWallMs: number;
+  readonly isScarce?: boolean;
 }
 
 /** The answer to a {@link BorrowRequest}. */
 export interface BorrowAnswer {
   readonly leases: readonly LimitLease[];
+  /** When the leases of scarce limits run out, and those of the others. */
+  readonly scarceUntilWallMs: number;
+  readonly plentyUntilWallMs: number;
 }
