--- a/src/fleet/limit_account.ts
+++ b/src/fleet/limit_account.ts
@@ -11,6 +11,7 @@
 const BURST_MS = 500;
 /** Least room for tokens; a slow share would else lose those it cannot keep. */
 const MIN_BURST = 3;
+const MIN_PLENTY_BURST = 4;
 /** Demand is taken over the shortest window that holds enough arrivals. */
 const WINDOWS_MS = [250, 700, 3_000, 10_000];
 const ENOUGH_ARRIVALS = 6;
@@ -137,7 +138,9 @@
 
   #refill(share: Share, nowMs: number): void {
     const earned = (nowMs - this.#atMs) * share.requestsPerS / 1_000;
-    const room = Math.max(MIN_BURST, share.requestsPerS * BURST_MS / 1_000);
+    const isPlenty = this.lease !== undefined && !this.lease.isScarce;
+    const least = isPlenty ? MIN_PLENTY_BURST : MIN_BURST;
+    const room = Math.max(least, share.requestsPerS * BURST_MS / 1_000);
     this.#tokens = Math.min(room, this.#tokens + earned);
     this.#atMs = nowMs;
   }
--- a/src/fleet/limit_borrower.ts
+++ b/src/fleet/limit_borrower.ts
@@ -27,6 +27,8 @@
 const GAIN_FACTOR = 1.05;
 /** A share of which less than this part is used is given back early. */
 const WASTE_FRACTION = 0.7;
+/** Tokens that come with a lease where the limit is not scarce. */
+const PLENTY_TOKENS = 2;
 /** An account unused for this many lease times is dropped. */
 const IDLE_LEASES = 3;
 
@@ -209,16 +211,15 @@
     account.lastWantedPerS = wantedPerS;
     account.askWaitMs = Math.max(account.askWaitMs, this.#options.tickMs());
     account.isShort = false;
-    const ask: BorrowAsk = {
+    return {
       customer,
-      wantedPerS: round(wantedPerS < MIN_DEMAND_PER_S ? 0 : wantedPerS),
+      wantedPerS: round(wantedPerS),
       usedPerS: round(account.usedPerS(nowMs)),
       heldPerS: round(held?.requestsPerS ?? 0),
       wantedSlots: account.takeWantedSlots(),
-      usedSlots: account.running,
-      heldSlots: Math.max(account.running, held?.slots ?? 0),
+      usedSlots: account.running || undefined,
+      heldSlots: Math.max(account.running, held?.slots ?? 0) || undefined,
     };
-    return ask;
   }
 
   #takeLeases(answer: BorrowAnswer, home: string): void {
@@ -240,13 +241,11 @@
       account.leaseEndsMs = nowMs - clock.wallMs() +
         (lease.isScarce ? answer.scarceUntilWallMs : answer.plentyUntilWallMs);
       account.leaseHome = home;
-      if (!lease.isScarce) account.fillTo(1);
+      if (!lease.isScarce) account.fillTo(PLENTY_TOKENS);
     }
   }
 }
 
-const MIN_DEMAND_PER_S = 0.001;
-
 /** True when much less is used than is held, and than when it was asked for. */
 function isWasted(
   account: LimitAccount,
@@ -261,6 +260,7 @@
       idleSlots > account.lastIdleSlots + 1;
 }
 
-function round(value: number): number {
-  return Math.round(value * 1_000) / 1_000;
+/** Three digits after the point; left out when nothing is left. */
+function round(value: number): number | undefined {
+  return Math.round(value * 1_000) / 1_000 || undefined;
 }
--- a/src/fleet/limit_lender.ts
+++ b/src/fleet/limit_lender.ts
@@ -29,7 +29,7 @@
 /** How much longer leases run while a limit is not scarce. */
 export const PLENTY_LEASE_FACTOR = 3;
 /** Part of the limit that all shares together may come to. */
-const MAX_LENT_FRACTION = 1.05;
+const MAX_LENT_FRACTION = 1.04;
 /** Bound of the credit, as time at the limit's rate, and time to spend it in. */
 const MAX_CREDIT_MS = 1_000;
 const SPEND_CREDIT_MS = 3_000;
@@ -81,6 +81,8 @@
   /** Requests that the limit allowed and nobody made, up to a bound. */
   credit: number;
   creditAtMs: number;
+  /** A limit counts as scarce for some time after demand has come near it. */
+  scarceUntilMs: number;
 }
 
 /** Lends shares of the customers whose home this host is. */
@@ -145,7 +147,8 @@
     this.#dropOld(loans);
     loans.delete(borrower);
     const others = [...loans.values()];
-    const { wantedPerS, wantedSlots, usedPerS } = ask;
+    const { wantedPerS = 0, usedPerS = 0, heldPerS = 0 } = ask;
+    const { wantedSlots = 0, usedSlots = 0, heldSlots = 0 } = ask;
     const isSettled = this.#options.homeForMs(state.partition) >=
       this.#options.settleMs();
     const usedByAll = usedPerS + sum(others.map((loan) => loan.usedPerS));
@@ -171,23 +174,26 @@
       sum(others.map((loan) => loan.wantedPerS));
     const slotsWanted = wantedSlots +
       sum(others.map((loan) => loan.wantedSlots));
-    const isScarce = wantedByAll > limits.requestsPerS * SCARCE_FRACTION ||
+    const isScarceNow = wantedByAll > limits.requestsPerS * SCARCE_FRACTION ||
       slotsWanted > limits.slots * SCARCE_FRACTION;
+    const nowMs = this.#options.clock.nowMs();
+    if (isScarceNow) customer.scarceUntilMs = nowMs + this.#options.leaseMs();
+    const isScarce = nowMs < customer.scarceUntilMs;
     const leaseMs = this.#options.leaseMs() *
       (isScarce ? 1 : PLENTY_LEASE_FACTOR);
     const loan: Loan = {
       wantedPerS,
       usedPerS,
-      requestsPerS: isSettled ? rate : Math.min(rate, ask.heldPerS),
+      requestsPerS: isSettled ? rate : Math.min(rate, heldPerS),
       wantedSlots,
-      slots: isSettled ? slots : Math.min(slots, ask.heldSlots),
+      slots: isSettled ? slots : Math.min(slots, heldSlots),
       isScarce,
-      expiresMs: this.#options.clock.nowMs() + leaseMs,
+      expiresMs: nowMs + leaseMs,
     };
     const isIdle = wantedPerS === 0 && loan.slots === 0;
     if (!isIdle) {
       // Slots in use cannot be lent again before their requests end.
-      const slotsInUse = Math.max(loan.slots, ask.usedSlots);
+      const slotsInUse = Math.max(loan.slots, usedSlots);
       loans.set(borrower, { ...loan, slots: slotsInUse });
     }
     return loan;
@@ -207,7 +213,7 @@
     let customer = state.customers.get(name);
     if (customer === undefined) {
       const creditAtMs = this.#options.clock.nowMs();
-      customer = { loans: new Map(), credit: 0, creditAtMs };
+      customer = { loans: new Map(), credit: 0, creditAtMs, scarceUntilMs: 0 };
       state.customers.set(name, customer);
     }
     return customer;
--- a/src/fleet/member_sync.ts
+++ b/src/fleet/member_sync.ts
@@ -7,7 +7,11 @@
 
 import type { Clock } from "../common/clock.ts";
 import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
-import type { MemberEntry, MemberTable } from "./member_table.ts";
+import {
+  type MemberEntry,
+  type MemberTable,
+  toUpdate,
+} from "./member_table.ts";
 import type { IPeerTransport } from "./services.ts";
 import type { MemberSyncAnswer, MemberUpdate, SyncRequest } from "./types.ts";
 
@@ -35,6 +39,7 @@
   /** Entries that were new to either side. */
   readonly newCount: number;
   readonly itemCount: number;
+  readonly covered: readonly number[];
   readonly isWhole: boolean;
 }
 
@@ -78,7 +83,9 @@
     const dueMs = this.#dueMs + (options.isBusy ? BUSY_WAIT_MS : 0);
     if (this.#clock.nowMs() < dueMs) return;
     this.#dueMs = this.#clock.nowMs() + this.#intervalMs;
-    const result = await this.#pull(entry, REPAIR_ITEMS);
+    const result = await this.#pull(entry, {
+      maxItems: REPAIR_ITEMS,
+    });
     this.#intervalMs = result !== undefined && result.newCount > 0
       ? FIRST_INTERVAL_MS
       : Math.min(MAX_INTERVAL_MS, this.#intervalMs * 2);
@@ -88,10 +95,12 @@
 
   /** Pulls the whole table; false when the member did not answer. */
   async pullAll(entry: MemberEntry): Promise<boolean> {
+    const skip: number[] = [];
     for (let round = 0; round < MAX_ROUNDS; round += 1) {
-      const result = await this.#pull(entry, JOIN_ITEMS);
+      const result = await this.#pull(entry, { maxItems: JOIN_ITEMS, skip });
       if (result === undefined) return false;
       if (result.isWhole) break;
+      skip.push(...result.covered);
     }
     return true;
   }
@@ -102,37 +111,40 @@
 
   async #pull(
     entry: MemberEntry,
-    maxItems: number,
+    options: Omit<SyncRequest, "buckets">,
   ): Promise<PullResult | undefined> {
-    const answer = await this.#ask(entry, maxItems);
+    const answer = await this.#ask(entry, options);
     if (answer === undefined) return undefined;
     const newHere = this.#take(answer.updates);
     const newThere = await this.#giveBack(entry, answer);
     return {
       newCount: newHere + newThere,
       itemCount: answer.updates.length,
+      covered: answer.covered,
       isWhole: answer.isWhole,
     };
   }
 
   async #ask(
     entry: MemberEntry,
-    maxItems: number,
+    options: Omit<SyncRequest, "buckets">,
   ): Promise<MemberSyncAnswer | undefined> {
     const { buckets } = this.#table.digest;
-    const parameters: SyncRequest = { buckets, maxItems };
+    const parameters: SyncRequest = { buckets, ...options };
     const outcome = await this.#call(entry, "members.sync", parameters);
     return outcome as MemberSyncAnswer | undefined;
   }
 
   #answer(request: SyncRequest): MemberSyncAnswer {
-    const indexes = this.#table.digest.differing(request.buckets);
-    const { items, covered } = this.#table.updatesIn(
-      indexes,
-      Math.min(JOIN_ITEMS, request.maxItems),
-    );
+    const skip = new Set(request.skip);
+    const indexes = this.#table.digest.differing(request.buckets)
+      .filter((index) => !skip.has(index));
+    const maxItems = Math.min(JOIN_ITEMS, request.maxItems);
+    const { items, covered } = this.#table.entriesIn(indexes, maxItems);
+    // A member that is down is no news to a host that does not know it.
+    const known = items.filter((entry) => entry.state !== "down");
     return {
-      updates: items,
+      updates: known.map(toUpdate),
       covered,
       isWhole: covered.length === indexes.length,
     };
@@ -143,13 +155,13 @@
     answer: MemberSyncAnswer,
   ): Promise<number> {
     const said = new Map(answer.updates.map((update) => [update.name, update]));
-    const { items } = this.#table.updatesIn(answer.covered, Infinity);
+    const { items } = this.#table.entriesIn(answer.covered, Infinity);
     const lacking = items.filter((item) => {
       const theirs = said.get(item.name);
-      if (theirs === undefined) return true;
+      if (theirs === undefined) return item.state !== "down";
       return theirs.incarnation !== item.incarnation ||
         theirs.state !== item.state;
-    }).slice(0, REPAIR_ITEMS);
+    }).slice(0, REPAIR_ITEMS).map(toUpdate);
     if (lacking.length === 0) return 0;
     const outcome = await this.#call(entry, "members.push", lacking);
     return typeof outcome === "number" ? outcome : 0;
--- a/src/fleet/member_table.ts
+++ b/src/fleet/member_table.ts
@@ -164,17 +164,16 @@
     }
   }
 
-  /** Full updates of the entries in some buckets, as many buckets as fit. */
-  updatesIn(
+  /** The entries in some buckets, as many whole buckets as fit. */
+  entriesIn(
     indexes: readonly number[],
     maxItems: number,
-  ): { items: MemberUpdate[]; covered: number[] } {
-    const taken = takeBuckets(this.#entries.values(), {
+  ): { items: MemberEntry[]; covered: number[] } {
+    return takeBuckets(this.#entries.values(), {
       keyOf: (entry) => entry.name,
       indexes,
       maxItems,
     });
-    return { items: taken.items.map(toUpdate), covered: taken.covered };
   }
 
   #insert(update: MemberUpdate, nowMs: number): boolean {
@@ -235,7 +234,7 @@
 }
 
 /** That a member is down is never taken on hearsay: it may refute first. */
-function toUpdate(entry: MemberEntry): MemberUpdate {
+export function toUpdate(entry: MemberEntry): MemberUpdate {
   const { name, incarnation, address } = entry;
   const state = entry.state === "down" ? "suspect" : entry.state;
   return { name, incarnation, state, address };
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -55,6 +55,8 @@
   readonly buckets: readonly number[];
   /** Entries that the asking host takes at most, but for a first bucket. */
   readonly maxItems: number;
+  /** Buckets that an earlier answer has covered. */
+  readonly skip?: readonly number[];
 }
 
 /** Entries of buckets that differ, as many as fit. */
@@ -80,21 +82,21 @@
   readonly endHash: number;
 }
 
-/** What a host asks of the home of a customer's limits. */
+/** What a host asks of the home of a customer's limits; 0 where left out. */
 export interface BorrowAsk {
   readonly customer: string;
   /** Requests a second that arrive here. */
-  readonly wantedPerS: number;
+  readonly wantedPerS?: number;
   /** Requests a second that were admitted here. */
-  readonly usedPerS: number;
+  readonly usedPerS?: number;
   /** Share that the host holds by a lease that has not expired. */
-  readonly heldPerS: number;
+  readonly heldPerS?: number;
   /** Requests running here, and more of them when some were refused. */
-  readonly wantedSlots: number;
+  readonly wantedSlots?: number;
   /** Requests running here. */
-  readonly usedSlots: number;
+  readonly usedSlots?: number;
   /** Slots held by lease, or in use by running requests if these are more. */
-  readonly heldSlots: number;
+  readonly heldSlots?: number;
 }
 
 /** Asks for all customers of one partition. */
