Count what is used of a limit exactly, and take a first request for little

Change: asks carry the number admitted since the last one; the home keeps a token bucket with debt from it. Long windows start from nothing.

--- a/src/fleet/limit_account.ts
+++ b/src/fleet/limit_account.ts
@@ -13,12 +13,13 @@
 const MIN_BURST = 3;
 const MIN_PLENTY_BURST = 4;
 /** Demand is taken over the shortest window that holds enough arrivals. */
-const WINDOWS_MS = [250, 700, 3_000, 10_000];
+const WINDOWS_MS = [250, 700, 3_000, 10_000, 60_000];
+/** Up to here a window of a new account counts from its first arrival. */
+const MAX_YOUNG_WINDOW_MS = 1_000;
 const ENOUGH_ARRIVALS = 6;
 /** A shorter window is believed at once when it holds less than this part. */
 const DROP_FRACTION = 0.5;
 const DROP_ARRIVALS = 5;
-const USED_WINDOW_MS = 1_000;
 const MIN_AGE_MS = 300;
 
 /** Share of the limits that is in force on this host. */
@@ -32,7 +33,8 @@
   #tokens = 1;
   #atMs: number;
   readonly #rates: readonly ArrivalRate[];
-  readonly #used: ArrivalRate;
+  /** Requests admitted that the home has not been told of. */
+  usedCount = 0;
   #refusedSlots = 0;
   running = 0;
   lease: LimitLease | undefined;
@@ -54,13 +56,12 @@
     this.#rates = WINDOWS_MS.map((windowMs) =>
       new ArrivalRate(windowMs, nowMs)
     );
-    this.#used = new ArrivalRate(USED_WINDOW_MS, nowMs);
     this.lastUsedMs = nowMs;
   }
 
   /** Requests a second that arrived lately, refused ones included. */
   demandPerS(nowMs: number): number {
-    const { steadyPerS, shorter } = this.#steadyRate(nowMs);
+    const { steadyPerS, shorter } = steadyRate(this.#rates, nowMs);
     for (const rate of shorter) {
       const perS = rate.perS(nowMs);
       const isDrop = perS < steadyPerS * DROP_FRACTION;
@@ -73,11 +74,6 @@
     return this.running > 0 || this.lastUsedMs > this.lastAskedMs;
   }
 
-  /** Requests a second that were admitted lately. */
-  usedPerS(nowMs: number): number {
-    return this.#used.perS(nowMs);
-  }
-
   /** Requests that run, and more if one was refused since this was asked. */
   takeWantedSlots(): number {
     const used = Math.max(1, this.running);
@@ -100,7 +96,7 @@
     }
     if (this.#tokens < 1) return "rate";
     this.#tokens -= 1;
-    this.#used.add(nowMs);
+    this.usedCount += 1;
     this.running += 1;
     return "taken";
   }
@@ -120,22 +116,6 @@
     this.#refill(share, nowMs);
   }
 
-  /** The rate over the shortest window with enough arrivals, or the longest. */
-  #steadyRate(
-    nowMs: number,
-  ): { steadyPerS: number; shorter: readonly ArrivalRate[] } {
-    let mostPerS = Infinity;
-    let steadyPerS = 0;
-    for (const [index, rate] of this.#rates.entries()) {
-      steadyPerS = Math.min(mostPerS, rate.perS(nowMs));
-      if (steadyPerS >= rate.enoughPerS) {
-        return { steadyPerS, shorter: this.#rates.slice(0, index) };
-      }
-      mostPerS = rate.enoughPerS;
-    }
-    return { steadyPerS, shorter: this.#rates };
-  }
-
   #refill(share: Share, nowMs: number): void {
     const earned = (nowMs - this.#atMs) * share.requestsPerS / 1_000;
     const isPlenty = this.lease !== undefined && !this.lease.isScarce;
@@ -146,6 +126,23 @@
   }
 }
 
+/** The rate over the shortest window with enough arrivals, or the longest. */
+function steadyRate(
+  rates: readonly ArrivalRate[],
+  nowMs: number,
+): { steadyPerS: number; shorter: readonly ArrivalRate[] } {
+  let mostPerS = Infinity;
+  let steadyPerS = 0;
+  for (const [index, rate] of rates.entries()) {
+    steadyPerS = Math.min(mostPerS, rate.perS(nowMs));
+    if (steadyPerS >= rate.enoughPerS) {
+      return { steadyPerS, shorter: rates.slice(0, index) };
+    }
+    mostPerS = rate.enoughPerS;
+  }
+  return { steadyPerS, shorter: rates };
+}
+
 /** Arrivals a second, weighted towards the recent ones. */
 class ArrivalRate {
   /** The rate from which on the window holds enough arrivals. */
@@ -174,8 +171,10 @@
 
   perS(nowMs: number): number {
     this.#decay(nowMs);
+    // A long window would take one first request for a high rate.
+    const isYoung = this.#windowMs <= MAX_YOUNG_WINDOW_MS;
     const ageMs = Math.max(MIN_AGE_MS, nowMs - this.#startMs);
-    const seen = 1 - Math.exp(-ageMs / this.#windowMs);
+    const seen = isYoung ? 1 - Math.exp(-ageMs / this.#windowMs) : 1;
     return this.#count * 1_000 / (this.#windowMs * seen);
   }
 
--- a/src/fleet/limit_borrower.ts
+++ b/src/fleet/limit_borrower.ts
@@ -178,7 +178,10 @@
       const home = this.#options.homes.homeOf(request.partition);
       if (home === undefined) return;
       const answer = await this.#send(home, request);
-      if (answer !== undefined) return this.#takeLeases(answer, home.name);
+      if (answer !== undefined) {
+        this.#noteReported(request.asks);
+        return this.#takeLeases(answer, home.name);
+      }
       if (count > 0) this.#options.homes.avoid(home);
     }
   }
@@ -222,7 +225,7 @@
     return {
       customer,
       wantedPerS: round(wantedPerS),
-      usedPerS: round(account.usedPerS(nowMs)),
+      usedCount: account.usedCount || undefined,
       heldPerS: round(held?.requestsPerS ?? 0),
       wantedSlots: account.takeWantedSlots(),
       usedSlots: account.running || undefined,
@@ -230,6 +233,13 @@
     };
   }
 
+  #noteReported(asks: readonly BorrowAsk[]): void {
+    for (const { customer, usedCount = 0 } of asks) {
+      const account = this.#accounts.get(customer);
+      if (account !== undefined) account.usedCount -= usedCount;
+    }
+  }
+
   #takeLeases(answer: BorrowAnswer, home: string): void {
     const { clock, limitsOf } = this.#options;
     const nowMs = clock.nowMs();
--- a/src/fleet/limit_lender.ts
+++ b/src/fleet/limit_lender.ts
@@ -31,8 +31,8 @@
 /** Part of the limit that all shares together may come to. */
 const MAX_LENT_FRACTION = 1.04;
 /** Bound of the credit, as time at the limit's rate, and time to spend it in. */
-const MAX_CREDIT_MS = 900;
-const SPEND_CREDIT_MS = 3_000;
+const MAX_CREDIT_MS = 800;
+const SPEND_CREDIT_MS = 1_500;
 /** The same for slots, of which more lie idle for a moment. */
 const MAX_LENT_SLOTS_FRACTION = 1.08;
 /** Part of what nobody wants that is lent; the rest waits for the next to ask. */
@@ -63,7 +63,6 @@
 interface Loan {
   wantedPerS: number;
   requestsPerS: number;
-  usedPerS: number;
   wantedSlots: number;
   slots: number;
   isScarce: boolean;
@@ -147,14 +146,13 @@
     this.#dropOld(loans);
     loans.delete(borrower);
     const others = [...loans.values()];
-    const { wantedPerS = 0, usedPerS = 0, heldPerS = 0 } = ask;
+    const { wantedPerS = 0, usedCount = 0, heldPerS = 0 } = ask;
     const { wantedSlots = 0, usedSlots = 0, heldSlots = 0 } = ask;
     const isSettled = this.#options.homeForMs(state.partition) >=
       this.#options.settleMs();
-    const usedByAll = usedPerS + sum(others.map((loan) => loan.usedPerS));
     const allowedPerS = this.#allow(customer, {
       limitPerS: limits.requestsPerS,
-      usedPerS: usedByAll,
+      usedCount,
     });
     const rate = grant(wantedPerS, {
       limit: allowedPerS,
@@ -183,7 +181,6 @@
       (isScarce ? 1 : PLENTY_LEASE_FACTOR);
     const loan: Loan = {
       wantedPerS,
-      usedPerS,
       requestsPerS: isSettled ? rate : Math.min(rate, heldPerS),
       wantedSlots,
       slots: isSettled ? slots : Math.min(slots, heldSlots),
@@ -235,12 +232,12 @@
    */
   #allow(
     customer: CustomerState,
-    rates: { readonly limitPerS: number; readonly usedPerS: number },
+    use: { readonly limitPerS: number; readonly usedCount: number },
   ): number {
-    const { limitPerS, usedPerS } = rates;
+    const { limitPerS, usedCount } = use;
     const nowMs = this.#options.clock.nowMs();
     const spanS = (nowMs - customer.creditAtMs) / 1_000;
-    const credit = customer.credit + (limitPerS - usedPerS) * spanS;
+    const credit = customer.credit + limitPerS * spanS - usedCount;
     const most = limitPerS * MAX_CREDIT_MS / 1_000;
     customer.credit = Math.min(most, Math.max(-most, credit));
     customer.creditAtMs = nowMs;
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -87,8 +87,8 @@
   readonly customer: string;
   /** Requests a second that arrive here. */
   readonly wantedPerS?: number;
-  /** Requests a second that were admitted here. */
-  readonly usedPerS?: number;
+  /** Requests admitted here since the last ask that was answered. */
+  readonly usedCount?: number;
   /** Share that the host holds by a lease that has not expired. */
   readonly heldPerS?: number;
   /** Requests running here, and more of them when some were refused. */
