--- a/src/fleet/limit_account.ts
+++ b/src/fleet/limit_account.ts
@@ -5,21 +5,21 @@
  * @module
  */
 
+import type { LimitLease } from "./types.ts";
+
 /** Tokens kept are worth this much time of the share's rate. */
 const BURST_MS = 500;
 /** Least room for tokens; a slow share would else lose those it cannot keep. */
 const MIN_BURST = 3;
+const MIN_PLENTY_BURST = 4;
 /** Demand is taken over the shortest window that holds enough arrivals. */
-const WINDOWS_MS = [250, 700, 3_000, 10_000];
+const WINDOWS_MS = [250, 700, 3_000, 10_000, 60_000];
+/** Up to here a window of a new account counts from its first arrival. */
+const MAX_YOUNG_WINDOW_MS = 1_000;
 const ENOUGH_ARRIVALS = 6;
 /** A shorter window is believed at once when it holds less than this part. */
 const DROP_FRACTION = 0.5;
 const DROP_ARRIVALS = 5;
-const USED_WINDOW_MS = 1_000;
-/** Slots asked for, as a factor of those used, after a refusal. */
-const SHORT_SLOTS_FACTOR = 1.25;
-/** Part of the peak of running requests that counts on at the next ask. */
-const PEAK_KEPT_FRACTION = 0.8;
 const MIN_AGE_MS = 300;
 
 /** Share of the limits that is in force on this host. */
@@ -33,32 +33,35 @@
   #tokens = 1;
   #atMs: number;
   readonly #rates: readonly ArrivalRate[];
-  readonly #used: ArrivalRate;
+  /** Requests admitted that the home has not been told of. */
+  usedCount = 0;
   #refusedSlots = 0;
-  #peakRunning = 0;
   running = 0;
-  lease: Share | undefined;
+  lease: LimitLease | undefined;
+  /** Name of the host that gave the lease. */
+  leaseHome = "";
   leaseEndsMs = 0;
   lastUsedMs: number;
   lastAskedMs = -Infinity;
   lastWantedPerS = 0;
+  /** Slots that were idle when the lease began. */
+  lastIdleSlots = 0;
   /** How long to wait before a short share is asked for again. */
   askWaitMs = 0;
   /** Set when a request was refused for want of a share. */
-  isShort = true;
+  isShort = false;
 
-  constructor(nowMs: number) {
+  constructor(readonly partition: number, nowMs: number) {
     this.#atMs = nowMs;
     this.#rates = WINDOWS_MS.map((windowMs) =>
       new ArrivalRate(windowMs, nowMs)
     );
-    this.#used = new ArrivalRate(USED_WINDOW_MS, nowMs);
     this.lastUsedMs = nowMs;
   }
 
   /** Requests a second that arrived lately, refused ones included. */
   demandPerS(nowMs: number): number {
-    const { steadyPerS, shorter } = this.#steadyRate(nowMs);
+    const { steadyPerS, shorter } = steadyRate(this.#rates, nowMs);
     for (const rate of shorter) {
       const perS = rate.perS(nowMs);
       const isDrop = perS < steadyPerS * DROP_FRACTION;
@@ -67,23 +70,16 @@
     return steadyPerS;
   }
 
-  /** Requests a second that were admitted lately. */
-  usedPerS(nowMs: number): number {
-    return this.#used.perS(nowMs);
+  get isUsedSinceAsked(): boolean {
+    return this.running > 0 || this.lastUsedMs > this.lastAskedMs;
   }
 
-  /** Requests that would have run at once since this was last asked. */
+  /** Requests that run, and more if one was refused since this was asked. */
   takeWantedSlots(): number {
-    const peak = Math.max(1, Math.ceil(this.#peakRunning));
-    const wanted = this.#refusedSlots > 0
-      ? Math.ceil(peak * SHORT_SLOTS_FACTOR) + 1
-      : peak;
+    const used = Math.max(1, this.running);
+    const growth = Math.min(this.#refusedSlots, used + 1);
     this.#refusedSlots = 0;
-    this.#peakRunning = Math.max(
-      this.running,
-      this.#peakRunning * PEAK_KEPT_FRACTION,
-    );
-    return wanted;
+    return used + growth;
   }
 
   noteArrival(nowMs: number): void {
@@ -100,12 +96,16 @@
     }
     if (this.#tokens < 1) return "rate";
     this.#tokens -= 1;
-    this.#used.add(nowMs);
+    this.usedCount += 1;
     this.running += 1;
-    this.#peakRunning = Math.max(this.#peakRunning, this.running);
     return "taken";
   }
 
+  /** Raises the tokens to a number, where the limit is not scarce. */
+  fillTo(tokens: number): void {
+    this.#tokens = Math.max(this.#tokens, tokens);
+  }
+
   /** How long until the share has earned the next token. */
   nextTokenMs(share: Share): number {
     return (1 - this.#tokens) * 1_000 / Math.max(share.requestsPerS, 0.001);
@@ -116,32 +116,35 @@
     this.#refill(share, nowMs);
   }
 
-  /** The rate over the shortest window with enough arrivals, or the longest. */
-  #steadyRate(
-    nowMs: number,
-  ): { steadyPerS: number; shorter: readonly ArrivalRate[] } {
-    let mostPerS = Infinity;
-    let steadyPerS = 0;
-    for (const [index, rate] of this.#rates.entries()) {
-      steadyPerS = Math.min(mostPerS, rate.perS(nowMs));
-      if (steadyPerS >= rate.enoughPerS) {
-        return { steadyPerS, shorter: this.#rates.slice(0, index) };
-      }
-      mostPerS = rate.enoughPerS;
-    }
-    return { steadyPerS, shorter: this.#rates };
-  }
-
   #refill(share: Share, nowMs: number): void {
     // A reading of the clock taken before this account was made earns nothing.
     const earnedMs = Math.max(0, nowMs - this.#atMs);
     const earned = earnedMs * share.requestsPerS / 1_000;
-    const room = Math.max(MIN_BURST, share.requestsPerS * BURST_MS / 1_000);
+    const isPlenty = this.lease !== undefined && !this.lease.isScarce;
+    const least = isPlenty ? MIN_PLENTY_BURST : MIN_BURST;
+    const room = Math.max(least, share.requestsPerS * BURST_MS / 1_000);
     this.#tokens = Math.min(room, this.#tokens + earned);
     this.#atMs = Math.max(this.#atMs, nowMs);
   }
 }
 
+/** The rate over the shortest window with enough arrivals, or the longest. */
+function steadyRate(
+  rates: readonly ArrivalRate[],
+  nowMs: number,
+): { steadyPerS: number; shorter: readonly ArrivalRate[] } {
+  let mostPerS = Infinity;
+  let steadyPerS = 0;
+  for (const [index, rate] of rates.entries()) {
+    steadyPerS = Math.min(mostPerS, rate.perS(nowMs));
+    if (steadyPerS >= rate.enoughPerS) {
+      return { steadyPerS, shorter: rates.slice(0, index) };
+    }
+    mostPerS = rate.enoughPerS;
+  }
+  return { steadyPerS, shorter: rates };
+}
+
 /** Arrivals a second, weighted towards the recent ones. */
 class ArrivalRate {
   /** The rate from which on the window holds enough arrivals. */
@@ -170,8 +173,10 @@
 
   perS(nowMs: number): number {
     this.#decay(nowMs);
+    // A long window would take one first request for a high rate.
+    const isYoung = this.#windowMs <= MAX_YOUNG_WINDOW_MS;
     const ageMs = Math.max(MIN_AGE_MS, nowMs - this.#startMs);
-    const seen = 1 - Math.exp(-ageMs / this.#windowMs);
+    const seen = isYoung ? 1 - Math.exp(-ageMs / this.#windowMs) : 1;
     return this.#count * 1_000 / (this.#windowMs * seen);
   }
 
--- a/src/fleet/limit_lender.ts
+++ b/src/fleet/limit_lender.ts
@@ -4,14 +4,19 @@
  * (max-min fair between hosts) and what stays free is lent in proportion.
  *
  * A host that has just become home does not know what its predecessor lent.
- * For the length of one lease it only renews what the borrowers say they hold,
- * and so does a host that is asked while it does not take itself for the home.
+ * Until each borrower has asked it, it only renews what the borrowers say they
+ * hold, and so does a host that does not take itself for the home.
  *
  * @module
  */
 
 import type { Clock } from "../common/clock.ts";
-import type { BorrowAnswer, BorrowAsk, BorrowRequest } from "./types.ts";
+import type {
+  BorrowAnswer,
+  BorrowAsk,
+  BorrowRequest,
+  LimitLease,
+} from "./types.ts";
 
 /**
  * A lease that ran out unrenewed stays reserved this many lease times more: its
@@ -19,15 +24,21 @@
  */
 const RESERVE_LEASES = 1;
 
+/** Demand above this part of a limit makes it scarce. */
+const SCARCE_FRACTION = 0.8;
+/** How much longer leases run while a limit is not scarce. */
+export const PLENTY_LEASE_FACTOR = 3;
 /** Part of the limit that all shares together may come to. */
-const MAX_LENT_FRACTION = 1.05;
+const MAX_LENT_FRACTION = 1.04;
 /** Bound of the credit, as time at the limit's rate, and time to spend it in. */
-const MAX_CREDIT_MS = 1_000;
-const SPEND_CREDIT_MS = 3_000;
+const MAX_CREDIT_MS = 800;
+const SPEND_CREDIT_MS = 1_500;
+/** The same for slots, of which more lie idle for a moment. */
+const MAX_LENT_SLOTS_FRACTION = 1.08;
 /** Part of what nobody wants that is lent; the rest waits for the next to ask. */
 const SPARE_FRACTION = 0.7;
 /** Spare room is divided as if at least this many hosts had asked. */
-const MIN_SPARE_PARTS = 4;
+const MIN_SPARE_PARTS = 10;
 
 /** Limits of one customer over the fleet. */
 export interface CustomerLimits {
@@ -39,6 +50,8 @@
 export interface LimitLenderOptions {
   readonly clock: Clock;
   readonly leaseMs: () => number;
+  /** Time in which each borrower has asked a new home. */
+  readonly settleMs: () => number;
   /** Limits of a customer; undefined when it is not configured. */
   readonly limitsOf: (customer: string) => CustomerLimits | undefined;
   /** Share of the fleet that this host can reach, 1 when nobody is cut off. */
@@ -50,9 +63,9 @@
 interface Loan {
   wantedPerS: number;
   requestsPerS: number;
-  usedPerS: number;
   wantedSlots: number;
   slots: number;
+  isScarce: boolean;
   expiresMs: number;
 }
 
@@ -64,9 +77,11 @@
 
 interface CustomerState {
   readonly loans: Map<string, Loan>;
-  /** Requests that the limit allowed and nobody made, up to a bound. */
+  /** Requests allowed and not made, or if negative made beyond; bounded. */
   credit: number;
   creditAtMs: number;
+  /** A limit counts as scarce for some time after demand has come near it. */
+  scarceUntilMs: number;
 }
 
 /** Lends shares of the customers whose home this host is. */
@@ -82,20 +97,27 @@
   lend(request: BorrowRequest, borrower: string): BorrowAnswer {
     const { clock, leaseMs } = this.#options;
     const state = this.#stateOf(request.partition);
-    const expiresMs = clock.nowMs() + leaseMs();
-    const leases = request.asks.flatMap((ask) => {
-      const loan = this.#renew(state, { ask, borrower, expiresMs });
+    const leases = request.asks.flatMap((ask): LimitLease[] => {
+      const loan = this.#renew(state, ask, borrower);
       if (loan === undefined) return [];
-      const { requestsPerS, slots } = loan;
-      return [{ customer: ask.customer, requestsPerS, slots }];
+      const { slots, isScarce } = loan;
+      const requestsPerS = Math.round(loan.requestsPerS * 1_000) / 1_000;
+      const lease = { customer: ask.customer, requestsPerS, slots };
+      return [isScarce ? { ...lease, isScarce } : lease];
     });
-    return { leases, expiresAtWallMs: Math.floor(clock.wallMs() + leaseMs()) };
+    const wallMs = Math.floor(clock.wallMs());
+    return {
+      leases,
+      scarceUntilWallMs: wallMs + leaseMs(),
+      plentyUntilWallMs: wallMs + leaseMs() * PLENTY_LEASE_FACTOR,
+    };
   }
 
   /** Forgets partitions that nobody has asked about for long. */
   expire(): void {
     const { clock, leaseMs } = this.#options;
-    const staleMs = clock.nowMs() - (2 + RESERVE_LEASES) * leaseMs();
+    const staleMs = clock.nowMs() -
+      (PLENTY_LEASE_FACTOR + RESERVE_LEASES + 1) * leaseMs();
     for (const [partition, state] of this.#partitions) {
       if (state.usedMs < staleMs) this.#partitions.delete(partition);
     }
@@ -114,13 +136,9 @@
 
   #renew(
     state: PartitionState,
-    asked: {
-      readonly ask: BorrowAsk;
-      readonly borrower: string;
-      readonly expiresMs: number;
-    },
+    ask: BorrowAsk,
+    borrower: string,
   ): Loan | undefined {
-    const { ask, borrower, expiresMs } = asked;
     const limits = this.#limitsNow(ask.customer);
     if (limits === undefined) return undefined;
     const customer = this.#customerOf(state, ask.customer);
@@ -128,13 +146,13 @@
     this.#dropOld(loans);
     loans.delete(borrower);
     const others = [...loans.values()];
-    const { wantedPerS, wantedSlots, usedPerS } = ask;
+    const { wantedPerS = 0, usedCount = 0, heldPerS = 0 } = ask;
+    const { wantedSlots = 0, usedSlots = 0, heldSlots = 0 } = ask;
     const isSettled = this.#options.homeForMs(state.partition) >=
-      this.#options.leaseMs();
-    const usedByAll = usedPerS + sum(others.map((loan) => loan.usedPerS));
+      this.#options.settleMs();
     const allowedPerS = this.#allow(customer, {
       limitPerS: limits.requestsPerS,
-      usedPerS: usedByAll,
+      usedCount,
     });
     const rate = grant(wantedPerS, {
       limit: allowedPerS,
@@ -150,18 +168,29 @@
         held: loan.slots,
       })),
     });
+    const wantedByAll = wantedPerS +
+      sum(others.map((loan) => loan.wantedPerS));
+    const slotsWanted = wantedSlots +
+      sum(others.map((loan) => loan.wantedSlots));
+    const isScarceNow = wantedByAll > limits.requestsPerS * SCARCE_FRACTION ||
+      slotsWanted > limits.slots * SCARCE_FRACTION;
+    const nowMs = this.#options.clock.nowMs();
+    if (isScarceNow) customer.scarceUntilMs = nowMs + this.#options.leaseMs();
+    const isScarce = nowMs < customer.scarceUntilMs;
+    const leaseMs = this.#options.leaseMs() *
+      (isScarce ? 1 : PLENTY_LEASE_FACTOR);
     const loan: Loan = {
       wantedPerS,
-      usedPerS,
-      requestsPerS: isSettled ? rate : Math.min(rate, ask.heldPerS),
+      requestsPerS: isSettled ? rate : Math.min(rate, heldPerS),
       wantedSlots,
-      slots: isSettled ? slots : Math.min(slots, ask.heldSlots),
-      expiresMs,
+      slots: isSettled ? slots : Math.min(slots, heldSlots),
+      isScarce,
+      expiresMs: nowMs + leaseMs,
     };
     const isIdle = wantedPerS === 0 && loan.slots === 0;
     if (!isIdle) {
       // Slots in use cannot be lent again before their requests end.
-      const slotsInUse = Math.max(loan.slots, ask.heldSlots);
+      const slotsInUse = Math.max(loan.slots, usedSlots);
       loans.set(borrower, { ...loan, slots: slotsInUse });
     }
     return loan;
@@ -181,7 +210,7 @@
     let customer = state.customers.get(name);
     if (customer === undefined) {
       const creditAtMs = this.#options.clock.nowMs();
-      customer = { loans: new Map(), credit: 0, creditAtMs };
+      customer = { loans: new Map(), credit: 0, creditAtMs, scarceUntilMs: 0 };
       state.customers.set(name, customer);
     }
     return customer;
@@ -197,19 +226,20 @@
   }
 
   /**
-   * What may be lent now: the limit, and what was left of it lately. Without
-   * this all that shares lose by being late or not quite used would be lost.
+   * What may be lent now: the limit, and what was left of it lately, less what
+   * was used beyond it. Without this all that shares lose by being late or not
+   * quite used would be lost.
    */
   #allow(
     customer: CustomerState,
-    rates: { readonly limitPerS: number; readonly usedPerS: number },
+    use: { readonly limitPerS: number; readonly usedCount: number },
   ): number {
-    const { limitPerS, usedPerS } = rates;
+    const { limitPerS, usedCount } = use;
     const nowMs = this.#options.clock.nowMs();
     const spanS = (nowMs - customer.creditAtMs) / 1_000;
-    const credit = customer.credit + (limitPerS - usedPerS) * spanS;
+    const credit = customer.credit + limitPerS * spanS - usedCount;
     const most = limitPerS * MAX_CREDIT_MS / 1_000;
-    customer.credit = Math.min(most, Math.max(0, credit));
+    customer.credit = Math.min(most, Math.max(-most, credit));
     customer.creditAtMs = nowMs;
     return limitPerS + customer.credit * 1_000 / SPEND_CREDIT_MS;
   }
@@ -247,14 +277,21 @@
 
 /** As {@link grant} for slots, which cannot be divided. */
 function grantSlots(wanted: number, { limit, others }: GrantContext): number {
+  const most = limit * MAX_LENT_SLOTS_FRACTION;
   const held = sum(others.map((loan) => loan.held));
-  const free = Math.max(0, Math.floor(limit - held));
+  const free = Math.max(0, Math.floor(most - held));
   const demands = [...others.map((loan) => loan.wanted), wanted];
-  const spare = (limit - sum(demands)) /
-    Math.max(demands.length, MIN_SPARE_PARTS);
-  const target = spare >= 0
-    ? wanted + Math.floor(spare * SPARE_FRACTION)
-    : Math.min(wanted, Math.floor(waterLevel(demands, limit)));
+  const total = sum(demands);
+  const parts = Math.max(demands.length, MIN_SPARE_PARTS);
+  const target = total <= most
+    ? wanted + Math.floor((most - total) * SPARE_FRACTION / parts)
+    : Math.min(
+      wanted,
+      Math.max(
+        Math.ceil(waterLevel(demands, most)),
+        Math.floor(free * SPARE_FRACTION),
+      ),
+    );
   return Math.min(free, wanted > 0 ? Math.max(1, target) : 0);
 }
 
