--- a/src/common/logging.ts
+++ b/src/common/logging.ts
@@ -27,6 +27,8 @@
   "operatorKeys",
 ];
 
+const RESERVED_FIELDS = ["at", "level", "host", "message"];
+
 /** Least severe level that is written. */
 export type LogLevel = typeof LEVELS[number];
 
@@ -90,11 +92,21 @@
     level: meta.logLevelName.toLowerCase(),
     host,
     message: line["0"],
-    ...fields,
+    ...withoutReserved(fields),
   };
   return `${JSON.stringify(flat, serializeError)}\n`;
 }
 
+/** The line's own members keep their names; a field of one gets another. */
+function withoutReserved(
+  fields: Readonly<Record<string, unknown>> = {},
+): Readonly<Record<string, unknown>> {
+  const entries = Object.entries(fields).map(([name, value]) => {
+    return [RESERVED_FIELDS.includes(name) ? `${name}_` : name, value];
+  });
+  return Object.fromEntries(entries);
+}
+
 function serializeError(_key: string, value: unknown): unknown {
   return value instanceof Error ? value.stack ?? value.message : value;
 }
--- a/src/common/logging_test.ts
+++ b/src/common/logging_test.ts
@@ -25,3 +25,18 @@
   expect(lines[0]).not.toContain("s3cr3t");
   expect(lines[0]).not.toContain("abc");
 });
+
+test("a field can't take the place of the line's own message", () => {
+  const lines: string[] = [];
+  const log = createLog({
+    host: "host-1",
+    level: "info",
+    write: (line) => lines.push(line),
+  });
+  log.warn("the log did not answer", { message: "refused", host: "other" });
+  expect(JSON.parse(lines[0])).toMatchObject({
+    message: "the log did not answer",
+    message_: "refused",
+    host: "host-1",
+  });
+});
--- a/src/config/config_rounds.ts
+++ b/src/config/config_rounds.ts
@@ -74,6 +74,8 @@
   /** Hosts that hold what this host held when the round began, itself included. */
   readonly holding: number;
   readonly hostCount: number;
+  /** False while the other hosts are not known, and nothing can be counted. */
+  readonly knowsHosts: boolean;
   /** True when most hosts hold it and none holds more. */
   readonly isConfirmed: boolean;
 }
@@ -175,9 +177,10 @@
     const { isGrounded } = this.#holder;
     const holding = reply.holding + (isGrounded ? 1 : 0);
     const hostCount = this.#sorted.length + 1;
-    const isConfirmed = isGrounded && this.#known !== undefined &&
+    const knowsHosts = this.#known !== undefined;
+    const isConfirmed = isGrounded && knowsHosts &&
       reply.newestOffset <= nextOffset && 2 * holding > hostCount;
-    return { holding, hostCount, isConfirmed };
+    return { holding, hostCount, knowsHosts, isConfirmed };
   }
 
   async #catchUp(reply: RoundReply): Promise<void> {
--- a/src/daemon/bindings/platform_bindings.ts
+++ b/src/daemon/bindings/platform_bindings.ts
@@ -61,7 +61,7 @@
       peering: configPeering(context),
       clock,
       onLogFailure: (failure) =>
-        log.warn("the log did not answer", { ...failure }),
+        log.warn("the log did not answer", { failure }),
     });
   });
   container.bind(IConfigService).toService(ConfigService);
--- a/src/daemon/host_status.ts
+++ b/src/daemon/host_status.ts
@@ -4,8 +4,10 @@
  * @module
  */
 
-import type { IConfigService } from "../config/services.ts";
+import type { ConfigService } from "../config/config_service.ts";
 import type { IMembership } from "../fleet/services.ts";
+import type { CapacityKeeper } from "../pipelines/capacity_keeper.ts";
+import { pools } from "../pipelines/placement.ts";
 import type { TargetDirectory } from "../pipelines/target_directory.ts";
 
 /** Where the status is read from. */
@@ -14,9 +16,10 @@
   readonly phase: string;
   readonly blockers: readonly string[];
   readonly inFlightCount: number;
-  readonly config: IConfigService;
+  readonly config: ConfigService;
   readonly membership: IMembership;
   readonly directory: TargetDirectory;
+  readonly keeper: CapacityKeeper;
 }
 
 /** Collects the status as a JSON document. */
@@ -30,9 +33,12 @@
     ready: sources.blockers.length === 0,
     blockers: sources.blockers,
     configVersion: config.state.version,
+    configPendingVersion: config.status.pendingVersion,
+    configAgeMs: config.status.ageMs,
     configOffset: config.state.offset,
     requestsInFlight: sources.inFlightCount,
     members: membership.members(),
+    blockedTargets: blockedTargets(sources),
     targets: Object.keys(config.state.config.targets).map((name) =>
       targetStatus(name, sources)
     ),
@@ -58,3 +64,10 @@
   if (directory.isLeaving(name)) return "leaving";
   return directory.takesNewWork(name) ? "serving" : "silent";
 }
+
+/** Targets that cannot be reloaded without a gap, as this host's keeper sees it. */
+function blockedTargets({ config, keeper }: HostStatusSources): string[] {
+  return pools(config.state.config).flatMap((pool) => {
+    return [...keeper.blockedTargets(pool.name)];
+  });
+}
--- a/src/daemon/host_tree.ts
+++ b/src/daemon/host_tree.ts
@@ -15,6 +15,7 @@
 import { LimitService } from "../fleet/limit_service.ts";
 import { Membership } from "../fleet/membership.ts";
 import { CapacityKeeper } from "../pipelines/capacity_keeper.ts";
+import { QuarantineService } from "../requests/quarantine_service.ts";
 import { TargetWatcher } from "../pipelines/target_watcher.ts";
 
 interface LongRunning {
@@ -37,6 +38,8 @@
   fleet.start("membership", taskOf(container.get(Membership)));
   fleet.start("dissemination", taskOf(container.get(Dissemination)));
   fleet.start("limits", taskOf(container.get(LimitService)));
+  const quarantine = container.get(QuarantineService);
+  root.child("requests").start("quarantine", () => quarantine.start());
   const pipelines = root.child("pipelines");
   pipelines.start("targets", taskOf(container.get(TargetWatcher)));
   pipelines.start("capacity", taskOf(container.get(CapacityKeeper)));
--- a/src/http/caller_gate.ts
+++ b/src/http/caller_gate.ts
@@ -1,7 +1,6 @@
 /**
- * What every caller's request passes before it is parsed: readiness, the
- * host's own bound on requests in flight, authentication and the customer's
- * limits.
+ * What every caller's request passes before it is parsed: readiness,
+ * authentication, the customer's limits, and the queue for a place on this host.
  *
  * @module
  */
@@ -18,6 +17,7 @@
 import type { IMetrics } from "../common/metrics.ts";
 import { type Failure, notRun, type Outcome } from "../common/verdict.ts";
 import type { IConfigService } from "../config/services.ts";
+import type { AdmissionQueue } from "../fleet/admission_queue.ts";
 import type { ILimitService } from "../fleet/services.ts";
 import type { IRequestJournal } from "../requests/services.ts";
 import type { Authenticator } from "./authenticator.ts";
@@ -45,7 +45,8 @@
   readonly limits: ILimitService;
   readonly journal: IRequestJournal;
   readonly authenticator: Authenticator;
-  readonly maxConcurrentRequests: number;
+  /** Gives the places in which this host serves requests. */
+  readonly queue: AdmissionQueue;
 }
 
 /** Admits callers' requests. */
@@ -76,7 +77,7 @@
     const hangUp = abortOnHangUp(response);
     this.#inFlight++;
     owned.add(toDisposable(() => this.#inFlight--));
-    const admitted = await this.#admit(request);
+    const admitted = await this.#admit(request, hangUp.signal);
     if (admitted.isErr()) {
       owned.dispose();
       this.refuse(response, admitted.error, requestId);
@@ -118,9 +119,9 @@
 
   async #admit(
     request: Request,
+    signal: AbortSignal,
   ): Promise<Outcome<{ customer: string; admission: Disposable }>> {
-    const { clock, config, limits, authenticator, maxConcurrentRequests } =
-      this.#options;
+    const { clock, config, limits, authenticator, queue } = this.#options;
     const retryAtWallMs = clock.wallMs() + RETRY_WHEN_FULL_MS;
     if (!config.isReady) {
       return notRun(
@@ -129,17 +130,26 @@
         { retryAtWallMs },
       );
     }
-    if (this.#inFlight > maxConcurrentRequests) {
-      const message =
-        `this host serves ${maxConcurrentRequests} requests already`;
-      return notRun("overloaded", message, { retryAtWallMs });
-    }
     const customer = authenticator.authenticate(request);
     if (customer.isErr()) return customer;
     const deadlineMs = clock.nowMs() + ADMIT_WITHIN_MS;
-    const admission = await limits.admitSoon(customer.value, { deadlineMs });
-    if (admission.isErr()) return admission;
-    return new Ok({ customer: customer.value, admission: admission.value });
+    const share = await limits.admitSoon(customer.value, { deadlineMs });
+    if (share.isErr()) return share;
+    const { priority } = config.state.config.customers[customer.value];
+    const place = await queue.enter({
+      customer: customer.value,
+      priority,
+      deadlineMs,
+      signal,
+    });
+    if (place.isErr()) {
+      share.value.dispose();
+      return place;
+    }
+    const admission = new DisposableStore();
+    admission.add(share.value);
+    admission.add(place.value);
+    return new Ok({ customer: customer.value, admission });
   }
 }
 
--- a/test/whole_path_test.ts
+++ b/test/whole_path_test.ts
@@ -82,6 +82,14 @@
   await fleet.waitForVersion(current.version + 1);
 });
 
+test("every host knows every member by an address", async () => {
+  const expected = fleet.hosts.map(({ peerUrl }) => peerUrl).sort();
+  await waitUntil("all members everywhere", 10_000, async () => {
+    const known = await Promise.all(fleet.hosts.map(memberUrls));
+    return known.every((urls) => urls.join() === expected.join());
+  });
+});
+
 test("one key sent to every host at once runs once", async () => {
   const key = "entry-race";
   const answers = await Promise.all(
@@ -244,6 +252,12 @@
   }
 }
 
+async function memberUrls(host: LocalHost): Promise<string[]> {
+  const { members } = await fleet.operator(host).get("operator/status")
+    .json<{ members: readonly { url: string }[] }>();
+  return members.map(({ url }) => url).sort();
+}
+
 function sendEntry(host: LocalHost, key: string) {
   const client = new CallerClient({ baseUrl: host.callerUrl, key: CALLER.key });
   return client.call({
