Try the last member of a part again when its hand-over is lost

Cause: a part of the tree with one member was tried once; with 1% of messages lost its host heard after a second and more, by digests. Change: when all members of a part were tried, one is tried again. The test with 2% loss now allows no miss within a second (2 of 780 were allowed).

--- a/src/fleet/dissemination.ts
+++ b/src/fleet/dissemination.ts
@@ -22,7 +22,12 @@
 import { rankOf, STATE_COUNT } from "./member_table.ts";
 import { HASH_SPACE, MemberRing, type RingRange } from "./member_ring.ts";
 import type { Membership } from "./membership.ts";
-import type { Fact, IDissemination, IPeerTransport } from "./services.ts";
+import type {
+  Fact,
+  IDissemination,
+  IPeerTransport,
+  Member,
+} from "./services.ts";
 import type { FactPush, MemberUpdate } from "./types.ts";
 
 const FANOUT = 4;
@@ -37,6 +42,7 @@
 const BATCH_MS = 50;
 const EXPIRE_PERIOD_MS = 1_000;
 const MEMBER_FACT_MS = 60_000;
+const NOBODY: ReadonlySet<string> = new Set();
 
 /** Collaborators and defaults of a {@link Dissemination}. */
 export interface DisseminationOptions {
@@ -159,10 +165,7 @@
     const parameters: FactPush = { facts, ...part };
     const tried = new Set<string>();
     for (let count = 0; count < MAX_TRIES; count += 1) {
-      const member = this.#ring.pick(part, {
-        not: tried,
-        random: this.#random,
-      });
+      const member = this.#pick(part, tried);
       if (member === undefined) return;
       tried.add(member.name);
       if (!await this.#budget.take()) return;
@@ -175,6 +178,13 @@
     }
   }
 
+  /** Picks a member not tried yet, or one again when all were. */
+  #pick(part: RingRange, tried: ReadonlySet<string>): Member | undefined {
+    const random = this.#random;
+    return this.#ring.pick(part, { not: tried, random }) ??
+      this.#ring.pick(part, { not: NOBODY, random });
+  }
+
   #announce(update: MemberUpdate): void {
     this.publish({
       topic: "member",
--- a/src/fleet/dissemination_test.ts
+++ b/src/fleet/dissemination_test.ts
@@ -78,7 +78,7 @@
       missedCount += COUNT - 1 - countHolding(heard, sequence);
       heard.get(`host-${sequence}`)?.push(fact);
     }
-    expect(missedCount).toBeLessThanOrEqual(2);
+    expect(missedCount).toBe(0);
     await fleet.clock.advance(10_000);
     expect(countHolding(heard, 20)).toBe(COUNT);
   });
