--- a/src/fleet/limit_account.ts
+++ b/src/fleet/limit_account.ts
@@ -117,7 +117,8 @@
   }
 
   #refill(share: Share, nowMs: number): void {
-    const earned = (nowMs - this.#atMs) * share.requestsPerS / 1_000;
+    const spanMs = Math.max(0, nowMs - this.#atMs);
+    const earned = spanMs * share.requestsPerS / 1_000;
     const isPlenty = this.lease !== undefined && !this.lease.isScarce;
     const least = isPlenty ? MIN_PLENTY_BURST : MIN_BURST;
     const room = Math.max(least, share.requestsPerS * BURST_MS / 1_000);
--- a/src/fleet/limit_borrower.ts
+++ b/src/fleet/limit_borrower.ts
@@ -79,17 +79,20 @@
     return account;
   }
 
-  /** The share in force: the lease, or the floor once it has run out. */
+  /** The share in force: the lease, but never less than the floor. */
   shareOf(account: LimitAccount, limits: CustomerLimits): Share {
-    const nowMs = this.#options.clock.nowMs();
-    if (account.lease !== undefined && nowMs < account.leaseEndsMs) {
-      return account.lease;
-    }
     const part = FLOOR_FRACTION / this.#options.memberCount();
-    return {
+    const floor: Share = {
       requestsPerS: limits.requestsPerS * part,
       slots: Math.max(1, Math.floor(limits.slots * part)),
     };
+    const { lease } = account;
+    const isHeld = this.#options.clock.nowMs() < account.leaseEndsMs;
+    if (lease === undefined || !isHeld) return floor;
+    return {
+      requestsPerS: Math.max(lease.requestsPerS, floor.requestsPerS),
+      slots: Math.max(lease.slots, floor.slots),
+    };
   }
 
   /** Asks at once where that is allowed, else at the next tick. */
--- a/src/fleet/limit_service.ts
+++ b/src/fleet/limit_service.ts
@@ -106,8 +106,8 @@
     if (limits === undefined) {
       return notRun("forbidden", `customer ${customer} is not configured`);
     }
-    const nowMs = this.#clock.nowMs();
     const account = this.#borrower.accountOf(customer);
+    const nowMs = this.#clock.nowMs();
     account.noteArrival(nowMs);
     const share = this.#borrower.shareOf(account, limits);
     const result = account.take(share, nowMs);
--- a/src/fleet/limit_service_test.ts
+++ b/src/fleet/limit_service_test.ts
@@ -9,6 +9,7 @@
   Traffic,
 } from "../../test/fleet_limits.ts";
 import type { Membership } from "./membership.ts";
+import { LimitService } from "./limit_service.ts";
 import { LimitHomes, partitionOf } from "./limit_homes.ts";
 
 const SEEDS = [1, 2];
@@ -162,3 +163,22 @@
     expectWithin(traffic);
   });
 });
+
+test("the first request passes on a clock that moves between two readings", async () => {
+  const { fleet } = await startFleet(1);
+  const { membership, network } = fleet.get("host-0");
+  let atMs = 1_000;
+  const clock = {
+    nowMs: () => atMs += 0.01,
+    wallMs: () => fleet.clock.wallMs(),
+    sleep: () => Promise.resolve(),
+  };
+  const config = makeConfig({ [CUSTOMER]: LIMITS });
+  const limits = new LimitService({
+    config,
+    membership,
+    transport: network,
+    clock,
+  });
+  expect(limits.admit(CUSTOMER).isOk()).toBe(true);
+});
