Keep cache scopes apart, tell targets the request id, and let many tasks wait

Change: scopes carry the customer and a fresh id; X-Request-Id goes to plain services; claim failures pass failureForCaller; no listener limit on the supervisor's signal. Measured: with the earlier scope put back the test sees 2 of 3 distinct scopes; src/requests, src/platform, src/common 233 pass.

--- a/src/common/supervisor.ts
+++ b/src/common/supervisor.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { setMaxListeners } from "node:events";
 import { type Clock, systemClock } from "./clock.ts";
 import { Emitter, type Event } from "./emitter.ts";
 
@@ -49,6 +50,8 @@
     this.name = options.name;
     this.#clock = options.clock ?? systemClock;
     this.#random = options.random ?? Math.random;
+    // Every wait of every task listens to this one signal.
+    setMaxListeners(0, this.#abort.signal);
   }
 
   /** Starts a task that is restarted whenever it throws. */
--- a/src/platform/clients_test.ts
+++ b/src/platform/clients_test.ts
@@ -1,3 +1,5 @@
+import { createServer, type IncomingHttpHeaders } from "node:http";
+import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { Faults } from "../../standins/common/faults.ts";
 import { RawTarget } from "../../standins/common/raw_target.ts";
@@ -112,6 +114,7 @@
   const client = new ServiceClient({ http });
   const request = {
     attemptId: "a",
+    requestId: "r",
     method: "POST",
     path: "/entries?show=1",
     contentType: "application/json",
@@ -133,3 +136,26 @@
     .toMatchObject({ verdict: "not-run", code: "overloaded" });
   expect(service.executions.get("k")).toBe(2);
 });
+
+test("a service is told the request's id", async () => {
+  const seen: IncomingHttpHeaders[] = [];
+  const server = createServer((request, response) => {
+    seen.push(request.headers);
+    response.end("{}");
+  });
+  closers.push(() => new Promise((done) => server.close(() => done())));
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const request = {
+    attemptId: "a-1",
+    requestId: "r-1",
+    method: "GET",
+    path: "/",
+    body: Buffer.alloc(0),
+  };
+  await new ServiceClient({ http }).call(url, request, within());
+  expect(seen[0]).toMatchObject({
+    "x-request-id": "r-1",
+    "x-attempt-id": "a-1",
+  });
+});
--- a/src/platform/service_client.ts
+++ b/src/platform/service_client.ts
@@ -54,7 +54,10 @@
 }
 
 function headersOf(request: ServiceRequest): Record<string, string> {
-  const headers: Record<string, string> = { "x-attempt-id": request.attemptId };
+  const headers: Record<string, string> = {
+    "x-attempt-id": request.attemptId,
+    "x-request-id": request.requestId,
+  };
   if (request.contentType) headers["content-type"] = request.contentType;
   if (request.idempotencyKey) {
     headers["idempotency-key"] = request.idempotencyKey;
--- a/src/platform/testing/sends.ts
+++ b/src/platform/testing/sends.ts
@@ -28,6 +28,7 @@
   call: (url, http, options) =>
     new ServiceClient({ http }).call(url, {
       attemptId: "a",
+      requestId: "r",
       method: "POST",
       path: "/entries",
       body: Buffer.alloc(options.bodyBytes ?? BODY_BYTES, "x"),
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -129,6 +129,8 @@
 /** One call to a plain service. */
 export interface ServiceRequest {
   readonly attemptId: string;
+  /** Names the caller's request in the target's own logs. */
+  readonly requestId: string;
   readonly method: string;
   /** Path at the target, with a leading slash. */
   readonly path: string;
--- a/src/requests/call_service.ts
+++ b/src/requests/call_service.ts
@@ -116,7 +116,9 @@
     if (acquired.isOk()) return this.#callUnder(acquired.value, planned);
     const { code, verdict } = acquired.error;
     const isLogDown = code === "log-unavailable" && verdict === "not-run";
-    if (!isLogDown || !service.rejectsRepeatedKeys) return acquired;
+    if (!isLogDown || !service.rejectsRepeatedKeys) {
+      return new Err(failureForCaller(acquired.error, this.#options));
+    }
     this.#options.journal.note(request.requestId, "without-claim");
     return await this.#dispatch(planned);
   }
@@ -173,10 +175,19 @@
       inFlight.dispose();
       return new Err(blocked);
     }
-    const { method, path, contentType, body, idempotencyKey } = request;
+    const { requestId, method, path, contentType, body, idempotencyKey } =
+      request;
     const called = services.call(
       url,
-      { attemptId, method, path, contentType, body, idempotencyKey },
+      {
+        attemptId,
+        requestId,
+        method,
+        path,
+        contentType,
+        body,
+        idempotencyKey,
+      },
       { deadlineMs: request.deadlineMs, signal: request.signal },
     );
     const stop = new AbortController();
--- a/src/requests/completion_service.ts
+++ b/src/requests/completion_service.ts
@@ -88,7 +88,7 @@
       priority: customer?.priority ?? 0,
       cacheScope: customer?.sharesPrefixCache
         ? `customer/${request.customer}`
-        : `request/${request.requestId}`,
+        : `unshared/${request.customer}/${this.#options.newId()}`,
     });
     return await run.run();
   }
--- a/src/requests/completion_service_test.ts
+++ b/src/requests/completion_service_test.ts
@@ -39,6 +39,19 @@
   expect(outcome.unwrapErr()).toMatchObject({ verdict: "not-run", code });
 });
 
+test("without sharing no two requests have a prefix cache in common", async () => {
+  const { complete, engines } = completionBench();
+  for (let count = 0; count < 2; count += 1) {
+    await complete("escriba", "unshared");
+  }
+  await complete("escriba", "ferias");
+  const scopes = [...engines.attempts.values()].map(({ request }) =>
+    request.cacheScope
+  );
+  // The caller chooses the request's id, so the scope must not depend on it.
+  expect(new Set(scopes).size).toBe(3);
+});
+
 test("one fault at any token and stage leaves the answer whole", async () => {
   for (const planned of everyFault()) {
     const history = await completionBench({ faults: [planned] }).complete();
--- a/test/requests_completions.ts
+++ b/test/requests_completions.ts
@@ -34,13 +34,19 @@
 const CONFIG = configSchema.parse({
   customers: {
     ferias: { keyDigests: [], requestsPerS: 1, concurrentRequests: 1 },
+    unshared: {
+      keyDigests: [],
+      requestsPerS: 1,
+      concurrentRequests: 1,
+      sharesPrefixCache: false,
+    },
   },
   pipelines: {
     escriba: {
       model: "m",
       version: "v1",
       layerCount: 12,
-      customers: ["ferias"],
+      customers: ["ferias", "unshared"],
       stages: [{ first: 0, end: 12, targets: ["a"] }],
     },
   },
