Hold the layers and the length of files by a test

Cause: the rule that layers import one way was kept by reading only. Ruled out: a lint plugin, which deno lint would have to load at run time. Change: test/layers_test.ts. Conclusion: the rule holds by itself.

--- /dev/null
+++ b/test/layers_test.ts
@@ -0,0 +1,51 @@
+import { readdirSync, readFileSync } from "node:fs";
+import { dirname, join, normalize } from "node:path";
+import { fileURLToPath } from "node:url";
+import { expect, test } from "vitest";
+
+/** The highest first; a folder imports only itself and those after it. */
+const LAYERS = [
+  "daemon",
+  "tool",
+  "http",
+  "requests",
+  "pipelines",
+  "fleet",
+  "config",
+  "platform",
+  "common",
+];
+const MAX_LINES = 400;
+const root = fileURLToPath(new URL("../", import.meta.url));
+const files = readdirSync(join(root, "src"), {
+  recursive: true,
+  encoding: "utf8",
+})
+  .filter((file) => file.endsWith(".ts"));
+const sources = files.filter((file) =>
+  !file.endsWith("_test.ts") && !file.includes("testing/")
+);
+
+test("each folder of src/ imports lower layers only", () => {
+  expect(sources.length).toBeGreaterThan(100);
+  expect(sources.flatMap(importsOfHigherLayers)).toEqual([]);
+});
+
+test("no file is too long", () => {
+  const long = files.filter((file) =>
+    read(file).split("\n").length > MAX_LINES
+  );
+  expect(long).toEqual([]);
+});
+
+function importsOfHigherLayers(file: string): string[] {
+  const own = LAYERS.indexOf(file.split("/")[0]);
+  return [...read(file).matchAll(/from "(\.[^"]+)"/g)]
+    .map(([, target]) => normalize(join(dirname(file), target)))
+    .filter((path) => LAYERS.indexOf(path.split("/")[0]) < own)
+    .map((path) => `${file} imports ${path}`);
+}
+
+function read(file: string): string {
+  return readFileSync(join(root, "src", file), "utf8");
+}
