--- a/src/http/caller_gate.ts
+++ b/src/http/caller_gate.ts
@@ -77,7 +77,11 @@
     const hangUp = abortOnHangUp(response);
     this.#inFlight++;
     owned.add(toDisposable(() => this.#inFlight--));
-    const admitted = await this.#admit(request, hangUp.signal);
+    const admitted = await this.#admit(request, hangUp.signal)
+      .catch((error) => {
+        owned.dispose();
+        throw error;
+      });
     if (admitted.isErr()) {
       owned.dispose();
       this.refuse(response, admitted.error, requestId);
@@ -132,10 +136,11 @@
     }
     const customer = authenticator.authenticate(request);
     if (customer.isErr()) return customer;
+    // Read now: the customer may be gone from the configuration after a wait.
+    const { priority } = config.state.config.customers[customer.value];
     const deadlineMs = clock.nowMs() + ADMIT_WITHIN_MS;
     const share = await limits.admitSoon(customer.value, { deadlineMs });
     if (share.isErr()) return share;
-    const { priority } = config.state.config.customers[customer.value];
     const place = await queue.enter({
       customer: customer.value,
       priority,
--- a/src/http/caller_routes_test.ts
+++ b/src/http/caller_routes_test.ts
@@ -217,6 +217,15 @@
   expect(await refused).toMatchObject({ status: 503, code: "overloaded" });
 });
 
+test("a failure of admission itself frees the request's place", async () => {
+  const broken = () => Promise.reject(new Error("boom"));
+  await open({
+    limits: { admit: () => notRun("internal", "x"), admitSoon: broken },
+  });
+  expect(await fixture.client().complete(CALL)).toMatchObject({ status: 500 });
+  expect(fixture.gate.inFlightCount).toBe(0);
+});
+
 test("a handler that throws answers 500 and harms nobody else", async () => {
   let calls = 0;
   await open({
