Keep one deferred promise, and export only what others use

Cause: the read-through found a promise settled from outside written twice, one function that nothing calls, and five exports that only their own file uses. Ruled out: Promise.withResolvers, which Node.js 20 does not have. Change: src/common/deferred.ts for both users; the unused function is gone; the five are private to their files. Conclusion: less to read.

--- a/src/fleet/admission_queue.ts
+++ b/src/fleet/admission_queue.ts
@@ -8,6 +8,7 @@
 
 import { Ok } from "ts-results-es";
 import { type Clock, systemClock } from "../common/clock.ts";
+import { deferred } from "../common/deferred.ts";
 import { toDisposable } from "../common/lifecycle.ts";
 import { notRun, type Outcome } from "../common/verdict.ts";
 import { FairBacklog, type Waiting } from "./fair_backlog.ts";
@@ -92,7 +93,7 @@
   }
 
   #wait(request: QueueRequest): Promise<Outcome<Admission>> {
-    const { promise, resolve } = makeDeferred<Outcome<Admission>>();
+    const { promise, resolve } = deferred<Outcome<Admission>>();
     const ended = new AbortController();
     const waiter: Waiter = {
       ...request,
@@ -155,12 +156,3 @@
     });
   }
 }
-
-function makeDeferred<T>(): {
-  promise: Promise<T>;
-  resolve: (value: T) => void;
-} {
-  let resolve: (value: T) => void = () => {};
-  const promise = new Promise<T>((settle) => resolve = settle);
-  return { promise, resolve };
-}
--- a/src/fleet/bucket_digest.ts
+++ b/src/fleet/bucket_digest.ts
@@ -43,7 +43,7 @@
 }
 
 /** The bucket of a key. */
-export function bucketOf(key: string): number {
+function bucketOf(key: string): number {
   return hash32(key) % BUCKET_COUNT;
 }
 
--- a/src/pipelines/order_plan.ts
+++ b/src/pipelines/order_plan.ts
@@ -77,7 +77,7 @@
 }
 
 /** True when the target publishes, or is loading, just what is wanted. */
-export function isPublished(
+function isPublished(
   wanted: WantedLoad,
   state: EngineState | undefined,
 ): boolean {
--- a/src/pipelines/target_directory.ts
+++ b/src/pipelines/target_directory.ts
@@ -332,7 +332,7 @@
 }
 
 /** True when two states offer the same work; the load does not count. */
-export function isSameOffer(a: EngineState, b: EngineState): boolean {
+function isSameOffer(a: EngineState, b: EngineState): boolean {
   return a.generation === b.generation && a.first === b.first &&
     a.end === b.end && a.model === b.model && a.version === b.version &&
     a.role === b.role && a.loading === b.loading && a.leaving === b.leaving &&
--- a/src/requests/claim_grouper.ts
+++ b/src/requests/claim_grouper.ts
@@ -11,7 +11,7 @@
 import type { ClaimLedger } from "./claim_ledger.ts";
 import { ClaimReader } from "./claim_reader.ts";
 import { type ClaimFate, type ClaimOp, claimStream } from "./claim_records.ts";
-import { type Deferred, deferred } from "./deferred.ts";
+import { type Deferred, deferred } from "../common/deferred.ts";
 
 /** Options of `ClaimGrouper`. */
 export interface ClaimGrouperOptions {
--- a/src/requests/completion_attempt.ts
+++ b/src/requests/completion_attempt.ts
@@ -6,12 +6,7 @@
  */
 
 import type { Clock } from "../common/clock.ts";
-import {
-  type Failure,
-  mayHaveRun,
-  notRun,
-  type Outcome,
-} from "../common/verdict.ts";
+import { type Failure, mayHaveRun, type Outcome } from "../common/verdict.ts";
 import type { ChainPick, IChainPicker } from "../pipelines/services.ts";
 import type { IEngineClient, TokenListener } from "../platform/services.ts";
 import {
@@ -19,7 +14,7 @@
   type EngineEnd,
   type EngineToken,
 } from "../platform/types.ts";
-import { deferred } from "./deferred.ts";
+import { deferred } from "../common/deferred.ts";
 import { TokenGate } from "./token_gate.ts";
 import type { CompletionRequest } from "./types.ts";
 
@@ -257,8 +252,3 @@
   const message = "the caller cancelled while the request ran";
   return failed("given-up", mayHaveRun("cancelled", message).error);
 }
-
-/** The failure of a request whose deadline passed between attempts. */
-export function deadlineBeforeAttempt(): Failure {
-  return notRun("deadline-exceeded", "the request's deadline passed").error;
-}
--- a/src/requests/completion_service.ts
+++ b/src/requests/completion_service.ts
@@ -95,7 +95,7 @@
 }
 
 /** Digest of the content that an engine would run, whoever sent it. */
-export function fingerprintOf(
+function fingerprintOf(
   request: Pick<CompletionRequest, "pipeline" | "prompt">,
 ): string {
   return createHash("sha256")
--- a/src/tool/commands/operator_command.ts
+++ b/src/tool/commands/operator_command.ts
@@ -10,7 +10,7 @@
 import { OperatorClient } from "../operator_client.ts";
 
 /** Environment variable of the operator's token; there is no flag for it. */
-export const TOKEN_VARIABLE = "JACKDAWSHIFT_OPERATOR_TOKEN";
+const TOKEN_VARIABLE = "JACKDAWSHIFT_OPERATOR_TOKEN";
 
 const URL_VARIABLE = "JACKDAWSHIFT_OPERATOR_URL";
 const DEFAULT_OPERATOR_URL = "http://127.0.0.1:8081";
