--- a/src/fleet/limit_lender.ts
+++ b/src/fleet/limit_lender.ts
@@ -12,6 +12,7 @@
  */
 
 import type { Clock } from "../common/clock.ts";
+import { grant, grantSlots, sum } from "./limit_grants.ts";
 import type {
   BorrowAnswer,
   BorrowAsk,
@@ -30,17 +31,9 @@
 const SCARCE_FRACTION = 0.8;
 /** How much longer leases run while a limit is not scarce. */
 export const PLENTY_LEASE_FACTOR = 3;
-/** Part of the limit that all shares together may come to. */
-const MAX_LENT_FRACTION = 1.04;
 /** Bound of the credit, as time at the limit's rate, and time to spend it in. */
 const MAX_CREDIT_MS = 800;
 const SPEND_CREDIT_MS = 1_500;
-/** The same for slots, of which more lie idle for a moment. */
-const MAX_LENT_SLOTS_FRACTION = 1.08;
-/** Part of what nobody wants that is lent; the rest waits for the next to ask. */
-const SPARE_FRACTION = 0.7;
-/** Spare room is divided as if at least this many hosts had asked. */
-const MIN_SPARE_PARTS = 10;
 
 /** Limits of one customer over the fleet. */
 export interface CustomerLimits {
@@ -90,6 +83,14 @@
   scarceUntilMs: number;
 }
 
+/** One ask, and what it is weighed against. */
+interface LoanContext {
+  readonly ask: BorrowAsk;
+  readonly customer: CustomerState;
+  readonly limits: CustomerLimits;
+  readonly others: readonly Loan[];
+}
+
 /** Lends shares of the customers whose home this host is. */
 export class LimitLender {
   readonly #options: LimitLenderOptions;
@@ -201,15 +202,24 @@
     this.#dropOld(loans);
     loans.delete(borrower);
     const others = [...loans.values()];
-    const { wantedPerS = 0, usedCount = 0, heldPerS = 0 } = ask;
-    const { wantedSlots = 0, usedSlots = 0, heldSlots = 0 } = ask;
-    const isSettled = this.#isSettled(state);
-    const allowedPerS = this.#allow(customer, {
-      limitPerS: limits.requestsPerS,
-      usedCount,
-    });
+    const loan = this.#makeLoan(state, { ask, customer, limits, others });
+    const isIdle = loan.wantedPerS === 0 && loan.slots === 0;
+    if (!isIdle) {
+      // Slots in use cannot be lent again before their requests end.
+      const slots = Math.max(loan.slots, ask.usedSlots ?? 0);
+      loans.set(borrower, { ...loan, slots });
+    }
+    return loan;
+  }
+
+  /** What one host gets beside the loans of the others. */
+  #makeLoan(state: PartitionState, context: LoanContext): Loan {
+    const { ask, customer, limits, others } = context;
+    const { wantedPerS = 0, wantedSlots = 0 } = ask;
+    const limitPerS = limits.requestsPerS;
+    const usedCount = ask.usedCount ?? 0;
     const rate = grant(wantedPerS, {
-      limit: allowedPerS,
+      limit: this.#allow(customer, { limitPerS, usedCount }),
       others: others.map((loan) => ({
         wanted: loan.wantedPerS,
         held: loan.requestsPerS,
@@ -222,32 +232,31 @@
         held: loan.slots,
       })),
     });
-    const wantedByAll = wantedPerS +
-      sum(others.map((loan) => loan.wantedPerS));
-    const slotsWanted = wantedSlots +
-      sum(others.map((loan) => loan.wantedSlots));
-    const isScarceNow = wantedByAll > limits.requestsPerS * SCARCE_FRACTION ||
-      slotsWanted > limits.slots * SCARCE_FRACTION;
-    const nowMs = this.#options.clock.nowMs();
-    if (isScarceNow) customer.scarceUntilMs = nowMs + this.#options.leaseMs();
-    const isScarce = nowMs < customer.scarceUntilMs;
+    const isScarce = this.#noteScarcity(context);
+    const isSettled = this.#isSettled(state);
     const leaseMs = this.#options.leaseMs() *
       (isScarce ? 1 : PLENTY_LEASE_FACTOR);
-    const loan: Loan = {
+    return {
       wantedPerS,
-      requestsPerS: isSettled ? rate : Math.min(rate, heldPerS),
+      requestsPerS: isSettled ? rate : Math.min(rate, ask.heldPerS ?? 0),
       wantedSlots,
-      slots: isSettled ? slots : Math.min(slots, heldSlots),
+      slots: isSettled ? slots : Math.min(slots, ask.heldSlots ?? 0),
       isScarce,
-      expiresMs: nowMs + leaseMs,
+      expiresMs: this.#options.clock.nowMs() + leaseMs,
     };
-    const isIdle = wantedPerS === 0 && loan.slots === 0;
-    if (!isIdle) {
-      // Slots in use cannot be lent again before their requests end.
-      const slotsInUse = Math.max(loan.slots, usedSlots);
-      loans.set(borrower, { ...loan, slots: slotsInUse });
-    }
-    return loan;
+  }
+
+  /** True while all together want nearly the limit, and for a lease after that. */
+  #noteScarcity({ ask, customer, limits, others }: LoanContext): boolean {
+    const wantedPerS = (ask.wantedPerS ?? 0) +
+      sum(others.map((loan) => loan.wantedPerS));
+    const wantedSlots = (ask.wantedSlots ?? 0) +
+      sum(others.map((loan) => loan.wantedSlots));
+    const isScarceNow = wantedPerS > limits.requestsPerS * SCARCE_FRACTION ||
+      wantedSlots > limits.slots * SCARCE_FRACTION;
+    const nowMs = this.#options.clock.nowMs();
+    if (isScarceNow) customer.scarceUntilMs = nowMs + this.#options.leaseMs();
+    return nowMs < customer.scarceUntilMs;
   }
 
   #limitsNow(customer: string): CustomerLimits | undefined {
@@ -298,69 +307,3 @@
     return limitPerS + customer.credit * 1_000 / SPEND_CREDIT_MS;
   }
 }
-
-/** What a grant depends on besides the demand of the one who asks. */
-interface GrantContext {
-  readonly limit: number;
-  /** Loans of the others: what each wants, and what it holds. */
-  readonly others: readonly { wanted: number; held: number }[];
-}
-
-/**
- * The share of one that wants `wanted`. One that wants less than it holds
- * counts with what it wants, so that no part of the limit lies idle; all that
- * is held together never exceeds `MAX_LENT_FRACTION` of the limit.
- */
-function grant(wanted: number, { limit, others }: GrantContext): number {
-  const demands = [...others.map((loan) => loan.wanted), wanted];
-  const total = sum(demands);
-  const held = sum(others.map((loan) => loan.held));
-  const used = sum(others.map((loan) => Math.min(loan.held, loan.wanted)));
-  const most = limit * MAX_LENT_FRACTION;
-  const isScarce = total > limit;
-  const level = isScarce ? waterLevel(demands, limit) : Infinity;
-  const spare = isScarce ? most - limit : (most - total) * SPARE_FRACTION;
-  const isLevelled = wanted >= level;
-  const bonus = isLevelled
-    ? 0
-    : spare / Math.max(demands.length, MIN_SPARE_PARTS);
-  const target = Math.min(wanted, level) + bonus;
-  const free = isLevelled ? limit - used : Infinity;
-  return Math.max(0, Math.min(target, free, most - held));
-}
-
-/** As {@link grant} for slots, which cannot be divided. */
-function grantSlots(wanted: number, { limit, others }: GrantContext): number {
-  const most = limit * MAX_LENT_SLOTS_FRACTION;
-  const held = sum(others.map((loan) => loan.held));
-  const free = Math.max(0, Math.floor(most - held));
-  const demands = [...others.map((loan) => loan.wanted), wanted];
-  const total = sum(demands);
-  const parts = Math.max(demands.length, MIN_SPARE_PARTS);
-  const target = total <= most
-    ? wanted + Math.floor((most - total) * SPARE_FRACTION / parts)
-    : Math.min(
-      wanted,
-      Math.max(
-        Math.ceil(waterLevel(demands, most)),
-        Math.floor(free * SPARE_FRACTION),
-      ),
-    );
-  return Math.min(free, wanted > 0 ? Math.max(1, target) : 0);
-}
-
-/** The level at which the parts of demand below it add up to `limit`. */
-export function waterLevel(demands: readonly number[], limit: number): number {
-  const sorted = [...demands].sort((one, other) => one - other);
-  let left = limit;
-  for (const [index, demand] of sorted.entries()) {
-    const even = left / (sorted.length - index);
-    if (demand > even) return even;
-    left -= demand;
-  }
-  return Infinity;
-}
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
--- a/src/fleet/limit_lender_test.ts
+++ b/src/fleet/limit_lender_test.ts
@@ -1,7 +1,8 @@
 import fc from "fast-check";
 import { expect, test } from "vitest";
 import { ManualClock } from "../../test/manual_clock.ts";
-import { LimitLender, waterLevel } from "./limit_lender.ts";
+import { waterLevel } from "./limit_grants.ts";
+import { LimitLender } from "./limit_lender.ts";
 import type { BorrowAsk, LimitLease } from "./types.ts";
 
 const SEED = 5;
