--- /dev/null
+++ b/src/entry/entry_host.ts
@@ -0,0 +1,410 @@
+/**
+ * A host of the router: callers' port, readiness, metrics, the feeds from the
+ * store, the exchange with the other hosts and the placement of the model,
+ * below one supervisor.
+ *
+ * @module
+ */
+
+import { createServer, type RequestListener, type Server } from "node:http";
+import { RepeatBudget } from "../admission/repeat_budget.ts";
+import { WaitQueue } from "../admission/wait_queue.ts";
+import type { Clock } from "../common/clock.ts";
+import { LightMetrics } from "../common/light_metrics.ts";
+import type { ILog } from "../common/logging.ts";
+import { Supervisor } from "../common/supervisor.ts";
+import { KeyedFollower } from "../feeds/keyed_follower.ts";
+import type { CallContext } from "../forward/context.ts";
+import { RequestCore } from "../forward/request_core.ts";
+import { StreamWatch } from "../forward/stream_watch.ts";
+import { UpstreamAgent } from "../forward/upstream_agent.ts";
+import { PathChooser } from "../paths/path_chooser.ts";
+import { TargetBook } from "../paths/target_book.ts";
+import { PeerLink } from "../peers/peer_link.ts";
+import { PlacementKeeper } from "../placement/placement_keeper.ts";
+import type {
+  IHeaderCodec,
+  IHostRegistry,
+  IKeyedLog,
+  IRecordDecoder,
+  ITargetControl,
+} from "../ports/services.ts";
+import type { Endpoint, HostRecord, HostSettings } from "../ports/types.ts";
+import { ConfigKeeper } from "./config_keeper.ts";
+import { PeerExchange } from "./peer_exchange.ts";
+import { SilenceProber } from "./silence_prober.ts";
+import { TargetFeed } from "./target_feed.ts";
+
+/** A read of the configuration waits this long at the store; it bounds the age of the proof. */
+const CONFIG_WAIT_MS = 900;
+/** Pause between reads of the targets' records; a leaving target gets nothing after two seconds. */
+const TARGET_PAUSE_MS = 700;
+/** Keys are honoured while the configuration is this much newer than the bound. */
+const FRESH_MARGIN_MS = 600;
+/** Not ready from this age on, so that the balancer moves callers before they are refused. */
+const READY_AGE_MS = 2_200;
+/** Tokens of context for which each copy of the model has room. */
+const TOKENS_PER_COPY = 45_000;
+/** Requests that wait for a path at most; a stream takes some 100 KB. */
+const MAX_WAITING = 400;
+/** Hosts that may exist beside those heard of: some are starting, some cut off. */
+const UNSEEN_HOSTS = 4;
+/** Fewest hosts that share the slack of repeats. */
+const LEAST_HOSTS = 12;
+/** After a stop begins, callers are moved by the balancer within this time. */
+const STOP_LINGER_MS = 3_000;
+/** A stopping host ends this long before it would be killed. */
+const STOP_MARGIN_MS = 900;
+/** Connections beyond this many wait for the kernel. */
+const BACKLOG = 1_024;
+/** Node.js looks for slow heads this often. */
+const HEAD_CHECK_MS = 500;
+
+/** Options of a host. */
+export interface EntryHostOptions {
+  readonly settings: HostSettings;
+  readonly configLog: IKeyedLog;
+  readonly targetLog: IKeyedLog;
+  readonly registry: IHostRegistry;
+  readonly decoder: IRecordDecoder;
+  readonly codec: IHeaderCodec;
+  readonly control: ITargetControl;
+  readonly clock: Clock;
+  /** A clock that also counts while the machine is suspended. */
+  readonly bootMs: () => number;
+  readonly log: ILog;
+  readonly metrics?: LightMetrics;
+  readonly random?: () => number;
+}
+
+/** One host. */
+export class EntryHost {
+  readonly #options: EntryHostOptions;
+  readonly #metrics: LightMetrics;
+  readonly #random: () => number;
+  readonly #supervisor: Supervisor;
+  readonly #book: TargetBook;
+  readonly #chooser: PathChooser;
+  readonly #config: ConfigKeeper;
+  readonly #configFeed: KeyedFollower;
+  readonly #targetFeed: KeyedFollower;
+  readonly #link: PeerLink;
+  readonly #peers: PeerExchange;
+  readonly #placement: PlacementKeeper;
+  readonly #prober: SilenceProber;
+  readonly #watch: StreamWatch;
+  readonly #agent: UpstreamAgent;
+  readonly #core: RequestCore;
+  readonly #budgets = new Map<string, RepeatBudget>();
+  readonly #queues = new Map<string, WaitQueue>();
+  readonly #servers: Server[] = [];
+  #isStopping = false;
+  #wasReady = false;
+
+  constructor(options: EntryHostOptions) {
+    this.#options = options;
+    const { settings, clock, log, bootMs, decoder, control, registry } =
+      options;
+    this.#metrics = options.metrics ?? new LightMetrics();
+    this.#random = options.random ?? Math.random;
+    this.#supervisor = new Supervisor({
+      name: "host",
+      clock,
+      random: this.#random,
+    });
+    this.#supervisor.onFailure((failure) =>
+      log.error("task failed", { ...failure })
+    );
+    this.#book = new TargetBook({ clock, log });
+    this.#chooser = new PathChooser({
+      book: this.#book,
+      domain: settings.domain,
+      random: this.#random,
+    });
+    this.#config = new ConfigKeeper({ decoder, log });
+    const feed = { clock, bootMs, log, random: this.#random };
+    this.#configFeed = new KeyedFollower({
+      ...feed,
+      name: "config",
+      source: options.configLog,
+      waitMs: CONFIG_WAIT_MS,
+      pauseMs: 0,
+    });
+    this.#targetFeed = new KeyedFollower({
+      ...feed,
+      name: "targets",
+      source: options.targetLog,
+      waitMs: 0,
+      pauseMs: TARGET_PAUSE_MS,
+    });
+    const host = hostRecord(settings, clock);
+    this.#link = new PeerLink({ host, clock, log });
+    this.#placement = new PlacementKeeper({
+      book: this.#book,
+      control,
+      clock,
+      log,
+      metrics: this.#metrics,
+      config: () => this.#config.table?.config,
+      isLeader: () => this.#peers.isLeader(),
+      tokensPerCopy: TOKENS_PER_COPY,
+    });
+    this.#peers = new PeerExchange({
+      host,
+      link: this.#link,
+      registry,
+      book: this.#book,
+      clock,
+      log,
+      canLead: () => !this.#isStopping && this.#isFresh(),
+      slowTargets: () => this.#placement.slowTargets(),
+      onLoad: () => this.#pump(),
+    });
+    this.#prober = new SilenceProber({
+      book: this.#book,
+      control,
+      clock,
+      log,
+      hasReports: (service) => this.#engineOf(service) !== undefined,
+    });
+    this.#watch = new StreamWatch({ clock, onLook: () => this.#pump() });
+    this.#agent = new UpstreamAgent({
+      onStrayBytes: (address, sizeBytes) =>
+        log.warn("stray bytes from target", { address, sizeBytes }),
+    });
+    this.#core = new RequestCore({
+      context: this.#context(),
+      routes: () => this.#config.table,
+      isFresh: () => this.#isFresh(),
+      configAgeMs: () => this.#configFeed.ageMs,
+      isStopping: () => this.#isStopping,
+    });
+    this.#wire();
+  }
+
+  /** Opens the ports and starts all tasks. Rejects where a port is taken. */
+  async start(): Promise<void> {
+    const { settings, log } = this.#options;
+    await this.#link.open();
+    const frontend = createServer(
+      {
+        keepAlive: true,
+        connectionsCheckingInterval: HEAD_CHECK_MS,
+        requestTimeout: 0,
+      },
+      (request, response) => void this.#core.serve(request, response),
+    );
+    this.#applyLimits(frontend);
+    this.#config.onChange(() => this.#applyLimits(frontend));
+    await this.#listen(frontend, settings.frontend);
+    await this.#listen(
+      createServer((_request, response) => {
+        response.writeHead(this.#isReady() ? 200 : 503, {
+          "content-length": "0",
+        }).end();
+      }),
+      settings.readiness,
+    );
+    await this.#listen(createServer(this.#showMetrics), settings.metrics);
+    this.#supervisor.start("config", (signal) => this.#configFeed.run(signal));
+    this.#supervisor.start("targets", (signal) => this.#targetFeed.run(signal));
+    this.#supervisor.start("peers", (signal) => this.#peers.runSender(signal));
+    this.#supervisor.start(
+      "registry",
+      (signal) => this.#peers.runRegistry(signal),
+    );
+    this.#supervisor.start(
+      "placement",
+      (signal) => this.#placement.run(signal),
+    );
+    this.#supervisor.start("prober", (signal) => this.#prober.run(signal));
+    this.#supervisor.start("watch", (signal) => this.#watch.run(signal));
+    log.info("host started", {
+      domain: settings.domain,
+      frontend: settings.frontend,
+    });
+  }
+
+  /** Takes no new callers, lets requests end, and stops. */
+  async stop(): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    const { clock, log, settings } = this.#options;
+    const startedMs = clock.nowMs();
+    log.info("host stopping", { active: this.#core.active });
+    const endMs = startedMs +
+      Math.max(0, settings.bounds.graceMs - STOP_MARGIN_MS);
+    await clock.sleep(Math.min(STOP_LINGER_MS, endMs - startedMs));
+    const [frontend] = this.#servers;
+    while (clock.nowMs() < endMs && this.#core.active > 0) {
+      await clock.sleep(50);
+    }
+    frontend.closeIdleConnections();
+    const isIdle = this.#core.active === 0;
+    log.info("host stopped", {
+      active: this.#core.active,
+      isIdle,
+      durationMs: Math.round(clock.nowMs() - startedMs),
+    });
+    for (const server of this.#servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+    this.#link.dispose();
+    this.#agent.destroy();
+    await this.#supervisor.stop();
+  }
+
+  /** The settings file changed; nothing that this host reads of it may change while it runs. */
+  reload(): void {
+    this.#options.log.info("reload requested", {
+      configVersion: this.#config.table?.config.version,
+    });
+  }
+
+  #wire(): void {
+    const { decoder, log } = this.#options;
+    const feed = new TargetFeed({
+      book: this.#book,
+      decoder,
+      log,
+      sinceRecoveryMs: () => this.#targetFeed.sinceRecoveryMs,
+    });
+    this.#configFeed.onBatch((batch) => this.#config.take(batch));
+    this.#targetFeed.onBatch((batch) => feed.take(batch));
+    this.#book.onChange(() => this.#pump());
+    this.#metrics.gauge(
+      "jackdawshift_requests_active",
+      () => this.#core.active,
+    );
+    this.#metrics.gauge(
+      "jackdawshift_config_age_ms",
+      () => this.#configFeed.ageMs,
+    );
+    this.#metrics.gauge(
+      "jackdawshift_config_version",
+      () => this.#config.table?.config.version ?? 0,
+    );
+    this.#metrics.gauge(
+      "jackdawshift_targets_known",
+      () => this.#book.all().length,
+    );
+    this.#metrics.gauge(
+      "jackdawshift_peers_live",
+      () => this.#link.live().length,
+    );
+    this.#metrics.gauge(
+      "jackdawshift_resident_bytes",
+      () => process.memoryUsage.rss(),
+    );
+  }
+
+  #context(): CallContext {
+    const { clock, log, control, codec, settings } = this.#options;
+    return {
+      clock,
+      log,
+      metrics: this.#metrics,
+      book: this.#book,
+      chooser: this.#chooser,
+      control,
+      codec,
+      agent: this.#agent,
+      watch: this.#watch,
+      domain: settings.domain,
+      random: this.#random,
+      budgetOf: (service) => this.#budgetOf(service),
+      queueOf: (service) => this.#queueOf(service),
+    };
+  }
+
+  #budgetOf(service: string): RepeatBudget {
+    let budget = this.#budgets.get(service);
+    if (budget === undefined) {
+      const { bounds } = this.#options.settings;
+      budget = new RepeatBudget({
+        clock: this.#options.clock,
+        windowMs: bounds.retryWindowMs,
+        ratio: bounds.retryRatio,
+        slack: bounds.retrySlack,
+        hostLimit: () =>
+          Math.max(LEAST_HOSTS, this.#link.knownCount + 1 + UNSEEN_HOSTS),
+      });
+      this.#budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  #queueOf(service: string): WaitQueue {
+    let queue = this.#queues.get(service);
+    if (queue === undefined) {
+      queue = new WaitQueue({
+        clock: this.#options.clock,
+        maxWaiting: MAX_WAITING,
+      });
+      this.#queues.set(service, queue);
+    }
+    return queue;
+  }
+
+  #pump(): void {
+    for (const queue of this.#queues.values()) queue.pump();
+  }
+
+  #engineOf(service: string): unknown {
+    return this.#config.table?.config.services.get(service)?.engine;
+  }
+
+  #isFresh(): boolean {
+    const { revokeMs } = this.#options.settings.bounds;
+    return this.#configFeed.ageMs < revokeMs - FRESH_MARGIN_MS;
+  }
+
+  #isReady(): boolean {
+    const ready = !this.#isStopping && this.#config.table !== undefined &&
+      this.#configFeed.ageMs < READY_AGE_MS && this.#book.all().length > 0;
+    if (ready !== this.#wasReady) {
+      this.#wasReady = ready;
+      this.#options.log.info(ready ? "host ready" : "host not ready", {
+        isStopping: this.#isStopping,
+        configAgeMs: Math.round(this.#configFeed.ageMs),
+        targets: this.#book.all().length,
+      });
+    }
+    return ready;
+  }
+
+  #applyLimits(frontend: Server): void {
+    const limits = this.#config.table?.config.limits;
+    if (limits === undefined) return;
+    frontend.keepAliveTimeout = limits.idleMs;
+    frontend.headersTimeout = limits.headerMs;
+    // Node.js gives each new connection's parser this limit.
+    (frontend as { maxHeaderSize?: number }).maxHeaderSize = limits.headerBytes;
+  }
+
+  readonly #showMetrics: RequestListener = (_request, response) => {
+    response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+    response.end(this.#metrics.render());
+  };
+
+  #listen(server: Server, endpoint: Endpoint): Promise<void> {
+    this.#servers.push(server);
+    return new Promise((resolve, reject) => {
+      server.once("error", reject);
+      server.listen({
+        host: endpoint.ip,
+        port: endpoint.port,
+        backlog: BACKLOG,
+      }, () => {
+        server.off("error", reject);
+        resolve();
+      });
+    });
+  }
+}
+
+function hostRecord(settings: HostSettings, clock: Clock): HostRecord {
+  const { hostId, domain, ip, peerPort } = settings;
+  return { id: hostId, domain, ip, port: peerPort, bornMs: clock.wallMs() };
+}
--- /dev/null
+++ b/src/entry/peer_exchange.ts
@@ -0,0 +1,160 @@
+/**
+ * Tells the other hosts what this one uses and doubts, and takes in what they
+ * tell; names the host that places the model.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import type { ILog } from "../common/logging.ts";
+import type { Target } from "../paths/target.ts";
+import type { TargetBook } from "../paths/target_book.ts";
+import type { PeerLink } from "../peers/peer_link.ts";
+import type { PeerState, PeerUse } from "../peers/peer_state.ts";
+import type { IHostRegistry } from "../ports/services.ts";
+import type { HostRecord } from "../ports/types.ts";
+
+/** Time between datagrams to each host. */
+const SEND_MS = 250;
+/** Time between readings of the registry. */
+const REGISTRY_MS = 8_000;
+/** The same until this host has announced itself. */
+const FIRST_REGISTRY_MS = 400;
+/** Readings soon after the start, while hosts that start together announce themselves. */
+const EARLY_READINGS = 3;
+/** A target that another host doubts is avoided until it is told again, or not. */
+const PEER_DOUBT_MS = 800;
+/** A host that doubts more than this part of the targets is itself cut off. */
+const MAX_DOUBT_SHARE = 0.4;
+
+/** Options of an exchange. */
+export interface PeerExchangeOptions {
+  readonly host: HostRecord;
+  readonly link: PeerLink;
+  readonly registry: IHostRegistry;
+  readonly book: TargetBook;
+  readonly clock: Clock;
+  readonly log: ILog;
+  /** In touch with the store and not stopping. */
+  readonly canLead: () => boolean;
+  readonly slowTargets: () => (readonly [string, number])[];
+  /** Called when the load of other hosts is known anew. */
+  readonly onLoad: () => void;
+}
+
+/** Exchanges states with the other hosts. */
+export class PeerExchange {
+  readonly #options: PeerExchangeOptions;
+  #count = 0;
+  #isAnnounced = false;
+
+  constructor(options: PeerExchangeOptions) {
+    this.#options = options;
+    options.link.onState(({ state }) => {
+      if (state !== undefined) this.#take(state);
+    });
+  }
+
+  /** Whether this host has told the others that it exists. */
+  get isAnnounced(): boolean {
+    return this.#isAnnounced;
+  }
+
+  /** The oldest live host that can lead does; ties go by name. */
+  isLeader(): boolean {
+    const { host, link, canLead } = this.#options;
+    if (!canLead() || !this.#isAnnounced || this.#isCutOff()) return false;
+    return link.live().every((peer) =>
+      peer.state?.canLead !== true || isBefore(host, peer.host)
+    );
+  }
+
+  /** Sends states until it is stopped. */
+  async runSender(signal: AbortSignal): Promise<void> {
+    const { clock, link, onLoad } = this.#options;
+    while (!signal.aborted) {
+      link.send(this.#state());
+      this.#sumPeerUse();
+      onLoad();
+      await clock.sleep(SEND_MS, signal);
+    }
+  }
+
+  /** Announces this host and reads the registry until it is stopped. */
+  async runRegistry(signal: AbortSignal): Promise<void> {
+    const { clock, registry, link, host, log } = this.#options;
+    let readings = 0;
+    while (!signal.aborted) {
+      try {
+        if (!this.#isAnnounced) await registry.announce(host);
+        this.#isAnnounced = true;
+        link.learn(await registry.list());
+        readings++;
+      } catch (error) {
+        log.info("host registry unavailable", { reason: String(error) });
+      }
+      const isEarly = readings < EARLY_READINGS;
+      await clock.sleep(isEarly ? FIRST_REGISTRY_MS : REGISTRY_MS, signal);
+    }
+  }
+
+  #state(): PeerState {
+    const uses: PeerUse[] = [];
+    const silentTargets: string[] = [];
+    for (const target of this.#options.book.all()) {
+      const { streams, tokenLayers } = target.ownUse;
+      if (streams > 0) uses.push({ targetId: target.id, streams, tokenLayers });
+      if (target.silentSinceMs !== undefined) silentTargets.push(target.id);
+    }
+    return {
+      count: ++this.#count,
+      uses,
+      silentTargets: this.#isCutOff() ? [] : silentTargets,
+      slowTargets: this.isLeader() ? this.#options.slowTargets() : undefined,
+      canLead: this.#options.canLead() && !this.#isCutOff(),
+    };
+  }
+
+  #isCutOff(): boolean {
+    const targets = this.#options.book.all();
+    const silent = targets.filter((target) =>
+      target.silentSinceMs !== undefined
+    );
+    return silent.length > targets.length * MAX_DOUBT_SHARE;
+  }
+
+  #take(state: PeerState): void {
+    const { book, clock } = this.#options;
+    const untilMs = clock.nowMs() + PEER_DOUBT_MS;
+    for (const id of state.silentTargets) {
+      const target = book.get(id);
+      if (target === undefined) continue;
+      const wasTrusted = target.isTrusted;
+      target.avoidUntilMs = Math.max(target.avoidUntilMs, untilMs);
+      if (wasTrusted) book.notify(target);
+    }
+    if (state.slowTargets === undefined) return;
+    const slow = new Map(state.slowTargets);
+    for (const target of book.all()) target.slowness = slow.get(target.id) ?? 1;
+  }
+
+  #sumPeerUse(): void {
+    const { book, link } = this.#options;
+    const sums = new Map<string, Target["peerUse"]>();
+    for (const peer of link.live()) {
+      for (const use of peer.state?.uses ?? []) {
+        const sum = sums.get(use.targetId) ?? { streams: 0, tokenLayers: 0 };
+        sum.streams += use.streams;
+        sum.tokenLayers += use.tokenLayers;
+        sums.set(use.targetId, sum);
+      }
+    }
+    for (const target of book.all()) {
+      target.peerUse = sums.get(target.id) ?? { streams: 0, tokenLayers: 0 };
+    }
+  }
+}
+
+function isBefore(a: HostRecord, b: HostRecord): boolean {
+  return a.bornMs < b.bornMs || (a.bornMs === b.bornMs && a.id < b.id);
+}
--- /dev/null
+++ b/src/entry/silence_prober.ts
@@ -0,0 +1,70 @@
+/**
+ * Asks targets that did not answer this host until they do, so that one that
+ * is back gets work again.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import type { ILog } from "../common/logging.ts";
+import type { Target } from "../paths/target.ts";
+import type { TargetBook } from "../paths/target_book.ts";
+import { takeReport } from "../paths/take_report.ts";
+import type { ITargetControl } from "../ports/services.ts";
+
+/** Time between questions to a silent target. */
+const PROBE_MS = 500;
+const REPORT_TIMEOUT_MS = 400;
+/** A plain service has no reports; it is tried again after this. */
+const PLAIN_RETRY_MS = 1_000;
+
+/** Options of a prober. */
+export interface SilenceProberOptions {
+  readonly book: TargetBook;
+  readonly control: ITargetControl;
+  readonly clock: Clock;
+  readonly log: ILog;
+  readonly hasReports: (service: string) => boolean;
+}
+
+/** Probes silent targets. */
+export class SilenceProber {
+  readonly #options: SilenceProberOptions;
+
+  constructor(options: SilenceProberOptions) {
+    this.#options = options;
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, book } = this.#options;
+    while (!signal.aborted) {
+      await clock.sleep(PROBE_MS, signal);
+      const silent = book.all().filter((target) =>
+        target.silentSinceMs !== undefined
+      );
+      await Promise.all(silent.map((target) => this.#probe(target)));
+    }
+  }
+
+  async #probe(target: Target): Promise<void> {
+    const { book, control, clock, log, hasReports } = this.#options;
+    const sinceMs = target.silentSinceMs ?? clock.nowMs();
+    if (!hasReports(target.record.service)) {
+      if (clock.nowMs() - sinceMs < PLAIN_RETRY_MS) return;
+      target.silentSinceMs = undefined;
+      book.notify(target);
+      return;
+    }
+    const { id, record } = target;
+    const report = await control.report(
+      { id, address: record.address },
+      REPORT_TIMEOUT_MS,
+    );
+    if (report === undefined) return;
+    takeReport(target, report, book);
+    log.info("target answers again", {
+      target: id,
+      silentMs: Math.round(clock.nowMs() - sinceMs),
+    });
+  }
+}
--- /dev/null
+++ b/src/entry/target_feed.ts
@@ -0,0 +1,71 @@
+/**
+ * Takes the store's records of targets into the book. A record that can't be
+ * read names no target to use and leaves the others as they are.
+ *
+ * @module
+ */
+
+import type { ILog } from "../common/logging.ts";
+import type { KeyedBatch } from "../feeds/keyed_follower.ts";
+import type { TargetBook } from "../paths/target_book.ts";
+import type { IRecordDecoder } from "../ports/services.ts";
+import type { KeyedRecord, TargetRecord } from "../ports/types.ts";
+
+/** Records that lapsed during an outage are back within two seconds of its end. */
+const RETURN_MS = 2_000;
+
+/** Options of a feed. */
+export interface TargetFeedOptions {
+  readonly book: TargetBook;
+  readonly decoder: IRecordDecoder;
+  readonly log: ILog;
+  /** Time since the store's last return. */
+  readonly sinceRecoveryMs: () => number;
+}
+
+/** Feeds the book. */
+export class TargetFeed {
+  readonly #options: TargetFeedOptions;
+  readonly #unreadable = new Set<string>();
+
+  constructor(options: TargetFeedOptions) {
+    this.#options = options;
+  }
+
+  take(batch: KeyedBatch): void {
+    const { book, sinceRecoveryMs } = this.#options;
+    const isStoreBack = sinceRecoveryMs() >= RETURN_MS;
+    if (batch.isSnapshot) {
+      const records = batch.records.flatMap((record) =>
+        this.#decode(record) ?? []
+      );
+      book.replaceAll(records, isStoreBack);
+      return;
+    }
+    for (const record of batch.records) {
+      const target = this.#decode(record);
+      if (target === undefined) {
+        book.remove(record.key, isStoreBack || record.value !== undefined);
+      } else book.put(target);
+    }
+    book.sweep();
+  }
+
+  #decode(record: KeyedRecord): TargetRecord | undefined {
+    if (record.value === undefined) return undefined;
+    const target = this.#options.decoder.target(record.key, record.value);
+    if (typeof target !== "string") {
+      this.#unreadable.delete(record.key);
+      return target;
+    }
+    // A bad writer repeats itself with each heartbeat; one line tells it.
+    if (!this.#unreadable.has(record.key)) {
+      this.#unreadable.add(record.key);
+      this.#options.log.warn("target record unreadable", {
+        target: record.key,
+        reason: target,
+      });
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/feeds/keyed_follower.ts
@@ -0,0 +1,149 @@
+/**
+ * Follows a keyed log of the store: a snapshot of the newest records, then
+ * what is appended after it. Each successful call proves that all records up
+ * to its start are known. History that has expired leads to a new snapshot.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import { Emitter, type Event } from "../common/emitter.ts";
+import type { ILog } from "../common/logging.ts";
+import type { IKeyedLog } from "../ports/services.ts";
+import type { KeyedRecord } from "../ports/types.ts";
+
+/** First pause after a failed call; the store answers in milliseconds when it is well. */
+const FIRST_RETRY_MS = 150;
+/** Longest pause after failed calls, well inside the bound on stale configuration. */
+const MAX_RETRY_MS = 600;
+
+/** Options of a follower. */
+export interface KeyedFollowerOptions {
+  readonly name: string;
+  readonly source: IKeyedLog;
+  /** Time that a read waits at the store for a record. */
+  readonly waitMs: number;
+  /** Pause between reads. */
+  readonly pauseMs: number;
+  readonly clock: Clock;
+  /** A clock that also counts while the machine is suspended. */
+  readonly bootMs: () => number;
+  readonly log: ILog;
+  readonly random?: () => number;
+}
+
+/** A batch of records in the order of the log. */
+export interface KeyedBatch {
+  /** All keys that exist are in `records`. */
+  readonly isSnapshot: boolean;
+  readonly records: readonly KeyedRecord[];
+}
+
+/** Follows one keyed log until it is stopped. */
+export class KeyedFollower {
+  readonly #options: KeyedFollowerOptions;
+  readonly #onBatch = new Emitter<KeyedBatch>();
+  readonly #random: () => number;
+  #nextOffset: number | undefined;
+  #provenBootMs: number | undefined;
+  #failures = 0;
+  #recoveredMs = -Infinity;
+
+  /** Fires for each batch, also an empty one. */
+  readonly onBatch: Event<KeyedBatch> = this.#onBatch.event;
+
+  constructor(options: KeyedFollowerOptions) {
+    this.#options = options;
+    this.#random = options.random ?? Math.random;
+  }
+
+  /** Age of the newest proof that nothing newer was missed; infinite before the first. */
+  get ageMs(): number {
+    if (this.#provenBootMs === undefined) return Infinity;
+    return this.#options.bootMs() - this.#provenBootMs;
+  }
+
+  /** Time since the first success after a failure, on the monotonic clock. */
+  get sinceRecoveryMs(): number {
+    if (this.#failures > 0) return 0;
+    return this.#options.clock.nowMs() - this.#recoveredMs;
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, pauseMs } = this.#options;
+    while (!signal.aborted) {
+      const isAnswered = await this.#step(signal);
+      const waitMs = isAnswered ? pauseMs : this.#retryMs();
+      await clock.sleep(waitMs, signal);
+    }
+  }
+
+  async #step(signal: AbortSignal): Promise<boolean> {
+    const startedBootMs = this.#options.bootMs();
+    try {
+      const batch = await this.#fetch();
+      if (signal.aborted) return true;
+      this.#recordSuccess();
+      // An expired history says nothing about what is newest.
+      if (batch !== undefined) {
+        this.#onBatch.fire(batch);
+        this.#provenBootMs = startedBootMs;
+      }
+      return true;
+    } catch (error) {
+      this.#recordFailure(error);
+      return false;
+    }
+  }
+
+  async #fetch(): Promise<KeyedBatch | undefined> {
+    const { source, waitMs } = this.#options;
+    if (this.#nextOffset === undefined) {
+      const snapshot = await source.newest();
+      this.#nextOffset = snapshot.nextOffset;
+      return { isSnapshot: true, records: snapshot.records };
+    }
+    const read = await source.read(this.#nextOffset, waitMs);
+    if (read.kind === "expired") {
+      this.#options.log.warn("store history expired", {
+        feed: this.#options.name,
+        offset: this.#nextOffset,
+      });
+      this.#nextOffset = undefined;
+      return undefined;
+    }
+    this.#nextOffset = read.nextOffset;
+    return { isSnapshot: false, records: read.records };
+  }
+
+  #recordSuccess(): void {
+    if (this.#failures === 0) return;
+    this.#options.log.info("store regained", {
+      feed: this.#options.name,
+      failures: this.#failures,
+      ageMs: Math.round(this.ageMs),
+    });
+    this.#failures = 0;
+    this.#recoveredMs = this.#options.clock.nowMs();
+  }
+
+  #recordFailure(error: unknown): void {
+    this.#failures++;
+    // One line a loss and a few reminders, not one a try.
+    if (this.#failures !== 1 && this.#failures % 20 !== 0) return;
+    this.#options.log.warn("store lost", {
+      feed: this.#options.name,
+      failures: this.#failures,
+      ageMs: Math.round(this.ageMs),
+      reason: String(error),
+    });
+  }
+
+  #retryMs(): number {
+    const ceilingMs = Math.min(
+      MAX_RETRY_MS,
+      FIRST_RETRY_MS * 2 ** Math.max(0, this.#failures - 1),
+    );
+    return ceilingMs * (0.5 + this.#random() / 2);
+  }
+}
--- /dev/null
+++ b/src/forward/answer_body.ts
@@ -0,0 +1,52 @@
+/**
+ * Reads the body of a target's answer whole.
+ *
+ * @module
+ */
+
+import type { IncomingMessage } from "node:http";
+
+/** Largest answer that is held in memory. */
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+/** Undefined where the answer broke off or is too large. */
+export function readAnswerBody(
+  answer: IncomingMessage,
+): Promise<Buffer | undefined> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    answer.on("data", (chunk: Buffer) => {
+      chunks.push(chunk);
+      sizeBytes += chunk.length;
+      if (sizeBytes > MAX_BODY_BYTES) answer.destroy();
+    });
+    answer.on("end", () => {
+      resolve(answer.complete ? Buffer.concat(chunks, sizeBytes) : undefined);
+    });
+    answer.on("close", () => resolve(undefined));
+  });
+}
+
+const UNFORWARDED = new Set([
+  "connection",
+  "content-length",
+  "keep-alive",
+  "proxy-authenticate",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Headers of an answer without those of its connection and framing. */
+export function answerHeaders(answer: IncomingMessage): string[] {
+  const headers: string[] = [];
+  const raw = answer.rawHeaders;
+  for (let i = 0; i + 1 < raw.length; i += 2) {
+    if (!UNFORWARDED.has(raw[i].toLowerCase())) {
+      headers.push(raw[i], raw[i + 1]);
+    }
+  }
+  return headers;
+}
--- /dev/null
+++ b/src/forward/context.ts
@@ -0,0 +1,54 @@
+/**
+ * What the calls of one host share.
+ *
+ * @module
+ */
+
+import type { RepeatBudget } from "../admission/repeat_budget.ts";
+import type { WaitQueue } from "../admission/wait_queue.ts";
+import type { Clock } from "../common/clock.ts";
+import type { IMetrics } from "../common/light_metrics.ts";
+import type { ILog } from "../common/logging.ts";
+import type { PathChooser } from "../paths/path_chooser.ts";
+import type { TargetBook } from "../paths/target_book.ts";
+import type { IHeaderCodec, ITargetControl } from "../ports/services.ts";
+import type { Customer, Route, Service } from "../ports/types.ts";
+import type { StreamWatch } from "./stream_watch.ts";
+import type { UpstreamAgent } from "./upstream_agent.ts";
+
+/** Collaborators of every call. */
+export interface CallContext {
+  readonly clock: Clock;
+  readonly log: ILog;
+  readonly metrics: IMetrics;
+  readonly book: TargetBook;
+  readonly chooser: PathChooser;
+  readonly control: ITargetControl;
+  readonly codec: IHeaderCodec;
+  readonly agent: UpstreamAgent;
+  readonly watch: StreamWatch;
+  readonly domain: string;
+  readonly random: () => number;
+  readonly budgetOf: (service: string) => RepeatBudget;
+  readonly queueOf: (service: string) => WaitQueue;
+}
+
+/** Where a request goes, as the configuration in force says. */
+export interface CallPlan {
+  readonly route: Route;
+  readonly service: Service;
+  readonly customer: Customer | undefined;
+  readonly requestId: string;
+  /** The request is given up at this time. */
+  readonly deadlineMs: number;
+  /** 0 goes first. */
+  readonly rank: number;
+}
+
+/** Retry times are spread by this factor, so that those refused don't return together. */
+const RETRY_SPREAD = 0.5;
+
+/** A time to come back, spread around an estimate. */
+export function spreadRetry(estimateMs: number, random: () => number): number {
+  return estimateMs * (1 - RETRY_SPREAD / 2 + random() * RETRY_SPREAD);
+}
--- /dev/null
+++ b/src/forward/plain_call.ts
@@ -0,0 +1,268 @@
+/**
+ * A call to a plain service: one target answers it whole. An idempotent call
+ * may go to a second target when the first fails or takes long; any other is
+ * sent again only where it certainly has not run.
+ *
+ * @module
+ */
+
+import type { Target } from "../paths/target.ts";
+import { answerHeaders, readAnswerBody } from "./answer_body.ts";
+import { type CallContext, type CallPlan, spreadRetry } from "./context.ts";
+import type { Exchange } from "./exchange.ts";
+import { pickPlainTarget } from "./plain_target.ts";
+import { sendUpstream } from "./upstream.ts";
+import { parseAddress } from "./address.ts";
+
+/** A second send begins when the first has taken this share of the goal. */
+const HEDGE_SHARE = 0.6;
+/** Less time than this is no use to a target. */
+const LEAST_TIME_MS = 8;
+/** Time after which a refused caller may find room; calls take some 20 ms. */
+const RETRY_AFTER_MS = 150;
+
+/** How one send ended. */
+type Attempt =
+  | {
+    readonly kind: "answer";
+    readonly status: number;
+    readonly headers: string[];
+    readonly body: Buffer;
+  }
+  | {
+    readonly kind: "not-run";
+    readonly wasSent: boolean;
+    readonly reason: string;
+  }
+  | { readonly kind: "may-have-run"; readonly reason: string };
+
+/** Serves one call. */
+export class PlainCall {
+  readonly #context: CallContext;
+  readonly #exchange: Exchange;
+  readonly #plan: CallPlan;
+  readonly #tried = new Set<string>();
+  readonly #abort = new AbortController();
+  #sends = 0;
+  #running = 0;
+  #mayHaveRun = false;
+  #fallback: Attempt | undefined;
+  #lastReason = "no target";
+
+  constructor(context: CallContext, exchange: Exchange, plan: CallPlan) {
+    this.#context = context;
+    this.#exchange = exchange;
+    this.#plan = plan;
+  }
+
+  async run(): Promise<void> {
+    const { clock } = this.#context;
+    const onLeave = (): void => this.#abort.abort();
+    this.#exchange.signal.addEventListener("abort", onLeave, { once: true });
+    const timer = setTimeout(
+      onLeave,
+      Math.max(0, this.#plan.deadlineMs - clock.nowMs()),
+    );
+    this.#context.budgetOf(this.#plan.service.name).recordRequest();
+    try {
+      const answer = await this.#serve();
+      if (!this.#exchange.hasLeft) this.#finish(answer);
+    } finally {
+      clearTimeout(timer);
+      this.#abort.abort();
+    }
+  }
+
+  /** The first good answer of one or, where allowed, two sends. */
+  #serve(): Promise<Attempt | undefined> {
+    const isRepeatable = this.#plan.route.repeat === "idempotent";
+    return new Promise((resolve) => {
+      const launch = (): void => {
+        const target = this.#next();
+        if (target === undefined) {
+          if (this.#running === 0) resolve(undefined);
+          return;
+        }
+        this.#running++;
+        void this.#attempt(target).then((attempt) => {
+          this.#running--;
+          if (this.#isFinal(attempt, isRepeatable)) resolve(attempt);
+          else launch();
+        });
+      };
+      launch();
+      if (!isRepeatable) return;
+      const hedge = setTimeout(() => {
+        if (this.#running > 0) launch();
+      }, this.#plan.route.goalMs * HEDGE_SHARE);
+      this.#abort.signal.addEventListener("abort", () => clearTimeout(hedge), {
+        once: true,
+      });
+    });
+  }
+
+  #isFinal(attempt: Attempt, isRepeatable: boolean): boolean {
+    if (attempt.kind === "answer") {
+      const isGood = attempt.status < 500;
+      if (!isGood) {
+        this.#mayHaveRun = true;
+        this.#fallback = attempt;
+      }
+      return isGood || !isRepeatable;
+    }
+    this.#lastReason = attempt.reason;
+    if (attempt.kind === "not-run") return false;
+    this.#mayHaveRun = true;
+    return !isRepeatable;
+  }
+
+  /** A target for another send, if one is allowed. */
+  #next(): Target | undefined {
+    const { route, service, deadlineMs } = this.#plan;
+    const { book, clock, random, domain } = this.#context;
+    if (this.#abort.signal.aborted || this.#sends >= route.maxAttempts) {
+      return undefined;
+    }
+    if (deadlineMs - clock.nowMs() < LEAST_TIME_MS) return undefined;
+    const target = pickPlainTarget({
+      targets: book.ofService(service.name),
+      tried: this.#tried,
+      domain,
+      random,
+    });
+    if (target === undefined) return undefined;
+    if (this.#sends > 0 && !this.#context.budgetOf(service.name).tryTake()) {
+      this.#context.metrics.count("jackdawshift_repeats_denied_total", {
+        service: service.name,
+      });
+      return undefined;
+    }
+    this.#tried.add(target.id);
+    this.#sends++;
+    return target;
+  }
+
+  async #attempt(target: Target): Promise<Attempt> {
+    const { clock, log, metrics } = this.#context;
+    const startedMs = clock.nowMs();
+    target.ownUse.streams++;
+    const attempt = await this.#send(target);
+    target.ownUse.streams--;
+    const durationMs = clock.nowMs() - startedMs;
+    // A send that was never begun is no send.
+    if (attempt.kind === "not-run" && !attempt.wasSent) this.#sends--;
+    const isGood = attempt.kind === "answer" && attempt.status < 500;
+    if (!this.#abort.signal.aborted || isGood) {
+      target.recordOutcome(isGood, durationMs);
+    }
+    metrics.record("jackdawshift_send_ms", durationMs, {
+      service: this.#plan.service.name,
+      outcome: attempt.kind,
+    });
+    if (!isGood) {
+      log.info("send failed", {
+        request: this.#plan.requestId,
+        target: target.id,
+        outcome: attempt.kind,
+        status: attempt.kind === "answer" ? attempt.status : undefined,
+        reason: attempt.kind === "answer" ? undefined : attempt.reason,
+        durationMs: Math.round(durationMs),
+        isCancelled: this.#abort.signal.aborted,
+      });
+    }
+    return attempt;
+  }
+
+  async #send(target: Target): Promise<Attempt> {
+    const { codec, agent, clock } = this.#context;
+    const { request, body } = this.#exchange;
+    const { route, customer, requestId, deadlineMs } = this.#plan;
+    const outcome = await sendUpstream({
+      endpoint: parseAddress(target.record.address),
+      method: request.method ?? "GET",
+      path: request.url ?? "/",
+      headers: codec.forward(request.rawHeaders, {
+        targetId: target.id,
+        remainingMs: deadlineMs - clock.nowMs(),
+        customer: customer?.name,
+        path: undefined,
+        lastEventId: undefined,
+        urgency: undefined,
+      }),
+      body,
+      mayReuse: route.repeat === "idempotent",
+      signal: this.#abort.signal,
+      agent,
+    });
+    if (outcome.kind === "failed") {
+      return outcome.verdict === "not-run"
+        ? { kind: "not-run", wasSent: false, reason: outcome.reason }
+        : { kind: "may-have-run", reason: outcome.reason };
+    }
+    const { answer } = outcome;
+    const marks = codec.answer(answer.rawHeaders);
+    const status = answer.statusCode ?? 0;
+    if (marks.isNotRun || status === 421) {
+      answer.resume();
+      return {
+        kind: "not-run",
+        wasSent: true,
+        reason: `refused with status ${status}`,
+      };
+    }
+    const whole = await readAnswerBody(answer);
+    if (whole === undefined) {
+      return { kind: "may-have-run", reason: "answer broke off" };
+    }
+    if (marks.requestId !== requestId || !marks.isSigned) {
+      answer.destroy();
+      return { kind: "may-have-run", reason: "answer is not this request's" };
+    }
+    if (answer.headers["content-encoding"] !== undefined) {
+      return { kind: "may-have-run", reason: "answer is encoded" };
+    }
+    return {
+      kind: "answer",
+      status,
+      headers: answerHeaders(answer),
+      body: whole,
+    };
+  }
+
+  #finish(attempt: Attempt | undefined): void {
+    const { log, metrics, random, clock } = this.#context;
+    const exchange = this.#exchange;
+    const answer = attempt?.kind === "answer" ? attempt : this.#fallback;
+    let status: number;
+    if (answer?.kind === "answer") {
+      status = answer.status;
+      exchange.answer(status, [
+        ...answer.headers,
+        "Content-Length",
+        String(answer.body.length),
+      ], answer.body);
+    } else if (this.#mayHaveRun) {
+      status = clock.nowMs() >= this.#plan.deadlineMs ? 504 : 502;
+      exchange.refuse(status, "no sound answer from the target");
+    } else {
+      status = 503;
+      exchange.refuse(
+        status,
+        "no target could take the request",
+        spreadRetry(RETRY_AFTER_MS, random),
+      );
+    }
+    metrics.count("jackdawshift_answers_total", { status: String(status) });
+    metrics.record("jackdawshift_answer_ms", exchange.ageMs, {
+      service: this.#plan.service.name,
+    });
+    log.info("answered", {
+      request: this.#plan.requestId,
+      route: this.#plan.route.name,
+      status,
+      sends: this.#sends,
+      ageMs: Math.round(exchange.ageMs),
+      reason: answer === undefined ? this.#lastReason : undefined,
+    });
+  }
+}
--- /dev/null
+++ b/src/forward/stream_call.ts
@@ -0,0 +1,397 @@
+/**
+ * A request whose model is spread over targets: waits for a path with room,
+ * sends it to the first target of the path and passes the events on. A path
+ * that stalls is changed under the request; a stream that breaks goes on at
+ * another target after its last event, where the route allows it.
+ *
+ * @module
+ */
+
+import type { IncomingMessage } from "node:http";
+import type { Waiter } from "../admission/wait_queue.ts";
+import type { PathDemand, ReservedPath } from "../paths/path_chooser.ts";
+import type { EngineFigures } from "../ports/types.ts";
+import { parseAddress } from "./address.ts";
+import { answerHeaders, readAnswerBody } from "./answer_body.ts";
+import { type CallContext, type CallPlan, spreadRetry } from "./context.ts";
+import type { Exchange } from "./exchange.ts";
+import { type RelayEnd, StreamRelay } from "./stream_relay.ts";
+import { sendUpstream } from "./upstream.ts";
+
+/**
+ * Longest wait for room. Callers leave a stream without an event after two
+ * seconds, and the first event takes up to half a second.
+ */
+const MAX_WAIT_MS = 1_200;
+/** An estimate of an answer's length is often low; room for this much more is kept. */
+const LENGTH_MARGIN = 1.15;
+/** Time after which a refused caller may find room: a stream takes some seconds. */
+const RETRY_AFTER_MS = 700;
+/** Sends that were refused before a request is given up. */
+const MAX_REFUSALS = 4;
+/** A target that refused a path is avoided for this long. */
+const AVOID_MS = 600;
+
+type SendEnd =
+  | { readonly kind: "done" }
+  | {
+    readonly kind: "not-run";
+    readonly wasSent: boolean;
+    readonly reason: string;
+  }
+  | { readonly kind: "broken"; readonly reason: string };
+
+/** Serves one request. */
+export class StreamCall {
+  readonly #context: CallContext;
+  readonly #exchange: Exchange;
+  readonly #plan: CallPlan;
+  readonly #figures: EngineFigures;
+  readonly #firsts = new Set<string>();
+  readonly #excluded = new Set<string>();
+  readonly #tokens: number;
+  #path: ReservedPath | undefined;
+  #sends = 0;
+  #refusals = 0;
+  #mayHaveRun = false;
+  #lastEventId: number | undefined;
+  #isHeadSent = false;
+  #waitedMs = 0;
+  #firstEventMs: number | undefined;
+  #repaths = 0;
+  #isExpired = false;
+  #abort = new AbortController();
+
+  constructor(
+    context: CallContext,
+    exchange: Exchange,
+    plan: CallPlan & { readonly figures: EngineFigures },
+  ) {
+    this.#context = context;
+    this.#exchange = exchange;
+    this.#plan = plan;
+    this.#figures = plan.figures;
+    this.#lastEventId = exchange.marks.lastEventId;
+    const { promptTokens, maxAnswerTokens, likelyAnswerTokens } =
+      exchange.marks;
+    const likely = (likelyAnswerTokens ?? plan.figures.usualAnswerTokens) *
+      LENGTH_MARGIN;
+    this.#tokens = promptTokens +
+      (maxAnswerTokens > 0 ? Math.min(maxAnswerTokens, likely) : likely);
+  }
+
+  async run(): Promise<void> {
+    const { clock } = this.#context;
+    const onLeave = (): void => this.#abort.abort();
+    this.#exchange.signal.addEventListener("abort", onLeave, { once: true });
+    const timer = setTimeout(() => {
+      this.#isExpired = true;
+      this.#abort.abort();
+    }, Math.max(0, this.#plan.deadlineMs - clock.nowMs()));
+    this.#context.budgetOf(this.#plan.service.name).recordRequest();
+    let end: SendEnd = {
+      kind: "not-run",
+      wasSent: false,
+      reason: "no room on any path",
+    };
+    try {
+      for (;;) {
+        this.#path = await this.#waitForPath();
+        if (this.#path === undefined) break;
+        end = await this.#send(this.#path);
+        this.#release();
+        if (end.kind === "done" || !this.#mayGoOn(end)) break;
+      }
+    } finally {
+      clearTimeout(timer);
+      this.#release();
+      this.#abort.abort();
+    }
+    this.#finish(end);
+  }
+
+  #release(): void {
+    if (this.#path === undefined) return;
+    this.#path.release();
+    this.#path = undefined;
+    this.#context.queueOf(this.#plan.service.name).pump();
+  }
+
+  #demand(): PathDemand {
+    return {
+      service: this.#plan.service.name,
+      figures: this.#figures,
+      tokens: this.#tokens,
+      excluded: this.#excluded,
+    };
+  }
+
+  /** Undefined where none had room in time or the caller left. */
+  #waitForPath(): Promise<ReservedPath | undefined> {
+    const { chooser, queueOf, clock } = this.#context;
+    const queue = queueOf(this.#plan.service.name);
+    const startedMs = clock.nowMs();
+    return new Promise((resolve) => {
+      const waiter: Waiter = {
+        // A stream that goes on has a caller who already waits between events.
+        rank: this.#sends > 0 ? -1 : this.#plan.rank,
+        untilMs: Math.min(startedMs + MAX_WAIT_MS, this.#plan.deadlineMs),
+        tryStart: () => {
+          const path = chooser.choose(this.#demand());
+          if (path === undefined) return false;
+          this.#waitedMs += clock.nowMs() - startedMs;
+          resolve(path);
+          return true;
+        },
+        refuse: () => {
+          this.#waitedMs += clock.nowMs() - startedMs;
+          resolve(undefined);
+        },
+      };
+      if (this.#abort.signal.aborted) {
+        resolve(undefined);
+        return;
+      }
+      this.#abort.signal.addEventListener("abort", () => {
+        queue.remove(waiter);
+        resolve(undefined);
+      }, { once: true });
+      queue.add(waiter);
+    });
+  }
+
+  async #send(path: ReservedPath): Promise<SendEnd> {
+    const { codec, agent, clock, book, log } = this.#context;
+    const { request, body } = this.#exchange;
+    const { route, customer, requestId, deadlineMs } = this.#plan;
+    const [first] = path.stages;
+    const startedMs = clock.nowMs();
+    this.#firsts.add(first.targetId);
+    this.#sends++;
+    log.info("sent", {
+      request: requestId,
+      path: path.stages.map((stage) =>
+        `${stage.targetId}=${stage.from}-${stage.to}`
+      ).join(","),
+      msPerToken: Math.round(path.msPerToken * 100) / 100,
+      tokens: Math.round(this.#tokens),
+      lastEventId: this.#lastEventId,
+      waitedMs: Math.round(this.#waitedMs),
+    });
+    const sendAbort = new AbortController();
+    const onAbort = (): void => sendAbort.abort();
+    this.#abort.signal.addEventListener("abort", onAbort, { once: true });
+    const relay = new StreamRelay({
+      context: this.#context,
+      service: this.#plan.service.name,
+      figures: this.#figures,
+      requestId,
+      tokens: this.#tokens,
+      path,
+      abort: () => sendAbort.abort(),
+      onPath: (next) => {
+        this.#path = next;
+        this.#repaths++;
+      },
+    });
+    try {
+      const outcome = await sendUpstream({
+        endpoint: parseAddress(first.address),
+        method: request.method ?? "POST",
+        path: request.url ?? "/",
+        headers: codec.forward(request.rawHeaders, {
+          targetId: first.targetId,
+          remainingMs: deadlineMs - startedMs,
+          customer: customer?.name,
+          path: path.stages,
+          lastEventId: this.#sends > 1 ? this.#lastEventId : undefined,
+          urgency: undefined,
+        }),
+        body,
+        mayReuse: route.isResumable,
+        signal: sendAbort.signal,
+        agent,
+      });
+      if (outcome.kind === "failed") {
+        if (outcome.verdict === "not-run") {
+          const target = book.get(first.targetId);
+          if (target !== undefined && !this.#abort.signal.aborted) {
+            target.markSilent();
+            book.notify(target);
+          }
+          return { kind: "not-run", wasSent: false, reason: outcome.reason };
+        }
+        return { kind: "broken", reason: relay.failure ?? outcome.reason };
+      }
+      return await this.#receive(outcome.answer, relay);
+    } finally {
+      relay.dispose();
+      this.#abort.signal.removeEventListener("abort", onAbort);
+    }
+  }
+
+  async #receive(
+    answer: IncomingMessage,
+    relay: StreamRelay,
+  ): Promise<SendEnd> {
+    const { codec, book, clock } = this.#context;
+    const marks = codec.answer(answer.rawHeaders);
+    const status = answer.statusCode ?? 0;
+    if (marks.isNotRun || status === 421) {
+      answer.resume();
+      const at = marks.faultAddress ?? this.#path?.stages[0].address;
+      const target = at === undefined ? undefined : book.byAddress(at);
+      if (target !== undefined) {
+        target.avoidUntilMs = clock.nowMs() + AVOID_MS;
+        this.#excluded.add(target.id);
+      }
+      return {
+        kind: "not-run",
+        wasSent: true,
+        reason: `refused with ${status} at ${at}`,
+      };
+    }
+    if (marks.requestId !== this.#plan.requestId || !marks.isSigned) {
+      answer.destroy();
+      return { kind: "broken", reason: "answer is not this request's" };
+    }
+    if (answer.headers["content-encoding"] !== undefined) {
+      answer.destroy();
+      return { kind: "broken", reason: "answer is encoded" };
+    }
+    if (status !== 200) return await this.#passWhole(answer, status);
+    const onDrain = (): void => relay.drained();
+    this.#exchange.response.on("drain", onDrain);
+    const end = await relay.run(answer, {
+      lastEventId: this.#lastEventId,
+      onEvents: (bytes, lastId) => this.#pass(answer, bytes, lastId),
+    });
+    this.#exchange.response.off("drain", onDrain);
+    return this.#endOf(end);
+  }
+
+  /** An answer that is no stream goes to the caller as it is, if it is whole. */
+  async #passWhole(answer: IncomingMessage, status: number): Promise<SendEnd> {
+    const body = await readAnswerBody(answer);
+    if (body === undefined) {
+      return { kind: "broken", reason: "answer broke off" };
+    }
+    if (this.#isHeadSent) {
+      return { kind: "broken", reason: `status ${status} on resume` };
+    }
+    if (!this.#exchange.hasLeft) {
+      const headers = [
+        ...answerHeaders(answer),
+        "Content-Length",
+        String(body.length),
+      ];
+      this.#exchange.answer(status, headers, body);
+      this.#isHeadSent = true;
+    }
+    return { kind: "done" };
+  }
+
+  /** False where the caller does not read; the relay waits for the drain. */
+  #pass(
+    answer: IncomingMessage,
+    bytes: Buffer,
+    lastId: number | undefined,
+  ): boolean {
+    if (this.#exchange.hasLeft) return true;
+    if (!this.#isHeadSent) {
+      this.#isHeadSent = true;
+      this.#firstEventMs = this.#exchange.ageMs;
+      this.#exchange.begin(200, answerHeaders(answer));
+    }
+    this.#lastEventId = lastId;
+    return this.#exchange.response.write(bytes);
+  }
+
+  #endOf(end: RelayEnd): SendEnd {
+    if (end.kind === "broken") return { kind: "broken", reason: end.reason };
+    if (!this.#exchange.hasLeft) {
+      if (!this.#isHeadSent) {
+        return { kind: "broken", reason: "stream without an event" };
+      }
+      this.#exchange.response.end();
+    }
+    return { kind: "done" };
+  }
+
+  /** Whether another send is allowed after one that did not complete. */
+  #mayGoOn(end: SendEnd): boolean {
+    const { log, budgetOf, clock, metrics } = this.#context;
+    const { route, requestId, service, deadlineMs } = this.#plan;
+    const [firstTried] = [...this.#firsts].slice(-1);
+    if (end.kind === "broken") {
+      this.#mayHaveRun = true;
+      this.#excluded.add(firstTried);
+    }
+    if (end.kind === "not-run" && !end.wasSent) {
+      this.#firsts.delete(firstTried);
+      this.#excluded.add(firstTried);
+    }
+    const isAllowed = end.kind === "not-run" || route.isResumable;
+    const hasTime = clock.nowMs() < deadlineMs && !this.#abort.signal.aborted;
+    const hasTries = this.#firsts.size < route.maxAttempts &&
+      ++this.#refusals <= MAX_REFUSALS;
+    let goesOn = isAllowed && hasTime && hasTries;
+    if (goesOn && !(end.kind === "not-run" && !end.wasSent)) {
+      goesOn = budgetOf(service.name).tryTake();
+      if (!goesOn) {
+        metrics.count("jackdawshift_repeats_denied_total", {
+          service: service.name,
+        });
+      }
+    }
+    log.info("send failed", {
+      request: requestId,
+      outcome: end.kind,
+      reason: end.kind === "done" ? undefined : end.reason,
+      lastEventId: this.#lastEventId,
+      isHeadSent: this.#isHeadSent,
+      goesOn,
+    });
+    return goesOn;
+  }
+
+  #finish(end: SendEnd): void {
+    const { log, metrics, random } = this.#context;
+    const exchange = this.#exchange;
+    let status: number | string = "complete";
+    if (exchange.hasLeft) {
+      status = "caller left";
+    } else if (end.kind !== "done") {
+      if (this.#isHeadSent) {
+        status = "broken off";
+        exchange.breakOff();
+      } else if (this.#mayHaveRun) {
+        status = this.#isExpired ? 504 : 502;
+        exchange.refuse(status, "the answer could not be completed");
+      } else {
+        status = 503;
+        exchange.refuse(
+          status,
+          "no path has room",
+          spreadRetry(RETRY_AFTER_MS, random),
+        );
+      }
+    }
+    metrics.count("jackdawshift_answers_total", { status: String(status) });
+    if (this.#firstEventMs !== undefined) {
+      metrics.record("jackdawshift_first_event_ms", this.#firstEventMs);
+    }
+    log.info("answered", {
+      request: this.#plan.requestId,
+      route: this.#plan.route.name,
+      status,
+      sends: this.#sends,
+      repaths: this.#repaths,
+      waitedMs: Math.round(this.#waitedMs),
+      firstEventMs: this.#firstEventMs && Math.round(this.#firstEventMs),
+      lastEventId: this.#lastEventId,
+      ageMs: Math.round(exchange.ageMs),
+      reason: end.kind === "done" ? undefined : end.reason,
+    });
+  }
+}
--- /dev/null
+++ b/src/forward/stream_relay.ts
@@ -0,0 +1,284 @@
+/**
+ * Passes the events of one send on, and keeps its path alive: when events stay
+ * away, the first target is asked whether the request waits for a target that
+ * does not answer, and the path is changed around that one.
+ *
+ * @module
+ */
+
+import type { IncomingMessage } from "node:http";
+import type { PathStage } from "../ports/types.ts";
+import type { ReservedPath } from "../paths/path_chooser.ts";
+import type { EngineFigures } from "../ports/types.ts";
+import { takeReport } from "../paths/take_report.ts";
+import type { CallContext } from "./context.ts";
+import { EventReader } from "./event_reader.ts";
+import type { WatchedStream } from "./stream_watch.ts";
+
+/** Without a first event for this long the path is questioned; prompts take some 100 ms. */
+const FIRST_EVENT_OVERDUE_MS = 600;
+/** The same between events, which come every 30 to 150 ms. */
+const EVENT_OVERDUE_MS = 350;
+/** An event that is overdue this long is enough where a stage is known to be silent. */
+const SUSPECT_OVERDUE_MS = 150;
+/** Pause between questions about one stream. */
+const ASK_AGAIN_MS = 150;
+/** A report is due within this time. */
+const REPORT_TIMEOUT_MS = 300;
+/** A changed path reads the context again before its next event. */
+const REPATH_GRACE_MS = 500;
+/** Without an event for this long the send is given up; callers leave after two seconds. */
+const GIVE_UP_MS = 1_500;
+
+/** How a relay ended. */
+export type RelayEnd =
+  | { readonly kind: "complete" }
+  | { readonly kind: "broken"; readonly reason: string };
+
+/** Options of a relay. */
+export interface StreamRelayOptions {
+  readonly context: CallContext;
+  readonly service: string;
+  readonly figures: EngineFigures;
+  readonly requestId: string;
+  readonly tokens: number;
+  readonly path: ReservedPath;
+  /** Ends the send. */
+  readonly abort: () => void;
+  /** Called with a path that has taken the place of the one before. */
+  readonly onPath: (path: ReservedPath) => void;
+}
+
+/** Where the events of a relay go. */
+export interface RelaySink {
+  readonly lastEventId: number | undefined;
+  /** False: the receiver is full, wait for its drain. */
+  readonly onEvents: (
+    bytes: Buffer,
+    lastEventId: number | undefined,
+  ) => boolean;
+}
+
+/** Relays one send. */
+export class StreamRelay implements WatchedStream {
+  readonly #options: StreamRelayOptions;
+  #path: ReservedPath;
+  #progressMs: number;
+  #askAgainMs = 0;
+  #hasEvents = false;
+  #isAsking = false;
+  #isPaused = false;
+  #isDone = false;
+  /** Why the relay itself ended the send. */
+  failure: string | undefined;
+
+  constructor(options: StreamRelayOptions) {
+    this.#options = options;
+    this.#path = options.path;
+    this.#progressMs = options.context.clock.nowMs();
+    options.context.watch.add(this);
+  }
+
+  dispose(): void {
+    this.#isDone = true;
+    this.#options.context.watch.remove(this);
+  }
+
+  /** Passes events until the stream ends. */
+  run(answer: IncomingMessage, sink: RelaySink): Promise<RelayEnd> {
+    const reader = new EventReader();
+    let lastId = sink.lastEventId;
+    return new Promise((resolve) => {
+      const fail = (reason: string): void => {
+        resolve({ kind: "broken", reason: this.failure ?? reason });
+        answer.destroy();
+      };
+      answer.on("data", (chunk: Buffer) => {
+        if (this.#isDone) return;
+        const batch = reader.push(chunk);
+        if (batch === undefined) return;
+        for (const id of batch.ids) {
+          if (id === undefined) continue;
+          if (lastId !== undefined && id !== lastId + 1) {
+            fail(`event ${id} follows ${lastId}`);
+            return;
+          }
+          lastId = id;
+        }
+        this.#hasEvents = true;
+        this.#progressMs = this.#options.context.clock.nowMs();
+        if (!sink.onEvents(batch.bytes, lastId)) {
+          answer.pause();
+          this.#isPaused = true;
+        }
+      });
+      answer.on("end", () => {
+        if (!answer.complete) fail("stream broke off");
+        else if (reader.pendingBytes > 0) fail("stream ended inside an event");
+        else resolve({ kind: "complete" });
+      });
+      answer.on("close", () => fail("stream broke off"));
+      this.#resume = () => {
+        this.#isPaused = false;
+        this.#progressMs = this.#options.context.clock.nowMs();
+        answer.resume();
+      };
+    });
+  }
+
+  /** The caller reads again. */
+  drained(): void {
+    if (this.#isPaused) this.#resume();
+  }
+
+  #resume: () => void = () => {};
+
+  look(nowMs: number): void {
+    if (
+      this.#isDone || this.#isAsking || this.#isPaused ||
+      nowMs < this.#askAgainMs
+    ) return;
+    const gapMs = nowMs - this.#progressMs;
+    if (gapMs < SUSPECT_OVERDUE_MS) return;
+    const silent = this.#silentStage();
+    const overdueMs = silent !== undefined
+      ? SUSPECT_OVERDUE_MS
+      : this.#hasEvents
+      ? EVENT_OVERDUE_MS
+      : FIRST_EVENT_OVERDUE_MS;
+    if (gapMs < overdueMs) return;
+    this.#isAsking = true;
+    this.#repair(gapMs, silent).catch((error) => {
+      this.#options.context.log.error("repair failed", {
+        request: this.#options.requestId,
+        reason: error,
+      });
+    }).finally(() => {
+      this.#isAsking = false;
+      this.#askAgainMs = this.#options.context.clock.nowMs() + ASK_AGAIN_MS;
+    });
+  }
+
+  /** A stage after the first that is known not to answer. */
+  #silentStage(): PathStage | undefined {
+    const { book } = this.#options.context;
+    return this.#path.stages.slice(1).find(({ targetId }) => {
+      const target = book.get(targetId);
+      return target === undefined || target.silentSinceMs !== undefined;
+    });
+  }
+
+  async #repair(gapMs: number, known: PathStage | undefined): Promise<void> {
+    const { context, requestId } = this.#options;
+    const faulty = known ?? await this.#findFault(gapMs);
+    if (this.#isDone) return;
+    if (faulty !== undefined) {
+      await this.#repath(faulty, gapMs);
+      return;
+    }
+    if (gapMs >= GIVE_UP_MS) {
+      this.#giveUp(`no event for ${Math.round(gapMs)} ms`);
+      return;
+    }
+    context.metrics.count("jackdawshift_slow_events_total");
+    context.log.info("event overdue", {
+      request: requestId,
+      gapMs: Math.round(gapMs),
+    });
+  }
+
+  /** Asks the first target; gives the stage that the request waits for. */
+  async #findFault(gapMs: number): Promise<PathStage | undefined> {
+    const { context, requestId } = this.#options;
+    const { book, control } = context;
+    const [first] = this.#path.stages;
+    const report = await control.report(
+      { id: first.targetId, address: first.address },
+      REPORT_TIMEOUT_MS,
+    );
+    if (this.#isDone) return undefined;
+    const firstTarget = book.get(first.targetId);
+    if (report === undefined) {
+      if (firstTarget !== undefined) {
+        firstTarget.markSilent();
+        book.notify(firstTarget);
+      }
+      this.#giveUp(`first target silent, no event for ${Math.round(gapMs)} ms`);
+      return undefined;
+    }
+    if (firstTarget !== undefined) takeReport(firstTarget, report, book);
+    const stalled = report.stalled.find((entry) =>
+      entry.requestId === requestId
+    );
+    if (stalled === undefined) return undefined;
+    const target = book.byAddress(stalled.address);
+    if (target !== undefined) {
+      target.markSilent();
+      book.notify(target);
+    }
+    return this.#path.stages.find(({ address }) => address === stalled.address);
+  }
+
+  async #repath(faulty: PathStage, gapMs: number): Promise<void> {
+    const { context, requestId, service, figures, tokens } = this.#options;
+    const { chooser, control, clock, log, metrics } = context;
+    const [first] = this.#path.stages;
+    if (faulty.targetId === first.targetId) {
+      this.#giveUp("first target does not answer");
+      return;
+    }
+    const next = chooser.choose({
+      service,
+      figures,
+      tokens,
+      excluded: new Set([faulty.targetId]),
+      current: this.#path.stages,
+    });
+    if (next === undefined) {
+      log.warn("no other path", {
+        request: requestId,
+        faulty: faulty.targetId,
+      });
+      if (gapMs >= GIVE_UP_MS) {
+        this.#giveUp(`no path around ${faulty.targetId}`);
+      }
+      return;
+    }
+    const outcome = await control.repath(
+      { id: first.targetId, address: first.address },
+      requestId,
+      next.stages,
+    );
+    metrics.count("jackdawshift_repaths_total", { outcome: outcome.kind });
+    log.info("path changed", {
+      request: requestId,
+      faulty: faulty.targetId,
+      path: next.stages.map((stage) =>
+        `${stage.targetId}=${stage.from}-${stage.to}`
+      ).join(","),
+      gapMs: Math.round(gapMs),
+      outcome,
+    });
+    const isMoved = outcome.kind === "begun" || outcome.kind === "already";
+    if (!isMoved || this.#isDone) {
+      next.release();
+      if (outcome.kind === "refused" && outcome.status === 404) {
+        this.#giveUp("request not known to its first target");
+      }
+      return;
+    }
+    this.#path.release();
+    this.#path = next;
+    this.#options.onPath(next);
+    this.#progressMs = Math.max(
+      this.#progressMs,
+      clock.nowMs() + REPATH_GRACE_MS - EVENT_OVERDUE_MS,
+    );
+  }
+
+  #giveUp(reason: string): void {
+    if (this.#isDone) return;
+    this.failure = reason;
+    this.#options.abort();
+  }
+}
--- /dev/null
+++ b/src/paths/path_chooser.ts
@@ -0,0 +1,212 @@
+/**
+ * Chooses paths for requests: turns what is known of targets into candidates,
+ * leaves out those without memory for the whole request, and reserves that
+ * memory until the request ends.
+ *
+ * @module
+ */
+
+import type { EngineFigures, PathStage } from "../ports/types.ts";
+import { findPath, type FoundPath, type PathCandidate } from "./path_finder.ts";
+import type { Target } from "./target.ts";
+import type { TargetBook } from "./target_book.ts";
+
+/** Part of a target's memory that is left free: estimates of answers run over. */
+const HEADROOM_SHARE = 0.06;
+/** Extra cost of a nearly full target, relative to an empty one. */
+const FULLNESS_WEIGHT = 1.0;
+/** Spread of costs between hosts, so that all don't pick the same path at once. */
+const NOISE_SHARE = 0.15;
+/** Requests of a target that wait at another stage at any moment. */
+const BATCH_SHARE = 0.3;
+/** Cost of reading a context again, in parts of the time for a token. */
+const REREAD_MS_PER_LAYER = 0.3;
+
+/** Options of a chooser. */
+export interface PathChooserOptions {
+  readonly book: TargetBook;
+  readonly domain: string;
+  readonly random?: () => number;
+}
+
+/** What a path must carry. */
+export interface PathDemand {
+  readonly service: string;
+  readonly figures: EngineFigures;
+  /** Tokens read and written, as far as can be told. */
+  readonly tokens: number;
+  /** Targets to leave out. */
+  readonly excluded?: ReadonlySet<string>;
+  /** The path of a request in progress, whose first stage stays. */
+  readonly current?: readonly PathStage[];
+}
+
+/** A path with its memory reserved; release it once. */
+export interface ReservedPath extends FoundPath {
+  release(): void;
+}
+
+/** Chooses and reserves paths. */
+export class PathChooser {
+  readonly #book: TargetBook;
+  readonly #domain: string;
+  readonly #random: () => number;
+
+  constructor(options: PathChooserOptions) {
+    this.#book = options.book;
+    this.#domain = options.domain;
+    this.#random = options.random ?? Math.random;
+  }
+
+  /** Undefined where no path has room now. */
+  choose(demand: PathDemand): ReservedPath | undefined {
+    const { figures, current } = demand;
+    const candidates = this.#candidates(demand);
+    const found = findPath({
+      layers: figures.layers,
+      candidates,
+      domain: this.#domain,
+      firstStage: current?.[0],
+      extraMs: current && extraForReading(current),
+    });
+    return found && this.#reserve(found, demand.tokens);
+  }
+
+  /** Whether any path exists, room or not. */
+  hasPath(service: string, figures: EngineFigures): boolean {
+    const candidates = this.#book.ofService(service).flatMap((target) =>
+      target.isOpen && target.span !== undefined
+        ? [toCandidate(target, 1, true)]
+        : []
+    );
+    return findPath({
+      layers: figures.layers,
+      candidates,
+      domain: this.#domain,
+    }) !== undefined;
+  }
+
+  #candidates(demand: PathDemand): PathCandidate[] {
+    const { service, figures, tokens, excluded, current } = demand;
+    const onPath = new Set(current?.map(({ targetId }) => targetId));
+    const candidates: PathCandidate[] = [];
+    for (const target of this.#book.ofService(service)) {
+      const { span } = target;
+      if (span === undefined || target.isGone || excluded?.has(target.id)) {
+        continue;
+      }
+      if (!onPath.has(target.id)) {
+        if (!target.isOpen || !target.isTrusted) continue;
+        const needed = tokens * (span.to - span.from);
+        if (freeTokenLayers(target, figures) < needed) continue;
+      }
+      const noise = 1 + this.#random() * NOISE_SHARE;
+      const canLead =
+        target.ownUse.streams + target.peerUse.streams < figures.slots;
+      candidates.push(
+        toCandidate(target, layerMs(target, figures) * noise, canLead),
+      );
+    }
+    return candidates;
+  }
+
+  #reserve(found: FoundPath, tokens: number): ReservedPath {
+    const held = found.stages.map((stage) => ({
+      target: this.#book.get(stage.targetId),
+      tokenLayers: tokens * (stage.to - stage.from),
+    }));
+    for (const { target, tokenLayers } of held) {
+      if (target === undefined) continue;
+      target.ownUse.streams++;
+      target.ownUse.tokenLayers += tokenLayers;
+    }
+    let isHeld = true;
+    const release = (): void => {
+      if (!isHeld) return;
+      isHeld = false;
+      for (const { target, tokenLayers } of held) {
+        if (target === undefined) continue;
+        target.ownUse.streams--;
+        target.ownUse.tokenLayers -= tokenLayers;
+      }
+    };
+    return { ...found, release };
+  }
+}
+
+/** Memory for requests, in tokens x layers. */
+export function totalTokenLayers(
+  target: Target,
+  figures: EngineFigures,
+): number {
+  const kind = figures.kinds.get(
+    target.record.kind ?? target.report?.kind ?? "",
+  );
+  if (kind === undefined || target.span === undefined) return 0;
+  const weightsMb = (target.span.to - target.span.from) * figures.layerMb;
+  const bytesPerTokenLayer = figures.kvBytesPerToken / figures.layers;
+  return Math.max(
+    0,
+    (kind.memoryMb - weightsMb) * 1_000_000 / bytesPerTokenLayer,
+  );
+}
+
+/** Memory that no request has reserved, by this host's view. */
+export function freeTokenLayers(
+  target: Target,
+  figures: EngineFigures,
+): number {
+  const usable = totalTokenLayers(target, figures) * (1 - HEADROOM_SHARE);
+  return usable - target.ownUse.tokenLayers - target.peerUse.tokenLayers;
+}
+
+/** Expected time of one token on one layer of a target, with its present load. */
+function layerMs(target: Target, figures: EngineFigures): number {
+  const kind = figures.kinds.get(
+    target.record.kind ?? target.report?.kind ?? "",
+  );
+  const pace = (kind?.paceFactor ?? 1) * target.slowness;
+  const read = (kind?.readFactor ?? 1) * target.slowness;
+  const batch = (target.ownUse.streams + target.peerUse.streams) * BATCH_SHARE;
+  const contextK = (figures.usualPromptTokens + figures.usualAnswerTokens / 2) /
+    1_000;
+  const sequenceMs = figures.perSequenceMs +
+    figures.contextPerKiloTokenMs * contextK;
+  const stepMs = pace * (figures.stepMs + batch * sequenceMs);
+  const readMs = read * figures.usualPromptTokens / figures.readTokensPerMs /
+    Math.max(1, figures.usualAnswerTokens);
+  const total = totalTokenLayers(target, figures);
+  const fullness = total === 0
+    ? 1
+    : 1 - freeTokenLayers(target, figures) / total;
+  return (stepMs + readMs) / figures.layers *
+    (1 + FULLNESS_WEIGHT * Math.max(0, fullness) ** 2) *
+    (1 + target.failureShare * 4);
+}
+
+function toCandidate(
+  target: Target,
+  msPerLayer: number,
+  canLead: boolean,
+): PathCandidate {
+  return {
+    id: target.id,
+    address: target.record.address,
+    domain: target.record.domain,
+    span: target.span ?? { from: 0, to: 0 },
+    msPerLayer,
+    canLead,
+  };
+}
+
+/** Layers that a target of the present path already runs need no reading again. */
+function extraForReading(
+  current: readonly PathStage[],
+): (targetId: string, layer: number) => number {
+  return (targetId, layer) =>
+    current.some((stage) =>
+        stage.targetId === targetId && layer >= stage.from && layer < stage.to
+      )
+      ? 0
+      : REREAD_MS_PER_LAYER;
+}
--- /dev/null
+++ b/src/peers/peer_link.ts
@@ -0,0 +1,152 @@
+/**
+ * What the hosts of the router tell one another, by datagrams: that they run,
+ * the load that they put on targets, and the targets that do not answer. A
+ * lost datagram is made good by the next one; nothing depends on all arriving.
+ *
+ * @module
+ */
+
+import { createSocket, type Socket } from "node:dgram";
+import type { Clock } from "../common/clock.ts";
+import { Emitter, type Event } from "../common/emitter.ts";
+import type { ILog } from "../common/logging.ts";
+import type { HostRecord } from "../ports/types.ts";
+import {
+  decodePeerState,
+  encodePeerState,
+  type PeerState,
+} from "./peer_state.ts";
+
+/** A host that was not heard for this long counts as down. */
+const LIVE_FOR_MS = 1_500;
+/** A host that was not heard for this long is forgotten. */
+const FORGET_AFTER_MS = 60_000;
+
+/** Another host, as last heard. */
+export interface Peer {
+  readonly host: HostRecord;
+  readonly state: PeerState | undefined;
+  readonly heardMs: number;
+}
+
+/** Options of the link. */
+export interface PeerLinkOptions {
+  readonly host: HostRecord;
+  readonly clock: Clock;
+  readonly log: ILog;
+}
+
+/** Sends this host's state to the others and keeps theirs. */
+export class PeerLink {
+  readonly #options: PeerLinkOptions;
+  readonly #peers = new Map<string, Peer>();
+  readonly #onState = new Emitter<Peer>();
+  #socket: Socket | undefined;
+
+  /** Fires for each state that arrives. */
+  readonly onState: Event<Peer> = this.#onState.event;
+
+  constructor(options: PeerLinkOptions) {
+    this.#options = options;
+  }
+
+  /** Binds the socket; rejects where the address is taken. */
+  open(): Promise<void> {
+    const { host, log } = this.#options;
+    const socket = createSocket("udp4");
+    this.#socket = socket;
+    socket.on("message", (message) => this.#receive(message));
+    return new Promise((resolve, reject) => {
+      socket.once("error", reject);
+      socket.bind(host.port, host.ip, () => {
+        socket.off("error", reject);
+        socket.on(
+          "error",
+          (error) => log.warn("peer socket failed", { reason: String(error) }),
+        );
+        resolve();
+      });
+    });
+  }
+
+  /** Takes hosts from the registry; those that were heard stay as they are. */
+  learn(hosts: readonly HostRecord[]): void {
+    const nowMs = this.#options.clock.nowMs();
+    for (const host of hosts) {
+      const known = this.#peers.get(host.id);
+      if (host.id === this.#options.host.id) continue;
+      if (known !== undefined && known.host.bornMs >= host.bornMs) continue;
+      this.#peers.set(host.id, {
+        host,
+        state: undefined,
+        heardMs: nowMs - LIVE_FOR_MS,
+      });
+    }
+  }
+
+  /** Hosts that were heard lately. */
+  live(): Peer[] {
+    const sinceMs = this.#options.clock.nowMs() - LIVE_FOR_MS;
+    return [...this.#peers.values()].filter((peer) =>
+      peer.state !== undefined && peer.heardMs >= sinceMs
+    );
+  }
+
+  /** Hosts that may exist, heard or not. */
+  get knownCount(): number {
+    return this.#peers.size;
+  }
+
+  send(state: PeerState): void {
+    const { host, clock } = this.#options;
+    const datagram = encodePeerState(host, state);
+    const forgetMs = clock.nowMs() - FORGET_AFTER_MS;
+    for (const [id, peer] of this.#peers) {
+      if (peer.heardMs < forgetMs) {
+        this.#peers.delete(id);
+        continue;
+      }
+      this.#socket?.send(datagram, peer.host.port, peer.host.ip, (error) => {
+        if (error) {
+          this.#options.log.debug("peer send failed", {
+            reason: String(error),
+          });
+        }
+      });
+    }
+  }
+
+  dispose(): void {
+    this.#socket?.close();
+    this.#socket = undefined;
+  }
+
+  #receive(message: Buffer): void {
+    const heard = decodePeerState(message);
+    if (heard === undefined) {
+      this.#options.log.warn("peer datagram unreadable", {
+        bytes: message.length,
+      });
+      return;
+    }
+    const { host, state } = heard;
+    const known = this.#peers.get(host.id);
+    if (host.id === this.#options.host.id) return;
+    if (known !== undefined && known.host.bornMs > host.bornMs) return;
+    if (
+      known?.state !== undefined && known.host.bornMs === host.bornMs &&
+      known.state.count >= state.count
+    ) return;
+    const wasLive = known?.state !== undefined;
+    const peer: Peer = { host, state, heardMs: this.#options.clock.nowMs() };
+    this.#peers.set(host.id, peer);
+    if (!wasLive) {
+      this.#options.log.info("peer known", {
+        peer: host.id,
+        ip: host.ip,
+        bornMs: host.bornMs,
+      });
+    }
+    this.#onState.fire(peer);
+  }
+}
--- /dev/null
+++ b/src/placement/placement_keeper.ts
@@ -0,0 +1,176 @@
+/**
+ * Keeps the model placed: one host at a time, the oldest that runs, asks the
+ * targets for their state and orders what the plan wants. Two hosts that both
+ * act cost orders only, since an order names the number of orders that the
+ * target must have begun, and a plan moves nothing that serves.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import type { ILog } from "../common/logging.ts";
+import type { IMetrics } from "../common/light_metrics.ts";
+import type { Target } from "../paths/target.ts";
+import type { TargetBook } from "../paths/target_book.ts";
+import type { ITargetControl } from "../ports/services.ts";
+import { takeReport } from "../paths/take_report.ts";
+import type { EngineFigures, RoutingConfig } from "../ports/types.ts";
+import {
+  type PlannedOrder,
+  planPlacement,
+  type PlanTarget,
+} from "./placement_plan.ts";
+
+/** Pause between rounds while targets hold nothing or do not answer. */
+const BUSY_ROUND_MS = 400;
+/** Pause between rounds in which all is placed; a report costs the target little. */
+const QUIET_ROUND_MS = 1_500;
+/** A report is due within this time; the targets answer in a few milliseconds. */
+const REPORT_TIMEOUT_MS = 400;
+/** An order without an answer may still act for this long. */
+const UNKNOWN_ORDER_MS = 12_500;
+/** No first plan before the list of targets has stood still this long. */
+const SETTLE_MS = 700;
+/** A target that has not answered for this long takes no part in the plan. */
+const LOST_AFTER_MS = 1_500;
+
+/** Options of a keeper. */
+export interface PlacementKeeperOptions {
+  readonly book: TargetBook;
+  readonly control: ITargetControl;
+  readonly clock: Clock;
+  readonly log: ILog;
+  readonly metrics: IMetrics;
+  readonly config: () => RoutingConfig | undefined;
+  /** Whether this host should act now. */
+  readonly isLeader: () => boolean;
+  readonly tokensPerCopy: number;
+}
+
+/** Reports, plans and orders. */
+export class PlacementKeeper {
+  readonly #options: PlacementKeeperOptions;
+  /** Targets with an order whose outcome is unknown, until when it may act. */
+  readonly #unknownUntilMs = new Map<string, number>();
+  #changedMs = -Infinity;
+  #wasLeader = false;
+
+  constructor(options: PlacementKeeperOptions) {
+    this.#options = options;
+    options.book.onChange(() => this.#changedMs = options.clock.nowMs());
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, log, isLeader } = this.#options;
+    while (!signal.aborted) {
+      const leads = isLeader();
+      if (leads !== this.#wasLeader) {
+        log.info(leads ? "placement taken over" : "placement given up", {});
+        this.#wasLeader = leads;
+      }
+      const isQuiet = leads ? await this.#round() : false;
+      await clock.sleep(isQuiet ? QUIET_ROUND_MS : BUSY_ROUND_MS, signal);
+    }
+  }
+
+  /** Targets that are slow now, by their own reports. */
+  slowTargets(): (readonly [string, number])[] {
+    return this.#options.book.all().filter(({ slowness }) => slowness > 1)
+      .map(({ id, slowness }) => [id, slowness] as const);
+  }
+
+  async #round(): Promise<boolean> {
+    const config = this.#options.config();
+    if (config === undefined) return false;
+    const pending: Promise<boolean>[] = [];
+    for (const service of config.services.values()) {
+      if (service.engine === undefined) continue;
+      pending.push(this.#roundOf(service.name, service.engine));
+    }
+    return (await Promise.all(pending)).every((isQuiet) => isQuiet);
+  }
+
+  async #roundOf(service: string, figures: EngineFigures): Promise<boolean> {
+    const { book, clock } = this.#options;
+    const targets = book.ofService(service);
+    if (targets.length === 0 || clock.nowMs() - this.#changedMs < SETTLE_MS) {
+      if (targets.every(({ span }) => span === undefined)) return false;
+    }
+    await Promise.all(targets.map((target) => this.#ask(target)));
+    const orders = planPlacement({
+      figures,
+      targets: targets.flatMap((target) => this.#toPlanTarget(target, figures)),
+      tokensPerCopy: this.#options.tokensPerCopy,
+    });
+    await Promise.all(orders.map((order) => this.#order(order)));
+    return orders.length === 0 &&
+      targets.every((target) =>
+        target.span !== undefined && target.silentSinceMs === undefined
+      );
+  }
+
+  async #ask(target: Target): Promise<void> {
+    const { control, book, log } = this.#options;
+    const report = await control.report(addressOf(target), REPORT_TIMEOUT_MS);
+    if (report === undefined) {
+      if (target.silentSinceMs === undefined) {
+        target.markSilent();
+        log.warn("target silent", {
+          target: target.id,
+          address: target.record.address,
+        });
+        book.notify(target);
+      }
+      return;
+    }
+    takeReport(target, report, book);
+  }
+
+  #toPlanTarget(target: Target, figures: EngineFigures): PlanTarget[] {
+    const { clock } = this.#options;
+    const kind = figures.kinds.get(
+      target.record.kind ?? target.report?.kind ?? "",
+    );
+    if (kind === undefined || !target.isOpen) return [];
+    const nowMs = clock.nowMs();
+    const isLost = target.silentSinceMs !== undefined &&
+      nowMs - target.silentSinceMs >= LOST_AFTER_MS;
+    if (isLost) return [];
+    const isUnknown =
+      (this.#unknownUntilMs.get(target.id) ?? -Infinity) > nowMs;
+    return [{
+      id: target.id,
+      domain: target.record.domain,
+      memoryMb: kind.memoryMb,
+      span: target.span,
+      canTakeOrder: target.silentSinceMs === undefined &&
+        target.report !== undefined &&
+        !target.report.isBusy && !isUnknown,
+    }];
+  }
+
+  async #order({ targetId, span }: PlannedOrder): Promise<void> {
+    const { book, control, log, metrics, clock } = this.#options;
+    const target = book.get(targetId);
+    if (target?.report === undefined) return;
+    const expectedSeq = target.report.orderSeq;
+    const outcome = await control.place(addressOf(target), span, expectedSeq);
+    log.info("placement ordered", {
+      target: targetId,
+      span: `${span.from}-${span.to}`,
+      expectedSeq,
+      reportAgeMs: Math.round(clock.nowMs() - target.reportedMs),
+      outcome,
+    });
+    metrics.count("jackdawshift_orders_total", { outcome: outcome.kind });
+    if (outcome.kind === "unknown") {
+      this.#unknownUntilMs.set(targetId, clock.nowMs() + UNKNOWN_ORDER_MS);
+    }
+  }
+}
+
+function addressOf(
+  target: Target,
+): { readonly id: string; readonly address: string } {
+  return { id: target.id, address: target.record.address };
+}
--- /dev/null
+++ b/src/placement/placement_plan.ts
@@ -0,0 +1,297 @@
+/**
+ * Plans which layers each target holds. A first plan gives every failure
+ * domain as many whole copies as its memory allows beside room for requests;
+ * later plans only add: an empty target takes the span that lacks memory for
+ * requests most, and nothing that serves is moved while each layer has a holder.
+ * Pure.
+ *
+ * @module
+ */
+
+import type { EngineFigures, Span } from "../ports/types.ts";
+
+/** A target as the plan sees it. */
+export interface PlanTarget {
+  readonly id: string;
+  readonly domain: string;
+  readonly memoryMb: number;
+  /** Undefined: holds nothing. */
+  readonly span: Span | undefined;
+  /** May be ordered now: it answers, and no order is in progress. */
+  readonly canTakeOrder: boolean;
+}
+
+/** A span that a target should take. */
+export interface PlannedOrder {
+  readonly targetId: string;
+  readonly span: Span;
+}
+
+/** Options of a plan. */
+export interface PlacementOptions {
+  readonly figures: EngineFigures;
+  readonly targets: readonly PlanTarget[];
+  /** Tokens of context for which each copy of a first plan has room at least. */
+  readonly tokensPerCopy: number;
+}
+
+/** The first placement, or what to add to the present one. */
+export function planPlacement(options: PlacementOptions): PlannedOrder[] {
+  const isFirst = options.targets.every(({ span }) => span === undefined);
+  return isFirst ? planFirst(options) : planAdditions(options);
+}
+
+/** Memory that a layer takes together with the context of `tokens` tokens. */
+function layerWithContextMb(figures: EngineFigures, tokens: number): number {
+  return figures.layerMb +
+    tokens * figures.kvBytesPerToken / figures.layers / 1_000_000;
+}
+
+function planFirst(options: PlacementOptions): PlannedOrder[] {
+  const { figures, tokensPerCopy } = options;
+  const copyMb = figures.layers * layerWithContextMb(figures, tokensPerCopy);
+  const minimumMb = figures.layers * figures.layerMb * 1.1;
+  const orders: PlannedOrder[] = [];
+  const leftovers: PlanTarget[] = [];
+  for (const targets of groupByDomain(options.targets).values()) {
+    const memoryMb = sumMemory(targets);
+    if (memoryMb < minimumMb) {
+      leftovers.push(...targets);
+      continue;
+    }
+    orders.push(
+      ...planGroup(
+        targets,
+        Math.max(1, Math.round(memoryMb / copyMb)),
+        figures,
+      ),
+    );
+  }
+  // Domains too small for a copy of their own form copies together.
+  const leftMb = sumMemory(leftovers);
+  if (leftMb >= minimumMb) {
+    orders.push(
+      ...planGroup(
+        leftovers,
+        Math.max(1, Math.floor(leftMb / copyMb)),
+        figures,
+      ),
+    );
+  }
+  return orders;
+}
+
+/** Spreads `copies` copies over the targets, each over targets of like total memory. */
+function planGroup(
+  targets: readonly PlanTarget[],
+  copies: number,
+  figures: EngineFigures,
+): PlannedOrder[] {
+  const rows: PlanTarget[][] = Array.from({ length: copies }, () => []);
+  const largestFirst = [...targets].sort((a, b) =>
+    b.memoryMb - a.memoryMb || (a.id < b.id ? -1 : 1)
+  );
+  for (const target of largestFirst) {
+    const emptiest = rows.reduce((least, row) =>
+      sumMemory(row) < sumMemory(least) ? row : least
+    );
+    emptiest.push(target);
+  }
+  return rows.flatMap((row) => planRow(row, figures));
+}
+
+/** Cuts the model into spans in proportion to the targets' memory. */
+function planRow(
+  row: readonly PlanTarget[],
+  figures: EngineFigures,
+): PlannedOrder[] {
+  const { layers } = figures;
+  const totalMb = sumMemory(row);
+  const orders: PlannedOrder[] = [];
+  let passedMb = 0;
+  let from = 0;
+  for (const target of row) {
+    passedMb += target.memoryMb;
+    const to = Math.round(layers * passedMb / totalMb);
+    const span = { from, to: Math.min(to, from + mostLayers(target, figures)) };
+    if (span.to > span.from) orders.push({ targetId: target.id, span });
+    from = to;
+  }
+  return orders;
+}
+
+function planAdditions(options: PlacementOptions): PlannedOrder[] {
+  const { figures, targets, tokensPerCopy } = options;
+  const room = roomByLayer(options, targets);
+  const orders: PlannedOrder[] = [];
+  const empty = targets.filter(({ span, canTakeOrder }) =>
+    span === undefined && canTakeOrder
+  )
+    .sort((a, b) => b.memoryMb - a.memoryMb || (a.id < b.id ? -1 : 1));
+  for (const target of empty) {
+    const span = neediestSpan(target, room, figures, tokensPerCopy);
+    if (span === undefined) continue;
+    orders.push({ targetId: target.id, span });
+    addRoom(room, { ...target, span }, figures);
+  }
+  if (orders.length > 0) return orders;
+  return planRescue(options, room);
+}
+
+/** Moves one target where a layer has no holder and no empty target is left. */
+function planRescue(
+  options: PlacementOptions,
+  room: LayerRoom,
+): PlannedOrder[] {
+  const { figures, targets } = options;
+  const from = room.total.findIndex((tokens) => tokens <= 0);
+  if (from < 0) return [];
+  let to = from;
+  while (to < figures.layers && room.total[to] <= 0) to++;
+  let best: { target: PlanTarget; spareTokens: number } | undefined;
+  for (const target of targets) {
+    if (!target.canTakeOrder || target.span === undefined) continue;
+    // Taking it away must leave every one of its layers with another holder.
+    const spareTokens = spareWithout(target, room, figures);
+    if (spareTokens <= 0) continue;
+    if (best === undefined || spareTokens > best.spareTokens) {
+      best = { target, spareTokens };
+    }
+  }
+  if (best === undefined) return [];
+  const length = Math.min(to - from, mostLayers(best.target, figures));
+  return [{ targetId: best.target.id, span: { from, to: from + length } }];
+}
+
+/** Tokens of context for which the holders of each layer have room. */
+interface LayerRoom {
+  readonly total: number[];
+  readonly byDomain: Map<string, number[]>;
+}
+
+function roomByLayer(
+  { figures }: PlacementOptions,
+  targets: readonly PlanTarget[],
+): LayerRoom {
+  const room: LayerRoom = {
+    total: new Array(figures.layers).fill(0),
+    byDomain: new Map(),
+  };
+  for (const target of targets) addRoom(room, target, figures);
+  return room;
+}
+
+function addRoom(
+  room: LayerRoom,
+  target: PlanTarget,
+  figures: EngineFigures,
+): void {
+  const { span, domain } = target;
+  let own = room.byDomain.get(domain);
+  if (own === undefined) {
+    own = new Array(figures.layers).fill(0);
+    room.byDomain.set(domain, own);
+  }
+  if (span === undefined) return;
+  const tokens = tokensOf(target, span, figures);
+  for (
+    let layer = span.from;
+    layer < Math.min(span.to, figures.layers);
+    layer++
+  ) {
+    room.total[layer] += tokens;
+    own[layer] += tokens;
+  }
+}
+
+function tokensOf(
+  target: PlanTarget,
+  span: Span,
+  figures: EngineFigures,
+): number {
+  const length = span.to - span.from;
+  const freeMb = target.memoryMb - length * figures.layerMb;
+  return Math.max(
+    1,
+    freeMb * 1_000_000 / (figures.kvBytesPerToken / figures.layers * length),
+  );
+}
+
+function spareWithout(
+  target: PlanTarget,
+  room: LayerRoom,
+  figures: EngineFigures,
+): number {
+  const { span } = target;
+  if (span === undefined) return 0;
+  const own = tokensOf(target, span, figures);
+  let least = Infinity;
+  for (
+    let layer = span.from;
+    layer < Math.min(span.to, figures.layers);
+    layer++
+  ) {
+    least = Math.min(least, room.total[layer] - own);
+  }
+  return least;
+}
+
+/** The window whose layers lack most, counted over all domains and over the target's own. */
+function neediestSpan(
+  target: PlanTarget,
+  room: LayerRoom,
+  figures: EngineFigures,
+  tokensPerCopy: number,
+): Span | undefined {
+  const length = Math.min(
+    figures.layers,
+    mostLayers(target, figures),
+    Math.max(
+      1,
+      Math.floor(target.memoryMb / layerWithContextMb(figures, tokensPerCopy)),
+    ),
+  );
+  const own = room.byDomain.get(target.domain) ?? [];
+  const most = Math.max(...room.total);
+  const mostOwn = Math.max(0, ...own);
+  let best: { from: number; need: number } | undefined;
+  for (let from = 0; from + length <= figures.layers; from++) {
+    let need = 0;
+    for (let layer = from; layer < from + length; layer++) {
+      need += needOf(room.total[layer], most) +
+        needOf(own[layer] ?? 0, mostOwn);
+      // A layer without any holder stops every request.
+      if (room.total[layer] <= 0) need += UNHELD_NEED;
+    }
+    if (best === undefined || need > best.need) best = { from, need };
+  }
+  return best && { from: best.from, to: best.from + length };
+}
+
+/** Weight of a layer that nobody holds against any shortage of memory. */
+const UNHELD_NEED = 1_000;
+
+function needOf(tokens: number, most: number): number {
+  return most === 0 ? 0 : (1 - tokens / most) ** 2;
+}
+
+/** Layers that fit, with some memory left for requests. */
+function mostLayers(target: PlanTarget, figures: EngineFigures): number {
+  return Math.max(0, Math.floor((target.memoryMb * 0.97) / figures.layerMb));
+}
+
+function groupByDomain(
+  targets: readonly PlanTarget[],
+): Map<string, PlanTarget[]> {
+  const groups = new Map<string, PlanTarget[]>();
+  for (
+    const target of [...targets].sort((a, b) => a.domain < b.domain ? -1 : 1)
+  ) {
+    groups.set(target.domain, [...groups.get(target.domain) ?? [], target]);
+  }
+  return groups;
+}
+
+function sumMemory(targets: readonly PlanTarget[]): number {
+  return targets.reduce((sum, { memoryMb }) => sum + memoryMb, 0);
+}
--- a/test/layers_test.ts
+++ b/test/layers_test.ts
@@ -13,6 +13,14 @@
   "fleet",
   "config",
   "platform",
+  "entry",
+  "forward",
+  "admission",
+  "placement",
+  "paths",
+  "peers",
+  "feeds",
+  "ports",
   "common",
 ];
 const MAX_LINES = 400;
