Place the fastest targets first, and refuse long requests late in a stop

Change: each domain's first copy takes its fastest targets, further copies and spares the rest; a stopping host answers 503 from 2.6 s on. The agent calls its base class, which ends the listener warnings.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -51,10 +51,14 @@
 const UNSEEN_HOSTS = 4;
 /** Fewest hosts that share the slack of repeats. */
 const LEAST_HOSTS = 12;
-/** After a stop begins, callers are moved by the balancer within this time. */
-const STOP_LINGER_MS = 3_000;
+/** From here on a stopping host refuses: a stream takes some seconds, the balancer two. */
+const STOP_LINGER_MS = 2_600;
+/** After it, callers with kept connections are told to go for this long. */
+const STOP_REFUSE_MS = 1_000;
 /** A stopping host ends this long before it would be killed. */
 const STOP_MARGIN_MS = 900;
+/** Pause between looks at the requests in progress. */
+const STOP_LOOK_MS = 50;
 /** Connections beyond this many wait for the kernel. */
 const BACKLOG = 1_024;
 /** Node.js looks for slow heads this often. */
@@ -99,6 +103,7 @@
   readonly #queues = new Map<string, WaitQueue>();
   readonly #servers: Server[] = [];
   #isStopping = false;
+  #isClosed = false;
   #wasReady = false;
 
   constructor(options: EntryHostOptions) {
@@ -178,6 +183,7 @@
       isFresh: () => this.#isFresh(),
       configAgeMs: () => this.#configFeed.ageMs,
       isStopping: () => this.#isStopping,
+      isClosed: () => this.#isClosed,
     });
     this.#wire();
   }
@@ -231,19 +237,17 @@
     this.#isStopping = true;
     const { clock, log, settings } = this.#options;
     const startedMs = clock.nowMs();
-    log.info("host stopping", { active: this.#core.active });
     const endMs = startedMs +
       Math.max(0, settings.bounds.graceMs - STOP_MARGIN_MS);
+    log.info("host stopping", { active: this.#core.active });
     await clock.sleep(Math.min(STOP_LINGER_MS, endMs - startedMs));
-    const [frontend] = this.#servers;
+    this.#isClosed = true;
+    await clock.sleep(Math.min(STOP_REFUSE_MS, endMs - clock.nowMs()));
     while (clock.nowMs() < endMs && this.#core.active > 0) {
-      await clock.sleep(50);
+      await clock.sleep(STOP_LOOK_MS);
     }
-    frontend.closeIdleConnections();
-    const isIdle = this.#core.active === 0;
     log.info("host stopped", {
       active: this.#core.active,
-      isIdle,
       durationMs: Math.round(clock.nowMs() - startedMs),
     });
     for (const server of this.#servers) {
--- a/src/forward/request_core.ts
+++ b/src/forward/request_core.ts
@@ -15,6 +15,8 @@
 
 /** Time to come back when this host is out of touch with the store. */
 const OUT_OF_TOUCH_RETRY_MS = 500;
+/** Time to come back, by another host, when this one stops. */
+const STOPPING_RETRY_MS = 20;
 /** Rank of a customer or route without a priority is behind those with one. */
 const RANKS_PER_PRIORITY = 16;
 
@@ -27,6 +29,8 @@
   readonly configAgeMs: () => number;
   /** Answers close their connections. */
   readonly isStopping: () => boolean;
+  /** Long requests would not end before this host does. */
+  readonly isClosed: () => boolean;
 }
 
 /** What to do with a request: go on, or a refusal. */
@@ -121,6 +125,14 @@
       };
     }
     const { request, marks } = exchange;
+    if (this.#options.isClosed()) {
+      return {
+        kind: "refuse",
+        status: 503,
+        reason: "host stopping",
+        retryAfterMs: spreadRetry(STOPPING_RETRY_MS, context.random),
+      };
+    }
     const route = table.find(request.headers.host ?? "", request.url ?? "/");
     if (route === undefined) {
       return { kind: "refuse", status: 404, reason: "no such route" };
--- a/src/forward/upstream_agent.ts
+++ b/src/forward/upstream_agent.ts
@@ -42,9 +42,8 @@
   /** Called by Node.js when an answer is whole and the connection may be kept. */
   override keepSocketAlive(socket: Socket): boolean {
     const idleMs = Math.min(MAX_IDLE_MS, announcedIdleMs(socket) * IDLE_SHARE);
-    if (idleMs <= 0 || socket.bytesWritten === 0 || socket.destroyed) {
-      return false;
-    }
+    if (idleMs <= 0 || socket.destroyed) return false;
+    super.keepSocketAlive(socket);
     const onData = (chunk: Buffer): void => {
       this.#onStrayBytes(
         `${socket.remoteAddress}:${socket.remotePort}`,
@@ -59,11 +58,12 @@
   }
 
   /** Called by Node.js before a kept connection carries another request. */
-  override reuseSocket(socket: Socket, _request: ClientRequest): void {
+  override reuseSocket(socket: Socket, request: ClientRequest): void {
     const guards = this.#guards.get(socket);
     if (guards !== undefined) socket.off("data", guards.onData);
     this.#guards.delete(socket);
     socket.setTimeout(0);
+    super.reuseSocket(socket, request);
   }
 }
 
--- a/src/placement/placement_keeper.ts
+++ b/src/placement/placement_keeper.ts
@@ -142,6 +142,7 @@
       id: target.id,
       domain: target.record.domain,
       memoryMb: kind.memoryMb,
+      paceFactor: kind.paceFactor,
       span: target.span,
       canTakeOrder: target.silentSinceMs === undefined &&
         target.report !== undefined &&
--- a/src/placement/placement_plan.ts
+++ b/src/placement/placement_plan.ts
@@ -15,6 +15,8 @@
   readonly id: string;
   readonly domain: string;
   readonly memoryMb: number;
+  /** Factor on the time of a step. */
+  readonly paceFactor: number;
   /** Undefined: holds nothing. */
   readonly span: Span | undefined;
   /** May be ordered now: it answers, and no order is in progress. */
@@ -41,6 +43,9 @@
   return isFirst ? planFirst(options) : planAdditions(options);
 }
 
+/** A copy with less memory than its weights times this has no room for requests. */
+const LEAST_ROW_FACTOR = 1.1;
+
 /** Memory that a layer takes together with the context of `tokens` tokens. */
 function layerWithContextMb(figures: EngineFigures, tokens: number): number {
   return figures.layerMb +
@@ -49,55 +54,62 @@
 
 function planFirst(options: PlacementOptions): PlannedOrder[] {
   const { figures, tokensPerCopy } = options;
-  const copyMb = figures.layers * layerWithContextMb(figures, tokensPerCopy);
-  const minimumMb = figures.layers * figures.layerMb * 1.1;
   const orders: PlannedOrder[] = [];
   const leftovers: PlanTarget[] = [];
   for (const targets of groupByDomain(options.targets).values()) {
-    const memoryMb = sumMemory(targets);
-    if (memoryMb < minimumMb) {
-      leftovers.push(...targets);
-      continue;
-    }
-    orders.push(
-      ...planGroup(
-        targets,
-        Math.max(1, Math.round(memoryMb / copyMb)),
-        figures,
-      ),
-    );
+    const { rows, rest } = cutRows(targets, figures, tokensPerCopy);
+    orders.push(...rows.flatMap((row) => planRow(row, figures)));
+    leftovers.push(...rest);
   }
   // Domains too small for a copy of their own form copies together.
-  const leftMb = sumMemory(leftovers);
-  if (leftMb >= minimumMb) {
-    orders.push(
-      ...planGroup(
-        leftovers,
-        Math.max(1, Math.floor(leftMb / copyMb)),
-        figures,
-      ),
-    );
+  const { rows, rest } = cutRows(leftovers, figures, tokensPerCopy);
+  const isAnyPlaced = orders.length > 0;
+  if (!isAnyPlaced) {
+    orders.push(...rows.flatMap((row) => planRow(row, figures)));
   }
-  return orders;
+  return [
+    ...orders,
+    ...planSpares(options, orders, isAnyPlaced ? leftovers : rest),
+  ];
 }
 
-/** Spreads `copies` copies over the targets, each over targets of like total memory. */
-function planGroup(
+/**
+ * Takes the fastest targets for the first copy, so that most requests end soon
+ * and hold their memory briefly; slower ones make further copies or spares.
+ */
+function cutRows(
   targets: readonly PlanTarget[],
-  copies: number,
   figures: EngineFigures,
+  tokensPerCopy: number,
+): { rows: PlanTarget[][]; rest: PlanTarget[] } {
+  const rowMb = figures.layers * layerWithContextMb(figures, tokensPerCopy);
+  const leastMb = figures.layers * figures.layerMb * LEAST_ROW_FACTOR;
+  const rows: PlanTarget[][] = [];
+  let row: PlanTarget[] = [];
+  for (const target of [...targets].sort(byPace)) {
+    row.push(target);
+    if (sumMemory(row) < rowMb) continue;
+    rows.push(row);
+    row = [];
+  }
+  if (sumMemory(row) >= leastMb) rows.push(row);
+  else return { rows, rest: row };
+  return { rows, rest: [] };
+}
+
+/** Each spare takes the layers that lack most, counting those before it. */
+function planSpares(
+  options: PlacementOptions,
+  placed: readonly PlannedOrder[],
+  spares: readonly PlanTarget[],
 ): PlannedOrder[] {
-  const rows: PlanTarget[][] = Array.from({ length: copies }, () => []);
-  const largestFirst = [...targets].sort((a, b) =>
-    b.memoryMb - a.memoryMb || (a.id < b.id ? -1 : 1)
+  const spans = new Map(placed.map(({ targetId, span }) => [targetId, span]));
+  const targets = options.targets.filter((target) => !spares.includes(target));
+  const room = roomByLayer(
+    options,
+    targets.map((target) => ({ ...target, span: spans.get(target.id) })),
   );
-  for (const target of largestFirst) {
-    const emptiest = rows.reduce((least, row) =>
-      sumMemory(row) < sumMemory(least) ? row : least
-    );
-    emptiest.push(target);
-  }
-  return rows.flatMap((row) => planRow(row, figures));
+  return addSpares(options, room, spares);
 }
 
 /** Cuts the model into spans in proportion to the targets' memory. */
@@ -121,21 +133,27 @@
 }
 
 function planAdditions(options: PlacementOptions): PlannedOrder[] {
-  const { figures, targets, tokensPerCopy } = options;
-  const room = roomByLayer(options, targets);
-  const orders: PlannedOrder[] = [];
-  const empty = targets.filter(({ span, canTakeOrder }) =>
+  const room = roomByLayer(options, options.targets);
+  const empty = options.targets.filter(({ span, canTakeOrder }) =>
     span === undefined && canTakeOrder
-  )
-    .sort((a, b) => b.memoryMb - a.memoryMb || (a.id < b.id ? -1 : 1));
-  for (const target of empty) {
+  );
+  const orders = addSpares(options, room, empty);
+  return orders.length > 0 ? orders : planRescue(options, room);
+}
+
+function addSpares(
+  { figures, tokensPerCopy }: PlacementOptions,
+  room: LayerRoom,
+  spares: readonly PlanTarget[],
+): PlannedOrder[] {
+  const orders: PlannedOrder[] = [];
+  for (const target of [...spares].sort(byPace)) {
     const span = neediestSpan(target, room, figures, tokensPerCopy);
     if (span === undefined) continue;
     orders.push({ targetId: target.id, span });
     addRoom(room, { ...target, span }, figures);
   }
-  if (orders.length > 0) return orders;
-  return planRescue(options, room);
+  return orders;
 }
 
 /** Moves one target where a layer has no holder and no empty target is left. */
@@ -292,6 +310,12 @@
   return groups;
 }
 
+/** The fastest first; the largest, then the name, among equals. */
+function byPace(a: PlanTarget, b: PlanTarget): number {
+  return a.paceFactor - b.paceFactor || b.memoryMb - a.memoryMb ||
+    (a.id < b.id ? -1 : 1);
+}
+
 function sumMemory(targets: readonly PlanTarget[]): number {
   return targets.reduce((sum, { memoryMb }) => sum + memoryMb, 0);
 }
