Date the configuration by both clocks, and count complete reads only

Ruled out: a lost record (the host was cut off from the store all the while). Change: the monotonic clock dates the proof; where wall clock and monotonic clock drift apart by over 250 ms (a suspension or a jump) the proof is void. A read that did not reach the log's end, or that starts after dropped records, proves nothing.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -74,8 +74,6 @@
   readonly codec: IHeaderCodec;
   readonly control: ITargetControl;
   readonly clock: Clock;
-  /** A clock that also counts while the machine is suspended. */
-  readonly bootMs: () => number;
   readonly log: ILog;
   readonly metrics?: LightMetrics;
   readonly random?: () => number;
@@ -108,8 +106,7 @@
 
   constructor(options: EntryHostOptions) {
     this.#options = options;
-    const { settings, clock, log, bootMs, decoder, control, registry } =
-      options;
+    const { settings, clock, log, decoder, control, registry } = options;
     this.#metrics = options.metrics ?? new LightMetrics();
     this.#random = options.random ?? Math.random;
     this.#supervisor = new Supervisor({
@@ -127,7 +124,7 @@
       random: this.#random,
     });
     this.#config = new ConfigKeeper({ decoder, log });
-    const feed = { clock, bootMs, log, random: this.#random };
+    const feed = { clock, log, random: this.#random };
     this.#configFeed = new KeyedFollower({
       ...feed,
       name: "config",
--- a/src/feeds/keyed_follower.ts
+++ b/src/feeds/keyed_follower.ts
@@ -11,6 +11,7 @@
 import type { ILog } from "../common/logging.ts";
 import type { IKeyedLog } from "../ports/services.ts";
 import type { KeyedRecord } from "../ports/types.ts";
+import { ProofOfAge, readMoment } from "./proof_of_age.ts";
 
 /** First pause after a failed call; the store answers in milliseconds when it is well. */
 const FIRST_RETRY_MS = 150;
@@ -26,8 +27,6 @@
   /** Pause between reads. */
   readonly pauseMs: number;
   readonly clock: Clock;
-  /** A clock that also counts while the machine is suspended. */
-  readonly bootMs: () => number;
   readonly log: ILog;
   readonly random?: () => number;
 }
@@ -36,6 +35,8 @@
 export interface KeyedBatch {
   /** All keys that exist are in `records`. */
   readonly isSnapshot: boolean;
+  /** No record that the store held when it was asked is missing. */
+  readonly isComplete: boolean;
   readonly records: readonly KeyedRecord[];
 }
 
@@ -45,7 +46,7 @@
   readonly #onBatch = new Emitter<KeyedBatch>();
   readonly #random: () => number;
   #nextOffset: number | undefined;
-  #provenBootMs: number | undefined;
+  readonly #proof: ProofOfAge;
   #failures = 0;
   #recoveredMs = -Infinity;
 
@@ -55,12 +56,12 @@
   constructor(options: KeyedFollowerOptions) {
     this.#options = options;
     this.#random = options.random ?? Math.random;
+    this.#proof = new ProofOfAge(options.clock);
   }
 
   /** Age of the newest proof that nothing newer was missed; infinite before the first. */
   get ageMs(): number {
-    if (this.#provenBootMs === undefined) return Infinity;
-    return this.#options.bootMs() - this.#provenBootMs;
+    return this.#proof.ageMs;
   }
 
   /** Time since the first success after a failure, on the monotonic clock. */
@@ -79,7 +80,7 @@
   }
 
   async #step(signal: AbortSignal): Promise<boolean> {
-    const startedBootMs = this.#options.bootMs();
+    const started = readMoment(this.#options.clock);
     try {
       const batch = await this.#fetch();
       if (signal.aborted) return true;
@@ -87,7 +88,7 @@
       // An expired history says nothing about what is newest.
       if (batch !== undefined) {
         this.#onBatch.fire(batch);
-        this.#provenBootMs = startedBootMs;
+        if (batch.isComplete) this.#proof.renew(started);
       }
       return true;
     } catch (error) {
@@ -101,9 +102,16 @@
     if (this.#nextOffset === undefined) {
       const snapshot = await source.newest();
       this.#nextOffset = snapshot.nextOffset;
-      return { isSnapshot: true, records: snapshot.records };
+      // Pages are read one after the other; the next read tells what came between.
+      return {
+        isSnapshot: true,
+        isComplete: false,
+        records: snapshot.records,
+      };
     }
-    const read = await source.read(this.#nextOffset, waitMs);
+    // With no proof at hand an answer at once is worth more than a record.
+    const readWaitMs = this.ageMs === Infinity ? 0 : waitMs;
+    const read = await source.read(this.#nextOffset, readWaitMs);
     if (read.kind === "expired") {
       this.#options.log.warn("store history expired", {
         feed: this.#options.name,
@@ -113,7 +121,11 @@
       return undefined;
     }
     this.#nextOffset = read.nextOffset;
-    return { isSnapshot: false, records: read.records };
+    return {
+      isSnapshot: false,
+      isComplete: read.isComplete,
+      records: read.records,
+    };
   }
 
   #recordSuccess(): void {
--- /dev/null
+++ b/src/feeds/proof_of_age.ts
@@ -0,0 +1,48 @@
+/**
+ * The age of what was read last. The monotonic clock stands still while a
+ * machine is suspended, and the wall clock may jump; a suspension shows as a
+ * change of the difference between the two, and so does a jump. Either ends the
+ * proof, since how much time has passed is then unknown.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+
+/** Difference that slow timers and a disciplined wall clock may make. */
+const MAX_DRIFT_MS = 250;
+
+/** A moment on both clocks. */
+export interface Moment {
+  readonly nowMs: number;
+  readonly wallMs: number;
+}
+
+/** The present moment on both clocks. */
+export function readMoment(clock: Clock): Moment {
+  return { nowMs: clock.nowMs(), wallMs: clock.wallMs() };
+}
+
+/** A proof that ages. */
+export class ProofOfAge {
+  readonly #clock: Clock;
+  #proven: Moment | undefined;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Takes a new proof, made at `moment`. */
+  renew(moment: Moment): void {
+    this.#proven = moment;
+  }
+
+  /** Infinite before the first proof and after one that can't be dated. */
+  get ageMs(): number {
+    if (this.#proven === undefined) return Infinity;
+    const now = readMoment(this.#clock);
+    const ageMs = now.nowMs - this.#proven.nowMs;
+    const driftMs = now.wallMs - this.#proven.wallMs - ageMs;
+    return Math.abs(driftMs) > MAX_DRIFT_MS ? Infinity : ageMs;
+  }
+}
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -241,6 +241,8 @@
     readonly kind: "records";
     readonly records: readonly KeyedRecord[];
     readonly nextOffset: number;
+    /** The read reached the end of the log. */
+    readonly isComplete: boolean;
   }
   | { readonly kind: "expired" };
 
