--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -6,7 +6,6 @@
  * @module
  */
 
-import { createServer, type RequestListener, type Server } from "node:http";
 import { RepeatBudget } from "../admission/repeat_budget.ts";
 import { WaitQueue } from "../admission/wait_queue.ts";
 import type { Clock } from "../common/clock.ts";
@@ -29,8 +28,9 @@
   IRecordDecoder,
   ITargetControl,
 } from "../ports/services.ts";
-import type { Endpoint, HostRecord, HostSettings } from "../ports/types.ts";
+import type { HostRecord, HostSettings } from "../ports/types.ts";
 import { ConfigKeeper } from "./config_keeper.ts";
+import { HostListeners, type HostPorts } from "./host_listeners.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { SilenceProber } from "./silence_prober.ts";
 import { TargetFeed } from "./target_feed.ts";
@@ -42,7 +42,7 @@
 /** Keys are honoured while the configuration is this much newer than the bound. */
 const FRESH_MARGIN_MS = 600;
 /** Not ready from this age on, so that the balancer moves callers before they are refused. */
-const READY_AGE_MS = 2_200;
+const READY_AGE_MS = 2_500;
 /** Tokens of context for which each copy of the model has room. */
 const TOKENS_PER_COPY = 45_000;
 /** Requests that wait for a path at most; a stream takes some 100 KB. */
@@ -57,12 +57,10 @@
 const STOP_REFUSE_MS = 1_000;
 /** A stopping host ends this long before it would be killed. */
 const STOP_MARGIN_MS = 900;
+/** Tasks have this long to end. */
+const TASK_END_MS = 100;
 /** Pause between looks at the requests in progress. */
 const STOP_LOOK_MS = 50;
-/** Connections beyond this many wait for the kernel. */
-const BACKLOG = 1_024;
-/** Node.js looks for slow heads this often. */
-const HEAD_CHECK_MS = 500;
 
 /** Options of a host. */
 export interface EntryHostOptions {
@@ -99,7 +97,7 @@
   readonly #core: RequestCore;
   readonly #budgets = new Map<string, RepeatBudget>();
   readonly #queues = new Map<string, WaitQueue>();
-  readonly #servers: Server[] = [];
+  readonly #listeners: HostListeners;
   #isStopping = false;
   #isClosed = false;
   #wasReady = false;
@@ -182,6 +180,13 @@
       isStopping: () => this.#isStopping,
       isClosed: () => this.#isClosed,
     });
+    this.#listeners = new HostListeners({
+      settings,
+      onRequest: (request, response) =>
+        void this.#core.serve(request, response),
+      isReady: () => this.#isReady(),
+      renderMetrics: () => this.#metrics.render(),
+    });
     this.#wire();
   }
 
@@ -189,26 +194,7 @@
   async start(): Promise<void> {
     const { settings, log } = this.#options;
     await this.#link.open();
-    const frontend = createServer(
-      {
-        keepAlive: true,
-        connectionsCheckingInterval: HEAD_CHECK_MS,
-        requestTimeout: 0,
-      },
-      (request, response) => void this.#core.serve(request, response),
-    );
-    this.#applyLimits(frontend);
-    this.#config.onChange(() => this.#applyLimits(frontend));
-    await this.#listen(frontend, settings.frontend);
-    await this.#listen(
-      createServer((_request, response) => {
-        response.writeHead(this.#isReady() ? 200 : 503, {
-          "content-length": "0",
-        }).end();
-      }),
-      settings.readiness,
-    );
-    await this.#listen(createServer(this.#showMetrics), settings.metrics);
+    await this.#listeners.open();
     this.#supervisor.start("config", (signal) => this.#configFeed.run(signal));
     this.#supervisor.start("targets", (signal) => this.#targetFeed.run(signal));
     this.#supervisor.start("peers", (signal) => this.#peers.runSender(signal));
@@ -228,6 +214,11 @@
     });
   }
 
+  /** Ports that the host listens at, once it has started. */
+  get ports(): HostPorts {
+    return this.#listeners.ports;
+  }
+
   /** Takes no new callers, lets requests end, and stops. */
   async stop(): Promise<void> {
     if (this.#isStopping) return;
@@ -247,13 +238,17 @@
       active: this.#core.active,
       durationMs: Math.round(clock.nowMs() - startedMs),
     });
-    for (const server of this.#servers) {
-      server.close();
-      server.closeAllConnections();
-    }
+    this.dispose();
+    // Tasks may wait for an answer of the store; their end is not waited for.
+    await Promise.race([this.#supervisor.stop(), clock.sleep(TASK_END_MS)]);
+  }
+
+  /** Ends everything at once, cutting what is in progress. */
+  dispose(): void {
+    this.#listeners.dispose();
     this.#link.dispose();
     this.#agent.destroy();
-    await this.#supervisor.stop();
+    void this.#supervisor.stop();
   }
 
   /** The settings file changed; nothing that this host reads of it may change while it runs. */
@@ -271,6 +266,9 @@
       log,
       sinceRecoveryMs: () => this.#targetFeed.sinceRecoveryMs,
     });
+    this.#config.onChange(({ config }) =>
+      this.#listeners.applyLimits(config.limits)
+    );
     this.#configFeed.onBatch((batch) => this.#config.take(batch));
     this.#targetFeed.onBatch((batch) => feed.take(batch));
     this.#book.onChange(() => this.#pump());
@@ -363,7 +361,8 @@
 
   #isReady(): boolean {
     const ready = !this.#isStopping && this.#config.table !== undefined &&
-      this.#configFeed.ageMs < READY_AGE_MS && this.#book.all().length > 0;
+      this.#configFeed.isInTouch && this.#configFeed.ageMs < READY_AGE_MS &&
+      this.#book.all().length > 0;
     if (ready !== this.#wasReady) {
       this.#wasReady = ready;
       this.#options.log.info(ready ? "host ready" : "host not ready", {
@@ -374,35 +373,6 @@
     }
     return ready;
   }
-
-  #applyLimits(frontend: Server): void {
-    const limits = this.#config.table?.config.limits;
-    if (limits === undefined) return;
-    frontend.keepAliveTimeout = limits.idleMs;
-    frontend.headersTimeout = limits.headerMs;
-    // Node.js gives each new connection's parser this limit.
-    (frontend as { maxHeaderSize?: number }).maxHeaderSize = limits.headerBytes;
-  }
-
-  readonly #showMetrics: RequestListener = (_request, response) => {
-    response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
-    response.end(this.#metrics.render());
-  };
-
-  #listen(server: Server, endpoint: Endpoint): Promise<void> {
-    this.#servers.push(server);
-    return new Promise((resolve, reject) => {
-      server.once("error", reject);
-      server.listen({
-        host: endpoint.ip,
-        port: endpoint.port,
-        backlog: BACKLOG,
-      }, () => {
-        server.off("error", reject);
-        resolve();
-      });
-    });
-  }
 }
 
 function hostRecord(settings: HostSettings, clock: Clock): HostRecord {
--- /dev/null
+++ b/src/entry/host_listeners.ts
@@ -0,0 +1,101 @@
+/**
+ * The ports of a host: callers, readiness and metrics.
+ *
+ * @module
+ */
+
+import { createServer, type RequestListener, type Server } from "node:http";
+import type { CallerLimits, Endpoint, HostSettings } from "../ports/types.ts";
+
+/** Connections beyond this many wait for the kernel. */
+const BACKLOG = 1_024;
+/** Node.js looks for slow heads this often. */
+const HEAD_CHECK_MS = 500;
+
+/** Ports that the host listens at. */
+export interface HostPorts {
+  readonly frontend: number;
+  readonly readiness: number;
+  readonly metrics: number;
+}
+
+/** Options of the listeners. */
+export interface HostListenersOptions {
+  readonly settings: HostSettings;
+  readonly onRequest: RequestListener;
+  readonly isReady: () => boolean;
+  readonly renderMetrics: () => string;
+}
+
+/** The servers of a host. */
+export class HostListeners {
+  readonly #settings: HostSettings;
+  readonly #frontend: Server;
+  readonly #readiness: Server;
+  readonly #metrics: Server;
+
+  constructor(options: HostListenersOptions) {
+    this.#settings = options.settings;
+    this.#frontend = createServer({
+      keepAlive: true,
+      connectionsCheckingInterval: HEAD_CHECK_MS,
+      // Bodies are bounded by the deadline of their request.
+      requestTimeout: 0,
+    }, options.onRequest);
+    this.#readiness = createServer((_request, response) => {
+      const status = options.isReady() ? 200 : 503;
+      response.writeHead(status, { "content-length": "0" }).end();
+    });
+    this.#metrics = createServer((_request, response) => {
+      response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+      response.end(options.renderMetrics());
+    });
+  }
+
+  get ports(): HostPorts {
+    return {
+      frontend: portOf(this.#frontend),
+      readiness: portOf(this.#readiness),
+      metrics: portOf(this.#metrics),
+    };
+  }
+
+  /** Opens all ports; rejects where one is taken. */
+  async open(): Promise<void> {
+    await listen(this.#frontend, this.#settings.frontend);
+    await listen(this.#readiness, this.#settings.readiness);
+    await listen(this.#metrics, this.#settings.metrics);
+  }
+
+  /** Bounds what callers may send, from the next connection or request on. */
+  applyLimits(limits: CallerLimits): void {
+    this.#frontend.keepAliveTimeout = limits.idleMs;
+    this.#frontend.headersTimeout = limits.headerMs;
+    // Node.js gives each new connection's parser this limit.
+    (this.#frontend as { maxHeaderSize?: number }).maxHeaderSize =
+      limits.headerBytes;
+  }
+
+  /** Closes all ports and cuts all connections. */
+  dispose(): void {
+    for (const server of [this.#frontend, this.#readiness, this.#metrics]) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+}
+
+function listen(server: Server, { ip, port }: Endpoint): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen({ host: ip, port, backlog: BACKLOG }, () => {
+      server.off("error", reject);
+      resolve();
+    });
+  });
+}
+
+function portOf(server: Server): number {
+  const address = server.address();
+  return typeof address === "object" ? address?.port ?? 0 : 0;
+}
--- a/src/feeds/keyed_follower.ts
+++ b/src/feeds/keyed_follower.ts
@@ -18,6 +18,9 @@
 /** Longest pause after failed calls, well inside the bound on stale configuration. */
 const MAX_RETRY_MS = 600;
 
+/** One failed call may be a lost packet; two in a row are an outage. */
+const OUT_OF_TOUCH_FAILURES = 2;
+
 /** Options of a follower. */
 export interface KeyedFollowerOptions {
   readonly name: string;
@@ -64,6 +67,11 @@
     return this.#proof.ageMs;
   }
 
+  /** False after calls in a row have failed; sooner than the age tells. */
+  get isInTouch(): boolean {
+    return this.#failures < OUT_OF_TOUCH_FAILURES;
+  }
+
   /** Time since the first success after a failure, on the monotonic clock. */
   get sinceRecoveryMs(): number {
     if (this.#failures > 0) return 0;
@@ -109,8 +117,9 @@
         records: snapshot.records,
       };
     }
-    // With no proof at hand an answer at once is worth more than a record.
-    const readWaitMs = this.ageMs === Infinity ? 0 : waitMs;
+    // Out of touch, an answer at once is worth more than the next record.
+    const isInTouch = this.#failures === 0 && this.ageMs !== Infinity;
+    const readWaitMs = isInTouch ? waitMs : 0;
     const read = await source.read(this.#nextOffset, readWaitMs);
     if (read.kind === "expired") {
       this.#options.log.warn("store history expired", {
--- /dev/null
+++ b/standins/users_platform/model_server.ts
@@ -0,0 +1,266 @@
+/**
+ * A stand-in for a model server or a plain service of the users' platform. It
+ * answers requests, reports and orders, and misbehaves as told.
+ *
+ * @module
+ */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** How requests are answered. */
+export type ServerMode =
+  | "good"
+  | "error"
+  | "shed"
+  | "hang"
+  | "cut"
+  | "foreign"
+  | "unsigned"
+  | "stall";
+
+/** Options of a server. */
+export interface ModelServerOptions {
+  readonly id: string;
+  readonly service: string;
+  readonly domain: string;
+  /** Accelerator's name; a plain service has none. */
+  readonly kind?: string;
+  /** Events of a whole stream. */
+  readonly events?: number;
+  readonly eventGapMs?: number;
+}
+
+/** A request as it arrived. */
+export interface SeenRequest {
+  readonly method: string;
+  readonly url: string;
+  readonly headers: IncomingMessage["headers"];
+  readonly body: string;
+}
+
+interface RunningStream {
+  readonly response: ServerResponse;
+  readonly requestId: string;
+  path: string;
+  next: number;
+  isStalled: boolean;
+}
+
+/** A server on a port of its own. */
+export class ModelServer {
+  readonly #options: ModelServerOptions;
+  readonly #server: Server;
+  readonly #streams = new Map<string, RunningStream>();
+  mode: ServerMode = "good";
+  /** In mode "stall": events before the path stops, and who is blamed. */
+  stallAfter = 2;
+  stallAddress = "";
+  span: { from: number; to: number } | undefined;
+  seq = 0;
+  readonly seen: SeenRequest[] = [];
+  readonly orders: Record<string, unknown>[] = [];
+  /** Requests whose connection closed before their answer was whole. */
+  cancelled = 0;
+
+  constructor(options: ModelServerOptions) {
+    this.#options = options;
+    this.#server = createServer((request, response) =>
+      this.#serve(request, response)
+    );
+  }
+
+  get id(): string {
+    return this.#options.id;
+  }
+
+  get address(): string {
+    const { port } = this.#server.address() as AddressInfo;
+    return `127.0.0.1:${port}`;
+  }
+
+  /** The record that it writes to the store. */
+  get entry(): Record<string, unknown> {
+    const { service, domain, kind } = this.#options;
+    return {
+      service,
+      address: this.address,
+      zone: domain,
+      version: "v1",
+      slots: 8,
+      state: "ready",
+      "cold-left-ms": 0,
+      seq: this.seq,
+      ...(kind === undefined ? {} : { "route-kind": kind }),
+      ...(this.span === undefined
+        ? {}
+        : { layers: { ...this.span, version: 1 } }),
+    };
+  }
+
+  listen(): Promise<void> {
+    return new Promise((resolve) =>
+      this.#server.listen(0, "127.0.0.1", resolve)
+    );
+  }
+
+  close(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  #serve(request: IncomingMessage, response: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    request.on("data", (chunk: Buffer) => chunks.push(chunk));
+    request.on("end", () => {
+      const body = Buffer.concat(chunks).toString();
+      if (request.url === "/v1/report") this.#report(response);
+      else if (request.url === "/v1/order") this.#order(body, response);
+      else this.#run(request, body, response);
+    });
+  }
+
+  #report(response: ServerResponse): void {
+    if (this.mode === "hang") return;
+    const stalled = [...this.#streams.values()].filter((stream) =>
+      stream.isStalled
+    ).map(({ requestId }) => ({ id: requestId, address: this.stallAddress }));
+    response.writeHead(200, { "content-type": "application/json" });
+    response.end(JSON.stringify({
+      phase: "colocated",
+      busy: false,
+      seq: this.seq,
+      queued: 0,
+      active: this.#streams.size,
+      "kv-used-tokens": 0,
+      "kv-total-tokens": 1_000_000,
+      "route-kind": this.#options.kind,
+      ...(this.span === undefined
+        ? {}
+        : { layers: { ...this.span, version: 1 } }),
+      stalled,
+    }));
+  }
+
+  #order(body: string, response: ServerResponse): void {
+    const order = JSON.parse(body);
+    this.orders.push(order);
+    if (order.op === "place") {
+      if (order.expect !== undefined && order.expect !== this.seq) {
+        response.writeHead(409).end();
+        return;
+      }
+      this.seq++;
+      this.span = { from: order.from, to: order.to };
+      response.writeHead(202).end();
+      return;
+    }
+    const stream = this.#streams.get(order.id);
+    if (stream === undefined) {
+      response.writeHead(404).end();
+      return;
+    }
+    stream.path = order.path;
+    stream.isStalled = false;
+    response.writeHead(200).end();
+    this.#emit(stream);
+  }
+
+  #run(request: IncomingMessage, body: string, response: ServerResponse): void {
+    const { mode } = this;
+    const requestId = String(request.headers["jackdawshift-attempt-id"]);
+    this.seen.push({
+      method: request.method ?? "",
+      url: request.url ?? "",
+      headers: request.headers,
+      body,
+    });
+    response.on("close", () => {
+      if (!response.writableFinished) this.cancelled++;
+      this.#streams.delete(requestId);
+    });
+    if (mode === "hang") return;
+    if (mode === "shed") {
+      response.writeHead(503, {
+        "jackdawshift-not-executed": "1",
+        "at-server": this.address,
+      }).end();
+      return;
+    }
+    if (mode === "error") {
+      response.writeHead(500, this.#marks(requestId)).end("failed");
+      return;
+    }
+    if (this.#options.events !== undefined) {
+      this.#stream(request, requestId, response);
+      return;
+    }
+    const headers = this.#marks(mode === "foreign" ? "another" : requestId);
+    if (mode === "unsigned") delete headers["jackdawshift-server-signature"];
+    if (mode === "cut") {
+      response.writeHead(200, { ...headers, "content-length": "100" });
+      response.write("half");
+      setTimeout(() => response.destroy(), 5);
+      return;
+    }
+    response.writeHead(200, headers).end(`answer of ${this.id}`);
+  }
+
+  #stream(
+    request: IncomingMessage,
+    requestId: string,
+    response: ServerResponse,
+  ): void {
+    const last = request.headers["last-event-id"];
+    response.writeHead(200, {
+      ...this.#marks(requestId),
+      "content-type": "text/event-stream",
+    });
+    const stream: RunningStream = {
+      response,
+      requestId,
+      path: String(request.headers["jackdawshift-hop-count"]),
+      next: last === undefined ? 0 : Number(last) + 1,
+      isStalled: false,
+    };
+    this.#streams.set(requestId, stream);
+    this.#emit(stream);
+  }
+
+  #emit(stream: RunningStream): void {
+    const { events = 0, eventGapMs = 5 } = this.#options;
+    if (stream.response.destroyed || stream.isStalled) return;
+    if (stream.next >= events) {
+      stream.response.end();
+      return;
+    }
+    if (this.mode === "cut" && stream.next >= this.stallAfter) {
+      stream.response.write(`id: ${stream.next}\ndata: par`);
+      setTimeout(() => stream.response.destroy(), 5);
+      return;
+    }
+    if (
+      this.mode === "stall" && stream.next === this.stallAfter &&
+      stream.path.includes(this.stallAddress)
+    ) {
+      stream.isStalled = true;
+      return;
+    }
+    stream.response.write(`id: ${stream.next}\ndata: piece ${stream.next}\n\n`);
+    stream.next++;
+    setTimeout(() => this.#emit(stream), eventGapMs);
+  }
+
+  #marks(requestId: string): Record<string, string> {
+    return {
+      "jackdawshift-attempt-id": requestId,
+      "jackdawshift-server-signature": `signed.${this.id}`,
+      "jackdawshift-server-load": "0,0,8",
+    };
+  }
+}
--- /dev/null
+++ b/standins/users_platform/store_standin.ts
@@ -0,0 +1,189 @@
+/**
+ * A stand-in for the users' store: keyed topics with offsets, long reads,
+ * snapshots, and the faults that tests need. It keeps everything in memory.
+ *
+ * @module
+ */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** How the store answers. */
+export type StoreFault = "none" | "silent" | "busy" | "reset";
+
+interface KeyedEntry {
+  readonly key: string;
+  readonly value: Buffer;
+}
+
+interface Topic {
+  firstOffset: number;
+  readonly records: KeyedEntry[];
+  readonly newest: Map<string, { value: Buffer; offset: number }>;
+}
+
+/** An in-memory store. */
+export class StoreStandin {
+  readonly #server: Server;
+  readonly #topics = new Map<string, Topic>();
+  readonly #waiting = new Set<() => void>();
+  fault: StoreFault = "none";
+  /** Paths of the calls that arrived. */
+  readonly calls: string[] = [];
+
+  constructor() {
+    this.#server = createServer((request, response) =>
+      this.#serve(request, response)
+    );
+  }
+
+  get address(): string {
+    const { port } = this.#server.address() as AddressInfo;
+    return `127.0.0.1:${port}`;
+  }
+
+  listen(): Promise<void> {
+    return new Promise((resolve) =>
+      this.#server.listen(0, "127.0.0.1", resolve)
+    );
+  }
+
+  close(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  /** Appends a record; an undefined value drops the key. */
+  put(topic: string, key: string, value: unknown): void {
+    const bytes = value === undefined
+      ? Buffer.alloc(0)
+      : Buffer.isBuffer(value)
+      ? value
+      : Buffer.from(JSON.stringify(value));
+    this.#append(topic, key, bytes);
+  }
+
+  /** Deletes all records of a topic but the newest of each key. */
+  compact(topic: string): void {
+    const kept = this.#topic(topic);
+    kept.firstOffset += kept.records.length;
+    kept.records.length = 0;
+  }
+
+  #append(name: string, key: string, value: Buffer): number {
+    const topic = this.#topic(name);
+    const offset = topic.firstOffset + topic.records.length;
+    topic.records.push({ key, value });
+    if (value.length === 0) topic.newest.delete(key);
+    else topic.newest.set(key, { value, offset });
+    for (const wake of [...this.#waiting]) wake();
+    return offset;
+  }
+
+  #topic(name: string): Topic {
+    let topic = this.#topics.get(name);
+    if (topic === undefined) {
+      topic = { firstOffset: 0, records: [], newest: new Map() };
+      this.#topics.set(name, topic);
+    }
+    return topic;
+  }
+
+  #serve(request: IncomingMessage, response: ServerResponse): void {
+    const url = new URL(request.url ?? "/", "http://store");
+    this.calls.push(url.pathname);
+    if (this.fault === "silent") return;
+    if (this.fault === "reset") {
+      request.socket.destroy();
+      return;
+    }
+    if (this.fault === "busy") {
+      response.writeHead(503).end();
+      return;
+    }
+    const topic = url.searchParams.get("topic") ?? "";
+    if (url.pathname === "/v1/log-read") this.#read(url, topic, response);
+    else if (url.pathname === "/v1/log-newest") {
+      this.#sendNewest(topic, response);
+    } else if (url.pathname === "/v1/log-append") {
+      this.#takeAppend(topic, request, response);
+    } else response.writeHead(404).end();
+  }
+
+  #read(url: URL, name: string, response: ServerResponse): void {
+    const from = Number(url.searchParams.get("from"));
+    const waitMs = Number(url.searchParams.get("wait-ms") ?? 0);
+    const topic = this.#topic(name);
+    const answer = (): void => {
+      clearTimeout(timer);
+      this.#waiting.delete(wake);
+      if (from < topic.firstOffset) {
+        response.writeHead(410).end(
+          JSON.stringify({ "start-offset": topic.firstOffset }),
+        );
+        return;
+      }
+      response.writeHead(200).end(encodeRead(topic, from));
+    };
+    const wake = (): void => {
+      if (topic.firstOffset + topic.records.length > from) answer();
+    };
+    const timer = setTimeout(answer, waitMs);
+    this.#waiting.add(wake);
+    wake();
+  }
+
+  #sendNewest(name: string, response: ServerResponse): void {
+    const topic = this.#topic(name);
+    const items = [...topic.newest].map(([key, { value, offset }]) => ({
+      key,
+      value: value.toString("base64"),
+      offset,
+    }));
+    response.writeHead(200).end(JSON.stringify({
+      items,
+      "has-more": false,
+      "end-offset": topic.firstOffset + topic.records.length,
+    }));
+  }
+
+  #takeAppend(
+    topic: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const chunks: Buffer[] = [];
+    request.on("data", (chunk: Buffer) => chunks.push(chunk));
+    request.on("end", () => {
+      const body = Buffer.concat(chunks);
+      const keyBytes = body[4];
+      const key = body.toString("utf8", 5, 5 + keyBytes);
+      const offset = this.#append(topic, key, body.subarray(5 + keyBytes));
+      response.writeHead(200).end(
+        JSON.stringify({ offset, "end-offset": offset + 1 }),
+      );
+    });
+  }
+}
+
+function encodeRead(topic: Topic, from: number): Buffer {
+  const head = Buffer.alloc(16);
+  const endOffset = topic.firstOffset + topic.records.length;
+  head.writeBigUInt64BE(BigInt(endOffset), 0);
+  head.writeBigUInt64BE(BigInt(topic.firstOffset), 8);
+  const records = topic.records.slice(from - topic.firstOffset).map(
+    ({ key, value }) => {
+      const keyBytes = Buffer.from(key);
+      const prefix = Buffer.alloc(5);
+      prefix.writeUInt32BE(1 + keyBytes.length + value.length, 0);
+      prefix.writeUInt8(keyBytes.length, 4);
+      return Buffer.concat([prefix, keyBytes, value]);
+    },
+  );
+  return Buffer.concat([head, ...records]);
+}
