Give copies as much memory for requests as for weights, and ask stages at the first long pause

Streams through a dead target waited 350 ms or more before they were moved, so all of them were late. Ruled out: wrong estimates of memory (they ran 15 in 100 above the reports). Change: each copy takes the fastest targets until its memory is twice its weights; 70 in 100 of an estimated answer is reserved; a pause of 95 ms makes a host ask all stages of the path, one question for all streams, and tell the others; slow targets cost the square of their slowness.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -18,6 +18,7 @@
 import { StreamWatch } from "../forward/stream_watch.ts";
 import { UpstreamAgent } from "../forward/upstream_agent.ts";
 import { PathChooser } from "../paths/path_chooser.ts";
+import { StageChecker } from "../paths/stage_checker.ts";
 import { TargetBook } from "../paths/target_book.ts";
 import { PeerLink } from "../peers/peer_link.ts";
 import { PlacementKeeper } from "../placement/placement_keeper.ts";
@@ -43,8 +44,6 @@
 const FRESH_MARGIN_MS = 600;
 /** Not ready from this age on, so that the balancer moves callers before they are refused. */
 const READY_AGE_MS = 2_500;
-/** Tokens of context for which each copy of the model has room. */
-const TOKENS_PER_COPY = 45_000;
 /** Requests that wait for a path at most; a stream takes some 100 KB. */
 const MAX_WAITING = 400;
 /** Hosts that may exist beside those heard of: some are starting, some cut off. */
@@ -147,7 +146,6 @@
       metrics: this.#metrics,
       config: () => this.#config.table?.config,
       isLeader: () => this.#peers.isLeader(),
-      tokensPerCopy: TOKENS_PER_COPY,
     });
     this.#peers = new PeerExchange({
       host,
@@ -307,6 +305,7 @@
       book: this.#book,
       chooser: this.#chooser,
       control,
+      checker: new StageChecker({ book: this.#book, control, clock, log }),
       codec,
       agent: this.#agent,
       watch: this.#watch,
--- a/src/entry/peer_exchange.ts
+++ b/src/entry/peer_exchange.ts
@@ -47,9 +47,13 @@
   readonly #options: PeerExchangeOptions;
   #count = 0;
   #isAnnounced = false;
+  #isTelling = false;
 
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
+    options.book.onChange((target) => {
+      if (target.silentSinceMs !== undefined) this.#tellSoon();
+    });
     options.link.onState(({ state }) => {
       if (state !== undefined) this.#take(state);
     });
@@ -98,6 +102,16 @@
     }
   }
 
+  /** The others avoid a silent target as soon as they hear of it. */
+  #tellSoon(): void {
+    if (this.#isTelling) return;
+    this.#isTelling = true;
+    setImmediate(() => {
+      this.#isTelling = false;
+      this.#options.link.send(this.#state());
+    });
+  }
+
   #state(): PeerState {
     const uses: PeerUse[] = [];
     const silentTargets: string[] = [];
@@ -130,7 +144,7 @@
       const target = book.get(id);
       if (target === undefined) continue;
       const wasTrusted = target.isTrusted;
-      target.avoidUntilMs = Math.max(target.avoidUntilMs, untilMs);
+      target.doubtedUntilMs = untilMs;
       if (wasTrusted) book.notify(target);
     }
     if (state.slowTargets === undefined) return;
--- a/src/forward/answer_body.ts
+++ b/src/forward/answer_body.ts
@@ -4,14 +4,16 @@
  * @module
  */
 
-import type { IncomingMessage } from "node:http";
+import type { SendOutcome } from "./upstream.ts";
+
+type Answer = Extract<SendOutcome, { readonly kind: "answer" }>;
 
 /** Largest answer that is held in memory. */
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
 
 /** Undefined where the answer broke off or is too large. */
 export function readAnswerBody(
-  answer: IncomingMessage,
+  { answer, hasFailed }: Answer,
 ): Promise<Buffer | undefined> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -22,7 +24,11 @@
       if (sizeBytes > MAX_BODY_BYTES) answer.destroy();
     });
     answer.on("end", () => {
-      resolve(answer.complete ? Buffer.concat(chunks, sizeBytes) : undefined);
+      resolve(
+        answer.complete && !hasFailed()
+          ? Buffer.concat(chunks, sizeBytes)
+          : undefined,
+      );
     });
     answer.on("close", () => resolve(undefined));
   });
@@ -40,7 +46,7 @@
 ]);
 
 /** Headers of an answer without those of its connection and framing. */
-export function answerHeaders(answer: IncomingMessage): string[] {
+export function answerHeaders(answer: Answer["answer"]): string[] {
   const headers: string[] = [];
   const raw = answer.rawHeaders;
   for (let i = 0; i + 1 < raw.length; i += 2) {
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -10,6 +10,7 @@
 import type { IMetrics } from "../common/light_metrics.ts";
 import type { ILog } from "../common/logging.ts";
 import type { PathChooser } from "../paths/path_chooser.ts";
+import type { StageChecker } from "../paths/stage_checker.ts";
 import type { TargetBook } from "../paths/target_book.ts";
 import type { IHeaderCodec, ITargetControl } from "../ports/services.ts";
 import type { Customer, Route, Service } from "../ports/types.ts";
@@ -24,6 +25,7 @@
   readonly book: TargetBook;
   readonly chooser: PathChooser;
   readonly control: ITargetControl;
+  readonly checker: StageChecker;
   readonly codec: IHeaderCodec;
   readonly agent: UpstreamAgent;
   readonly watch: StreamWatch;
--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -210,7 +210,7 @@
         reason: `refused with status ${status}`,
       };
     }
-    const whole = await readAnswerBody(answer);
+    const whole = await readAnswerBody(outcome);
     if (whole === undefined) {
       return { kind: "may-have-run", reason: "answer broke off" };
     }
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -16,15 +16,18 @@
 import { type CallContext, type CallPlan, spreadRetry } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
 import { type RelayEnd, StreamRelay } from "./stream_relay.ts";
-import { sendUpstream } from "./upstream.ts";
+import { type SendOutcome, sendUpstream } from "./upstream.ts";
 
 /**
  * Longest wait for room. Callers leave a stream without an event after two
  * seconds, and the first event takes up to half a second.
  */
 const MAX_WAIT_MS = 1_200;
-/** An estimate of an answer's length is often low; room for this much more is kept. */
-const LENGTH_MARGIN = 1.15;
+/**
+ * Part of the estimated answer that is reserved. Of many requests on a target
+ * each has on average written half, and estimates are right at the median.
+ */
+const RESERVED_ANSWER_SHARE = 0.7;
 /** Time after which a refused caller may find room: a stream takes some seconds. */
 const RETRY_AFTER_MS = 700;
 /** Sends that were refused before a request is given up. */
@@ -32,6 +35,8 @@
 /** A target that refused a path is avoided for this long. */
 const AVOID_MS = 600;
 
+type Answered = Extract<SendOutcome, { readonly kind: "answer" }>;
+
 type SendEnd =
   | { readonly kind: "done" }
   | {
@@ -75,7 +80,7 @@
     const { promptTokens, maxAnswerTokens, likelyAnswerTokens } =
       exchange.marks;
     const likely = (likelyAnswerTokens ?? plan.figures.usualAnswerTokens) *
-      LENGTH_MARGIN;
+      RESERVED_ANSWER_SHARE;
     this.#tokens = promptTokens +
       (maxAnswerTokens > 0 ? Math.min(maxAnswerTokens, likely) : likely);
   }
@@ -223,7 +228,7 @@
         }
         return { kind: "broken", reason: relay.failure ?? outcome.reason };
       }
-      return await this.#receive(outcome.answer, relay);
+      return await this.#receive(outcome, relay);
     } finally {
       relay.dispose();
       this.#abort.signal.removeEventListener("abort", onAbort);
@@ -231,9 +236,10 @@
   }
 
   async #receive(
-    answer: IncomingMessage,
+    outcome: Answered,
     relay: StreamRelay,
   ): Promise<SendEnd> {
+    const { answer } = outcome;
     const { codec, book, clock } = this.#context;
     const marks = codec.answer(answer.rawHeaders);
     const status = answer.statusCode ?? 0;
@@ -259,10 +265,10 @@
       answer.destroy();
       return { kind: "broken", reason: "answer is encoded" };
     }
-    if (status !== 200) return await this.#passWhole(answer, status);
+    if (status !== 200) return await this.#passWhole(outcome, status);
     const onDrain = (): void => relay.drained();
     this.#exchange.response.on("drain", onDrain);
-    const end = await relay.run(answer, {
+    const end = await relay.run(outcome, {
       lastEventId: this.#lastEventId,
       onEvents: (bytes, lastId) => this.#pass(answer, bytes, lastId),
     });
@@ -271,8 +277,9 @@
   }
 
   /** An answer that is no stream goes to the caller as it is, if it is whole. */
-  async #passWhole(answer: IncomingMessage, status: number): Promise<SendEnd> {
-    const body = await readAnswerBody(answer);
+  async #passWhole(outcome: Answered, status: number): Promise<SendEnd> {
+    const { answer } = outcome;
+    const body = await readAnswerBody(outcome);
     if (body === undefined) {
       return { kind: "broken", reason: "answer broke off" };
     }
--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -6,29 +6,48 @@
  * @module
  */
 
-import type { IncomingMessage } from "node:http";
 import type { PathStage } from "../ports/types.ts";
 import type { ReservedPath } from "../paths/path_chooser.ts";
 import type { EngineFigures } from "../ports/types.ts";
 import { takeReport } from "../paths/take_report.ts";
 import type { CallContext } from "./context.ts";
 import { EventReader } from "./event_reader.ts";
+import type { SendOutcome } from "./upstream.ts";
 import type { WatchedStream } from "./stream_watch.ts";
 
 /** Without a first event for this long the path is questioned; prompts take some 100 ms. */
-const FIRST_EVENT_OVERDUE_MS = 600;
-/** The same between events, which come every 30 to 150 ms. */
-const EVENT_OVERDUE_MS = 350;
+const FIRST_EVENT_OVERDUE_MS = 250;
+/** The same between events, which come every 20 to 60 ms. */
+const EVENT_OVERDUE_MS = 95;
+/** Where events come more slowly, a pause of this many usual ones is questioned. */
+const OVERDUE_GAPS = 2.5;
+/** However slowly they come, this pause is questioned. */
+const MAX_EVENT_OVERDUE_MS = 300;
 /** An event that is overdue this long is enough where a stage is known to be silent. */
-const SUSPECT_OVERDUE_MS = 150;
+const SUSPECT_OVERDUE_MS = 50;
+/** The first target names what a request waits for some hundred milliseconds later. */
+const STALLED_OVERDUE_MS = 350;
 /** Pause between questions about one stream. */
-const ASK_AGAIN_MS = 150;
+const ASK_AGAIN_MS = 100;
+/** Pause between tries to leave a stage that still works. */
+const LEAVE_AGAIN_MS = 500;
 /** A report is due within this time. */
 const REPORT_TIMEOUT_MS = 300;
 /** A changed path reads the context again before its next event. */
-const REPATH_GRACE_MS = 500;
+const REPATH_GRACE_MS = 250;
 /** Without an event for this long the send is given up; callers leave after two seconds. */
 const GIVE_UP_MS = 1_500;
+/** A stage this much slower than its kind is left where events come too late. */
+const SLOW_STAGE = 2;
+/** Weight of the newest pause in the mean. */
+const GAP_WEIGHT = 0.3;
+/** Pauses of this mean length are near the longest of a timely stream. */
+const SLOW_GAP_MS = 150;
+
+type Answered = Extract<SendOutcome, { readonly kind: "answer" }>;
+
+/** Why a stage is to be left. */
+type Fault = "silent" | "stalled" | "slow" | "leaving";
 
 /** How a relay ended. */
 export type RelayEnd =
@@ -65,7 +84,10 @@
   #path: ReservedPath;
   #progressMs: number;
   #askAgainMs = 0;
+  #meanGapMs = 0;
   #hasEvents = false;
+  #hasTriedUrgent = false;
+  #hasLeftSlow = false;
   #isAsking = false;
   #isPaused = false;
   #isDone = false;
@@ -85,7 +107,10 @@
   }
 
   /** Passes events until the stream ends. */
-  run(answer: IncomingMessage, sink: RelaySink): Promise<RelayEnd> {
+  run(
+    { answer, hasFailed }: Answered,
+    sink: RelaySink,
+  ): Promise<RelayEnd> {
     const reader = new EventReader();
     let lastId = sink.lastEventId;
     return new Promise((resolve) => {
@@ -105,15 +130,14 @@
           }
           lastId = id;
         }
-        this.#hasEvents = true;
-        this.#progressMs = this.#options.context.clock.nowMs();
+        this.#recordProgress();
         if (!sink.onEvents(batch.bytes, lastId)) {
           answer.pause();
           this.#isPaused = true;
         }
       });
       answer.on("end", () => {
-        if (!answer.complete) fail("stream broke off");
+        if (!answer.complete || hasFailed()) fail("stream broke off");
         else if (reader.pendingBytes > 0) fail("stream ended inside an event");
         else resolve({ kind: "complete" });
       });
@@ -126,6 +150,17 @@
     });
   }
 
+  #recordProgress(): void {
+    const nowMs = this.#options.context.clock.nowMs();
+    if (this.#hasEvents) {
+      const gapMs = nowMs - this.#progressMs;
+      this.#meanGapMs += (gapMs - this.#meanGapMs) * GAP_WEIGHT;
+    }
+    this.#hasEvents = true;
+    this.#hasTriedUrgent = false;
+    this.#progressMs = nowMs;
+  }
+
   /** The caller reads again. */
   drained(): void {
     if (this.#isPaused) this.#resume();
@@ -134,46 +169,68 @@
   #resume: () => void = () => {};
 
   look(nowMs: number): void {
-    if (
-      this.#isDone || this.#isAsking || this.#isPaused ||
-      nowMs < this.#askAgainMs
-    ) return;
+    if (this.#isDone || this.#isAsking || this.#isPaused) return;
     const gapMs = nowMs - this.#progressMs;
-    if (gapMs < SUSPECT_OVERDUE_MS) return;
-    const silent = this.#silentStage();
-    const overdueMs = silent !== undefined
-      ? SUSPECT_OVERDUE_MS
-      : this.#hasEvents
-      ? EVENT_OVERDUE_MS
-      : FIRST_EVENT_OVERDUE_MS;
-    if (gapMs < overdueMs) return;
+    const found = this.#knownFault(gapMs);
+    if (found === undefined && gapMs < this.#overdueMs) return;
+    const isUrgent = found !== undefined && found.fault === "silent";
+    if (nowMs < this.#askAgainMs && !(isUrgent && !this.#hasTriedUrgent)) {
+      return;
+    }
+    this.#hasTriedUrgent = isUrgent;
     this.#isAsking = true;
-    this.#repair(gapMs, silent).catch((error) => {
+    this.#repair(gapMs, found).catch((error) => {
       this.#options.context.log.error("repair failed", {
         request: this.#options.requestId,
         reason: error,
       });
     }).finally(() => {
       this.#isAsking = false;
-      this.#askAgainMs = this.#options.context.clock.nowMs() + ASK_AGAIN_MS;
+      const pauseMs = found === undefined || isUrgent
+        ? ASK_AGAIN_MS
+        : LEAVE_AGAIN_MS;
+      this.#askAgainMs = this.#options.context.clock.nowMs() + pauseMs;
     });
   }
 
-  /** A stage after the first that is known not to answer. */
-  #silentStage(): PathStage | undefined {
+  get #overdueMs(): number {
+    if (!this.#hasEvents) return FIRST_EVENT_OVERDUE_MS;
+    return Math.min(
+      MAX_EVENT_OVERDUE_MS,
+      Math.max(EVENT_OVERDUE_MS, this.#meanGapMs * OVERDUE_GAPS),
+    );
+  }
+
+  /** A stage after the first that the book tells to leave. */
+  #knownFault(
+    gapMs: number,
+  ): { readonly stage: PathStage; readonly fault: Fault } | undefined {
     const { book } = this.#options.context;
-    return this.#path.stages.slice(1).find(({ targetId }) => {
-      const target = book.get(targetId);
-      return target === undefined || target.silentSinceMs !== undefined;
-    });
+    const isLate = this.#meanGapMs > SLOW_GAP_MS;
+    for (const stage of this.#path.stages.slice(1)) {
+      const target = book.get(stage.targetId);
+      if (target === undefined || !target.isAnswering) {
+        if (gapMs >= SUSPECT_OVERDUE_MS) return { stage, fault: "silent" };
+      } else if (!target.isOpen) {
+        return { stage, fault: "leaving" };
+      } else if (
+        isLate && target.slowness >= SLOW_STAGE && !this.#hasLeftSlow
+      ) {
+        return { stage, fault: "slow" };
+      }
+    }
+    return undefined;
   }
 
-  async #repair(gapMs: number, known: PathStage | undefined): Promise<void> {
+  async #repair(
+    gapMs: number,
+    known: { readonly stage: PathStage; readonly fault: Fault } | undefined,
+  ): Promise<void> {
     const { context, requestId } = this.#options;
-    const faulty = known ?? await this.#findFault(gapMs);
+    const found = known ?? await this.#findFault(gapMs);
     if (this.#isDone) return;
-    if (faulty !== undefined) {
-      await this.#repath(faulty, gapMs);
+    if (found !== undefined) {
+      await this.#repath(found.stage, found.fault, gapMs);
       return;
     }
     if (gapMs >= GIVE_UP_MS) {
@@ -181,14 +238,35 @@
       return;
     }
     context.metrics.count("jackdawshift_slow_events_total");
+    if (gapMs < STALLED_OVERDUE_MS) return;
     context.log.info("event overdue", {
       request: requestId,
       gapMs: Math.round(gapMs),
     });
   }
 
+  /** Asks all stages, then the first for what the request waits for. */
+  async #findFault(
+    gapMs: number,
+  ): Promise<{ readonly stage: PathStage; readonly fault: Fault } | undefined> {
+    const { stages } = this.#path;
+    await this.#options.context.checker.check(stages);
+    if (this.#isDone) return undefined;
+    const nowMs = this.#options.context.clock.nowMs();
+    // An event came while the stages were asked.
+    if (nowMs - this.#progressMs < gapMs) return undefined;
+    const known = this.#knownFault(nowMs - this.#progressMs);
+    if (known !== undefined) return known;
+    const first = this.#options.context.book.get(stages[0].targetId);
+    if (gapMs < STALLED_OVERDUE_MS && first?.silentSinceMs === undefined) {
+      return undefined;
+    }
+    const stage = await this.#findStalled(gapMs);
+    return stage && { stage, fault: "stalled" };
+  }
+
   /** Asks the first target; gives the stage that the request waits for. */
-  async #findFault(gapMs: number): Promise<PathStage | undefined> {
+  async #findStalled(gapMs: number): Promise<PathStage | undefined> {
     const { context, requestId } = this.#options;
     const { book, control } = context;
     const [first] = this.#path.stages;
@@ -219,10 +297,16 @@
     return this.#path.stages.find(({ address }) => address === stalled.address);
   }
 
-  async #repath(faulty: PathStage, gapMs: number): Promise<void> {
+  async #repath(
+    faulty: PathStage,
+    fault: Fault,
+    gapMs: number,
+  ): Promise<void> {
     const { context, requestId, service, figures, tokens } = this.#options;
     const { chooser, control, clock, log, metrics } = context;
     const [first] = this.#path.stages;
+    // The way around may be no faster; one try is enough.
+    if (fault === "slow") this.#hasLeftSlow = true;
     if (faulty.targetId === first.targetId) {
       this.#giveUp("first target does not answer");
       return;
@@ -253,6 +337,7 @@
     log.info("path changed", {
       request: requestId,
       faulty: faulty.targetId,
+      fault,
       path: next.stages.map((stage) =>
         `${stage.targetId}=${stage.from}-${stage.to}`
       ).join(","),
--- a/src/forward/stream_watch.ts
+++ b/src/forward/stream_watch.ts
@@ -8,7 +8,7 @@
 import type { Clock } from "../common/clock.ts";
 
 /** Time between looks; a stalled stream is found at most this much later. */
-const LOOK_MS = 50;
+const LOOK_MS = 25;
 
 /** A stream that wants to be looked at. */
 export interface WatchedStream {
--- a/src/forward/upstream.ts
+++ b/src/forward/upstream.ts
@@ -28,7 +28,15 @@
 
 /** How a send ended: with the head of an answer, or without one. */
 export type SendOutcome =
-  | { readonly kind: "answer"; readonly answer: IncomingMessage }
+  | {
+    readonly kind: "answer";
+    readonly answer: IncomingMessage;
+    /**
+     * Whether the connection failed. An answer without a length then looks
+     * complete to Node.js, though its end is missing.
+     */
+    readonly hasFailed: () => boolean;
+  }
   | {
     readonly kind: "failed";
     readonly verdict: "not-run" | "may-have-run";
@@ -44,6 +52,7 @@
       return;
     }
     let isConnected = false;
+    let hasFailed = false;
     const outgoing = request({
       host: endpoint.ip,
       port: endpoint.port,
@@ -71,7 +80,10 @@
       if (!socket.connecting) isConnected = true;
       else socket.once("connect", () => isConnected = true);
     });
-    outgoing.on("error", (error) => fail(String(error.message)));
+    outgoing.on("error", (error) => {
+      hasFailed = true;
+      fail(String(error.message));
+    });
     outgoing.on("close", () => {
       clearTimeout(connectTimer);
       signal.removeEventListener("abort", onAbort);
@@ -81,7 +93,7 @@
       clearTimeout(connectTimer);
       // The reader of the body learns of failures by its events.
       answer.on("error", () => {});
-      resolve({ kind: "answer", answer });
+      resolve({ kind: "answer", answer, hasFailed: () => hasFailed });
     });
     outgoing.end(body);
   });
--- a/src/paths/path_chooser.ts
+++ b/src/paths/path_chooser.ts
@@ -165,8 +165,10 @@
   const kind = figures.kinds.get(
     target.record.kind ?? target.report?.kind ?? "",
   );
-  const pace = (kind?.paceFactor ?? 1) * target.slowness;
-  const read = (kind?.readFactor ?? 1) * target.slowness;
+  // A slow target also takes fewer requests a second, so its queue grows.
+  const slowness = target.slowness ** 2;
+  const pace = (kind?.paceFactor ?? 1) * slowness;
+  const read = (kind?.readFactor ?? 1) * slowness;
   const batch = (target.ownUse.streams + target.peerUse.streams) * BATCH_SHARE;
   const contextK = (figures.usualPromptTokens + figures.usualAnswerTokens / 2) /
     1_000;
--- a/src/paths/target.ts
+++ b/src/paths/target.ts
@@ -40,8 +40,10 @@
   peerUse: TargetUse = { streams: 0, tokenLayers: 0 };
   /** Since when the target has not answered, by this host's own evidence. */
   silentSinceMs: number | undefined;
-  /** A refused request named it, or another host doubts it: avoided until then. */
+  /** A refused request named it: it gets no new work until then. */
   avoidUntilMs = -Infinity;
+  /** Another host says that it does not answer; told again while that is so. */
+  doubtedUntilMs = -Infinity;
   /** Over 1: slower than its kind. */
   slowness = 1;
   isGone = false;
@@ -65,10 +67,15 @@
     return !this.isGone && this.record.state === "ready";
   }
 
-  /** Whether it answers, as far as this host knows. */
-  get isTrusted(): boolean {
+  /** Whether it answers, as far as this host and the others know. */
+  get isAnswering(): boolean {
     return this.silentSinceMs === undefined &&
-      this.#clock.nowMs() >= this.avoidUntilMs;
+      this.#clock.nowMs() >= this.doubtedUntilMs;
+  }
+
+  /** Whether new work should go to it. */
+  get isTrusted(): boolean {
+    return this.isAnswering && this.#clock.nowMs() >= this.avoidUntilMs;
   }
 
   /** Recent share of failed requests, 0 to 1. */
--- a/src/placement/placement_keeper.ts
+++ b/src/placement/placement_keeper.ts
@@ -44,7 +44,6 @@
   readonly config: () => RoutingConfig | undefined;
   /** Whether this host should act now. */
   readonly isLeader: () => boolean;
-  readonly tokensPerCopy: number;
 }
 
 /** Reports, plans and orders. */
@@ -100,7 +99,6 @@
     const orders = planPlacement({
       figures,
       targets: targets.flatMap((target) => this.#toPlanTarget(target, figures)),
-      tokensPerCopy: this.#options.tokensPerCopy,
     });
     await Promise.all(orders.map((order) => this.#order(order)));
     return orders.length === 0 &&
--- a/src/placement/placement_plan.ts
+++ b/src/placement/placement_plan.ts
@@ -33,8 +33,18 @@
 export interface PlacementOptions {
   readonly figures: EngineFigures;
   readonly targets: readonly PlanTarget[];
-  /** Tokens of context for which each copy of a first plan has room at least. */
-  readonly tokensPerCopy: number;
+}
+
+/**
+ * Memory for requests relative to that for weights. Requests beyond it add
+ * little: a further copy would take the same memory for its weights alone.
+ */
+const REQUEST_SHARE = 1;
+
+/** Tokens of context for which each copy has room. */
+function tokensPerCopyOf(figures: EngineFigures): number {
+  const bytesPerLayer = figures.kvBytesPerToken / figures.layers;
+  return REQUEST_SHARE * figures.layerMb * 1_000_000 / bytesPerLayer;
 }
 
 /** The first placement, or what to add to the present one. */
@@ -53,7 +63,8 @@
 }
 
 function planFirst(options: PlacementOptions): PlannedOrder[] {
-  const { figures, tokensPerCopy } = options;
+  const { figures } = options;
+  const tokensPerCopy = tokensPerCopyOf(figures);
   const orders: PlannedOrder[] = [];
   const leftovers: PlanTarget[] = [];
   for (const targets of groupByDomain(options.targets).values()) {
@@ -142,13 +153,13 @@
 }
 
 function addSpares(
-  { figures, tokensPerCopy }: PlacementOptions,
+  { figures }: PlacementOptions,
   room: LayerRoom,
   spares: readonly PlanTarget[],
 ): PlannedOrder[] {
   const orders: PlannedOrder[] = [];
   for (const target of [...spares].sort(byPace)) {
-    const span = neediestSpan(target, room, figures, tokensPerCopy);
+    const span = neediestSpan(target, room, figures);
     if (span === undefined) continue;
     orders.push({ targetId: target.id, span });
     addRoom(room, { ...target, span }, figures);
@@ -259,14 +270,15 @@
   target: PlanTarget,
   room: LayerRoom,
   figures: EngineFigures,
-  tokensPerCopy: number,
 ): Span | undefined {
   const length = Math.min(
     figures.layers,
     mostLayers(target, figures),
     Math.max(
       1,
-      Math.floor(target.memoryMb / layerWithContextMb(figures, tokensPerCopy)),
+      Math.floor(
+        target.memoryMb / layerWithContextMb(figures, tokensPerCopyOf(figures)),
+      ),
     ),
   );
   const own = room.byDomain.get(target.domain) ?? [];
--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -22,6 +22,7 @@
   | "cut"
   | "foreign"
   | "unsigned"
+  | "unframed-reset"
   | "stall";
 
 /** Options of a server. */
@@ -202,6 +203,14 @@
     }
     const headers = this.#marks(mode === "foreign" ? "another" : requestId);
     if (mode === "unsigned") delete headers["jackdawshift-server-signature"];
+    if (mode === "unframed-reset") {
+      const lines = Object.entries(headers).map((pair) => pair.join(": "));
+      request.socket.write(
+        ["HTTP/1.1 200 OK", ...lines, "", "half an answer"].join("\r\n"),
+      );
+      setTimeout(() => request.socket.resetAndDestroy(), 20);
+      return;
+    }
     if (mode === "cut") {
       response.writeHead(200, { ...headers, "content-length": "100" });
       response.write("half");
