Spread what must be read again over targets by their backlog

Change: a target counts the time for what this host gave it to read, times the hosts that do the same; memory for requests is 0.6 of that for weights. Conclusion: kept at 0.6; a copy of fewer, faster targets leaves more spares.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -118,6 +118,7 @@
     this.#chooser = new PathChooser({
       book: this.#book,
       domain: settings.domain,
+      hosts: () => this.#link.live().length + 1,
       random: this.#random,
     });
     this.#config = new ConfigKeeper({ decoder, log });
--- a/src/paths/path_chooser.ts
+++ b/src/paths/path_chooser.ts
@@ -19,13 +19,15 @@
 const NOISE_SHARE = 0.15;
 /** Requests of a target that wait at another stage at any moment. */
 const BATCH_SHARE = 0.3;
-/** Cost of reading a context again, in parts of the time for a token. */
-const REREAD_MS_PER_LAYER = 0.3;
+/** Tokens over which a delay before the next one is spread, about half an answer. */
+const SPREAD_TOKENS = 100;
 
 /** Options of a chooser. */
 export interface PathChooserOptions {
   readonly book: TargetBook;
   readonly domain: string;
+  /** Hosts that choose paths at the same time, this one included. */
+  readonly hosts?: () => number;
   readonly random?: () => number;
 }
 
@@ -50,9 +52,11 @@
 export class PathChooser {
   readonly #book: TargetBook;
   readonly #domain: string;
+  readonly #hosts: () => number;
   readonly #random: () => number;
 
   constructor(options: PathChooserOptions) {
+    this.#hosts = options.hosts ?? (() => 1);
     this.#book = options.book;
     this.#domain = options.domain;
     this.#random = options.random ?? Math.random;
@@ -67,9 +71,9 @@
       candidates,
       domain: this.#domain,
       firstStage: current?.[0],
-      extraMs: current && extraForReading(current),
+      extraMs: current && this.#extraForReading(demand, current),
     });
-    return found && this.#reserve(found, demand.tokens);
+    return found && this.#reserve(found, demand);
   }
 
   /** Whether any path exists, room or not. */
@@ -103,14 +107,44 @@
       const noise = 1 + this.#random() * NOISE_SHARE;
       const canLead =
         target.ownUse.streams + target.peerUse.streams < figures.slots;
-      candidates.push(
-        toCandidate(target, layerMs(target, figures) * noise, canLead),
-      );
+      // The other hosts send theirs there too.
+      const backlogMs = target.reading.leftMs * this.#hosts() /
+        SPREAD_TOKENS / (span.to - span.from);
+      const costMs = layerMs(target, figures) * noise + backlogMs;
+      candidates.push(toCandidate(target, costMs, canLead));
     }
     return candidates;
   }
 
-  #reserve(found: FoundPath, tokens: number): ReservedPath {
+  /** Layers that a target of the present path already runs need no reading again. */
+  #extraForReading(
+    demand: PathDemand,
+    current: readonly PathStage[],
+  ): (targetId: string, layer: number) => number {
+    return (targetId, layer) => {
+      if (runsLayer(current, targetId, layer)) return 0;
+      const target = this.#book.get(targetId);
+      return target === undefined
+        ? 0
+        : readLayerMs(target, demand) / SPREAD_TOKENS;
+    };
+  }
+
+  #addReading(found: FoundPath, demand: PathDemand): void {
+    for (const { targetId, from, to } of found.stages) {
+      const target = this.#book.get(targetId);
+      if (target === undefined) continue;
+      let layers = 0;
+      for (let layer = from; layer < to; layer++) {
+        if (!runsLayer(demand.current, targetId, layer)) layers++;
+      }
+      if (layers > 0) target.reading.add(layers * readLayerMs(target, demand));
+    }
+  }
+
+  #reserve(found: FoundPath, demand: PathDemand): ReservedPath {
+    const { tokens } = demand;
+    this.#addReading(found, demand);
     const held = found.stages.map((stage) => ({
       target: this.#book.get(stage.targetId),
       tokenLayers: tokens * (stage.to - stage.from),
@@ -201,14 +235,25 @@
   };
 }
 
-/** Layers that a target of the present path already runs need no reading again. */
-function extraForReading(
-  current: readonly PathStage[],
-): (targetId: string, layer: number) => number {
-  return (targetId, layer) =>
-    current.some((stage) =>
-        stage.targetId === targetId && layer >= stage.from && layer < stage.to
-      )
-      ? 0
-      : REREAD_MS_PER_LAYER;
+/** Whether a stage of the present path runs a layer on a target. */
+function runsLayer(
+  path: readonly PathStage[] | undefined,
+  targetId: string,
+  layer: number,
+): boolean {
+  return path?.some((stage) =>
+    stage.targetId === targetId && layer >= stage.from && layer < stage.to
+  ) ?? false;
+}
+
+/** Time to read the context of a request, for one layer. */
+function readLayerMs(
+  target: Target,
+  { figures, tokens }: PathDemand,
+): number {
+  const kind = figures.kinds.get(
+    target.record.kind ?? target.report?.kind ?? "",
+  );
+  const factor = (kind?.readFactor ?? 1) * target.slowness;
+  return factor * tokens / figures.readTokensPerMs / figures.layers;
 }
--- a/src/placement/placement_plan.ts
+++ b/src/placement/placement_plan.ts
@@ -36,10 +36,11 @@
 }
 
 /**
- * Memory for requests relative to that for weights. Requests beyond it add
- * little: a further copy would take the same memory for its weights alone.
+ * Memory for requests relative to that for weights. More of it makes a copy of
+ * more and slower targets, less of it leaves requests waiting for room; see
+ * docs/design/10-platform.md.
  */
-const REQUEST_SHARE = 1;
+const REQUEST_SHARE = 0.6;
 
 /** Tokens of context for which each copy has room. */
 function tokensPerCopyOf(figures: EngineFigures): number {
