--- a/src/feeds/keyed_follower.ts
+++ b/src/feeds/keyed_follower.ts
@@ -18,6 +18,8 @@
 /** Longest pause after failed calls, well inside the bound on stale configuration. */
 const MAX_RETRY_MS = 600;
 
+/** Reads that don't wait at the store are at least this far apart. */
+const CATCH_UP_PAUSE_MS = 10;
 /** One failed call may be a lost packet; two in a row are an outage. */
 const OUT_OF_TOUCH_FAILURES = 2;
 
@@ -82,8 +84,9 @@
     const { clock, pauseMs } = this.#options;
     while (!signal.aborted) {
       const isAnswered = await this.#step(signal);
-      const waitMs = isAnswered ? pauseMs : this.#retryMs();
-      await clock.sleep(waitMs, signal);
+      const isBehind = this.ageMs === Infinity;
+      const answeredMs = Math.max(pauseMs, isBehind ? CATCH_UP_PAUSE_MS : 0);
+      await clock.sleep(isAnswered ? answeredMs : this.#retryMs(), signal);
     }
   }
 
--- /dev/null
+++ b/src/feeds/keyed_follower_test.ts
@@ -0,0 +1,130 @@
+import { expect, test } from "vitest";
+import { ManualClock } from "../../test/manual_clock.ts";
+import { silentLog } from "../common/logging.ts";
+import type { KeyedRead, KeyedSnapshot } from "../ports/types.ts";
+import { type KeyedBatch, KeyedFollower } from "./keyed_follower.ts";
+import { ProofOfAge, readMoment } from "./proof_of_age.ts";
+
+const WAIT_MS = 900;
+
+/** A source that answers as the test says, after some time. */
+class Source {
+  readonly clock = new ManualClock();
+  readonly reads: { from: number; waitMs: number }[] = [];
+  snapshots = 0;
+  answer: () => KeyedRead | Error = () => records(0);
+
+  async read(from: number, waitMs: number): Promise<KeyedRead> {
+    this.reads.push({ from, waitMs });
+    await this.clock.sleep(waitMs);
+    const answer = this.answer();
+    if (answer instanceof Error) throw answer;
+    return answer;
+  }
+
+  newest(): Promise<KeyedSnapshot> {
+    this.snapshots++;
+    return Promise.resolve({ records: [], nextOffset: 5 });
+  }
+}
+
+function records(count: number, isComplete = true): KeyedRead {
+  return {
+    kind: "records",
+    records: Array.from({ length: count }, (_, index) => ({
+      key: `k${index}`,
+      value: Buffer.from("v"),
+    })),
+    nextOffset: 5 + count,
+    isComplete,
+  };
+}
+
+function follow(source: Source) {
+  const follower = new KeyedFollower({
+    name: "test",
+    source,
+    waitMs: WAIT_MS,
+    pauseMs: 0,
+    clock: source.clock,
+    log: silentLog,
+    random: () => 1,
+  });
+  const batches: KeyedBatch[] = [];
+  follower.onBatch((batch) => batches.push(batch));
+  const stop = new AbortController();
+  void follower.run(stop.signal);
+  return { follower, batches, stop };
+}
+
+test("the age counts from the start of the read that proved it", async () => {
+  const source = new Source();
+  const { follower, stop } = follow(source);
+  await source.clock.advance(50);
+  expect(follower.ageMs).toBe(40);
+  await source.clock.advance(WAIT_MS);
+  expect(follower.ageMs).toBeLessThanOrEqual(2 * WAIT_MS);
+  stop.abort();
+});
+
+test("a snapshot or a cut read proves nothing", async () => {
+  const source = new Source();
+  source.answer = () => records(1, false);
+  const { follower, batches, stop } = follow(source);
+  await source.clock.advance(10);
+  expect(batches.length).toBeGreaterThan(1);
+  expect(follower.ageMs).toBe(Infinity);
+  stop.abort();
+});
+
+test("expired history leads to a snapshot", async () => {
+  const source = new Source();
+  const { follower, stop } = follow(source);
+  await source.clock.advance(50);
+  source.answer = () => ({ kind: "expired" });
+  await source.clock.advance(WAIT_MS);
+  source.answer = () => records(0);
+  await source.clock.advance(WAIT_MS);
+  expect(source.snapshots).toBe(2);
+  expect(follower.ageMs).toBeLessThanOrEqual(2 * WAIT_MS);
+  stop.abort();
+});
+
+test("two failures in a row are an outage, and the first read after them does not wait", async () => {
+  const source = new Source();
+  const { follower, stop } = follow(source);
+  await source.clock.advance(50);
+  expect(follower.isInTouch).toBe(true);
+  source.answer = () => new Error("down");
+  await source.clock.advance(2_000);
+  expect(follower.isInTouch).toBe(false);
+  expect(follower.ageMs).toBeGreaterThan(1_900);
+  source.answer = () => records(0);
+  await source.clock.advance(700);
+  expect(source.reads.findLast(({ waitMs }) => waitMs === 0)).toBeDefined();
+  expect(follower.isInTouch).toBe(true);
+  stop.abort();
+});
+
+test("a suspension or a jump of the wall clock ends a proof", () => {
+  let nowMs = 1_000;
+  let wallMs = 50_000;
+  const clock = {
+    nowMs: () => nowMs,
+    wallMs: () => wallMs,
+    sleep: () => Promise.resolve(),
+  };
+  const proof = new ProofOfAge(clock);
+  expect(proof.ageMs).toBe(Infinity);
+  proof.renew(readMoment(clock));
+  nowMs += 400;
+  wallMs += 420;
+  expect(proof.ageMs).toBe(400);
+  // The machine slept: only the wall clock went on.
+  wallMs += 6_000;
+  expect(proof.ageMs).toBe(Infinity);
+  proof.renew(readMoment(clock));
+  expect(proof.ageMs).toBe(0);
+  wallMs -= 2_000;
+  expect(proof.ageMs).toBe(Infinity);
+});
--- /dev/null
+++ b/src/forward/event_reader_test.ts
@@ -0,0 +1,53 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { EventReader } from "./event_reader.ts";
+
+test("however bytes are cut, whole events pass unchanged and in order", () => {
+  const event = fc.record({
+    id: fc.option(fc.nat({ max: 9_999 }), { nil: undefined }),
+    data: fc.string({ maxLength: 30 }).map((text) =>
+      text.replace(/[\r\n]/g, "")
+    ),
+    end: fc.constantFrom("\n", "\r\n"),
+  });
+  fc.assert(
+    fc.property(
+      fc.array(event, { maxLength: 12 }),
+      fc.array(fc.integer({ min: 1, max: 20 }), { minLength: 1 }),
+      fc.string({ minLength: 1, maxLength: 10 }).map((text) =>
+        `data: ${text.replace(/[\r\n]/g, "")}`
+      ),
+      (events, sizes, tail) => {
+        const text = events.map(({ id, data, end }) =>
+          `${
+            id === undefined ? "" : `id: ${id}${end}`
+          }data: ${data}${end}${end}`
+        ).join("");
+        const bytes = Buffer.from(text + tail);
+        const reader = new EventReader();
+        const passed: Buffer[] = [];
+        const ids: (number | undefined)[] = [];
+        let at = 0;
+        for (let i = 0; at < bytes.length; i++) {
+          const size = sizes[i % sizes.length];
+          const batch = reader.push(bytes.subarray(at, at + size));
+          at += size;
+          if (batch === undefined) continue;
+          passed.push(Buffer.from(batch.bytes));
+          ids.push(...batch.ids);
+        }
+        expect(Buffer.concat(passed).toString()).toBe(text);
+        expect(ids).toEqual(events.map(({ id }) => id));
+        expect(reader.pendingBytes).toBe(Buffer.byteLength(tail));
+      },
+    ),
+    { seed: 20261203, numRuns: 300 },
+  );
+});
+
+test("an event without an end is refused", () => {
+  const reader = new EventReader();
+  expect(() => {
+    for (let i = 0; i < 40; i++) reader.push(Buffer.alloc(64 * 1024, 0x61));
+  }).toThrow();
+});
--- /dev/null
+++ b/src/placement/placement_plan_test.ts
@@ -0,0 +1,170 @@
+import fc from "fast-check";
+import { describe, expect, test } from "vitest";
+import type { EngineFigures } from "../ports/types.ts";
+import {
+  type PlannedOrder,
+  planPlacement,
+  type PlanTarget,
+} from "./placement_plan.ts";
+
+const KINDS = [
+  { name: "large", memoryMb: 72_000, paceFactor: 2.4, readFactor: 3.2 },
+  { name: "middle", memoryMb: 43_200, paceFactor: 5.6, readFactor: 2.7 },
+  { name: "small", memoryMb: 21_600, paceFactor: 16, readFactor: 8.2 },
+];
+const FIGURES: EngineFigures = {
+  layers: 80,
+  layerMb: 1_750,
+  kvBytesPerToken: 1_315_343,
+  slots: 134,
+  stepMs: 1.02,
+  perSequenceMs: 0.01,
+  contextPerKiloTokenMs: 0.0137,
+  readTokensPerMs: 105,
+  chunkTokens: 512,
+  loadMs: 14_000,
+  loadsAtOnce: 5,
+  usualPromptTokens: 774,
+  usualAnswerTokens: 200,
+  kinds: new Map(KINDS.map((kind) => [kind.name, kind])),
+};
+/** Targets of each kind in each failure domain, as at the users' sites. */
+const SITE = { north: [1, 3, 8], middle: [1, 6, 5], south: [2, 2, 5] };
+
+function siteTargets(site: Record<string, number[]> = SITE): PlanTarget[] {
+  return Object.entries(site).flatMap(([domain, counts]) =>
+    counts.flatMap((count, kind) =>
+      Array.from({ length: count }, (_, index) => ({
+        id: `${domain}-${kind}-${index}`,
+        domain,
+        memoryMb: KINDS[kind].memoryMb,
+        paceFactor: KINDS[kind].paceFactor,
+        span: undefined,
+        canTakeOrder: true,
+      }))
+    )
+  );
+}
+
+function apply(
+  targets: readonly PlanTarget[],
+  orders: readonly PlannedOrder[],
+): PlanTarget[] {
+  const spans = new Map(orders.map(({ targetId, span }) => [targetId, span]));
+  return targets.map((target) => ({
+    ...target,
+    span: spans.get(target.id) ?? target.span,
+  }));
+}
+
+function holdersByLayer(targets: readonly PlanTarget[]): number[] {
+  return [...Array(FIGURES.layers).keys()].map((layer) =>
+    targets.filter(({ span }) =>
+      span !== undefined && layer >= span.from && layer < span.to
+    ).length
+  );
+}
+
+function expectFits(targets: readonly PlanTarget[]): void {
+  for (const { span, memoryMb } of targets) {
+    if (span === undefined) continue;
+    expect(span.from).toBeGreaterThanOrEqual(0);
+    expect(span.to).toBeLessThanOrEqual(FIGURES.layers);
+    expect((span.to - span.from) * FIGURES.layerMb).toBeLessThan(memoryMb);
+  }
+}
+
+describe("a first plan", () => {
+  const targets = siteTargets();
+  const placed = apply(
+    targets,
+    planPlacement({ figures: FIGURES, targets }),
+  );
+
+  test("gives every failure domain a whole copy and uses every target", () => {
+    expectFits(placed);
+    expect(placed.every(({ span }) => span !== undefined)).toBe(true);
+    for (const domain of Object.keys(SITE)) {
+      const own = placed.filter((target) => target.domain === domain);
+      expect(Math.min(...holdersByLayer(own))).toBeGreaterThanOrEqual(1);
+    }
+  });
+
+  test("keeps every layer when any one target is lost", () => {
+    for (const lost of placed) {
+      const left = placed.filter((target) => target !== lost);
+      expect(Math.min(...holdersByLayer(left))).toBeGreaterThanOrEqual(1);
+    }
+  });
+
+  test("keeps every layer when any one failure domain is lost", () => {
+    for (const domain of Object.keys(SITE)) {
+      const left = placed.filter((target) => target.domain !== domain);
+      expect(Math.min(...holdersByLayer(left))).toBeGreaterThanOrEqual(1);
+    }
+  });
+
+  test("is the same on every host", () => {
+    const shuffled = [...targets].reverse();
+    expect(new Set(planPlacement({ figures: FIGURES, targets: shuffled })))
+      .toEqual(new Set(planPlacement({ figures: FIGURES, targets })));
+  });
+});
+
+test("domains without room for a copy each share one", () => {
+  const targets = siteTargets({ a: [0, 2, 0], b: [0, 2, 0], c: [0, 1, 0] });
+  const placed = apply(targets, planPlacement({ figures: FIGURES, targets }));
+  expectFits(placed);
+  expect(Math.min(...holdersByLayer(placed))).toBeGreaterThanOrEqual(1);
+});
+
+describe("a later plan", () => {
+  const placed = apply(
+    siteTargets(),
+    planPlacement({ figures: FIGURES, targets: siteTargets() }),
+  );
+
+  test("moves nothing that serves while all is placed", () => {
+    expect(planPlacement({ figures: FIGURES, targets: placed })).toEqual([]);
+  });
+
+  test("gives a target that comes back empty the layers that it left thin", () => {
+    for (const lost of placed) {
+      const targets = placed.map((target) =>
+        target === lost ? { ...target, span: undefined } : target
+      );
+      const orders = planPlacement({ figures: FIGURES, targets });
+      expect(orders.map(({ targetId }) => targetId)).toEqual([lost.id]);
+      const before = holdersByLayer(targets);
+      const [{ span }] = orders;
+      const least = Math.min(...before);
+      expect(before.slice(span.from, span.to)).toContain(least);
+    }
+  });
+
+  test("gives nothing to a target that can't take an order", () => {
+    const targets = placed.map((target, index) =>
+      index === 0 ? { ...target, span: undefined, canTakeOrder: false } : target
+    );
+    expect(planPlacement({ figures: FIGURES, targets })).toEqual([]);
+  });
+
+  test("moves one target where a layer has no holder, and never uncovers another", () => {
+    const pick = fc.subarray([...placed.keys()], { maxLength: 24 });
+    fc.assert(
+      fc.property(pick, (lost) => {
+        let targets = placed.filter((_, index) => !lost.includes(index));
+        const before = holdersByLayer(targets);
+        const orders = planPlacement({ figures: FIGURES, targets });
+        expect(orders.length).toBeLessThanOrEqual(1);
+        targets = apply(targets, orders);
+        expectFits(targets);
+        const after = holdersByLayer(targets);
+        after.forEach((holders, layer) => {
+          if (before[layer] > 0) expect(holders).toBeGreaterThan(0);
+        });
+      }),
+      { seed: 20261203, numRuns: 200 },
+    );
+  });
+});
