--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -8,21 +8,18 @@
  */
 
 import type { IncomingMessage } from "node:http";
-import type { Waiter } from "../admission/wait_queue.ts";
-import type { PathDemand, ReservedPath } from "../paths/path_chooser.ts";
+import type { ReservedPath } from "../paths/path_chooser.ts";
 import type { EngineFigures } from "../ports/types.ts";
 import { parseAddress } from "./address.ts";
 import { answerHeaders, readAnswerBody } from "./answer_body.ts";
 import { type CallContext, type CallPlan, spreadRetry } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
+import { waitForPath } from "./path_wait.ts";
 import { type RelayEnd, StreamRelay } from "./stream_relay.ts";
 import { type SendOutcome, sendUpstream } from "./upstream.ts";
 
-/**
- * Longest wait for room. Callers leave a stream without an event after two
- * seconds, and the first event takes up to half a second.
- */
-const MAX_WAIT_MS = 1_200;
+/** Goes before every request that has not begun. */
+const RESUME_RANK = -1;
 /**
  * Part of the estimated answer that is reserved. Of many requests on a target
  * each has on average written half, and estimates are right at the median.
@@ -122,47 +119,24 @@
     this.#context.queueOf(this.#plan.service.name).pump();
   }
 
-  #demand(): PathDemand {
-    return {
-      service: this.#plan.service.name,
-      figures: this.#figures,
-      tokens: this.#tokens,
-      excluded: this.#excluded,
-    };
-  }
-
-  /** Undefined where none had room in time or the caller left. */
-  #waitForPath(): Promise<ReservedPath | undefined> {
-    const { chooser, queueOf, clock } = this.#context;
-    const queue = queueOf(this.#plan.service.name);
+  async #waitForPath(): Promise<ReservedPath | undefined> {
+    const { clock } = this.#context;
     const startedMs = clock.nowMs();
-    return new Promise((resolve) => {
-      const waiter: Waiter = {
-        // A stream that goes on has a caller who already waits between events.
-        rank: this.#sends > 0 ? -1 : this.#plan.rank,
-        untilMs: Math.min(startedMs + MAX_WAIT_MS, this.#plan.deadlineMs),
-        tryStart: () => {
-          const path = chooser.choose(this.#demand());
-          if (path === undefined) return false;
-          this.#waitedMs += clock.nowMs() - startedMs;
-          resolve(path);
-          return true;
-        },
-        refuse: () => {
-          this.#waitedMs += clock.nowMs() - startedMs;
-          resolve(undefined);
-        },
-      };
-      if (this.#abort.signal.aborted) {
-        resolve(undefined);
-        return;
-      }
-      this.#abort.signal.addEventListener("abort", () => {
-        queue.remove(waiter);
-        resolve(undefined);
-      }, { once: true });
-      queue.add(waiter);
+    const path = await waitForPath({
+      context: this.#context,
+      demand: {
+        service: this.#plan.service.name,
+        figures: this.#figures,
+        tokens: this.#tokens,
+        excluded: this.#excluded,
+      },
+      // A stream that goes on has a caller who already waits between events.
+      rank: this.#sends > 0 ? RESUME_RANK : this.#plan.rank,
+      deadlineMs: this.#plan.deadlineMs,
+      signal: this.#abort.signal,
     });
+    this.#waitedMs += clock.nowMs() - startedMs;
+    return path;
   }
 
   async #send(path: ReservedPath): Promise<SendEnd> {
--- a/standins/users_platform/deployment.ts
+++ b/standins/users_platform/deployment.ts
@@ -95,6 +95,8 @@
       control,
       clock: this.#options.clock ?? systemClock,
       log,
+      // The same request takes the same path each time.
+      random: () => 0.5,
     });
     await host.start();
     this.hosts.push(host);
