--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -149,7 +149,6 @@
       isLeader: () => this.#peers.isLeader(),
     });
     this.#peers = new PeerExchange({
-      host,
       link: this.#link,
       registry,
       book: this.#book,
--- a/src/entry/peer_exchange.ts
+++ b/src/entry/peer_exchange.ts
@@ -29,7 +29,6 @@
 
 /** Options of an exchange. */
 export interface PeerExchangeOptions {
-  readonly host: HostRecord;
   readonly link: PeerLink;
   readonly registry: IHostRegistry;
   readonly book: TargetBook;
@@ -66,10 +65,10 @@
 
   /** The oldest live host that can lead does; ties go by name. */
   isLeader(): boolean {
-    const { host, link, canLead } = this.#options;
+    const { link, canLead } = this.#options;
     if (!canLead() || !this.#isAnnounced || this.#isCutOff()) return false;
     return link.live().every((peer) =>
-      peer.state?.canLead !== true || isBefore(host, peer.host)
+      peer.state?.canLead !== true || isBefore(link.host, peer.host)
     );
   }
 
@@ -86,11 +85,11 @@
 
   /** Announces this host and reads the registry until it is stopped. */
   async runRegistry(signal: AbortSignal): Promise<void> {
-    const { clock, registry, link, host, log } = this.#options;
+    const { clock, registry, link, log } = this.#options;
     let readings = 0;
     while (!signal.aborted) {
       try {
-        if (!this.#isAnnounced) await registry.announce(host);
+        if (!this.#isAnnounced) await registry.announce(link.host);
         this.#isAnnounced = true;
         link.learn(await registry.list());
         readings++;
--- a/src/peers/peer_link.ts
+++ b/src/peers/peer_link.ts
@@ -42,12 +42,19 @@
   readonly #peers = new Map<string, Peer>();
   readonly #onState = new Emitter<Peer>();
   #socket: Socket | undefined;
+  #host: HostRecord;
 
   /** Fires for each state that arrives. */
   readonly onState: Event<Peer> = this.#onState.event;
 
   constructor(options: PeerLinkOptions) {
     this.#options = options;
+    this.#host = options.host;
+  }
+
+  /** This host, with the port that its socket has. */
+  get host(): HostRecord {
+    return this.#host;
   }
 
   /** Binds the socket; rejects where the address is taken. */
@@ -60,6 +67,7 @@
       socket.once("error", reject);
       socket.bind(host.port, host.ip, () => {
         socket.off("error", reject);
+        this.#host = { ...host, port: socket.address().port };
         socket.on(
           "error",
           (error) => log.warn("peer socket failed", { reason: String(error) }),
@@ -98,8 +106,8 @@
   }
 
   send(state: PeerState): void {
-    const { host, clock } = this.#options;
-    const datagram = encodePeerState(host, state);
+    const { clock } = this.#options;
+    const datagram = encodePeerState(this.#host, state);
     const forgetMs = clock.nowMs() - FORGET_AFTER_MS;
     for (const [id, peer] of this.#peers) {
       if (peer.heardMs < forgetMs) {
--- a/src/peers/peer_state.ts
+++ b/src/peers/peer_state.ts
@@ -65,7 +65,7 @@
   ) {
     return undefined;
   }
-  if (!isNumber(port) || !isNumber(bornMs) || !isNumber(n)) return undefined;
+  if (!isPort(port) || !isNumber(bornMs) || !isNumber(n)) return undefined;
   return {
     host: { id, domain, ip, port, bornMs },
     state: {
@@ -92,6 +92,11 @@
     isNumber(value[1]);
 }
 
+function isPort(value: unknown): value is number {
+  return isNumber(value) && Number.isInteger(value) && value > 0 &&
+    value < 65_536;
+}
+
 function isNumber(value: unknown): value is number {
   return typeof value === "number" && Number.isFinite(value);
 }
--- /dev/null
+++ b/src/peers/peer_state_test.ts
@@ -0,0 +1,42 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { decodePeerState, encodePeerState } from "./peer_state.ts";
+
+const HOST = { id: "h", domain: "a", ip: "10.0.0.1", port: 7340, bornMs: 5 };
+const STATE = {
+  count: 3,
+  uses: [{ targetId: "t", streams: 2, tokenLayers: 400 }],
+  silentTargets: ["s"],
+  slowTargets: [["w", 2.5]] as const,
+  canLead: true,
+};
+
+test("a state survives the way", () => {
+  expect(decodePeerState(encodePeerState(HOST, STATE))).toEqual({
+    host: HOST,
+    state: STATE,
+  });
+});
+
+test("any other bytes give nothing, or a host that can be sent to", () => {
+  const sent = JSON.parse(encodePeerState(HOST, STATE).toString());
+  const datagrams = fc.oneof(
+    fc.uint8Array({ maxLength: 100 }).map((raw) => Buffer.from(raw)),
+    fc.tuple(fc.constantFrom(...Object.keys(sent)), fc.jsonValue()).map(
+      ([name, value]) =>
+        Buffer.from(JSON.stringify({ ...sent, [name]: value })),
+    ),
+    fc.tuple(fc.nat({ max: 4 }), fc.jsonValue()).map(([index, value]) =>
+      Buffer.from(JSON.stringify({ ...sent, h: sent.h.with(index, value) }))
+    ),
+  );
+  fc.assert(
+    fc.property(datagrams, (datagram) => {
+      const heard = decodePeerState(datagram);
+      if (heard === undefined) return;
+      expect(heard.host.port).toBeGreaterThan(0);
+      expect(heard.host.port).toBeLessThan(65_536);
+    }),
+    { seed: 20261203, numRuns: 500 },
+  );
+});
--- a/src/placement/placement_plan.ts
+++ b/src/placement/placement_plan.ts
@@ -104,7 +104,11 @@
     rows.push(row);
     row = [];
   }
-  if (sumMemory(row) >= leastMb) rows.push(row);
+  const most = row.reduce(
+    (sum, target) => sum + mostLayers(target, figures),
+    0,
+  );
+  if (sumMemory(row) >= leastMb && most >= figures.layers) rows.push(row);
   else return { rows, rest: row };
   return { rows, rest: [] };
 }
@@ -129,21 +133,40 @@
   row: readonly PlanTarget[],
   figures: EngineFigures,
 ): PlannedOrder[] {
-  const { layers } = figures;
-  const totalMb = sumMemory(row);
+  const lengths = shareLayers(row, figures);
   const orders: PlannedOrder[] = [];
-  let passedMb = 0;
   let from = 0;
-  for (const target of row) {
-    passedMb += target.memoryMb;
-    const to = Math.round(layers * passedMb / totalMb);
-    const span = { from, to: Math.min(to, from + mostLayers(target, figures)) };
-    if (span.to > span.from) orders.push({ targetId: target.id, span });
+  row.forEach(({ id }, index) => {
+    const to = from + lengths[index];
+    if (to > from) orders.push({ targetId: id, span: { from, to } });
     from = to;
-  }
+  });
   return orders;
 }
 
+/** Layers of each target of a row; each layer more goes where most memory is left. */
+function shareLayers(
+  row: readonly PlanTarget[],
+  figures: EngineFigures,
+): number[] {
+  const lengths = row.map(() => 0);
+  for (let layer = 0; layer < figures.layers; layer++) {
+    let best = -1;
+    let bestMb = 0;
+    row.forEach((target, index) => {
+      if (lengths[index] >= mostLayers(target, figures)) return;
+      const perLayerMb = target.memoryMb / (lengths[index] + 1);
+      if (perLayerMb > bestMb) {
+        best = index;
+        bestMb = perLayerMb;
+      }
+    });
+    if (best < 0) break;
+    lengths[best]++;
+  }
+  return lengths;
+}
+
 function planAdditions(options: PlacementOptions): PlannedOrder[] {
   const room = roomByLayer(options, options.targets);
   const empty = options.targets.filter(({ span, canTakeOrder }) =>
@@ -283,14 +306,12 @@
     ),
   );
   const own = room.byDomain.get(target.domain) ?? [];
-  const most = Math.max(...room.total);
-  const mostOwn = Math.max(0, ...own);
   let best: { from: number; need: number } | undefined;
   for (let from = 0; from + length <= figures.layers; from++) {
     let need = 0;
     for (let layer = from; layer < from + length; layer++) {
-      need += needOf(room.total[layer], most) +
-        needOf(own[layer] ?? 0, mostOwn);
+      need += needOf(room.total[layer], figures) +
+        needOf(own[layer] ?? 0, figures);
       // A layer without any holder stops every request.
       if (room.total[layer] <= 0) need += UNHELD_NEED;
     }
@@ -301,9 +322,13 @@
 
 /** Weight of a layer that nobody holds against any shortage of memory. */
 const UNHELD_NEED = 1_000;
+/** Tokens, in copies, below which less makes no more difference. */
+const NEED_FLOOR_COPIES = 0.1;
 
-function needOf(tokens: number, most: number): number {
-  return most === 0 ? 0 : (1 - tokens / most) ** 2;
+/** What a token more is worth where there is room for `tokens`. */
+function needOf(tokens: number, figures: EngineFigures): number {
+  const copies = tokens / tokensPerCopyOf(figures);
+  return 1 / (copies + NEED_FLOOR_COPIES);
 }
 
 /** Layers that fit, with some memory left for requests. */
--- a/src/tool/run_tool.ts
+++ b/src/tool/run_tool.ts
@@ -4,7 +4,13 @@
  * @module
  */
 
-import { type BaseContext, Builtins, Cli, type Command } from "clipanion";
+import {
+  type BaseContext,
+  Builtins,
+  Cli,
+  type Command,
+  type CommandClass,
+} from "clipanion";
 import {
   AuditCommand,
   ConfigHistoryCommand,
@@ -34,17 +40,18 @@
   Builtins.VersionCommand,
 ];
 
-/** Runs the command line `args`; resolves with the exit code. */
+/** Runs the command line `args`, with `more` commands; resolves with the exit code. */
 export async function runTool(
   args: readonly string[],
   context: Partial<BaseContext>,
+  more: readonly CommandClass[] = [],
 ): Promise<number> {
   const cli = new Cli({
     binaryName: "jackdawshift",
     binaryLabel: "jackdawshift",
     binaryVersion: "0.1.0",
   });
-  for (const command of COMMANDS) cli.register(command);
+  for (const command of [...COMMANDS, ...more]) cli.register(command);
   let command: Command;
   try {
     command = cli.process([...args], context);
