Pass answers without a length on without one, and bound slow bodies

A caller whose body stalled held its request for ever. Change: such an answer keeps its form and ends with its connection; a stream that was begun with a frame and goes on with such an answer is broken off. A body is due by the request's deadline, else 408. The name of each platform header is kept out of src/ by a test.

--- a/src/forward/answer_body.ts
+++ b/src/forward/answer_body.ts
@@ -56,3 +56,9 @@
   }
   return headers;
 }
+
+/** Whether only the end of the connection tells that the answer has ended. */
+export function isUnframed({ headers }: Answer["answer"]): boolean {
+  return headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined;
+}
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -23,6 +23,7 @@
 export type BodyOutcome =
   | { readonly kind: "whole"; readonly body: Buffer | undefined }
   | { readonly kind: "too-large" }
+  | { readonly kind: "late" }
   | { readonly kind: "left" };
 
 /** A request in progress. */
@@ -63,7 +64,7 @@
   }
 
   /** Reads the body whole; a request without one has an undefined body. */
-  readBody(limitBytes: number): Promise<BodyOutcome> {
+  readBody(limitBytes: number, deadlineMs: number): Promise<BodyOutcome> {
     const { request } = this;
     const declared = Number(request.headers["content-length"] ?? 0);
     if (declared > limitBytes) return Promise.resolve({ kind: "too-large" });
@@ -73,12 +74,18 @@
     return new Promise((resolve) => {
       const chunks: Buffer[] = [];
       let sizeBytes = 0;
+      const timer = setTimeout(
+        () => resolve({ kind: "late" }),
+        deadlineMs - this.#clock.nowMs(),
+      );
+      request.on("close", () => clearTimeout(timer));
       request.on("data", (chunk: Buffer) => {
         sizeBytes += chunk.length;
         if (sizeBytes > limitBytes) resolve({ kind: "too-large" });
         else chunks.push(chunk);
       });
       request.on("end", () => {
+        clearTimeout(timer);
         this.body = hasBody ? Buffer.concat(chunks, sizeBytes) : undefined;
         resolve({ kind: "whole", body: this.body });
       });
@@ -123,6 +130,15 @@
     this.response.writeHead(status, all);
   }
 
+  /**
+   * Writes the head of an answer whose end is told by its connection's alone,
+   * as its target's was.
+   */
+  beginUnframed(status: number, headers: readonly string[]): void {
+    this.response.useChunkedEncodingByDefault = false;
+    this.begin(status, headers, true);
+  }
+
   /** Ends an answer that can't be finished, so that it does not look whole. */
   breakOff(): void {
     this.response.destroy();
--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -7,7 +7,7 @@
  */
 
 import type { Target } from "../paths/target.ts";
-import { answerHeaders, readAnswerBody } from "./answer_body.ts";
+import { answerHeaders, isUnframed, readAnswerBody } from "./answer_body.ts";
 import { type CallContext, type CallPlan, spreadRetry } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
 import { pickPlainTarget } from "./plain_target.ts";
@@ -28,6 +28,8 @@
     readonly status: number;
     readonly headers: string[];
     readonly body: Buffer;
+    /** A target that broke off would look the same. */
+    readonly isUnframed: boolean;
   }
   | {
     readonly kind: "not-run";
@@ -226,6 +228,7 @@
       status,
       headers: answerHeaders(answer),
       body: whole,
+      isUnframed: isUnframed(answer),
     };
   }
 
@@ -236,11 +239,7 @@
     let status: number;
     if (answer?.kind === "answer") {
       status = answer.status;
-      exchange.answer(status, [
-        ...answer.headers,
-        "Content-Length",
-        String(answer.body.length),
-      ], answer.body);
+      deliver(exchange, answer);
     } else if (this.#mayHaveRun) {
       status = clock.nowMs() >= this.#plan.deadlineMs ? 504 : 502;
       exchange.refuse(status, "no sound answer from the target");
@@ -266,3 +265,17 @@
     });
   }
 }
+
+function deliver(
+  exchange: Exchange,
+  answer: Extract<Attempt, { readonly kind: "answer" }>,
+): void {
+  const { status, headers, body } = answer;
+  if (!answer.isUnframed) {
+    const framed = [...headers, "Content-Length", String(body.length)];
+    exchange.answer(status, framed, body);
+    return;
+  }
+  exchange.beginUnframed(status, headers);
+  exchange.response.end(body);
+}
--- a/src/forward/request_core.ts
+++ b/src/forward/request_core.ts
@@ -93,14 +93,13 @@
     }
     const { plan } = admission;
     const limitBytes = this.#options.routes()?.config.limits.bodyBytes ?? 0;
-    const outcome = await exchange.readBody(limitBytes);
+    const outcome = await exchange.readBody(limitBytes, plan.deadlineMs);
     if (outcome.kind === "left") return;
-    if (outcome.kind === "too-large") {
-      this.#refuse(exchange, {
-        kind: "refuse",
-        status: 413,
-        reason: "body too large",
-      });
+    if (outcome.kind !== "whole") {
+      const refusal = outcome.kind === "late"
+        ? { status: 408, reason: "body too slow" }
+        : { status: 413, reason: "body too large" };
+      this.#refuse(exchange, { kind: "refuse", ...refusal });
       return;
     }
     const { context } = this.#options;
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -11,7 +11,7 @@
 import type { ReservedPath } from "../paths/path_chooser.ts";
 import type { EngineFigures } from "../ports/types.ts";
 import { parseAddress } from "./address.ts";
-import { answerHeaders, readAnswerBody } from "./answer_body.ts";
+import { answerHeaders, isUnframed, readAnswerBody } from "./answer_body.ts";
 import { type CallContext, type CallPlan, spreadRetry } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
 import { waitForPath } from "./path_wait.ts";
@@ -58,6 +58,7 @@
   #mayHaveRun = false;
   #lastEventId: number | undefined;
   #isHeadSent = false;
+  #isUnframed = false;
   #waitedMs = 0;
   #firstEventMs: number | undefined;
   #repaths = 0;
@@ -247,7 +248,11 @@
       onEvents: (bytes, lastId) => this.#pass(answer, bytes, lastId),
     });
     this.#exchange.response.off("drain", onDrain);
-    return this.#endOf(end);
+    // Its end proves nothing to a caller who was promised one.
+    const isVague = isUnframed(answer) && !this.#isUnframed;
+    return isVague && end.kind === "complete" && this.#isHeadSent
+      ? { kind: "broken", reason: "the end of the stream is not told" }
+      : this.#endOf(end);
   }
 
   /** An answer that is no stream goes to the caller as it is, if it is whole. */
@@ -282,7 +287,12 @@
     if (!this.#isHeadSent) {
       this.#isHeadSent = true;
       this.#firstEventMs = this.#exchange.ageMs;
-      this.#exchange.begin(200, answerHeaders(answer));
+      this.#isUnframed = isUnframed(answer);
+      if (this.#isUnframed) {
+        this.#exchange.beginUnframed(200, answerHeaders(answer));
+      } else {
+        this.#exchange.begin(200, answerHeaders(answer));
+      }
     }
     this.#lastEventId = lastId;
     return this.#exchange.response.write(bytes);
--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -22,6 +22,7 @@
   | "cut"
   | "foreign"
   | "unsigned"
+  | "unframed"
   | "unframed-reset"
   | "stall";
 
@@ -203,12 +204,15 @@
     }
     const headers = this.#marks(mode === "foreign" ? "another" : requestId);
     if (mode === "unsigned") delete headers["jackdawshift-server-signature"];
-    if (mode === "unframed-reset") {
+    if (mode === "unframed" || mode === "unframed-reset") {
       const lines = Object.entries(headers).map((pair) => pair.join(": "));
       request.socket.write(
         ["HTTP/1.1 200 OK", ...lines, "", "half an answer"].join("\r\n"),
       );
-      setTimeout(() => request.socket.resetAndDestroy(), 20);
+      setTimeout(() => {
+        if (mode === "unframed") request.socket.end();
+        else request.socket.resetAndDestroy();
+      }, 20);
       return;
     }
     if (mode === "cut") {
--- a/test/layers_test.ts
+++ b/test/layers_test.ts
@@ -46,6 +46,32 @@
   expect(long).toEqual([]);
 });
 
+const PLATFORM_NAMES =
+  /jackdawshift-(attempt|hop|prefix|expect|not-exec|server|tenant|token-usage)|log-(append|newest|join|read)|kv-used/i;
+
+test("the users' platform is known in platform/ alone", () => {
+  const naming = files.filter((file) => PLATFORM_NAMES.test(read(file)));
+  expect(naming).toEqual([]);
+  const importing = files.filter((file) =>
+    /from "[./]+\/platform\/(fields|settings|store_client|header_codec|target_)/
+      .test(read(file))
+  );
+  expect(importing).toEqual([]);
+});
+
+test("platform/ is at most a sixth of src/", () => {
+  const lines = (folder: string): number =>
+    readdirSync(join(root, folder), { recursive: true, encoding: "utf8" })
+      .filter((file) => file.endsWith(".ts") && !file.endsWith("_test.ts"))
+      .reduce(
+        (sum, file) =>
+          sum +
+          readFileSync(join(root, folder, file), "utf8").split("\n").length,
+        0,
+      );
+  expect(lines("platform")).toBeLessThanOrEqual(lines("src") / 6);
+});
+
 function importsOfHigherLayers(file: string): string[] {
   const own = LAYERS.indexOf(file.split("/")[0]);
   return [...read(file).matchAll(/from "(\.[^"]+)"/g)]
