Ask a target a second time before it counts as silent

Change: after 25 ms without an answer, or at once after a refusal, a second question goes out on another connection; a target is silent when both fail.

--- a/src/paths/stage_checker.ts
+++ b/src/paths/stage_checker.ts
@@ -8,12 +8,14 @@
 import type { Clock } from "../common/clock.ts";
 import type { ILog } from "../common/logging.ts";
 import type { ITargetControl } from "../ports/services.ts";
-import type { PathStage } from "../ports/types.ts";
+import type { PathStage, TargetReport } from "../ports/types.ts";
 import { takeReport } from "./take_report.ts";
 import type { TargetBook } from "./target_book.ts";
 
 /** A sound target reports within some milliseconds. */
 const ANSWER_WITHIN_MS = 70;
+/** Without an answer by now another connection is tried: one may be broken or lose packets. */
+const SECOND_AFTER_MS = 25;
 /** An answer this recent serves another asker. */
 const REUSE_MS = 100;
 /** A timer that fires this late shows that this host itself was held up. */
@@ -59,12 +61,9 @@
   }
 
   async #ask(stage: PathStage): Promise<void> {
-    const { book, control, clock, log } = this.#options;
+    const { book, clock, log } = this.#options;
     const startedMs = clock.nowMs();
-    const report = await control.report(
-      { id: stage.targetId, address: stage.address },
-      ANSWER_WITHIN_MS,
-    );
+    const report = await this.#askTwice(stage);
     const target = book.get(stage.targetId);
     if (target === undefined) return;
     if (report !== undefined) {
@@ -83,4 +82,20 @@
     });
     book.notify(target);
   }
+
+  /** The first report of two questions, the second on a connection of its own. */
+  async #askTwice(stage: PathStage): Promise<TargetReport | undefined> {
+    const { control, clock } = this.#options;
+    const target = { id: stage.targetId, address: stage.address };
+    const first = control.report(target, ANSWER_WITHIN_MS);
+    const late = clock.sleep(SECOND_AFTER_MS).then(() => undefined);
+    const early = await Promise.race([first, late]);
+    if (early !== undefined) return early;
+    const leftMs = ANSWER_WITHIN_MS - SECOND_AFTER_MS;
+    const second = control.report(target, leftMs);
+    return await Promise.race([
+      first.then((report) => report ?? second),
+      second.then((report) => report ?? first),
+    ]);
+  }
 }
