--- /dev/null
+++ b/src/paths/path_chooser_test.ts
@@ -0,0 +1,148 @@
+import { expect, test } from "vitest";
+import { ManualClock } from "../../test/manual_clock.ts";
+import { silentLog } from "../common/logging.ts";
+import type { EngineFigures, Span } from "../ports/types.ts";
+import { freeTokenLayers, PathChooser } from "./path_chooser.ts";
+import { TargetBook } from "./target_book.ts";
+
+const KINDS = [
+  { name: "fast", memoryMb: 40_000, paceFactor: 2, readFactor: 2 },
+  { name: "slow", memoryMb: 20_000, paceFactor: 16, readFactor: 8 },
+];
+const FIGURES: EngineFigures = {
+  layers: 20,
+  layerMb: 1_000,
+  kvBytesPerToken: 1_000_000,
+  slots: 64,
+  stepMs: 1,
+  perSequenceMs: 0.01,
+  contextPerKiloTokenMs: 0.01,
+  readTokensPerMs: 100,
+  chunkTokens: 512,
+  loadMs: 1_000,
+  loadsAtOnce: 5,
+  usualPromptTokens: 800,
+  usualAnswerTokens: 200,
+  kinds: new Map(KINDS.map((kind) => [kind.name, kind])),
+};
+
+interface Place {
+  readonly id: string;
+  readonly span: Span;
+  readonly kind?: string;
+  readonly domain?: string;
+}
+
+function bookOf(places: readonly Place[]) {
+  const clock = new ManualClock();
+  const book = new TargetBook({ clock, log: silentLog });
+  places.forEach(({ id, span, kind = "fast", domain = "a" }, index) =>
+    book.put({
+      id,
+      service: "s",
+      address: `10.0.0.1:${index + 1}`,
+      domain,
+      state: "ready",
+      bornMs: 0,
+      kind,
+      span,
+    })
+  );
+  const chooser = new PathChooser({
+    book,
+    domain: "a",
+    hosts: () => 9,
+    random: () => 0.5,
+  });
+  return { book, chooser, clock };
+}
+
+const demand = { service: "s", figures: FIGURES, tokens: 1_000 };
+const halves = [
+  { id: "a1", span: { from: 0, to: 10 } },
+  { id: "a2", span: { from: 10, to: 20 } },
+];
+
+test("memory for the whole request is held on every stage until it ends", () => {
+  const { book, chooser } = bookOf(halves);
+  const [a1] = book.all();
+  const before = freeTokenLayers(a1, FIGURES);
+  const path = chooser.choose(demand);
+  expect(freeTokenLayers(a1, FIGURES)).toBe(before - 1_000 * 10);
+  path?.release();
+  path?.release();
+  expect(freeTokenLayers(a1, FIGURES)).toBe(before);
+});
+
+test("requests are refused a path, not sent, when memory is used up", () => {
+  const { chooser } = bookOf(halves);
+  const paths = [];
+  for (;;) {
+    const path = chooser.choose(demand);
+    if (path === undefined) break;
+    paths.push(path);
+    expect(paths.length).toBeLessThan(100);
+  }
+  // 30 GB beside the weights, 10 MB a token on each, less the headroom.
+  expect(paths.length).toBeGreaterThan(50);
+  paths[0].release();
+  expect(chooser.choose(demand)).toBeDefined();
+});
+
+test("load that other hosts told of counts like this host's own", () => {
+  const { book, chooser } = bookOf(halves);
+  book.all()[0].peerUse = { streams: 60, tokenLayers: 590_000 };
+  expect(chooser.choose(demand)).toBeUndefined();
+});
+
+test("a silent, doubted or leaving target is on no new path", () => {
+  const spare = { id: "b1", span: { from: 0, to: 10 }, kind: "slow" };
+  const { book, chooser, clock } = bookOf([...halves, spare]);
+  const first = () => chooser.choose(demand)?.stages[0].targetId;
+  const a1 = book.get("a1");
+  if (a1 === undefined) throw new Error("no target");
+  expect(first()).toBe("a1");
+  a1.markSilent();
+  expect(first()).toBe("b1");
+  a1.silentSinceMs = undefined;
+  a1.doubtedUntilMs = clock.nowMs() + 1;
+  expect(first()).toBe("b1");
+  a1.doubtedUntilMs = -Infinity;
+  book.put({ ...a1.record, state: "draining" });
+  expect(first()).toBe("b1");
+});
+
+test("a slow target is left for a sound one of its kind", () => {
+  const twin = { id: "b1", span: { from: 0, to: 10 } };
+  const { book, chooser } = bookOf([...halves, twin]);
+  for (const id of ["a1", "b1"]) {
+    for (const target of book.all()) target.slowness = target.id === id ? 4 : 1;
+    expect(chooser.choose(demand)?.stages[0].targetId).not.toBe(id);
+  }
+});
+
+test("requests that leave a lost target at once spread over all that can take its place", () => {
+  const spares = ["b", "c", "d"].map((id) => ({
+    id,
+    span: { from: 10, to: 20 },
+    kind: "slow",
+  }));
+  const { book, chooser } = bookOf([...halves, ...spares]);
+  const lost = book.get("a2");
+  const paths = Array.from({ length: 9 }, () => chooser.choose(demand));
+  expect(paths.every((path) => path?.stages[1].targetId === "a2")).toBe(true);
+  lost?.markSilent();
+  const next = paths.map((path) =>
+    chooser.choose({
+      ...demand,
+      current: path?.stages,
+      excluded: new Set(["a2"]),
+    })
+      ?.stages[1].targetId
+  );
+  const counts = spares.map(({ id }) =>
+    next.filter((one) => one === id).length
+  );
+  expect(Math.max(...counts)).toBeLessThanOrEqual(4);
+  expect(counts.reduce((sum, count) => sum + count)).toBe(9);
+});
--- /dev/null
+++ b/src/placement/placement_keeper_test.ts
@@ -0,0 +1,230 @@
+import { expect, test } from "vitest";
+import { ManualClock } from "../../test/manual_clock.ts";
+import { LightMetrics } from "../common/light_metrics.ts";
+import { silentLog } from "../common/logging.ts";
+import { TargetBook } from "../paths/target_book.ts";
+import type { ITargetControl } from "../ports/services.ts";
+import type {
+  EngineFigures,
+  OrderOutcome,
+  RoutingConfig,
+  Span,
+  TargetRecord,
+  TargetReport,
+} from "../ports/types.ts";
+import { PlacementKeeper } from "./placement_keeper.ts";
+
+const FIGURES: EngineFigures = {
+  layers: 8,
+  layerMb: 100,
+  kvBytesPerToken: 80_000,
+  slots: 64,
+  stepMs: 1,
+  perSequenceMs: 0,
+  contextPerKiloTokenMs: 0,
+  readTokensPerMs: 100,
+  chunkTokens: 512,
+  loadMs: 1_000,
+  loadsAtOnce: 5,
+  usualPromptTokens: 100,
+  usualAnswerTokens: 20,
+  kinds: new Map([["small", {
+    name: "small",
+    memoryMb: 300,
+    paceFactor: 1,
+    readFactor: 1,
+  }]]),
+};
+const CONFIG: RoutingConfig = {
+  version: 1,
+  routes: [],
+  services: new Map([["s", { name: "s", engine: FIGURES }]]),
+  limits: { headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1 },
+  customersByKey: undefined,
+};
+const IDS = ["a", "b", "c", "d", "e", "f"];
+
+interface Order {
+  readonly id: string;
+  readonly span: Span;
+  readonly expectedSeq: number;
+  readonly atMs: number;
+}
+
+/** Targets that take orders as their count of orders allows. */
+class Fleet implements ITargetControl {
+  readonly clock = new ManualClock();
+  readonly spans = new Map<string, Span>();
+  readonly seqs = new Map<string, number>();
+  readonly orders: Order[] = [];
+  /** Orders to these get no answer; they act when the test says so. */
+  readonly lost = new Set<string>();
+  readonly dead = new Set<string>();
+  readonly late: Order[] = [];
+
+  report({ id }: { id: string }): Promise<TargetReport | undefined> {
+    if (this.dead.has(id)) return Promise.resolve(undefined);
+    return Promise.resolve({
+      bornMs: 0,
+      orderSeq: this.seqs.get(id) ?? 0,
+      isBusy: false,
+      kind: "small",
+      span: this.spans.get(id),
+      slowness: 1,
+      active: 0,
+      queued: 0,
+      usedTokenLayers: 0,
+      totalTokenLayers: 0,
+      stalled: [],
+    });
+  }
+
+  place(
+    { id }: { id: string },
+    span: Span,
+    expectedSeq: number,
+  ): Promise<OrderOutcome> {
+    const order = { id, span, expectedSeq, atMs: this.clock.nowMs() };
+    this.orders.push(order);
+    if (this.lost.has(id)) {
+      this.late.push(order);
+      return Promise.resolve({ kind: "unknown", reason: "no answer" });
+    }
+    return Promise.resolve(this.act(order));
+  }
+
+  act({ id, span, expectedSeq }: Order): OrderOutcome {
+    const seq = this.seqs.get(id) ?? 0;
+    if (seq !== expectedSeq) return { kind: "refused", status: 409 };
+    this.seqs.set(id, seq + 1);
+    this.spans.set(id, span);
+    return { kind: "begun" };
+  }
+
+  repath(): Promise<OrderOutcome> {
+    return Promise.resolve({ kind: "already" });
+  }
+
+  holders(): number[] {
+    return [...Array(FIGURES.layers).keys()].map((layer) =>
+      [...this.spans].filter(([id, span]) =>
+        !this.dead.has(id) && layer >= span.from && layer < span.to
+      ).length
+    );
+  }
+}
+
+function keep(fleet: Fleet, isLeader: () => boolean) {
+  const book = new TargetBook({ clock: fleet.clock, log: silentLog });
+  const keeper = new PlacementKeeper({
+    book,
+    control: fleet,
+    clock: fleet.clock,
+    log: silentLog,
+    metrics: new LightMetrics(),
+    config: () => CONFIG,
+    isLeader,
+  });
+  for (const id of IDS) book.put(recordOf(id));
+  const stop = new AbortController();
+  void keeper.run(stop.signal);
+  return { book, stop };
+}
+
+function recordOf(id: string): TargetRecord {
+  return {
+    id,
+    service: "s",
+    address: `10.0.0.1:${IDS.indexOf(id) + 1}`,
+    domain: "a",
+    state: "ready",
+    bornMs: 0,
+    kind: "small",
+    span: undefined,
+  };
+}
+
+test("the list of targets settles, then all layers are placed by expected counts", async () => {
+  const fleet = new Fleet();
+  const { stop } = keep(fleet, () => true);
+  await fleet.clock.advance(500);
+  expect(fleet.orders).toEqual([]);
+  await fleet.clock.advance(2_000);
+  expect(Math.min(...fleet.holders())).toBeGreaterThan(0);
+  expect(fleet.orders.every(({ expectedSeq }) => expectedSeq === 0)).toBe(true);
+  const orders = fleet.orders.length;
+  await fleet.clock.advance(10_000);
+  expect(fleet.orders.length).toBe(orders);
+  stop.abort();
+});
+
+test("a host that does not lead orders nothing", async () => {
+  const fleet = new Fleet();
+  const { stop } = keep(fleet, () => false);
+  await fleet.clock.advance(5_000);
+  expect(fleet.orders).toEqual([]);
+  stop.abort();
+});
+
+test("two hosts that both believe they lead place each target once", async () => {
+  const fleet = new Fleet();
+  const hosts = [keep(fleet, () => true), keep(fleet, () => true)];
+  await fleet.clock.advance(4_000);
+  expect(Math.min(...fleet.holders())).toBeGreaterThan(0);
+  expect([...fleet.seqs.values()].every((seq) => seq === 1)).toBe(true);
+  for (const { stop } of hosts) stop.abort();
+});
+
+test("after an order without an answer its target gets none while it may still act", async () => {
+  const fleet = new Fleet();
+  fleet.lost.add("a");
+  const { stop } = keep(fleet, () => true);
+  await fleet.clock.advance(12_000);
+  const toLost = () => fleet.orders.filter(({ id }) => id === "a");
+  expect(toLost()).toHaveLength(1);
+  // It acts late: the report shows it, and nothing more is ordered.
+  fleet.lost.clear();
+  for (const order of fleet.late) fleet.act(order);
+  await fleet.clock.advance(6_000);
+  expect(toLost()).toHaveLength(1);
+  stop.abort();
+});
+
+test("a target that comes back empty is placed again, with the count of its new process", async () => {
+  const fleet = new Fleet();
+  const { book, stop } = keep(fleet, () => true);
+  await fleet.clock.advance(4_000);
+  fleet.spans.delete("b");
+  fleet.seqs.set("b", 0);
+  book.put({ ...recordOf("b"), bornMs: 5 });
+  await fleet.clock.advance(4_000);
+  // Reports of the process before are dropped; this one's has no start.
+  expect(fleet.orders.filter(({ id }) => id === "b")).toHaveLength(1);
+  book.put({ ...recordOf("b"), bornMs: 0 });
+  await fleet.clock.advance(4_000);
+  const orders = fleet.orders.filter(({ id }) => id === "b");
+  expect(orders).toHaveLength(2);
+  expect(orders[1].expectedSeq).toBe(0);
+  stop.abort();
+});
+
+test("a lost target's layers are not left without a holder", async () => {
+  const fleet = new Fleet();
+  const { stop } = keep(fleet, () => true);
+  await fleet.clock.advance(4_000);
+  const before = new Map(fleet.spans);
+  for (const id of IDS) {
+    const span = before.get(id);
+    const isOnlyHolder = span !== undefined &&
+      fleet.holders().slice(span.from, span.to).some((holders) =>
+        holders === 1
+      );
+    if (!isOnlyHolder) continue;
+    fleet.dead.add(id);
+    break;
+  }
+  expect(fleet.dead.size).toBe(1);
+  await fleet.clock.advance(6_000);
+  expect(Math.min(...fleet.holders())).toBeGreaterThan(0);
+  stop.abort();
+});
