--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -63,6 +63,8 @@
   /** In mode "stall": events before the path stops, and who is blamed. */
   stallAfter = 2;
   stallAddress = "";
+  /** Requests that are refused before the mode counts. */
+  shedNext = 0;
   span: { from: number; to: number } | undefined;
   seq = 0;
   readonly seen: SeenRequest[] = [];
@@ -187,7 +189,8 @@
       this.#streams.delete(requestId);
     });
     if (mode === "hang") return;
-    if (mode === "shed") {
+    if (mode === "shed" || this.shedNext > 0) {
+      this.shedNext = Math.max(0, this.shedNext - 1);
       response.writeHead(503, {
         "jackdawshift-not-executed": "1",
         "at-server": this.address,
