Lead by the same target again when a later stage refused a stream

Change: after a refusal by a later stage the request may go once more to a target that had it, by a path around that stage; no target more is used. Where none is left the final answer goes out at once. Measured: the test failed before and passes now.

--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -51,6 +51,8 @@
   readonly #figures: EngineFigures;
   readonly #firsts = new Set<string>();
   readonly #excluded = new Set<string>();
+  /** First target of the newest send. */
+  #lead = "";
   readonly #tokens: number;
   #path: ReservedPath | undefined;
   #sends = 0;
@@ -130,6 +132,10 @@
         figures: this.#figures,
         tokens: this.#tokens,
         excluded: this.#excluded,
+        // All targets that the route allows have had it; one may have it again.
+        leads: this.#firsts.size >= this.#plan.route.maxAttempts
+          ? this.#firsts
+          : undefined,
       },
       // A stream that goes on has a caller who already waits between events.
       rank: this.#sends > 0 ? RESUME_RANK : this.#plan.rank,
@@ -147,6 +153,7 @@
     const [first] = path.stages;
     const startedMs = clock.nowMs();
     this.#firsts.add(first.targetId);
+    this.#lead = first.targetId;
     this.#sends++;
     log.info("sent", {
       request: requestId,
@@ -313,19 +320,21 @@
   #mayGoOn(end: SendEnd): boolean {
     const { log, budgetOf, clock, metrics } = this.#context;
     const { route, requestId, service, deadlineMs } = this.#plan;
-    const [firstTried] = [...this.#firsts].slice(-1);
     if (end.kind === "broken") {
       this.#mayHaveRun = true;
-      this.#excluded.add(firstTried);
+      this.#excluded.add(this.#lead);
     }
     if (end.kind === "not-run" && !end.wasSent) {
-      this.#firsts.delete(firstTried);
-      this.#excluded.add(firstTried);
+      this.#firsts.delete(this.#lead);
+      this.#excluded.add(this.#lead);
     }
     const isAllowed = end.kind === "not-run" || route.isResumable;
     const hasTime = clock.nowMs() < deadlineMs && !this.#abort.signal.aborted;
-    const hasTries = this.#firsts.size < route.maxAttempts &&
-      ++this.#refusals <= MAX_REFUSALS;
+    // A later stage refused it: another path may lead by the same target.
+    const mayLeadAgain = end.kind === "not-run" && end.wasSent &&
+      [...this.#firsts].some((id) => !this.#excluded.has(id));
+    const hasTarget = mayLeadAgain || this.#firsts.size < route.maxAttempts;
+    const hasTries = hasTarget && ++this.#refusals <= MAX_REFUSALS;
     let goesOn = isAllowed && hasTime && hasTries;
     if (goesOn && !(end.kind === "not-run" && !end.wasSent)) {
       goesOn = budgetOf(service.name).tryTake();
--- a/src/paths/path_chooser.ts
+++ b/src/paths/path_chooser.ts
@@ -37,6 +37,8 @@
   readonly figures: EngineFigures;
   /** Tokens read and written, as far as can be told. */
   readonly tokens: number;
+  /** The only targets that may be the first of the path; undefined for any. */
+  readonly leads?: ReadonlySet<string>;
   /** Targets to leave out. */
   readonly excluded?: ReadonlySet<string>;
   /** The path of a request in progress, whose first stage stays. */
@@ -105,7 +107,7 @@
         if (freeTokenLayers(target, figures) < needed) continue;
       }
       const noise = 1 + this.#random() * NOISE_SHARE;
-      const canLead =
+      const canLead = (demand.leads?.has(target.id) ?? true) &&
         target.ownUse.streams + target.peerUse.streams < figures.slots;
       // The other hosts send theirs there too.
       const backlogMs = target.reading.leftMs * this.#hosts() /
--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -65,6 +65,8 @@
   stallAddress = "";
   /** Requests that are refused before the mode counts. */
   shedNext = 0;
+  /** Whom a refusal blames; the server itself where empty. */
+  shedAddress = "";
   span: { from: number; to: number } | undefined;
   seq = 0;
   readonly seen: SeenRequest[] = [];
@@ -193,7 +195,7 @@
       this.shedNext = Math.max(0, this.shedNext - 1);
       response.writeHead(503, {
         "jackdawshift-not-executed": "1",
-        "at-server": this.address,
+        "at-server": this.shedAddress || this.address,
       }).end();
       return;
     }
