Wait for a silent target where a stream can't go on elsewhere

Ruled out: the target (its run ended because the host closed the connection). Change: a send is given up for silence only where the request may go on at another target; otherwise the caller decides how long to wait.

--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -176,6 +176,8 @@
       tokens: this.#tokens,
       path,
       abort: () => sendAbort.abort(),
+      mayGiveUp: () =>
+        route.isResumable && this.#firsts.size < route.maxAttempts,
       onPath: (next) => {
         this.#path = next;
         this.#repaths++;
--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -64,6 +64,8 @@
   readonly path: ReservedPath;
   /** Ends the send. */
   readonly abort: () => void;
+  /** Whether the request may go on elsewhere; else silence is waited out. */
+  readonly mayGiveUp: () => boolean;
   /** Called with a path that has taken the place of the one before. */
   readonly onPath: (path: ReservedPath) => void;
 }
@@ -362,7 +364,7 @@
   }
 
   #giveUp(reason: string): void {
-    if (this.#isDone) return;
+    if (this.#isDone || !this.#options.mayGiveUp()) return;
     this.failure = reason;
     this.#options.abort();
   }
--- a/standins/users_platform/deployment.ts
+++ b/standins/users_platform/deployment.ts
@@ -79,6 +79,13 @@
     });
   }
 
+  /** Writes a configuration with other members of the streams' route. */
+  configureBriefs(more: Record<string, unknown>): void {
+    const { routes } = defaultConfig(0);
+    const [briefs, ...others] = routes as Record<string, unknown>[];
+    this.configure({ routes: [{ ...briefs, ...more }, ...others] });
+  }
+
   async startHost(index: number): Promise<EntryHost> {
     const store = new StoreClient({
       endpoint: parseEndpoint(this.store.address) ?? { ip: "", port: 0 },
--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -65,6 +65,8 @@
   stallAddress = "";
   /** Requests that are refused before the mode counts. */
   shedNext = 0;
+  /** Silence after the third event. */
+  pauseMs = 0;
   /** Whom a refusal blames; the server itself where empty. */
   shedAddress = "";
   span: { from: number; to: number } | undefined;
@@ -271,7 +273,8 @@
     }
     stream.response.write(`id: ${stream.next}\ndata: piece ${stream.next}\n\n`);
     stream.next++;
-    setTimeout(() => this.#emit(stream), eventGapMs);
+    const waitMs = stream.next === 3 ? this.pauseMs || eventGapMs : eventGapMs;
+    setTimeout(() => this.#emit(stream), waitMs);
   }
 
   #marks(requestId: string): Record<string, string> {
