Close gaps of layers by growing a neighbour, and count what is being loaded

While writing the test of it: the plan of the next round did not count what is being loaded, so two targets that came back one after the other took the same span. Ruled out: moving targets in chains (each move uncovers layers for a load). Change: a neighbour of the gap takes what fits beside its own layers; the keeper counts a begun order's span until a report shows that it is held, or for 2 s without any report of it. Room of layers and types in files of their own.

--- /dev/null
+++ b/src/placement/layer_room.ts
@@ -0,0 +1,96 @@
+/**
+ * Memory that is left for requests on each layer, over all its holders. Pure.
+ *
+ * @module
+ */
+
+import type { EngineFigures, Span } from "../ports/types.ts";
+import type { PlacementOptions, PlanTarget } from "./types.ts";
+
+/** Largest part of a target's memory for weights; one with no room for requests serves none. */
+const WEIGHTS_SHARE = 0.97;
+
+/** Tokens of context for which the holders of each layer have room. */
+export interface LayerRoom {
+  readonly total: number[];
+  readonly byDomain: Map<string, number[]>;
+}
+
+/** Room that the targets' spans leave. */
+export function roomByLayer(
+  { figures }: PlacementOptions,
+  targets: readonly PlanTarget[],
+): LayerRoom {
+  const room: LayerRoom = {
+    total: new Array(figures.layers).fill(0),
+    byDomain: new Map(),
+  };
+  for (const target of targets) addRoom(room, target, figures);
+  return room;
+}
+
+/** Counts one more target. */
+export function addRoom(
+  room: LayerRoom,
+  target: PlanTarget,
+  figures: EngineFigures,
+): void {
+  const { span, domain } = target;
+  let own = room.byDomain.get(domain);
+  if (own === undefined) {
+    own = new Array(figures.layers).fill(0);
+    room.byDomain.set(domain, own);
+  }
+  if (span === undefined) return;
+  const tokens = tokensOf(target, span, figures);
+  for (
+    let layer = span.from;
+    layer < Math.min(span.to, figures.layers);
+    layer++
+  ) {
+    room.total[layer] += tokens;
+    own[layer] += tokens;
+  }
+}
+
+/** Tokens of context for which a target has room beside the weights of a span. */
+export function tokensOf(
+  target: PlanTarget,
+  span: Span,
+  figures: EngineFigures,
+): number {
+  const length = span.to - span.from;
+  const freeMb = target.memoryMb - length * figures.layerMb;
+  return Math.max(
+    1,
+    freeMb * 1_000_000 / (figures.kvBytesPerToken / figures.layers * length),
+  );
+}
+
+/** Least room on the target's own layers if it held none of them. */
+export function spareWithout(
+  target: PlanTarget,
+  room: LayerRoom,
+  figures: EngineFigures,
+): number {
+  const { span } = target;
+  if (span === undefined) return 0;
+  const own = tokensOf(target, span, figures);
+  let least = Infinity;
+  for (
+    let layer = span.from;
+    layer < Math.min(span.to, figures.layers);
+    layer++
+  ) {
+    least = Math.min(least, room.total[layer] - own);
+  }
+  return least;
+}
+
+/** Layers that fit, with some memory left for requests. */
+export function mostLayers(target: PlanTarget, figures: EngineFigures): number {
+  return Math.max(
+    0,
+    Math.floor((target.memoryMb * WEIGHTS_SHARE) / figures.layerMb),
+  );
+}
--- a/src/placement/placement_keeper.ts
+++ b/src/placement/placement_keeper.ts
@@ -14,12 +14,9 @@
 import type { TargetBook } from "../paths/target_book.ts";
 import type { ITargetControl } from "../ports/services.ts";
 import { takeReport } from "../paths/take_report.ts";
-import type { EngineFigures, RoutingConfig } from "../ports/types.ts";
-import {
-  type PlannedOrder,
-  planPlacement,
-  type PlanTarget,
-} from "./placement_plan.ts";
+import type { EngineFigures, RoutingConfig, Span } from "../ports/types.ts";
+import { planPlacement } from "./placement_plan.ts";
+import type { PlannedOrder, PlanTarget } from "./types.ts";
 
 /** Pause between rounds while targets hold nothing or do not answer. */
 const BUSY_ROUND_MS = 400;
@@ -34,6 +31,16 @@
 /** A target that has not answered for this long takes no part in the plan. */
 const LOST_AFTER_MS = 1_500;
 
+/** A report shows an order that has begun within this time; reports lag some hundred ms. */
+const SHOWN_AFTER_MS = 2_000;
+
+/** An order that has begun and whose span is not yet all held. */
+interface BegunOrder {
+  readonly span: Span;
+  readonly expectedSeq: number;
+  readonly begunMs: number;
+}
+
 /** Options of a keeper. */
 export interface PlacementKeeperOptions {
   readonly book: TargetBook;
@@ -51,6 +58,7 @@
   readonly #options: PlacementKeeperOptions;
   /** Targets with an order whose outcome is unknown, until when it may act. */
   readonly #unknownUntilMs = new Map<string, number>();
+  readonly #begun = new Map<string, BegunOrder>();
   #changedMs = -Infinity;
   #wasLeader = false;
 
@@ -134,6 +142,7 @@
     const isLost = target.silentSinceMs !== undefined &&
       nowMs - target.silentSinceMs >= LOST_AFTER_MS;
     if (isLost) return [];
+    const begun = this.#begunOrder(target);
     const isUnknown =
       (this.#unknownUntilMs.get(target.id) ?? -Infinity) > nowMs;
     return [{
@@ -141,13 +150,26 @@
       domain: target.record.domain,
       memoryMb: kind.memoryMb,
       paceFactor: kind.paceFactor,
-      span: target.span,
+      // What is being loaded need not be planned once more.
+      span: begun?.span ?? target.span,
       canTakeOrder: target.silentSinceMs === undefined &&
-        target.report !== undefined &&
+        target.report !== undefined && begun === undefined &&
         !target.report.isBusy && !isUnknown,
     }];
   }
 
+  #begunOrder({ id, report }: Target): BegunOrder | undefined {
+    const begun = this.#begun.get(id);
+    if (begun === undefined) return undefined;
+    const isShown = report !== undefined &&
+      report.orderSeq > begun.expectedSeq;
+    const ageMs = this.#options.clock.nowMs() - begun.begunMs;
+    const isOver = isShown ? !report.isBusy : ageMs > SHOWN_AFTER_MS;
+    if (!isOver) return begun;
+    this.#begun.delete(id);
+    return undefined;
+  }
+
   async #order({ targetId, span }: PlannedOrder): Promise<void> {
     const { book, control, log, metrics, clock } = this.#options;
     const target = book.get(targetId);
@@ -162,6 +184,10 @@
       outcome,
     });
     metrics.count("jackdawshift_orders_total", { outcome: outcome.kind });
+    if (outcome.kind === "begun") {
+      const begunMs = clock.nowMs();
+      this.#begun.set(targetId, { span, expectedSeq, begunMs });
+    }
     if (outcome.kind === "unknown") {
       this.#unknownUntilMs.set(targetId, clock.nowMs() + UNKNOWN_ORDER_MS);
     }
--- a/src/placement/placement_keeper_test.ts
+++ b/src/placement/placement_keeper_test.ts
@@ -60,6 +60,9 @@
   /** Orders to these get no answer; they act when the test says so. */
   readonly lost = new Set<string>();
   readonly dead = new Set<string>();
+  /** Targets that still load what they were last ordered. */
+  readonly loading = new Map<string, Span>();
+  loadMs = 0;
   readonly late: Order[] = [];
 
   report({ id }: { id: string }): Promise<TargetReport | undefined> {
@@ -67,7 +70,7 @@
     return Promise.resolve({
       bornMs: 0,
       orderSeq: this.seqs.get(id) ?? 0,
-      isBusy: false,
+      isBusy: this.loading.has(id),
       kind: "small",
       span: this.spans.get(id),
       slowness: 1,
@@ -97,7 +100,15 @@
     const seq = this.seqs.get(id) ?? 0;
     if (seq !== expectedSeq) return { kind: "refused", status: 409 };
     this.seqs.set(id, seq + 1);
-    this.spans.set(id, span);
+    if (this.loadMs === 0) {
+      this.spans.set(id, span);
+      return { kind: "begun" };
+    }
+    this.loading.set(id, span);
+    void this.clock.sleep(this.loadMs).then(() => {
+      if (!this.loading.delete(id)) return;
+      this.spans.set(id, span);
+    });
     return { kind: "begun" };
   }
 
@@ -228,3 +239,27 @@
   expect(Math.min(...fleet.holders())).toBeGreaterThan(0);
   stop.abort();
 });
+
+test("a span that is being loaded counts as held by the next plan", async () => {
+  const fleet = new Fleet();
+  const { book, stop } = keep(fleet, () => true);
+  await fleet.clock.advance(4_000);
+  fleet.loadMs = 5_000;
+  const lost = IDS.filter((id) => {
+    const span = fleet.spans.get(id);
+    return span !== undefined && span.to - span.from === 2;
+  }).slice(0, 2);
+  expect(lost).toHaveLength(2);
+  for (const [index, id] of lost.entries()) {
+    fleet.spans.delete(id);
+    fleet.seqs.set(id, 0);
+    book.put({ ...recordOf(id), bornMs: index + 1 });
+    book.put(recordOf(id));
+    await fleet.clock.advance(2_000);
+  }
+  const spans = lost.map((id) => fleet.loading.get(id));
+  expect(spans[0]).toBeDefined();
+  expect(spans[1]).toBeDefined();
+  expect(spans[0]).not.toEqual(spans[1]);
+  stop.abort();
+});
--- a/src/placement/placement_plan.ts
+++ b/src/placement/placement_plan.ts
@@ -9,31 +9,15 @@
  */
 
 import type { EngineFigures, Span } from "../ports/types.ts";
-
-/** A target as the plan sees it. */
-export interface PlanTarget {
-  readonly id: string;
-  readonly domain: string;
-  readonly memoryMb: number;
-  /** Factor on the time of a step. */
-  readonly paceFactor: number;
-  /** Undefined: holds nothing. */
-  readonly span: Span | undefined;
-  /** May be ordered now: it answers, and no order is in progress. */
-  readonly canTakeOrder: boolean;
-}
-
-/** A span that a target should take. */
-export interface PlannedOrder {
-  readonly targetId: string;
-  readonly span: Span;
-}
-
-/** Options of a plan. */
-export interface PlacementOptions {
-  readonly figures: EngineFigures;
-  readonly targets: readonly PlanTarget[];
-}
+import {
+  addRoom,
+  type LayerRoom,
+  mostLayers,
+  roomByLayer,
+  spareWithout,
+  tokensOf,
+} from "./layer_room.ts";
+import type { PlacementOptions, PlannedOrder, PlanTarget } from "./types.ts";
 
 /**
  * Memory for requests relative to that for weights. More of it makes a copy of
@@ -191,16 +175,30 @@
   return orders;
 }
 
-/** Moves one target where a layer has no holder and no empty target is left. */
+/**
+ * Gives a holder to layers that have none while no empty target is left: moves
+ * a target whose own layers have another holder, or else lets one next to the
+ * gap take part of it beside its own.
+ */
 function planRescue(
   options: PlacementOptions,
   room: LayerRoom,
 ): PlannedOrder[] {
-  const { figures, targets } = options;
+  const { layers } = options.figures;
   const from = room.total.findIndex((tokens) => tokens <= 0);
   if (from < 0) return [];
   let to = from;
-  while (to < figures.layers && room.total[to] <= 0) to++;
+  while (to < layers && room.total[to] <= 0) to++;
+  const gap = { from, to };
+  const order = moveInto(gap, options, room) ?? growInto(gap, options);
+  return order === undefined ? [] : [order];
+}
+
+function moveInto(
+  { from, to }: Span,
+  { figures, targets }: PlacementOptions,
+  room: LayerRoom,
+): PlannedOrder | undefined {
   let best: { target: PlanTarget; spareTokens: number } | undefined;
   for (const target of targets) {
     if (!target.canTakeOrder || target.span === undefined) continue;
@@ -211,82 +209,36 @@
       best = { target, spareTokens };
     }
   }
-  if (best === undefined) return [];
+  if (best === undefined) return undefined;
   const length = Math.min(to - from, mostLayers(best.target, figures));
-  return [{ targetId: best.target.id, span: { from, to: from + length } }];
-}
-
-/** Tokens of context for which the holders of each layer have room. */
-interface LayerRoom {
-  readonly total: number[];
-  readonly byDomain: Map<string, number[]>;
-}
-
-function roomByLayer(
-  { figures }: PlacementOptions,
-  targets: readonly PlanTarget[],
-): LayerRoom {
-  const room: LayerRoom = {
-    total: new Array(figures.layers).fill(0),
-    byDomain: new Map(),
-  };
-  for (const target of targets) addRoom(room, target, figures);
-  return room;
+  return { targetId: best.target.id, span: { from, to: from + length } };
 }
 
-function addRoom(
-  room: LayerRoom,
-  target: PlanTarget,
-  figures: EngineFigures,
-): void {
-  const { span, domain } = target;
-  let own = room.byDomain.get(domain);
-  if (own === undefined) {
-    own = new Array(figures.layers).fill(0);
-    room.byDomain.set(domain, own);
-  }
-  if (span === undefined) return;
-  const tokens = tokensOf(target, span, figures);
-  for (
-    let layer = span.from;
-    layer < Math.min(span.to, figures.layers);
-    layer++
-  ) {
-    room.total[layer] += tokens;
-    own[layer] += tokens;
-  }
-}
-
-function tokensOf(
-  target: PlanTarget,
-  span: Span,
-  figures: EngineFigures,
-): number {
-  const length = span.to - span.from;
-  const freeMb = target.memoryMb - length * figures.layerMb;
-  return Math.max(
-    1,
-    freeMb * 1_000_000 / (figures.kvBytesPerToken / figures.layers * length),
-  );
-}
-
-function spareWithout(
-  target: PlanTarget,
-  room: LayerRoom,
-  figures: EngineFigures,
-): number {
-  const { span } = target;
-  if (span === undefined) return 0;
-  const own = tokensOf(target, span, figures);
-  let least = Infinity;
-  for (
-    let layer = span.from;
-    layer < Math.min(span.to, figures.layers);
-    layer++
-  ) {
-    least = Math.min(least, room.total[layer] - own);
+/** The neighbour that takes most of the gap does; the one with most room, among equals. */
+function growInto(
+  gap: Span,
+  { figures, targets }: PlacementOptions,
+): PlannedOrder | undefined {
+  let best: PlannedOrder & { taken: number; tokens: number } | undefined;
+  for (const target of targets) {
+    const { id: targetId, span, canTakeOrder } = target;
+    if (!canTakeOrder || span === undefined) continue;
+    const isBefore = span.to === gap.from;
+    if (!isBefore && span.from !== gap.to) continue;
+    const taken = Math.min(
+      gap.to - gap.from,
+      mostLayers(target, figures) - (span.to - span.from),
+    );
+    if (taken <= 0) continue;
+    const grown = isBefore
+      ? { from: span.from, to: span.to + taken }
+      : { from: span.from - taken, to: span.to };
+    const tokens = tokensOf(target, grown, figures);
+    const isBetter = best === undefined || taken > best.taken ||
+      (taken === best.taken && tokens > best.tokens);
+    if (isBetter) best = { targetId, span: grown, taken, tokens };
   }
-  return least;
+  return best && { targetId: best.targetId, span: best.span };
 }
 
 /** The window whose layers lack most, counted over all domains and over the target's own. */
@@ -331,11 +283,6 @@
   return 1 / (copies + NEED_FLOOR_COPIES);
 }
 
-/** Layers that fit, with some memory left for requests. */
-function mostLayers(target: PlanTarget, figures: EngineFigures): number {
-  return Math.max(0, Math.floor((target.memoryMb * 0.97) / figures.layerMb));
-}
-
 function groupByDomain(
   targets: readonly PlanTarget[],
 ): Map<string, PlanTarget[]> {
--- a/src/placement/placement_plan_test.ts
+++ b/src/placement/placement_plan_test.ts
@@ -1,11 +1,8 @@
 import fc from "fast-check";
 import { describe, expect, test } from "vitest";
 import type { EngineFigures } from "../ports/types.ts";
-import {
-  type PlannedOrder,
-  planPlacement,
-  type PlanTarget,
-} from "./placement_plan.ts";
+import { planPlacement } from "./placement_plan.ts";
+import type { PlannedOrder, PlanTarget } from "./types.ts";
 
 const KINDS = [
   { name: "large", memoryMb: 72_000, paceFactor: 2.4, readFactor: 3.2 },
@@ -173,6 +170,25 @@
     expect(planPlacement({ figures: FIGURES, targets })).toEqual([]);
   });
 
+  test("lets a neighbour grow over a gap where no target can be moved", () => {
+    const cut = (id: string, from: number, to: number) => ({
+      ...siteTargets({ a: [1, 0, 0] })[0],
+      id,
+      span: { from, to },
+    });
+    // Each is the only holder of its layers; 41 layers fit into one target at most.
+    const targets = [cut("low", 0, 25), cut("high", 45, 80)];
+    expect(planPlacement({ figures: FIGURES, targets })).toEqual([
+      { targetId: "low", span: { from: 0, to: 39 } },
+    ]);
+    const after = apply(targets, planPlacement({ figures: FIGURES, targets }));
+    expect(planPlacement({ figures: FIGURES, targets: after })).toEqual([
+      { targetId: "high", span: { from: 41, to: 80 } },
+    ]);
+    const isBusy = { ...targets[0], canTakeOrder: false };
+    expect(planPlacement({ figures: FIGURES, targets: [isBusy] })).toEqual([]);
+  });
+
   test("moves one target where a layer has no holder, and never uncovers another", () => {
     const pick = fc.subarray([...placed.keys()], { maxLength: 24 });
     fc.assert(
