Let one host a failure domain read the store and answer the others

Ruled out: pushing what is new by datagram: the receiver can't date what waited on the way, so a proof of age could be too young after a pause of the receiver. The end of an outage is told along with the records. Both feeds moved out of entry_host.ts.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -12,7 +12,6 @@
 import { LightMetrics } from "../common/light_metrics.ts";
 import type { ILog } from "../common/logging.ts";
 import { Supervisor } from "../common/supervisor.ts";
-import { KeyedFollower } from "../feeds/keyed_follower.ts";
 import type { CallContext } from "../forward/context.ts";
 import { RequestCore } from "../forward/request_core.ts";
 import { StreamWatch } from "../forward/stream_watch.ts";
@@ -34,12 +33,9 @@
 import { HostListeners, type HostPorts } from "./host_listeners.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { SilenceProber } from "./silence_prober.ts";
+import { StoreFeeds } from "./store_feeds.ts";
 import { TargetFeed } from "./target_feed.ts";
 
-/** A read of the configuration waits this long at the store; it bounds the age of the proof. */
-const CONFIG_WAIT_MS = 900;
-/** Pause between reads of the targets' records; a leaving target gets nothing after two seconds. */
-const TARGET_PAUSE_MS = 700;
 /** Keys are honoured while the configuration is this much newer than the bound. */
 const FRESH_MARGIN_MS = 600;
 /** Not ready from this age on, so that the balancer moves callers before they are refused. */
@@ -85,8 +81,7 @@
   readonly #book: TargetBook;
   readonly #chooser: PathChooser;
   readonly #config: ConfigKeeper;
-  readonly #configFeed: KeyedFollower;
-  readonly #targetFeed: KeyedFollower;
+  readonly #feeds: StoreFeeds;
   readonly #link: PeerLink;
   readonly #peers: PeerExchange;
   readonly #placement: PlacementKeeper;
@@ -122,23 +117,18 @@
       random: this.#random,
     });
     this.#config = new ConfigKeeper({ decoder, log });
-    const feed = { clock, log, random: this.#random };
-    this.#configFeed = new KeyedFollower({
-      ...feed,
-      name: "config",
-      source: options.configLog,
-      waitMs: CONFIG_WAIT_MS,
-      pauseMs: 0,
-    });
-    this.#targetFeed = new KeyedFollower({
-      ...feed,
-      name: "targets",
-      source: options.targetLog,
-      waitMs: 0,
-      pauseMs: TARGET_PAUSE_MS,
-    });
     const host = hostRecord(settings, clock);
     this.#link = new PeerLink({ host, clock, log });
+    this.#feeds = new StoreFeeds({
+      configLog: options.configLog,
+      targetLog: options.targetLog,
+      link: this.#link,
+      clock,
+      log,
+      metrics: this.#metrics,
+      reader: () => this.#peers.reader(),
+      random: this.#random,
+    });
     this.#placement = new PlacementKeeper({
       book: this.#book,
       control,
@@ -155,6 +145,7 @@
       clock,
       log,
       canLead: () => !this.#isStopping && this.#isFresh(),
+      canRead: () => !this.#isStopping && this.#feeds.areRead,
       slowTargets: () => this.#placement.slowTargets(),
       onLoad: () => this.#pump(),
     });
@@ -174,7 +165,7 @@
       context: this.#context(),
       routes: () => this.#config.table,
       isFresh: () => this.#isFresh(),
-      configAgeMs: () => this.#configFeed.ageMs,
+      configAgeMs: () => this.#feeds.config.ageMs,
       isStopping: () => this.#isStopping,
       isClosed: () => this.#isClosed,
     });
@@ -193,8 +184,14 @@
     const { settings, log } = this.#options;
     await this.#link.open();
     await this.#listeners.open();
-    this.#supervisor.start("config", (signal) => this.#configFeed.run(signal));
-    this.#supervisor.start("targets", (signal) => this.#targetFeed.run(signal));
+    this.#supervisor.start(
+      "config",
+      (signal) => this.#feeds.config.run(signal),
+    );
+    this.#supervisor.start(
+      "targets",
+      (signal) => this.#feeds.targets.run(signal),
+    );
     this.#supervisor.start("peers", (signal) => this.#peers.runSender(signal));
     this.#supervisor.start(
       "registry",
@@ -262,13 +259,13 @@
       book: this.#book,
       decoder,
       log,
-      sinceRecoveryMs: () => this.#targetFeed.sinceRecoveryMs,
+      sinceRecoveryMs: () => this.#feeds.targets.sinceRecoveryMs,
     });
     this.#config.onChange(({ config }) =>
       this.#listeners.applyLimits(config.limits)
     );
-    this.#configFeed.onBatch((batch) => this.#config.take(batch));
-    this.#targetFeed.onBatch((batch) => feed.take(batch));
+    this.#feeds.config.onBatch((batch) => this.#config.take(batch));
+    this.#feeds.targets.onBatch((batch) => feed.take(batch));
     this.#book.onChange(() => this.#pump());
     this.#metrics.gauge(
       "jackdawshift_requests_active",
@@ -276,7 +273,7 @@
     );
     this.#metrics.gauge(
       "jackdawshift_config_age_ms",
-      () => this.#configFeed.ageMs,
+      () => this.#feeds.config.ageMs,
     );
     this.#metrics.gauge(
       "jackdawshift_config_version",
@@ -355,18 +352,18 @@
 
   #isFresh(): boolean {
     const { revokeMs } = this.#options.settings.bounds;
-    return this.#configFeed.ageMs < revokeMs - FRESH_MARGIN_MS;
+    return this.#feeds.config.ageMs < revokeMs - FRESH_MARGIN_MS;
   }
 
   #isReady(): boolean {
     const ready = !this.#isStopping && this.#config.table !== undefined &&
-      this.#configFeed.isInTouch && this.#configFeed.ageMs < READY_AGE_MS &&
+      this.#feeds.config.isInTouch && this.#feeds.config.ageMs < READY_AGE_MS &&
       this.#book.all().length > 0;
     if (ready !== this.#wasReady) {
       this.#wasReady = ready;
       this.#options.log.info(ready ? "host ready" : "host not ready", {
         isStopping: this.#isStopping,
-        configAgeMs: Math.round(this.#configFeed.ageMs),
+        configAgeMs: Math.round(this.#feeds.config.ageMs),
         targets: this.#book.all().length,
       });
     }
--- a/src/entry/peer_exchange.ts
+++ b/src/entry/peer_exchange.ts
@@ -36,6 +36,8 @@
   readonly log: ILog;
   /** In touch with the store and not stopping. */
   readonly canLead: () => boolean;
+  /** Reads of the store's logs are answered, and this host is not stopping. */
+  readonly canRead: () => boolean;
   readonly slowTargets: () => (readonly [string, number])[];
   /** Called when the load of other hosts is known anew. */
   readonly onLoad: () => void;
@@ -72,6 +74,22 @@
     );
   }
 
+  /**
+   * The oldest host of this failure domain that reads the store; undefined
+   * where that is this one or there is none.
+   */
+  reader(): HostRecord | undefined {
+    const { link, canRead } = this.#options;
+    let oldest = canRead() ? link.host : undefined;
+    for (const { host, state } of link.live()) {
+      if (state?.isReader !== true || host.domain !== link.host.domain) {
+        continue;
+      }
+      if (oldest === undefined || isBefore(host, oldest)) oldest = host;
+    }
+    return oldest === link.host ? undefined : oldest;
+  }
+
   /** Sends states until it is stopped. */
   async runSender(signal: AbortSignal): Promise<void> {
     const { clock, link, onLoad } = this.#options;
@@ -125,6 +143,7 @@
       silentTargets: this.#isCutOff() ? [] : silentTargets,
       slowTargets: this.isLeader() ? this.#options.slowTargets() : undefined,
       canLead: this.#options.canLead() && !this.#isCutOff(),
+      isReader: this.#options.canRead(),
     };
   }
 
--- a/src/feeds/keyed_follower.ts
+++ b/src/feeds/keyed_follower.ts
@@ -10,8 +10,8 @@
 import { Emitter, type Event } from "../common/emitter.ts";
 import type { ILog } from "../common/logging.ts";
 import type { IKeyedLog } from "../ports/services.ts";
-import type { KeyedRecord } from "../ports/types.ts";
-import { ProofOfAge, readMoment } from "./proof_of_age.ts";
+import type { KeyedRecord, RelayedRead } from "../ports/types.ts";
+import { addMs, ProofOfAge, readMoment } from "./proof_of_age.ts";
 
 /** First pause after a failed call; the store answers in milliseconds when it is well. */
 const FIRST_RETRY_MS = 150;
@@ -29,7 +29,7 @@
   readonly source: IKeyedLog;
   /** Time that a read waits at the store for a record. */
   readonly waitMs: number;
-  /** Pause between reads. */
+  /** Pause between reads that the log itself answers. */
   readonly pauseMs: number;
   readonly clock: Clock;
   readonly log: ILog;
@@ -43,12 +43,20 @@
   /** No record that the store held when it was asked is missing. */
   readonly isComplete: boolean;
   readonly records: readonly KeyedRecord[];
+  /** Where the next read begins. */
+  readonly nextOffset: number;
+}
+
+interface Fetched {
+  readonly batch: KeyedBatch;
+  readonly relay: RelayedRead | undefined;
 }
 
 /** Follows one keyed log until it is stopped. */
 export class KeyedFollower {
   readonly #options: KeyedFollowerOptions;
   readonly #onBatch = new Emitter<KeyedBatch>();
+  readonly #onProof = new Emitter<void>();
   readonly #random: () => number;
   #nextOffset: number | undefined;
   readonly #proof: ProofOfAge;
@@ -58,6 +66,9 @@
   /** Fires for each batch, also an empty one. */
   readonly onBatch: Event<KeyedBatch> = this.#onBatch.event;
 
+  /** Fires when all records up to a newer moment are known. */
+  readonly onProof: Event<void> = this.#onProof.event;
+
   constructor(options: KeyedFollowerOptions) {
     this.#options = options;
     this.#random = options.random ?? Math.random;
@@ -69,6 +80,12 @@
     return this.#proof.ageMs;
   }
 
+  /** Monotonic moment up to which all records are known; undefined without a proof. */
+  get provenMs(): number | undefined {
+    const { ageMs } = this;
+    return ageMs === Infinity ? undefined : this.#options.clock.nowMs() - ageMs;
+  }
+
   /** False after calls in a row have failed; sooner than the age tells. */
   get isInTouch(): boolean {
     return this.#failures < OUT_OF_TOUCH_FAILURES;
@@ -83,41 +100,56 @@
   async run(signal: AbortSignal): Promise<void> {
     const { clock, pauseMs } = this.#options;
     while (!signal.aborted) {
-      const isAnswered = await this.#step(signal);
-      const isBehind = this.ageMs === Infinity;
-      const answeredMs = Math.max(pauseMs, isBehind ? CATCH_UP_PAUSE_MS : 0);
-      await clock.sleep(isAnswered ? answeredMs : this.#retryMs(), signal);
+      const answer = await this.#step(signal);
+      // Another host answers when there is something new, so nothing is gained by a pause.
+      const isQuick = answer === "relayed" || this.ageMs === Infinity;
+      const answeredMs = Math.max(
+        answer === "relayed" ? 0 : pauseMs,
+        isQuick ? CATCH_UP_PAUSE_MS : 0,
+      );
+      const isFailed = answer === "failed";
+      await clock.sleep(isFailed ? this.#retryMs() : answeredMs, signal);
     }
   }
 
-  async #step(signal: AbortSignal): Promise<boolean> {
+  async #step(signal: AbortSignal): Promise<"direct" | "relayed" | "failed"> {
     const started = readMoment(this.#options.clock);
     try {
-      const batch = await this.#fetch();
-      if (signal.aborted) return true;
+      const fetched = await this.#fetch();
+      if (signal.aborted) return "direct";
       this.#recordSuccess();
       // An expired history says nothing about what is newest.
-      if (batch !== undefined) {
-        this.#onBatch.fire(batch);
-        if (batch.isComplete) this.#proof.renew(started);
+      if (fetched === undefined) return "direct";
+      const { batch, relay } = fetched;
+      if (relay !== undefined) this.#takeRecovery(relay.sinceRecoveryMs);
+      this.#onBatch.fire(batch);
+      if (batch.isComplete) {
+        this.#proof.renew(addMs(started, relay?.provenAfterMs ?? 0));
+        this.#onProof.fire();
       }
-      return true;
+      return relay === undefined ? "direct" : "relayed";
     } catch (error) {
       this.#recordFailure(error);
-      return false;
+      return "failed";
     }
   }
 
-  async #fetch(): Promise<KeyedBatch | undefined> {
+  /** An outage that another host saw counts as if this host had seen it. */
+  #takeRecovery(sinceRecoveryMs: number): void {
+    const recoveredMs = this.#options.clock.nowMs() - sinceRecoveryMs;
+    this.#recoveredMs = Math.max(this.#recoveredMs, recoveredMs);
+  }
+
+  async #fetch(): Promise<Fetched | undefined> {
     const { source, waitMs } = this.#options;
     if (this.#nextOffset === undefined) {
       const snapshot = await source.newest();
       this.#nextOffset = snapshot.nextOffset;
       // Pages are read one after the other; the next read tells what came between.
+      const { records, nextOffset } = snapshot;
       return {
-        isSnapshot: true,
-        isComplete: false,
-        records: snapshot.records,
+        batch: { isSnapshot: true, isComplete: false, records, nextOffset },
+        relay: undefined,
       };
     }
     // Out of touch, an answer at once is worth more than the next record.
@@ -133,10 +165,10 @@
       return undefined;
     }
     this.#nextOffset = read.nextOffset;
+    const { records, nextOffset, isComplete, relay } = read;
     return {
-      isSnapshot: false,
-      isComplete: read.isComplete,
-      records: read.records,
+      batch: { isSnapshot: false, isComplete, records, nextOffset },
+      relay,
     };
   }
 
--- a/src/feeds/proof_of_age.ts
+++ b/src/feeds/proof_of_age.ts
@@ -23,6 +23,11 @@
   return { nowMs: clock.nowMs(), wallMs: clock.wallMs() };
 }
 
+/** The moment `spanMs` later, on both clocks. */
+export function addMs(moment: Moment, spanMs: number): Moment {
+  return { nowMs: moment.nowMs + spanMs, wallMs: moment.wallMs + spanMs };
+}
+
 /** A proof that ages. */
 export class ProofOfAge {
   readonly #clock: Clock;
@@ -32,9 +37,12 @@
     this.#clock = clock;
   }
 
-  /** Takes a new proof, made at `moment`. */
+  /** Takes a new proof, made at `moment`; an older one than the present changes nothing. */
   renew(moment: Moment): void {
-    this.#proven = moment;
+    const present = this.#proven;
+    const isOlder = present !== undefined && this.ageMs !== Infinity &&
+      moment.nowMs < present.nowMs;
+    if (!isOlder) this.#proven = moment;
   }
 
   /** Infinite before the first proof and after one that can't be dated. */
--- a/src/peers/peer_link.ts
+++ b/src/peers/peer_link.ts
@@ -6,14 +6,22 @@
  * @module
  */
 
-import { createSocket, type Socket } from "node:dgram";
+import { createSocket, type RemoteInfo, type Socket } from "node:dgram";
 import type { Clock } from "../common/clock.ts";
 import { Emitter, type Event } from "../common/emitter.ts";
 import type { ILog } from "../common/logging.ts";
 import type { HostRecord } from "../ports/types.ts";
+import { decodeDatagram } from "./datagram.ts";
+import {
+  encodeLogAnswer,
+  encodeLogQuestion,
+  type LogAnswer,
+  type LogAnswerRead,
+  type LogQuestion,
+} from "./log_messages.ts";
 import {
-  decodePeerState,
   encodePeerState,
+  type HeardState,
   type PeerState,
 } from "./peer_state.ts";
 
@@ -29,6 +37,12 @@
   readonly heardMs: number;
 }
 
+/** A question of another host; `reply` is called once. */
+export interface AskedQuestion {
+  readonly question: LogQuestion;
+  readonly reply: (answer: LogAnswer) => void;
+}
+
 /** Options of the link. */
 export interface PeerLinkOptions {
   readonly host: HostRecord;
@@ -41,12 +55,18 @@
   readonly #options: PeerLinkOptions;
   readonly #peers = new Map<string, Peer>();
   readonly #onState = new Emitter<Peer>();
+  readonly #onQuestion = new Emitter<AskedQuestion>();
+  readonly #pending = new Map<number, (answer: LogAnswer) => void>();
+  #questions = 0;
   #socket: Socket | undefined;
   #host: HostRecord;
 
   /** Fires for each state that arrives. */
   readonly onState: Event<Peer> = this.#onState.event;
 
+  /** Fires for each question about a log. */
+  readonly onQuestion: Event<AskedQuestion> = this.#onQuestion.event;
+
   constructor(options: PeerLinkOptions) {
     this.#options = options;
     this.#host = options.host;
@@ -62,7 +82,7 @@
     const { host, log } = this.#options;
     const socket = createSocket("udp4");
     this.#socket = socket;
-    socket.on("message", (message) => this.#receive(message));
+    socket.on("message", (message, sender) => this.#receive(message, sender));
     return new Promise((resolve, reject) => {
       socket.once("error", reject);
       socket.bind(host.port, host.ip, () => {
@@ -114,13 +134,29 @@
         this.#peers.delete(id);
         continue;
       }
-      this.#socket?.send(datagram, peer.host.port, peer.host.ip, (error) => {
-        if (error) {
-          this.#options.log.debug("peer send failed", {
-            reason: String(error),
-          });
-        }
-      });
+      this.#sendTo(peer.host, datagram);
+    }
+  }
+
+  /** Undefined where the host can't tell, or no answer came within `timeoutMs`. */
+  async askLog(
+    host: HostRecord,
+    question: Omit<LogQuestion, "id">,
+    timeoutMs: number,
+  ): Promise<LogAnswerRead | undefined> {
+    const id = ++this.#questions;
+    const timer = new AbortController();
+    const answered = new Promise<LogAnswerRead | undefined>((resolve) => {
+      this.#pending.set(id, ({ read }) => resolve(read));
+      void this.#options.clock.sleep(timeoutMs, timer.signal)
+        .then(() => resolve(undefined));
+    });
+    this.#sendTo(host, encodeLogQuestion({ ...question, id }));
+    try {
+      return await answered;
+    } finally {
+      timer.abort();
+      this.#pending.delete(id);
     }
   }
 
@@ -129,15 +165,44 @@
     this.#socket = undefined;
   }
 
-  #receive(message: Buffer): void {
-    const heard = decodePeerState(message);
-    if (heard === undefined) {
-      this.#options.log.warn("peer datagram unreadable", {
-        bytes: message.length,
-      });
-      return;
+  #sendTo(
+    { ip, port }: Pick<HostRecord, "ip" | "port">,
+    datagram: Buffer,
+  ): void {
+    this.#socket?.send(datagram, port, ip, (error) => {
+      if (error) {
+        this.#options.log.debug("peer send failed", { reason: String(error) });
+      }
+    });
+  }
+
+  #receive(message: Buffer, sender: RemoteInfo): void {
+    const datagram = decodeDatagram(message);
+    switch (datagram?.kind) {
+      case "state":
+        this.#takeState(datagram.heard);
+        break;
+      case "question":
+        this.#onQuestion.fire({
+          question: datagram.question,
+          reply: (answer) =>
+            this.#sendTo(
+              { ip: sender.address, port: sender.port },
+              encodeLogAnswer(answer),
+            ),
+        });
+        break;
+      case "answer":
+        this.#pending.get(datagram.answer.id)?.(datagram.answer);
+        break;
+      default:
+        this.#options.log.warn("peer datagram unreadable", {
+          bytes: message.length,
+        });
     }
-    const { host, state } = heard;
+  }
+
+  #takeState({ host, state }: HeardState): void {
     const known = this.#peers.get(host.id);
     if (host.id === this.#options.host.id) return;
     if (known !== undefined && known.host.bornMs > host.bornMs) return;
--- a/src/peers/peer_state.ts
+++ b/src/peers/peer_state.ts
@@ -24,6 +24,8 @@
   readonly slowTargets: readonly (readonly [string, number])[] | undefined;
   /** May give orders: it is in touch with the store and not stopping. */
   readonly canLead: boolean;
+  /** Reads the store's logs and answers for them. */
+  readonly isReader: boolean;
 }
 
 /** A state with its sender. */
@@ -42,19 +44,15 @@
     q: state.silentTargets,
     w: state.slowTargets ?? null,
     l: state.canLead ? 1 : 0,
+    r: state.isReader ? 1 : 0,
   }));
 }
 
-/** Undefined where the bytes are no such datagram. */
-export function decodePeerState(datagram: Buffer): HeardState | undefined {
-  let value: unknown;
-  try {
-    value = JSON.parse(datagram.toString());
-  } catch {
-    return undefined;
-  }
-  if (typeof value !== "object" || value === null) return undefined;
-  const { h, n, u, q, w, l } = value as Record<string, unknown>;
+/** Undefined where the fields are not those of a state. */
+export function decodePeerState(
+  fields: Readonly<Record<string, unknown>>,
+): HeardState | undefined {
+  const { h, n, u, q, w, l, r } = fields;
   if (!Array.isArray(h) || !Array.isArray(u) || !Array.isArray(q)) {
     return undefined;
   }
@@ -74,6 +72,7 @@
       silentTargets: q.filter((target) => typeof target === "string"),
       slowTargets: Array.isArray(w) ? w.filter(isSlowTarget) : undefined,
       canLead: l === 1,
+      isReader: r === 1,
     },
   };
 }
--- a/src/peers/peer_state_test.ts
+++ b/src/peers/peer_state_test.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import { expect, test } from "vitest";
-import { decodePeerState, encodePeerState } from "./peer_state.ts";
+import { decodeDatagram } from "./datagram.ts";
+import { encodePeerState } from "./peer_state.ts";
 
 const HOST = { id: "h", domain: "a", ip: "10.0.0.1", port: 7340, bornMs: 5 };
 const STATE = {
@@ -9,12 +10,13 @@
   silentTargets: ["s"],
   slowTargets: [["w", 2.5]] as const,
   canLead: true,
+  isReader: true,
 };
 
 test("a state survives the way", () => {
-  expect(decodePeerState(encodePeerState(HOST, STATE))).toEqual({
-    host: HOST,
-    state: STATE,
+  expect(decodeDatagram(encodePeerState(HOST, STATE))).toEqual({
+    kind: "state",
+    heard: { host: HOST, state: STATE },
   });
 });
 
@@ -32,8 +34,10 @@
   );
   fc.assert(
     fc.property(datagrams, (datagram) => {
-      const heard = decodePeerState(datagram);
-      if (heard === undefined) return;
+      const decoded = decodeDatagram(datagram);
+      if (decoded === undefined) return;
+      if (decoded.kind !== "state") throw new Error(decoded.kind);
+      const { heard } = decoded;
       expect(heard.host.port).toBeGreaterThan(0);
       expect(heard.host.port).toBeLessThan(65_536);
     }),
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -243,9 +243,19 @@
     readonly nextOffset: number;
     /** The read reached the end of the log. */
     readonly isComplete: boolean;
+    /** Present where another host answered in the log's place. */
+    readonly relay?: RelayedRead;
   }
   | { readonly kind: "expired" };
 
+/** What another host told of its own reads of a log. */
+export interface RelayedRead {
+  /** From the call's start to the moment up to which all records are known. */
+  readonly provenAfterMs: number;
+  /** Time since the log's last return after an outage. */
+  readonly sinceRecoveryMs: number;
+}
+
 /** The newest record of each key, and where to read on. */
 export interface KeyedSnapshot {
   readonly records: readonly KeyedRecord[];
