Account for the pipes between failure domains when choosing paths

Its published figures: 42,268 bytes a token and step, a pipe of 2,100 Mbit/s, which is 6,200 tokens a second, some six requests of the 45 that come; a step into another domain had a fixed cost of 2.5 ms, as had a first target there, which sends nothing through the pipe. Change: paths/domain_pipes.ts keeps an account of what this host sends through each pipe, times the hosts; a step costs the delay, its transfer and the wait spread over the answer; a pipe with more than 1 s to carry gets no new request, one in progress may still cross. A first target elsewhere costs 0.5 ms.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -112,6 +112,7 @@
     this.#book = new TargetBook({ clock, log });
     this.#chooser = new PathChooser({
       book: this.#book,
+      clock,
       domain: settings.domain,
       hosts: () => this.#link.live().length + 1,
       random: this.#random,
--- a/src/paths/read_backlog.ts
+++ b/src/paths/backlog.ts
@@ -1,6 +1,7 @@
 /**
- * Time that a target still needs for the contexts which this host gave it to
- * read. Many requests change their path at the same moment when a target is
+ * Time for which something that serves one request after another is busy with
+ * what this host gave it: a target that reads contexts, a pipe between failure
+ * domains. Many requests change their path at the same moment when a target is
  * lost; the backlog spreads them over all that can take its place.
  *
  * @module
@@ -9,7 +10,7 @@
 import type { Clock } from "../common/clock.ts";
 
 /** A backlog that shrinks as time passes. */
-export class ReadBacklog {
+export class Backlog {
   readonly #clock: Clock;
   #endMs = -Infinity;
 
@@ -21,7 +22,7 @@
     return Math.max(0, this.#endMs - this.#clock.nowMs());
   }
 
-  add(readMs: number): void {
-    this.#endMs = Math.max(this.#endMs, this.#clock.nowMs()) + readMs;
+  add(workMs: number): void {
+    this.#endMs = Math.max(this.#endMs, this.#clock.nowMs()) + workMs;
   }
 }
--- a/src/paths/path_chooser.ts
+++ b/src/paths/path_chooser.ts
@@ -6,7 +6,9 @@
  * @module
  */
 
+import type { Clock } from "../common/clock.ts";
 import type { EngineFigures, PathStage } from "../ports/types.ts";
+import { DomainPipes, tokenTransferMs } from "./domain_pipes.ts";
 import { findPath, type FoundPath, type PathCandidate } from "./path_finder.ts";
 import type { Target } from "./target.ts";
 import type { TargetBook } from "./target_book.ts";
@@ -19,12 +21,17 @@
 const NOISE_SHARE = 0.15;
 /** Requests of a target that wait at another stage at any moment. */
 const BATCH_SHARE = 0.3;
+/** Time that the way between two failure domains adds to each token, without its pipe. */
+const FAR_DELAY_MS = 2;
+/** A pipe with more than this to carry takes no new request; it would be late at its first event. */
+const MAX_PIPE_WAIT_MS = 1_000;
 /** Tokens over which a delay before the next one is spread, about half an answer. */
 const SPREAD_TOKENS = 100;
 
 /** Options of a chooser. */
 export interface PathChooserOptions {
   readonly book: TargetBook;
+  readonly clock: Clock;
   readonly domain: string;
   /** Hosts that choose paths at the same time, this one included. */
   readonly hosts?: () => number;
@@ -55,10 +62,12 @@
   readonly #book: TargetBook;
   readonly #domain: string;
   readonly #hosts: () => number;
+  readonly #pipes: DomainPipes;
   readonly #random: () => number;
 
   constructor(options: PathChooserOptions) {
     this.#hosts = options.hosts ?? (() => 1);
+    this.#pipes = new DomainPipes({ clock: options.clock, hosts: this.#hosts });
     this.#book = options.book;
     this.#domain = options.domain;
     this.#random = options.random ?? Math.random;
@@ -74,10 +83,21 @@
       domain: this.#domain,
       firstStage: current?.[0],
       extraMs: current && this.#extraForReading(demand, current),
+      farHopMs: (from, to) => this.#farHopMs(from, to, demand),
     });
     return found && this.#reserve(found, demand);
   }
 
+  #farHopMs(from: string, to: string, demand: PathDemand): number {
+    const waitMs = this.#pipes.waitMs(from, to);
+    if (demand.current === undefined && waitMs > MAX_PIPE_WAIT_MS) {
+      return Infinity;
+    }
+    const tokenMs = tokenTransferMs(demand.figures);
+    const firstMs = waitMs + demand.tokens * tokenMs;
+    return FAR_DELAY_MS + tokenMs + firstMs / SPREAD_TOKENS;
+  }
+
   /** Whether any path exists, room or not. */
   hasPath(service: string, figures: EngineFigures): boolean {
     const candidates = this.#book.ofService(service).flatMap((target) =>
@@ -147,6 +167,12 @@
   #reserve(found: FoundPath, demand: PathDemand): ReservedPath {
     const { tokens } = demand;
     this.#addReading(found, demand);
+    this.#pipes.add({
+      stages: found.stages,
+      current: demand.current ?? [],
+      domainOf: (id) => this.#book.get(id)?.record.domain,
+      workMs: tokens * tokenTransferMs(demand.figures),
+    });
     const held = found.stages.map((stage) => ({
       target: this.#book.get(stage.targetId),
       tokenLayers: tokens * (stage.to - stage.from),
--- a/src/paths/path_chooser_test.ts
+++ b/src/paths/path_chooser_test.ts
@@ -19,6 +19,8 @@
   contextPerKiloTokenMs: 0.01,
   readTokensPerMs: 100,
   chunkTokens: 512,
+  activationBytes: 65_000,
+  domainPipeMbps: 26_000,
   loadMs: 1_000,
   loadsAtOnce: 5,
   usualPromptTokens: 800,
@@ -50,6 +52,7 @@
   );
   const chooser = new PathChooser({
     book,
+    clock,
     domain: "a",
     hosts: () => 9,
     random: () => 0.5,
@@ -146,3 +149,61 @@
   expect(Math.max(...counts)).toBeLessThanOrEqual(4);
   expect(counts.reduce((sum, count) => sum + count)).toBe(9);
 });
+
+/** A pipe that carries 6,000 tokens a second. */
+const NARROW: EngineFigures = { ...FIGURES, domainPipeMbps: 3_120 };
+const TWO_DOMAINS = [
+  { id: "a1", span: { from: 0, to: 10 } },
+  { id: "b1", span: { from: 0, to: 10 }, domain: "b" },
+  { id: "b2", span: { from: 10, to: 20 }, domain: "b" },
+];
+
+test("a whole path in another failure domain is taken rather than a narrow pipe", async () => {
+  const { chooser, clock } = bookOf(TWO_DOMAINS);
+  for (let i = 0; i < 20; i++) {
+    const path = chooser.choose({ ...demand, figures: NARROW });
+    expect(path?.stages.map(({ targetId }) => targetId)).toEqual(["b1", "b2"]);
+    path?.release();
+    await clock.advance(100);
+  }
+});
+
+test("a pipe is given as much as it carries, counted over all hosts", async () => {
+  const split = TWO_DOMAINS.filter(({ id }) => id !== "b1");
+  const { chooser, clock } = bookOf(split);
+  const crossing = { ...demand, figures: NARROW };
+  let sent = 0;
+  for (let i = 0; i < 300; i++) {
+    const path = chooser.choose(crossing);
+    if (path !== undefined) sent++;
+    path?.release();
+    await clock.advance(100);
+  }
+  // 30 s of 6,000 tokens a second, shared by nine hosts, for requests of 1,000.
+  expect(sent).toBeGreaterThanOrEqual(18);
+  expect(sent).toBeLessThanOrEqual(22);
+});
+
+test("a request in progress crosses a full pipe where that is its only way", () => {
+  const { chooser } = bookOf([
+    ...TWO_DOMAINS.filter(({ id }) => id !== "b1"),
+    { id: "a2", span: { from: 10, to: 20 } },
+  ]);
+  const crossing = { ...demand, figures: NARROW };
+  const path = chooser.choose(crossing);
+  expect(path?.stages[1].targetId).toBe("a2");
+  const excluded = new Set(["a2"]);
+  while (chooser.choose({ ...crossing, excluded }) !== undefined);
+  const next = chooser.choose({ ...crossing, excluded, current: path?.stages });
+  expect(next?.stages[1].targetId).toBe("b2");
+});
+
+test("a first target in another failure domain is no reason for a slower path", () => {
+  const { chooser } = bookOf([
+    { id: "a1", span: { from: 0, to: 10 }, kind: "slow" },
+    { id: "a2", span: { from: 10, to: 20 }, kind: "slow" },
+    ...TWO_DOMAINS.slice(1),
+  ]);
+  expect(chooser.choose(demand)?.stages.map(({ targetId }) => targetId))
+    .toEqual(["b1", "b2"]);
+});
--- a/src/paths/path_finder.ts
+++ b/src/paths/path_finder.ts
@@ -11,8 +11,10 @@
 
 /** Time that a step to another target of the same failure domain adds to each token. */
 const NEAR_HOP_MS = 0.4;
-/** The same into another failure domain: the delay, and a share of the pipe between them. */
+/** The same into another failure domain where nothing is known of the way. */
 const FAR_HOP_MS = 2.5;
+/** What a first target in another failure domain adds: events carry several tokens. */
+const FAR_LEAD_MS = 0.5;
 /** Search again without a target that the best path would visit twice. */
 const MAX_SEARCHES = 4;
 /** Most stages that a path may have on the wire. */
@@ -38,6 +40,8 @@
   readonly domain: string;
   /** Stage that the path must begin with, where a request in progress moves. */
   readonly firstStage?: PathStage;
+  /** Time that a step into another failure domain adds to each token. */
+  readonly farHopMs?: (from: string, to: string) => number;
   /** Extra cost of a layer on a target, for instance for what it would have to read again. */
   readonly extraMs?: (targetId: string, layer: number) => number;
 }
@@ -88,7 +92,8 @@
         (search.extraMs?.(candidate.id, layer) ?? 0);
       if (cheapest === undefined) {
         if (candidate.canLead) {
-          next[k] = ownMs + hopMs(search.domain, candidate.domain);
+          const isFar = candidate.domain !== search.domain;
+          next[k] = ownMs + (isFar ? FAR_LEAD_MS : 0);
         }
         continue;
       }
@@ -98,7 +103,7 @@
       from[k] = k;
       if (isMoving) {
         for (const [domain, cheap] of cheapest) {
-          const costMs = cheap.costMs + hopMs(domain, candidate.domain);
+          const costMs = cheap.costMs + hopMs(search, domain, candidate.domain);
           if (costMs < bestMs) {
             bestMs = costMs;
             from[k] = cheap.index;
@@ -162,8 +167,9 @@
   return cheapest;
 }
 
-function hopMs(from: string, to: string): number {
-  return from === to ? NEAR_HOP_MS : FAR_HOP_MS;
+function hopMs({ farHopMs }: PathSearch, from: string, to: string): number {
+  if (from === to) return NEAR_HOP_MS;
+  return farHopMs?.(from, to) ?? FAR_HOP_MS;
 }
 
 function indexOfLeast(costs: readonly number[]): number {
--- a/src/paths/target.ts
+++ b/src/paths/target.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Clock } from "../common/clock.ts";
-import { ReadBacklog } from "./read_backlog.ts";
+import { Backlog } from "./backlog.ts";
 import type { Span, TargetRecord, TargetReport } from "../ports/types.ts";
 
 /** Weight of the newest outcome in the share of failures. */
@@ -46,7 +46,7 @@
   /** Another host says that it does not answer; told again while that is so. */
   doubtedUntilMs = -Infinity;
   /** Time until the contexts are read that this host sent there. */
-  readonly reading: ReadBacklog;
+  readonly reading: Backlog;
   /** Over 1: slower than its kind. */
   slowness = 1;
   isGone = false;
@@ -59,7 +59,7 @@
     this.record = options.record;
     this.span = options.record.span;
     this.#clock = options.clock;
-    this.reading = new ReadBacklog(options.clock);
+    this.reading = new Backlog(options.clock);
   }
 
   get id(): string {
--- a/src/placement/placement_keeper_test.ts
+++ b/src/placement/placement_keeper_test.ts
@@ -24,6 +24,8 @@
   contextPerKiloTokenMs: 0,
   readTokensPerMs: 100,
   chunkTokens: 512,
+  activationBytes: 65_000,
+  domainPipeMbps: 26_000,
   loadMs: 1_000,
   loadsAtOnce: 5,
   usualPromptTokens: 100,
--- a/src/placement/placement_plan_test.ts
+++ b/src/placement/placement_plan_test.ts
@@ -19,6 +19,8 @@
   contextPerKiloTokenMs: 0.0137,
   readTokensPerMs: 105,
   chunkTokens: 512,
+  activationBytes: 65_000,
+  domainPipeMbps: 26_000,
   loadMs: 14_000,
   loadsAtOnce: 5,
   usualPromptTokens: 774,
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -69,6 +69,10 @@
   readonly readTokensPerMs: number;
   /** Most prompt tokens that are read in one step. */
   readonly chunkTokens: number;
+  /** Bytes that a step to the next target of a path moves for each token. */
+  readonly activationBytes: number;
+  /** Rate of the pipe between two failure domains, which all steps share; Infinity where none is told. */
+  readonly domainPipeMbps: number;
   /** Time to load the whole model. */
   readonly loadMs: number;
   readonly loadsAtOnce: number;
