Ask sound stages of a stream that stands still less and less often

Ruled out: reusing answers for longer, which delays finding a silent stage. Change: each question without a finding doubles the pause, up to 400 ms; an event resets it, and a stage that others find silent is still left at once. Measured: vitest src/forward and platform, passed; the first of the two new tests fails without the change.

--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -27,8 +27,10 @@
 const SUSPECT_OVERDUE_MS = 50;
 /** The first target names what a request waits for some hundred milliseconds later. */
 const STALLED_OVERDUE_MS = 350;
-/** Pause between questions about one stream. */
+/** Pause after the first question about one stream. */
 const ASK_AGAIN_MS = 100;
+/** Longest pause; each question that finds no fault doubles it, since the stages are just busy. */
+const MAX_ASK_AGAIN_MS = 400;
 /** Pause between tries to leave a stage that still works. */
 const LEAVE_AGAIN_MS = 500;
 /** A report is due within this time. */
@@ -87,6 +89,8 @@
   #progressMs: number;
   #askAgainMs = 0;
   #meanGapMs = 0;
+  /** Questions without a finding since the last event. */
+  #vainAsks = 0;
   #hasEvents = false;
   #hasTriedUrgent = false;
   #hasLeftSlow = false;
@@ -160,6 +164,7 @@
     }
     this.#hasEvents = true;
     this.#hasTriedUrgent = false;
+    this.#vainAsks = 0;
     this.#progressMs = nowMs;
   }
 
@@ -188,13 +193,16 @@
       });
     }).finally(() => {
       this.#isAsking = false;
-      const pauseMs = found === undefined || isUrgent
-        ? ASK_AGAIN_MS
-        : LEAVE_AGAIN_MS;
+      const isLeaving = found !== undefined && !isUrgent;
+      const pauseMs = isLeaving ? LEAVE_AGAIN_MS : this.#askPauseMs;
       this.#askAgainMs = this.#options.context.clock.nowMs() + pauseMs;
     });
   }
 
+  get #askPauseMs(): number {
+    return Math.min(MAX_ASK_AGAIN_MS, ASK_AGAIN_MS * 2 ** this.#vainAsks);
+  }
+
   get #overdueMs(): number {
     if (!this.#hasEvents) return FIRST_EVENT_OVERDUE_MS;
     return Math.min(
@@ -239,6 +247,7 @@
       this.#giveUp(`no event for ${Math.round(gapMs)} ms`);
       return;
     }
+    this.#vainAsks++;
     context.metrics.count("jackdawshift_slow_events_total");
     if (gapMs < STALLED_OVERDUE_MS) return;
     context.log.info("event overdue", {
--- /dev/null
+++ b/src/forward/stream_relay_test.ts
@@ -0,0 +1,138 @@
+import { expect, test } from "vitest";
+import { ManualClock } from "../../test/manual_clock.ts";
+import { LightMetrics } from "../common/light_metrics.ts";
+import { silentLog } from "../common/logging.ts";
+import { PathChooser } from "../paths/path_chooser.ts";
+import { TargetBook } from "../paths/target_book.ts";
+import type { EngineFigures } from "../ports/types.ts";
+import type { CallContext } from "./context.ts";
+import { StreamRelay } from "./stream_relay.ts";
+import { StreamWatch } from "./stream_watch.ts";
+
+const FIGURES: EngineFigures = {
+  layers: 8,
+  layerMb: 100,
+  kvBytesPerToken: 80_000,
+  slots: 64,
+  stepMs: 1,
+  perSequenceMs: 0,
+  contextPerKiloTokenMs: 0,
+  readTokensPerMs: 100,
+  chunkTokens: 512,
+  activationBytes: 0,
+  domainPipeMbps: Infinity,
+  loadMs: 1_000,
+  loadsAtOnce: 5,
+  usualPromptTokens: 100,
+  usualAnswerTokens: 20,
+  kinds: new Map([["small", {
+    name: "small",
+    memoryMb: 900,
+    paceFactor: 1,
+    readFactor: 1,
+  }]]),
+};
+
+/** A stream over two targets that sends no event; a third could take the second's place. */
+function quietStream() {
+  const clock = new ManualClock();
+  const book = new TargetBook({ clock, log: silentLog });
+  const halves = [["a", 0, 4], ["b", 4, 8], ["c", 4, 8]] as const;
+  halves.forEach(([id, from, to], index) =>
+    book.put({
+      id,
+      service: "s",
+      address: `10.0.0.1:${index + 1}`,
+      domain: "d",
+      state: "ready",
+      bornMs: 0,
+      kind: "small",
+      span: { from, to },
+    })
+  );
+  const asked: number[] = [];
+  const moved: string[] = [];
+  const chooser = new PathChooser({
+    book,
+    clock,
+    domain: "d",
+    random: () => 0,
+  });
+  const context = {
+    clock,
+    log: silentLog,
+    metrics: new LightMetrics(),
+    book,
+    chooser,
+    checker: {
+      check: () => {
+        asked.push(clock.nowMs());
+        return Promise.resolve();
+      },
+    },
+    control: {
+      report: () =>
+        Promise.resolve({
+          bornMs: 0,
+          orderSeq: 0,
+          isBusy: false,
+          kind: "small",
+          span: { from: 0, to: 4 },
+          slowness: 1,
+          active: 1,
+          queued: 0,
+          usedTokenLayers: 0,
+          totalTokenLayers: 0,
+          stalled: [],
+        }),
+      repath: (_first: unknown, _id: string, path: { targetId: string }[]) => {
+        moved.push(path.map(({ targetId }) => targetId).join(","));
+        return Promise.resolve({ kind: "begun" });
+      },
+    },
+    watch: new StreamWatch({ clock, onLook: () => {} }),
+  } as unknown as CallContext;
+  const demand = { service: "s", figures: FIGURES, tokens: 100 };
+  const path = chooser.choose(demand);
+  if (path === undefined) throw new Error("no path");
+  const relay = new StreamRelay({
+    context,
+    ...demand,
+    requestId: "r",
+    path,
+    abort: () => {},
+    mayGiveUp: () => false,
+    onPath: () => {},
+  });
+  const lookFor = async (spanMs: number) => {
+    for (let leftMs = spanMs; leftMs > 0; leftMs -= 10) {
+      await clock.advance(10);
+      relay.look(clock.nowMs());
+      await clock.advance(0);
+    }
+  };
+  return { asked, moved, book, clock, relay, lookFor, path };
+}
+
+test("sound stages of a stream that stands still are asked less and less often", async () => {
+  const { asked, moved, lookFor, relay } = quietStream();
+  await lookFor(4_000);
+  const pausesMs = asked.slice(1).map((atMs, index) => atMs - asked[index]);
+  expect(Math.min(...pausesMs.slice(3))).toBeGreaterThanOrEqual(400);
+  expect(asked.length).toBeLessThanOrEqual(13);
+  expect(moved).toEqual([]);
+  relay.dispose();
+});
+
+test("a stage that turns out silent is left at once, however long the pause", async () => {
+  const { moved, lookFor, book, path, relay, asked } = quietStream();
+  await lookFor(2_000);
+  const [, second] = path.stages;
+  const before = asked.length;
+  book.get(second.targetId)?.markSilent();
+  await lookFor(30);
+  expect(asked.length).toBe(before);
+  const other = second.targetId === "b" ? "c" : "b";
+  expect(moved).toEqual([`a,${other}`]);
+  relay.dispose();
+});
