Soak the platform's program in troubles drawn from seeds

Change: soak/ starts four hosts as processes on loopback addresses of their own, fifteen servers and the store behind proxies that delay, swallow, cut and reset, and callers behind a balancer; a schedule drawn from the seed kills, stops, pauses and reloads hosts, makes their wall clock jump, and troubles servers, store and keys.

--- /dev/null
+++ b/soak/back_ends.ts
@@ -0,0 +1,163 @@
+/**
+ * The store and the servers of a soak, each behind a proxy, and the records
+ * that servers keep in the store.
+ *
+ * @module
+ */
+
+import {
+  defaultConfig,
+  MODEL_SERVICE,
+  PLAIN_SERVICE,
+} from "../standins/users_platform/deployment.ts";
+import { ModelServer } from "../standins/users_platform/model_server.ts";
+import { StoreStandin } from "../standins/users_platform/store_standin.ts";
+import { CONFIG_TOPIC, TARGET_TOPIC } from "../platform/store_client.ts";
+import { LoopbackProxy } from "./loopback_proxy.ts";
+import {
+  BOUNDS,
+  CUSTOMER_KEYS,
+  DOMAINS,
+  MODEL_SERVERS,
+  PLAIN_SERVERS,
+} from "./settings.ts";
+import type { Interval } from "./types.ts";
+
+/** Servers write their records this often. */
+const HEARTBEAT_MS = 500;
+const EVENT_GAP_MS = 10;
+
+/** A server and the proxy that stands before it. */
+export interface BackEnd {
+  readonly server: ModelServer;
+  readonly proxy: LoopbackProxy;
+  /** Not in the store's list. */
+  isAbsent: boolean;
+}
+
+/** Everything that the hosts talk to. */
+export class BackEnds {
+  readonly store = new StoreStandin();
+  readonly servers: BackEnd[] = [];
+  readonly revocations: Interval[] = [];
+  readonly absences: (Interval & { readonly serverId: string })[] = [];
+  #storeProxy: LoopbackProxy | undefined;
+  #heartbeat: NodeJS.Timeout | undefined;
+  #version = 1;
+  #revokedMs: number | undefined;
+
+  async start(): Promise<void> {
+    await this.store.listen();
+    this.#storeProxy = new LoopbackProxy(this.store.address);
+    await this.#storeProxy.listen();
+    for (let i = 0; i < MODEL_SERVERS + PLAIN_SERVERS; i++) {
+      const isModel = i < MODEL_SERVERS;
+      const server = new ModelServer({
+        id: `${isModel ? "model" : "plain"}-${i}`,
+        service: isModel ? MODEL_SERVICE : PLAIN_SERVICE,
+        domain: DOMAINS[i % DOMAINS.length],
+        ...(isModel
+          ? { kind: "small", events: BOUNDS.events, eventGapMs: EVENT_GAP_MS }
+          : {}),
+      });
+      await server.listen();
+      const proxy = new LoopbackProxy(server.address);
+      await proxy.listen();
+      this.servers.push({ server, proxy, isAbsent: false });
+    }
+    this.writeConfig();
+    this.#register();
+    this.#heartbeat = setInterval(() => this.#register(), HEARTBEAT_MS);
+  }
+
+  get storeProxy(): LoopbackProxy {
+    if (this.#storeProxy === undefined) throw new Error("not started");
+    return this.#storeProxy;
+  }
+
+  get arePlaced(): boolean {
+    return this.servers.slice(0, MODEL_SERVERS).every(({ server }) =>
+      server.span !== undefined
+    );
+  }
+
+  get activeStreams(): number {
+    return this.servers.reduce(
+      (sum, { server }) => sum + server.activeStreams,
+      0,
+    );
+  }
+
+  /** Writes a newer configuration. */
+  writeConfig(): void {
+    const keys = Object.entries(CUSTOMER_KEYS).filter(([name]) =>
+      name !== "second" || this.#revokedMs === undefined
+    );
+    this.store.put(CONFIG_TOPIC, "config", {
+      ...defaultConfig(this.#version++),
+      tenants: keys.map(([name, key]) => ({
+        name,
+        "api-keys": [key],
+        priority: 1,
+      })),
+    });
+  }
+
+  revoke(): void {
+    if (this.#revokedMs !== undefined) return;
+    this.#revokedMs = performance.now();
+    this.writeConfig();
+  }
+
+  restoreKey(): void {
+    if (this.#revokedMs === undefined) return;
+    const startMs = this.#revokedMs;
+    this.#revokedMs = undefined;
+    this.revocations.push({ startMs, endMs: performance.now() });
+    this.writeConfig();
+  }
+
+  /** Takes a server out of the list for some time, first as leaving. */
+  async leave(backEnd: BackEnd, awayMs: number): Promise<void> {
+    if (backEnd.isAbsent) return;
+    const { server } = backEnd;
+    const startMs = performance.now();
+    this.#put(backEnd, { state: "draining" });
+    backEnd.isAbsent = true;
+    await wait(awayMs / 3);
+    this.store.put(TARGET_TOPIC, server.id, undefined);
+    await wait(awayMs * 2 / 3);
+    backEnd.isAbsent = false;
+    const endMs = performance.now();
+    this.absences.push({ startMs, endMs, serverId: server.id });
+    this.#put(backEnd);
+  }
+
+  dispose(): void {
+    clearInterval(this.#heartbeat);
+    for (const { server, proxy } of this.servers) {
+      proxy.dispose();
+      server.close();
+    }
+    this.#storeProxy?.dispose();
+    this.store.close();
+  }
+
+  #register(): void {
+    for (const backEnd of this.servers) {
+      if (!backEnd.isAbsent) this.#put(backEnd);
+    }
+  }
+
+  #put({ server, proxy }: BackEnd, more: Record<string, unknown> = {}): void {
+    this.store.put(TARGET_TOPIC, server.id, {
+      ...server.entry,
+      address: proxy.address,
+      ...more,
+    });
+  }
+}
+
+function wait(waitMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, waitMs));
+}
--- /dev/null
+++ b/soak/loopback_proxy.ts
@@ -0,0 +1,78 @@
+/**
+ * A proxy on the loopback interface that can delay, swallow, cut and reset
+ * what passes.
+ *
+ * @module
+ */
+
+import { connect, createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+
+/** Passes connections on to one address. */
+export class LoopbackProxy {
+  readonly #target: string;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  /** Added to each piece of data, both ways. */
+  delayMs = 0;
+  /** Nothing passes, either way; connections stay open. */
+  isSilent = false;
+  /** What comes back is lost; requests arrive. */
+  areAnswersLost = false;
+
+  constructor(target: string) {
+    this.#target = target;
+    this.#server = createServer((inner) => this.#take(inner));
+  }
+
+  get address(): string {
+    const { address, port } = this.#server.address() as AddressInfo;
+    return `${address}:${port}`;
+  }
+
+  listen(): Promise<void> {
+    return new Promise((resolve) =>
+      this.#server.listen(0, "127.0.0.1", resolve)
+    );
+  }
+
+  /** Resets all connections. */
+  reset(): void {
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+  }
+
+  dispose(): void {
+    this.reset();
+    this.#server.close();
+  }
+
+  #take(inner: Socket): void {
+    const [host, port] = this.#target.split(":");
+    const outer = connect({ host, port: Number(port) });
+    this.#join(inner, outer, () => this.isSilent);
+    this.#join(outer, inner, () => this.isSilent || this.areAnswersLost);
+  }
+
+  #join(from: Socket, to: Socket, isLost: () => boolean): void {
+    this.#sockets.add(from);
+    from.setNoDelay(true);
+    const pass = (act: () => void): void => {
+      if (this.delayMs === 0) act();
+      else setTimeout(act, this.delayMs);
+    };
+    let hasLost = false;
+    from.on("data", (chunk) => {
+      // A gap in the bytes would be no fault that a network makes.
+      hasLost ||= isLost();
+      if (!hasLost) pass(() => to.destroyed || to.write(chunk));
+    });
+    from.on("end", () => {
+      if (!hasLost) pass(() => to.end());
+    });
+    from.on("error", () => to.resetAndDestroy());
+    from.on("close", () => {
+      this.#sockets.delete(from);
+      pass(() => to.destroySoon());
+    });
+  }
+}
--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,65 @@
+/**
+ * Soaks the platform's program in troubles drawn from seeds.
+ *
+ *   npm run soak -- --seed 7             one seed, with its schedule
+ *   npm run soak -- --seed 1 --seeds 50  one after the other
+ *   npm run soak -- --minutes 10         fresh seeds for some time
+ *
+ * @module
+ */
+
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { type SoakOutcome, SoakRun } from "./soak_run.ts";
+
+const DEFAULT_TROUBLE_S = 10;
+const MAX_SEED = 2 ** 31;
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: "string" },
+    seeds: { type: "string" },
+    minutes: { type: "string" },
+    "trouble-s": { type: "string" },
+  },
+});
+const firstSeed = needCount("seed") ?? Math.floor(Math.random() * MAX_SEED);
+const seeds = needCount("seeds") ??
+  (values.minutes === undefined ? 1 : Infinity);
+const minutes = needCount("minutes") ?? Infinity;
+const troubleMs = (needCount("trouble-s") ?? DEFAULT_TROUBLE_S) * 1_000;
+const endMs = performance.now() + minutes * 60_000;
+
+let failed = 0;
+let played = 0;
+for (let i = 0; i < seeds && performance.now() < endMs; i++) {
+  const outcome = await new SoakRun({ seed: firstSeed + i, troubleMs }).run();
+  played++;
+  if (outcome.broken.length > 0) failed++;
+  print(outcome, seeds === 1);
+}
+console.log(`${played} seeds, ${failed} with a broken promise`);
+process.exit(failed === 0 ? 0 : 1);
+
+function print(outcome: SoakOutcome, isAlone: boolean): void {
+  const { seed, attempts, complete, broken, schedule, folder } = outcome;
+  console.log(
+    `seed ${seed}: ${attempts} requests, ${complete} complete, ` +
+      `${schedule.length} troubles, ${broken.length} broken`,
+  );
+  if (!isAlone && broken.length === 0) return;
+  for (const { kind, index, startMs, endMs } of schedule) {
+    console.log(`  ${startMs} to ${endMs} ms: ${kind} ${index}`);
+  }
+  for (const line of broken) console.log(`  BROKEN ${line}`);
+  if (broken.length > 0) console.log(`  logs in ${folder}`);
+}
+
+function needCount(name: keyof typeof values): number | undefined {
+  const text = values[name];
+  if (text === undefined) return undefined;
+  const count = Number(text);
+  if (Number.isSafeInteger(count) && count >= 0) return count;
+  console.error(`--${name}: "${text}" is not a whole number from 0 on`);
+  process.exit(2);
+}
--- /dev/null
+++ b/soak/schedule.ts
@@ -0,0 +1,54 @@
+/**
+ * Draws the troubles of a run from its seed. Pure: the same options give the
+ * same schedule.
+ *
+ * @module
+ */
+
+import { seededRandom } from "../src/common/random.ts";
+import type { Fault, FaultKind, ScheduleOptions } from "./types.ts";
+
+/** Shortest and longest time that a kind of trouble lasts. */
+const SPANS_MS: Readonly<Record<FaultKind, readonly [number, number]>> = {
+  "host-kill": [300, 1_500],
+  "host-stop": [300, 1_500],
+  "host-pause": [200, 4_000],
+  "host-reload": [0, 0],
+  "host-clock-jump": [0, 0],
+  "server-silent": [300, 4_000],
+  "server-reset": [0, 0],
+  "server-delay": [500, 3_000],
+  "server-answers-lost": [300, 3_000],
+  "server-errors": [300, 3_000],
+  "server-refuses": [300, 3_000],
+  "server-cuts": [300, 3_000],
+  "server-leaves": [3_000, 6_000],
+  "store-silent": [300, 6_000],
+  "store-busy": [300, 3_000],
+  "store-reset": [300, 3_000],
+  "store-delay": [500, 3_000],
+  "key-revoked": [7_000, 9_000],
+  "config-written": [0, 0],
+};
+const KINDS = Object.keys(SPANS_MS) as FaultKind[];
+
+/** Mean time between the starts of two troubles; most last longer, so that they overlap. */
+const MEAN_PAUSE_MS = 600;
+
+/** Troubles in the order of their starts. */
+export function drawSchedule(options: ScheduleOptions): Fault[] {
+  const random = seededRandom(options.seed);
+  const draw = (from: number, to: number) =>
+    from + Math.floor(random() * (to - from + 1));
+  const faults: Fault[] = [];
+  let startMs = draw(0, MEAN_PAUSE_MS);
+  while (startMs < options.troubleMs) {
+    const kind = KINDS[draw(0, KINDS.length - 1)];
+    const [leastMs, mostMs] = SPANS_MS[kind];
+    const endMs = Math.min(options.troubleMs, startMs + draw(leastMs, mostMs));
+    const count = kind.startsWith("host-") ? options.hosts : options.servers;
+    faults.push({ kind, startMs, endMs, index: draw(0, count - 1) });
+    startMs += draw(0, 2 * MEAN_PAUSE_MS);
+  }
+  return faults;
+}
--- a/standins/users_platform/deployment.ts
+++ b/standins/users_platform/deployment.ts
@@ -157,7 +157,8 @@
   };
 }
 
-function defaultConfig(version: number): Record<string, unknown> {
+/** A configuration for the services above. */
+export function defaultConfig(version: number): Record<string, unknown> {
   const common = {
     host: HOST_NAME,
     "timeout-ms": 4_000,
--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -46,6 +46,13 @@
   readonly body: string;
 }
 
+/** A request that the server began to run. */
+export interface StartedRun {
+  readonly requestId: string;
+  /** On the monotonic clock of the process. */
+  readonly atMs: number;
+}
+
 interface RunningStream {
   readonly response: ServerResponse;
   readonly requestId: string;
@@ -72,6 +79,7 @@
   span: { from: number; to: number } | undefined;
   seq = 0;
   readonly seen: SeenRequest[] = [];
+  readonly runs: StartedRun[] = [];
   readonly orders: Record<string, unknown>[] = [];
   /** Requests whose connection closed before their answer was whole. */
   cancelled = 0;
@@ -87,6 +95,11 @@
     return this.#options.id;
   }
 
+  /** Streams whose answer is not over. */
+  get activeStreams(): number {
+    return this.#streams.size;
+  }
+
   get address(): string {
     const { port } = this.#server.address() as AddressInfo;
     return `127.0.0.1:${port}`;
@@ -192,7 +205,10 @@
       if (!response.writableFinished) this.cancelled++;
       this.#streams.delete(requestId);
     });
-    if (mode === "hang") return;
+    if (mode === "hang") {
+      this.#recordRun(requestId);
+      return;
+    }
     if (mode === "shed" || this.shedNext > 0) {
       this.shedNext = Math.max(0, this.shedNext - 1);
       response.writeHead(503, {
@@ -201,6 +217,7 @@
       }).end();
       return;
     }
+    this.#recordRun(requestId);
     if (mode === "error") {
       response.writeHead(500, this.#marks(requestId)).end("failed");
       return;
@@ -231,6 +248,10 @@
     response.writeHead(200, headers).end(`answer of ${this.id}`);
   }
 
+  #recordRun(requestId: string): void {
+    this.runs.push({ requestId, atMs: performance.now() });
+  }
+
   #stream(
     request: IncomingMessage,
     requestId: string,
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,7 @@
 
 export default defineConfig({
   test: {
-    include: ["{src,platform,standins,measure,test}/**/*_test.ts"],
+    include: ["{src,platform,standins,measure,test,soak}/**/*_test.ts"],
     testTimeout: 30_000,
     hookTimeout: 30_000,
     reporters: ["default"],
