Name src/clients for what it holds

Cause: src/platform held the clients of the product's own services, and its name stood for the users' platform too, which platform/ alone meets. Measured: types, vitest src/clients, src/daemon, src/tool and the tests of layers and of the API page: 198 passed.

--- a/measure/chains/fakes.ts
+++ b/measure/chains/fakes.ts
@@ -10,7 +10,7 @@
 import type { Clock } from "../../src/common/clock.ts";
 import type { Random } from "../../src/common/random.ts";
 import type { ConfigDocument } from "../../src/config/schema.ts";
-import type { ChainStage, EngineState } from "../../src/platform/types.ts";
+import type { ChainStage, EngineState } from "../../src/clients/types.ts";
 import { TargetDirectory } from "../../src/pipelines/target_directory.ts";
 
 const WALL_OFFSET_MS = 1_700_000_000_000;
--- a/measure/chains/token_engines.ts
+++ b/measure/chains/token_engines.ts
@@ -11,12 +11,12 @@
 import type { Clock } from "../../src/common/clock.ts";
 import type { Random } from "../../src/common/random.ts";
 import { mayHaveRun, notRun, type Outcome } from "../../src/common/verdict.ts";
-import type { IEngineClient } from "../../src/platform/services.ts";
+import type { IEngineClient } from "../../src/clients/services.ts";
 import {
   chainSignature,
   type EngineEnd,
   type GenerateRequest,
-} from "../../src/platform/types.ts";
+} from "../../src/clients/types.ts";
 
 const TOKEN_MS = 30;
 const TOKEN_JITTER = 0.3;
--- a/measure/chains_flow.ts
+++ b/measure/chains_flow.ts
@@ -7,7 +7,7 @@
 
 import { seededRandom } from "../src/common/random.ts";
 import { ChainPicker } from "../src/pipelines/chain_picker.ts";
-import type { ChainStage } from "../src/platform/types.ts";
+import type { ChainStage } from "../src/clients/types.ts";
 import {
   EventQueue,
   FakeFleet,
--- a/measure/chains_subset.ts
+++ b/measure/chains_subset.ts
@@ -23,7 +23,7 @@
 import { TargetSubset } from "../src/pipelines/target_subset.ts";
 import { TargetWatcher } from "../src/pipelines/target_watcher.ts";
 import { WatchAssignment } from "../src/pipelines/watch_assignment.ts";
-import type { EngineState } from "../src/platform/types.ts";
+import type { EngineState } from "../src/clients/types.ts";
 import { EventQueue, printTable, quantileOf } from "./chains/fakes.ts";
 
 const SEED = 515;
--- a/measure/host_tokens.ts
+++ b/measure/host_tokens.ts
@@ -7,7 +7,7 @@
  */
 
 import got from "got";
-import { chainSignature } from "../src/platform/types.ts";
+import { chainSignature } from "../src/clients/types.ts";
 import {
   LocalFleet,
   type LocalHost,
--- a/measure/platform_client.ts
+++ b/measure/platform_client.ts
@@ -18,8 +18,8 @@
 import process from "node:process";
 import { fileURLToPath } from "node:url";
 import { systemClock } from "../src/common/clock.ts";
-import { EngineClient } from "../src/platform/engine_client.ts";
-import { HttpClient } from "../src/platform/http_client.ts";
+import { EngineClient } from "../src/clients/engine_client.ts";
+import { HttpClient } from "../src/clients/http_client.ts";
 
 const SELF = fileURLToPath(import.meta.url);
 /** Tokens a second that one host carries at the letter's size. */
--- a/measure/requests_tokens.ts
+++ b/measure/requests_tokens.ts
@@ -10,12 +10,12 @@
 import { Ok } from "ts-results-es";
 import type { Outcome } from "../src/common/verdict.ts";
 import type { IChainPicker } from "../src/pipelines/services.ts";
-import type { IEngineClient, TokenListener } from "../src/platform/services.ts";
+import type { IEngineClient, TokenListener } from "../src/clients/services.ts";
 import {
   chainSignature,
   type ChainStage,
   type EngineEnd,
-} from "../src/platform/types.ts";
+} from "../src/clients/types.ts";
 import { CompletionService } from "../src/requests/completion_service.ts";
 import { RequestJournal } from "../src/requests/request_journal.ts";
 import { NO_QUARANTINE, pipelineConfig } from "../test/requests_completions.ts";
--- a/src/config/config_holder.ts
+++ b/src/config/config_holder.ts
@@ -13,7 +13,7 @@
 
 import { type Clock, systemClock } from "../common/clock.ts";
 import { Emitter } from "../common/emitter.ts";
-import type { LogRecord } from "../platform/types.ts";
+import type { LogRecord } from "../clients/types.ts";
 import { ConfigLedger } from "./ledger.ts";
 import type { LedgerSnapshot } from "./records.ts";
 import type { AuditEntry, ConfigState } from "./types.ts";
--- a/src/config/config_rounds.ts
+++ b/src/config/config_rounds.ts
@@ -14,7 +14,7 @@
 import { type Clock, systemClock } from "../common/clock.ts";
 import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
 import type { Random } from "../common/random.ts";
-import type { LogRecord } from "../platform/types.ts";
+import type { LogRecord } from "../clients/types.ts";
 import type { ConfigHolder } from "./config_holder.ts";
 import {
   type CallPeer,
--- a/src/config/config_service.ts
+++ b/src/config/config_service.ts
@@ -16,8 +16,8 @@
   notRun,
   type Outcome,
 } from "../common/verdict.ts";
-import type { ILogClient } from "../platform/services.ts";
-import type { LogEntry } from "../platform/types.ts";
+import type { ILogClient } from "../clients/services.ts";
+import type { LogEntry } from "../clients/types.ts";
 import { ConfigHolder } from "./config_holder.ts";
 import { ConfigRounds, type ConfigRoundsOptions } from "./config_rounds.ts";
 import { LogFollower, type SnapshotPolicy } from "./log_follower.ts";
--- a/src/config/ledger.ts
+++ b/src/config/ledger.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import type { LogRecord } from "../platform/types.ts";
+import type { LogRecord } from "../clients/types.ts";
 import { applyPatch } from "./patch.ts";
 import {
   type ChangeRecord,
--- a/src/config/log_follower.ts
+++ b/src/config/log_follower.ts
@@ -8,8 +8,8 @@
 import { type Clock, systemClock } from "../common/clock.ts";
 import type { Random } from "../common/random.ts";
 import type { Failure, Outcome } from "../common/verdict.ts";
-import type { ILogClient } from "../platform/services.ts";
-import type { LogPage } from "../platform/types.ts";
+import type { ILogClient } from "../clients/services.ts";
+import type { LogPage } from "../clients/types.ts";
 import type { ConfigHolder } from "./config_holder.ts";
 import { parseConfig } from "./patch.ts";
 import { CONFIG_STREAM, parseRecord } from "./records.ts";
--- a/src/config/peer_messages.ts
+++ b/src/config/peer_messages.ts
@@ -7,7 +7,7 @@
 import { z } from "zod";
 import type { Outcome } from "../common/verdict.ts";
 import type { Disposable } from "../common/lifecycle.ts";
-import type { LogRecord } from "../platform/types.ts";
+import type { LogRecord } from "../clients/types.ts";
 import { parseConfig } from "./patch.ts";
 import type { LedgerSnapshot } from "./records.ts";
 
--- a/src/config/records.ts
+++ b/src/config/records.ts
@@ -6,7 +6,7 @@
  */
 
 import { z } from "zod";
-import type { LogRecord } from "../platform/types.ts";
+import type { LogRecord } from "../clients/types.ts";
 import type { Config } from "./schema.ts";
 import type { AuditEntry, ConfigState } from "./types.ts";
 
--- a/src/config/testing/config_fleet.ts
+++ b/src/config/testing/config_fleet.ts
@@ -10,7 +10,7 @@
 import { toDisposable } from "../../common/lifecycle.ts";
 import type { Random } from "../../common/random.ts";
 import { mayHaveRun, notRun, type Outcome } from "../../common/verdict.ts";
-import type { ILogClient } from "../../platform/services.ts";
+import type { ILogClient } from "../../clients/services.ts";
 import { ConfigService, type ConfigServiceOptions } from "../config_service.ts";
 import type { CallPeer, HandlePeer } from "../peer_messages.ts";
 import type { ConfigPeer } from "../peer_tree.ts";
--- a/src/config/testing/fake_log.ts
+++ b/src/config/testing/fake_log.ts
@@ -7,8 +7,8 @@
 import { Ok } from "ts-results-es";
 import type { Clock } from "../../common/clock.ts";
 import { mayHaveRun, notRun, type Outcome } from "../../common/verdict.ts";
-import type { ILogClient } from "../../platform/services.ts";
-import type { LogEntry, LogPage, LogRecord } from "../../platform/types.ts";
+import type { ILogClient } from "../../clients/services.ts";
+import type { LogEntry, LogPage, LogRecord } from "../../clients/types.ts";
 
 const DEFAULT_LIMIT = 1_000;
 
--- a/src/daemon/bindings/fleet_bindings.ts
+++ b/src/daemon/bindings/fleet_bindings.ts
@@ -21,7 +21,7 @@
   IMembership,
   IPeerTransport,
 } from "../../fleet/services.ts";
-import { IHostListClient } from "../../platform/services.ts";
+import { IHostListClient } from "../../clients/services.ts";
 import { type ContainerOptions } from "./types.ts";
 import { ConfigPeers } from "../config_peers.ts";
 
--- a/src/daemon/bindings/pipelines_bindings.ts
+++ b/src/daemon/bindings/pipelines_bindings.ts
@@ -22,7 +22,7 @@
 import { TargetSubset } from "../../pipelines/target_subset.ts";
 import { TargetWatcher } from "../../pipelines/target_watcher.ts";
 import { WatchAssignment } from "../../pipelines/watch_assignment.ts";
-import { IEngineClient, ILogClient } from "../../platform/services.ts";
+import { IEngineClient, ILogClient } from "../../clients/services.ts";
 import { type ContainerOptions } from "./types.ts";
 
 /** Binds the services of pipelines. */
--- a/src/daemon/bindings/platform_bindings.ts
+++ b/src/daemon/bindings/platform_bindings.ts
@@ -14,17 +14,17 @@
 } from "../../config/config_service.ts";
 import { IConfigService } from "../../config/services.ts";
 import { IMembership, IPeerTransport } from "../../fleet/services.ts";
-import { EngineClient } from "../../platform/engine_client.ts";
-import { HostListClient } from "../../platform/host_list_client.ts";
-import { HttpClient } from "../../platform/http_client.ts";
-import { LogClient } from "../../platform/log_client.ts";
-import { ServiceClient } from "../../platform/service_client.ts";
+import { EngineClient } from "../../clients/engine_client.ts";
+import { HostListClient } from "../../clients/host_list_client.ts";
+import { HttpClient } from "../../clients/http_client.ts";
+import { LogClient } from "../../clients/log_client.ts";
+import { ServiceClient } from "../../clients/service_client.ts";
 import {
   IEngineClient,
   IHostListClient,
   ILogClient,
   IServiceClient,
-} from "../../platform/services.ts";
+} from "../../clients/services.ts";
 import { type ContainerOptions } from "./types.ts";
 import { ConfigPeers } from "../config_peers.ts";
 
--- a/src/daemon/bindings/requests_bindings.ts
+++ b/src/daemon/bindings/requests_bindings.ts
@@ -18,7 +18,7 @@
   IEngineClient,
   ILogClient,
   IServiceClient,
-} from "../../platform/services.ts";
+} from "../../clients/services.ts";
 import { CallService } from "../../requests/call_service.ts";
 import { ClaimService } from "../../requests/claim_service.ts";
 import { CompletionService } from "../../requests/completion_service.ts";
--- a/src/daemon/config_peers.ts
+++ b/src/daemon/config_peers.ts
@@ -10,7 +10,7 @@
 import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
 import type { ConfigPeer } from "../config/peer_tree.ts";
 import type { IHostListWatcher, IMembership } from "../fleet/services.ts";
-import type { ListedHost } from "../platform/types.ts";
+import type { ListedHost } from "../clients/types.ts";
 
 /** Where the hosts are learned from. */
 export interface ConfigPeersOptions {
--- a/src/daemon/config_peers_test.ts
+++ b/src/daemon/config_peers_test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from "vitest";
 import { Emitter } from "../common/emitter.ts";
 import type { Member } from "../fleet/services.ts";
-import type { ListedHost } from "../platform/types.ts";
+import type { ListedHost } from "../clients/types.ts";
 import { ConfigPeers } from "./config_peers.ts";
 
 const PLACE = { failureDomain: "nave-leon", region: "default" };
--- a/src/daemon/target_readiness_test.ts
+++ b/src/daemon/target_readiness_test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "vitest";
 import { ManualClock } from "../../test/manual_clock.ts";
-import type { EngineState } from "../platform/types.ts";
+import type { EngineState } from "../clients/types.ts";
 import { TargetReadiness } from "./target_readiness.ts";
 
 test("a host is ready once each engine has answered or failed to, and stays so", () => {
--- a/src/fleet/host_list_watcher.ts
+++ b/src/fleet/host_list_watcher.ts
@@ -11,8 +11,8 @@
 import { Emitter } from "../common/emitter.ts";
 import type { Disposable } from "../common/lifecycle.ts";
 import type { Random } from "../common/random.ts";
-import type { IHostListClient } from "../platform/services.ts";
-import type { ListedHost } from "../platform/types.ts";
+import type { IHostListClient } from "../clients/services.ts";
+import type { ListedHost } from "../clients/types.ts";
 import type { IHostListWatcher } from "./services.ts";
 
 const MIN_POLL_MS = 1_000;
--- a/src/fleet/host_list_watcher_test.ts
+++ b/src/fleet/host_list_watcher_test.ts
@@ -2,7 +2,7 @@
 import { expect, test } from "vitest";
 import { ManualClock } from "../../test/manual_clock.ts";
 import { notRun, type Outcome } from "../common/verdict.ts";
-import type { ListedHost } from "../platform/types.ts";
+import type { ListedHost } from "../clients/types.ts";
 import { HostListWatcher } from "./host_list_watcher.ts";
 
 const LIST: readonly ListedHost[] = [{
--- a/src/fleet/membership.ts
+++ b/src/fleet/membership.ts
@@ -11,7 +11,7 @@
 import { Emitter } from "../common/emitter.ts";
 import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
 import type { Random } from "../common/random.ts";
-import type { ListedHost } from "../platform/types.ts";
+import type { ListedHost } from "../clients/types.ts";
 import { MemberTable, toMember } from "./member_table.ts";
 import { MemberSync } from "./member_sync.ts";
 import { pickSome } from "./pick_some.ts";
--- a/src/fleet/services.ts
+++ b/src/fleet/services.ts
@@ -8,7 +8,7 @@
 import type { Event } from "../common/emitter.ts";
 import type { Disposable } from "../common/lifecycle.ts";
 import type { Outcome } from "../common/verdict.ts";
-import type { ListedHost } from "../platform/types.ts";
+import type { ListedHost } from "../clients/types.ts";
 
 /** A host of the system as members know it. A restarted host has a new name. */
 export interface Member {
--- a/src/pipelines/capacity_keeper.ts
+++ b/src/pipelines/capacity_keeper.ts
@@ -17,7 +17,7 @@
 import { DisposableStore } from "../common/lifecycle.ts";
 import type { IConfigService } from "../config/services.ts";
 import type { IMembership } from "../fleet/services.ts";
-import type { IEngineClient } from "../platform/services.ts";
+import type { IEngineClient } from "../clients/services.ts";
 import type { Lease, LeaseService } from "./lease_service.ts";
 import { type OrderPlan, type PlannedOrder, planOrders } from "./order_plan.ts";
 import { type Pool, pools, wantedPlacement } from "./placement.ts";
--- a/src/pipelines/chain_graph.ts
+++ b/src/pipelines/chain_graph.ts
@@ -7,7 +7,7 @@
  */
 
 import type { Config, PipelineConfig } from "../config/schema.ts";
-import type { EngineState } from "../platform/types.ts";
+import type { EngineState } from "../clients/types.ts";
 
 /** Layer-tokens a second assumed of a target whose rate is not configured. */
 export const DEFAULT_LAYER_TOKENS_PER_S = 10_000;
--- a/src/pipelines/chain_picker.ts
+++ b/src/pipelines/chain_picker.ts
@@ -15,7 +15,7 @@
 import type { Random } from "../common/random.ts";
 import { notRun, type Outcome } from "../common/verdict.ts";
 import type { IConfigService } from "../config/services.ts";
-import type { ChainStage, EngineLoad } from "../platform/types.ts";
+import type { ChainStage, EngineLoad } from "../clients/types.ts";
 import {
   completeEdges,
   type ModelChoice,
--- a/src/pipelines/chain_plans.ts
+++ b/src/pipelines/chain_plans.ts
@@ -9,7 +9,7 @@
 import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
 import type { PipelineConfig } from "../config/schema.ts";
 import type { IConfigService } from "../config/services.ts";
-import type { EngineState } from "../platform/types.ts";
+import type { EngineState } from "../clients/types.ts";
 import { type ChainFlow, chainFlow } from "./chain_flow.ts";
 import {
   completeEdges,
--- a/src/pipelines/lease_ledger.ts
+++ b/src/pipelines/lease_ledger.ts
@@ -7,7 +7,7 @@
  */
 
 import { z } from "zod";
-import type { LogRecord } from "../platform/types.ts";
+import type { LogRecord } from "../clients/types.ts";
 
 const leaseRecordSchema = z.discriminatedUnion("action", [
   z.object({
--- a/src/pipelines/lease_service.ts
+++ b/src/pipelines/lease_service.ts
@@ -10,7 +10,7 @@
 import type { Clock } from "../common/clock.ts";
 import { systemClock } from "../common/clock.ts";
 import { notRun, type Outcome } from "../common/verdict.ts";
-import type { ILogClient } from "../platform/services.ts";
+import type { ILogClient } from "../clients/services.ts";
 import { LeaseLedger, type LeaseRecord } from "./lease_ledger.ts";
 
 const STREAM = "leases";
--- a/src/pipelines/leaving_test.ts
+++ b/src/pipelines/leaving_test.ts
@@ -10,7 +10,7 @@
 import { Emitter } from "../common/emitter.ts";
 import { seededRandom } from "../common/random.ts";
 import type { ConfigDocument } from "../config/schema.ts";
-import type { ListedHost } from "../platform/types.ts";
+import type { ListedHost } from "../clients/types.ts";
 import { ChainPicker } from "./chain_picker.ts";
 import { TargetDirectory } from "./target_directory.ts";
 import { TargetWatcher } from "./target_watcher.ts";
--- a/src/pipelines/order_plan.ts
+++ b/src/pipelines/order_plan.ts
@@ -8,7 +8,7 @@
  */
 
 import type { Config } from "../config/schema.ts";
-import type { EngineState } from "../platform/types.ts";
+import type { EngineState } from "../clients/types.ts";
 import { completeEdges, isUsable, spanEdge } from "./chain_graph.ts";
 import type { Pool, WantedLoad } from "./placement.ts";
 
--- a/src/pipelines/placement.ts
+++ b/src/pipelines/placement.ts
@@ -9,7 +9,7 @@
  */
 
 import type { Config, PipelineConfig } from "../config/schema.ts";
-import type { EngineState, LayerSpan } from "../platform/types.ts";
+import type { EngineState, LayerSpan } from "../clients/types.ts";
 import { DEFAULT_LAYER_TOKENS_PER_S, pipelineTargets } from "./chain_graph.ts";
 
 /** Gain in the lowest share of capacity below which no target moves. */
--- a/src/pipelines/services.ts
+++ b/src/pipelines/services.ts
@@ -8,7 +8,7 @@
 import type { Event } from "../common/emitter.ts";
 import type { Disposable } from "../common/lifecycle.ts";
 import type { Outcome } from "../common/verdict.ts";
-import type { ChainStage, EngineLoad, EngineState } from "../platform/types.ts";
+import type { ChainStage, EngineLoad, EngineState } from "../clients/types.ts";
 
 /** A chain picked for one attempt; disposing it ends its share of the load. */
 export interface ChainPick extends Disposable {
--- a/src/pipelines/target_directory.ts
+++ b/src/pipelines/target_directory.ts
@@ -12,7 +12,7 @@
 import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
 import type { IConfigService } from "../config/services.ts";
 import type { Fact, IDissemination } from "../fleet/services.ts";
-import type { EngineState } from "../platform/types.ts";
+import type { EngineState } from "../clients/types.ts";
 import type { ITargetDirectory } from "./services.ts";
 
 /** How long a peer's notice of leaving holds after it was last repeated. */
--- a/src/pipelines/target_load.ts
+++ b/src/pipelines/target_load.ts
@@ -8,7 +8,7 @@
 
 import type { Clock } from "../common/clock.ts";
 import { systemClock } from "../common/clock.ts";
-import type { EngineLoad } from "../platform/types.ts";
+import type { EngineLoad } from "../clients/types.ts";
 
 /** A report older than this tells nothing. */
 const MAX_REPORT_AGE_MS = 10_000;
--- a/src/pipelines/target_watcher.ts
+++ b/src/pipelines/target_watcher.ts
@@ -12,8 +12,8 @@
 import type { Random } from "../common/random.ts";
 import type { IConfigService } from "../config/services.ts";
 import type { IHostListWatcher } from "../fleet/services.ts";
-import type { IEngineClient } from "../platform/services.ts";
-import type { ListedHost } from "../platform/types.ts";
+import type { IEngineClient } from "../clients/services.ts";
+import type { ListedHost } from "../clients/types.ts";
 import type { TargetDirectory } from "./target_directory.ts";
 
 const POLL_INTERVAL_MS = 1_000;
--- a/src/requests/call_service.ts
+++ b/src/requests/call_service.ts
@@ -18,8 +18,8 @@
 import type { Config, ServiceConfig } from "../config/schema.ts";
 import type { IConfigService } from "../config/services.ts";
 import type { ITargetDirectory } from "../pipelines/services.ts";
-import type { IServiceClient } from "../platform/services.ts";
-import type { ServiceAnswer } from "../platform/types.ts";
+import type { IServiceClient } from "../clients/services.ts";
+import type { ServiceAnswer } from "../clients/types.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import type {
   ICallService,
--- a/src/requests/call_service_test.ts
+++ b/src/requests/call_service_test.ts
@@ -10,7 +10,7 @@
   type Outcome,
 } from "../common/verdict.ts";
 import type { ITargetDirectory } from "../pipelines/services.ts";
-import type { ServiceAnswer } from "../platform/types.ts";
+import type { ServiceAnswer } from "../clients/types.ts";
 import { CallService } from "./call_service.ts";
 import { RequestJournal } from "./request_journal.ts";
 import { RetryBudget } from "./retry_budget.ts";
--- a/src/requests/claim_grouper.ts
+++ b/src/requests/claim_grouper.ts
@@ -6,7 +6,7 @@
  */
 
 import type { Clock } from "../common/clock.ts";
-import type { ILogClient } from "../platform/services.ts";
+import type { ILogClient } from "../clients/services.ts";
 import type { AppendBudget } from "./append_budget.ts";
 import type { ClaimLedger } from "./claim_ledger.ts";
 import { ClaimReader } from "./claim_reader.ts";
--- a/src/requests/claim_reader.ts
+++ b/src/requests/claim_reader.ts
@@ -7,8 +7,8 @@
 import { Ok } from "ts-results-es";
 import type { Clock } from "../common/clock.ts";
 import { mayHaveRun, type Outcome } from "../common/verdict.ts";
-import type { ILogClient } from "../platform/services.ts";
-import type { LogPage } from "../platform/types.ts";
+import type { ILogClient } from "../clients/services.ts";
+import type { LogPage } from "../clients/types.ts";
 import { ClaimLedger } from "./claim_ledger.ts";
 import { MAX_CLAIM_LASTS_MS } from "./claim_records.ts";
 
--- a/src/requests/claim_router.ts
+++ b/src/requests/claim_router.ts
@@ -10,7 +10,7 @@
 import { type Disposable, DisposableStore } from "../common/lifecycle.ts";
 import type { Random } from "../common/random.ts";
 import type { IMembership, IPeerTransport, Member } from "../fleet/services.ts";
-import type { ILogClient } from "../platform/services.ts";
+import type { ILogClient } from "../clients/services.ts";
 import { AppendBudget } from "./append_budget.ts";
 import { ClaimGrouper } from "./claim_grouper.ts";
 import {
--- a/src/requests/claim_service.ts
+++ b/src/requests/claim_service.ts
@@ -18,7 +18,7 @@
   type Outcome,
 } from "../common/verdict.ts";
 import type { IMembership, IPeerTransport } from "../fleet/services.ts";
-import type { ILogClient } from "../platform/services.ts";
+import type { ILogClient } from "../clients/services.ts";
 import { ClaimNotes } from "./claim_notes.ts";
 import {
   type ClaimFate,
--- a/src/requests/completion_attempt.ts
+++ b/src/requests/completion_attempt.ts
@@ -8,12 +8,12 @@
 import type { Clock } from "../common/clock.ts";
 import { type Failure, mayHaveRun, type Outcome } from "../common/verdict.ts";
 import type { ChainPick, IChainPicker } from "../pipelines/services.ts";
-import type { IEngineClient, TokenListener } from "../platform/services.ts";
+import type { IEngineClient, TokenListener } from "../clients/services.ts";
 import {
   chainSignature,
   type EngineEnd,
   type EngineToken,
-} from "../platform/types.ts";
+} from "../clients/types.ts";
 import { deferred } from "../common/deferred.ts";
 import { TokenGate } from "./token_gate.ts";
 import type { CompletionRequest } from "./types.ts";
--- a/src/requests/completion_run.ts
+++ b/src/requests/completion_run.ts
@@ -11,8 +11,8 @@
 import type { Disposable } from "../common/lifecycle.ts";
 import type { Failure, Outcome } from "../common/verdict.ts";
 import type { ChainPick, IChainPicker } from "../pipelines/services.ts";
-import type { IEngineClient } from "../platform/services.ts";
-import type { ChainStage, EngineToken } from "../platform/types.ts";
+import type { IEngineClient } from "../clients/services.ts";
+import type { ChainStage, EngineToken } from "../clients/types.ts";
 import { failureForCaller } from "./caller_failure.ts";
 import {
   ChainChooser,
--- a/src/requests/completion_service.ts
+++ b/src/requests/completion_service.ts
@@ -10,7 +10,7 @@
 import { notRun, type Outcome } from "../common/verdict.ts";
 import type { IConfigService } from "../config/services.ts";
 import type { IChainPicker } from "../pipelines/services.ts";
-import type { IEngineClient } from "../platform/services.ts";
+import type { IEngineClient } from "../clients/services.ts";
 import { type CompletionPolicy, CompletionRun } from "./completion_run.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import type {
--- a/src/requests/loss_probe.ts
+++ b/src/requests/loss_probe.ts
@@ -5,8 +5,8 @@
  */
 
 import type { Clock } from "../common/clock.ts";
-import type { IEngineClient } from "../platform/services.ts";
-import type { ChainStage } from "../platform/types.ts";
+import type { IEngineClient } from "../clients/services.ts";
+import type { ChainStage } from "../clients/types.ts";
 
 /** Options of `probeChain`. */
 export interface ProbeOptions {
--- a/src/requests/quarantine_service.ts
+++ b/src/requests/quarantine_service.ts
@@ -20,7 +20,7 @@
   IMembership,
   IPeerTransport,
 } from "../fleet/services.ts";
-import type { ChainStage } from "../platform/types.ts";
+import type { ChainStage } from "../clients/types.ts";
 import type { IQuarantineService, Isolation } from "./services.ts";
 import { StrikeBroadcast } from "./strike_broadcast.ts";
 import {
--- a/src/requests/services.ts
+++ b/src/requests/services.ts
@@ -7,7 +7,7 @@
 import type { ServiceIdentifier } from "inversify";
 import type { Disposable } from "../common/lifecycle.ts";
 import type { Outcome } from "../common/verdict.ts";
-import type { ChainStage, ServiceAnswer } from "../platform/types.ts";
+import type { ChainStage, ServiceAnswer } from "../clients/types.ts";
 import type {
   AnswerListener,
   CallRequest,
--- a/src/requests/token_gate.ts
+++ b/src/requests/token_gate.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { EngineToken } from "../platform/types.ts";
+import type { EngineToken } from "../clients/types.ts";
 
 /** What an attempt's tokens must look like. */
 export interface TokenGateOptions {
--- a/standins/common/faults_test.ts
+++ b/standins/common/faults_test.ts
@@ -1,9 +1,6 @@
 import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
 import { systemClock } from "../../src/common/clock.ts";
-import {
-  HttpClient,
-  type HttpRequest,
-} from "../../src/platform/http_client.ts";
+import { HttpClient, type HttpRequest } from "../../src/clients/http_client.ts";
 import { Engine } from "../engine/engine.ts";
 import { HostList } from "../host_list/host_list.ts";
 import { LogService } from "../log/log_service.ts";
--- a/standins/engine/attempt.ts
+++ b/standins/engine/attempt.ts
@@ -10,7 +10,7 @@
   EngineEnd,
   EngineToken,
   GenerateRequest,
-} from "../../src/platform/types.ts";
+} from "../../src/clients/types.ts";
 import type { StageError } from "./types.ts";
 
 /** How an attempt finished. */
--- a/standins/engine/attempt_runner.ts
+++ b/standins/engine/attempt_runner.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { EngineLoad, GenerateRequest } from "../../src/platform/types.ts";
+import type { EngineLoad, GenerateRequest } from "../../src/clients/types.ts";
 import { Attempt } from "./attempt.ts";
 import { addToken, hashPrompt, isStop } from "./expected_answer.ts";
 import type { Stage } from "./stage.ts";
--- a/standins/engine/chain_fixture.ts
+++ b/standins/engine/chain_fixture.ts
@@ -5,15 +5,15 @@
  */
 
 import { systemClock } from "../../src/common/clock.ts";
-import { EngineClient } from "../../src/platform/engine_client.ts";
-import { HttpClient } from "../../src/platform/http_client.ts";
+import { EngineClient } from "../../src/clients/engine_client.ts";
+import { HttpClient } from "../../src/clients/http_client.ts";
 import type {
   CallOptions,
   ChainStage,
   EngineOrder,
   EngineToken,
   GenerateRequest,
-} from "../../src/platform/types.ts";
+} from "../../src/clients/types.ts";
 import { Faults } from "../common/faults.ts";
 import { Engine, type EngineOptions } from "./engine.ts";
 import { expectedAnswer } from "./expected_answer.ts";
--- a/standins/engine/engine.ts
+++ b/standins/engine/engine.ts
@@ -11,7 +11,7 @@
   EngineOrder,
   EngineState,
   GenerateRequest,
-} from "../../src/platform/types.ts";
+} from "../../src/clients/types.ts";
 import type { Faults } from "../common/faults.ts";
 import { type Exchange, sleep, StandinServer } from "../common/server.ts";
 import { AttemptRunner } from "./attempt_runner.ts";
--- a/standins/engine/engine_test.ts
+++ b/standins/engine/engine_test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
-import { chainSignature } from "../../src/platform/types.ts";
+import { chainSignature } from "../../src/clients/types.ts";
 import { ANSWER, ChainFixture, soon } from "./chain_fixture.ts";
 import type { EngineOptions } from "./engine.ts";
 
--- a/standins/engine/expected_answer.ts
+++ b/standins/engine/expected_answer.ts
@@ -7,7 +7,7 @@
  */
 
 import { hash32 } from "../../src/common/hash.ts";
-import type { LayerSpan } from "../../src/platform/types.ts";
+import type { LayerSpan } from "../../src/clients/types.ts";
 
 const VOCABULARY_SIZE = 65_536;
 const STOP_EVERY = 509;
--- a/standins/engine/model_holder.ts
+++ b/standins/engine/model_holder.ts
@@ -8,7 +8,7 @@
   EngineOrder,
   GenerateRequest,
   LayerSpan,
-} from "../../src/platform/types.ts";
+} from "../../src/clients/types.ts";
 
 /** What is loaded, as an order states it. */
 export type Loaded = Omit<EngineOrder, "orderId" | "fence">;
--- a/standins/engine/stage.ts
+++ b/standins/engine/stage.ts
@@ -5,8 +5,8 @@
  * @module
  */
 
-import type { GenerateRequest } from "../../src/platform/types.ts";
-import { chainSignature } from "../../src/platform/types.ts";
+import type { GenerateRequest } from "../../src/clients/types.ts";
+import { chainSignature } from "../../src/clients/types.ts";
 import type { Faults } from "../common/faults.ts";
 import type { Batcher } from "./batcher.ts";
 import { foldLayers, tokenOf } from "./expected_answer.ts";
--- a/standins/engine/stage_link.ts
+++ b/standins/engine/stage_link.ts
@@ -6,7 +6,7 @@
  */
 
 import { Agent, request as httpRequest } from "node:http";
-import type { ChainStage } from "../../src/platform/types.ts";
+import type { ChainStage } from "../../src/clients/types.ts";
 import type {
   OpenMessage,
   StageError,
--- a/standins/engine/types.ts
+++ b/standins/engine/types.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { GenerateRequest } from "../../src/platform/types.ts";
+import type { GenerateRequest } from "../../src/clients/types.ts";
 
 /** Opens an attempt at one stage, which opens it at the next. */
 export interface OpenMessage {
--- a/standins/host_list/host_list.ts
+++ b/standins/host_list/host_list.ts
@@ -7,7 +7,7 @@
 
 import type { Faults } from "../common/faults.ts";
 import { type Exchange, StandinServer } from "../common/server.ts";
-import type { ListedHost } from "../../src/platform/types.ts";
+import type { ListedHost } from "../../src/clients/types.ts";
 
 export interface HostListOptions {
   readonly faults: Faults;
--- a/standins/log/log_service.ts
+++ b/standins/log/log_service.ts
@@ -7,7 +7,7 @@
 
 import { type Faults } from "../common/faults.ts";
 import { type Exchange, StandinServer } from "../common/server.ts";
-import type { LogEntry, LogPage, LogRecord } from "../../src/platform/types.ts";
+import type { LogEntry, LogPage, LogRecord } from "../../src/clients/types.ts";
 
 const MAX_WAIT_MS = 60_000;
 const MAX_PAGE_RECORDS = 1_000;
--- a/standins/token_source/main.ts
+++ b/standins/token_source/main.ts
@@ -16,7 +16,7 @@
   chainSignature,
   type EngineState,
   type GenerateRequest,
-} from "../../src/platform/types.ts";
+} from "../../src/clients/types.ts";
 import { announce, numberFlag, readFlags } from "../common/program.ts";
 
 const flags = readFlags({
--- a/test/fleet_hosts.ts
+++ b/test/fleet_hosts.ts
@@ -9,7 +9,7 @@
 import { type Random, seededRandom } from "../src/common/random.ts";
 import { Dissemination } from "../src/fleet/dissemination.ts";
 import { Membership, type MembershipOptions } from "../src/fleet/membership.ts";
-import type { ListedHost } from "../src/platform/types.ts";
+import type { ListedHost } from "../src/clients/types.ts";
 import { FleetClock } from "./fleet_clock.ts";
 import {
   FleetNetwork,
--- a/test/layers_test.ts
+++ b/test/layers_test.ts
@@ -12,7 +12,7 @@
   "pipelines",
   "fleet",
   "config",
-  "platform",
+  "clients",
   "entry",
   "forward",
   "admission",
--- a/test/pipelines_capacity.ts
+++ b/test/pipelines_capacity.ts
@@ -16,7 +16,7 @@
 import { TargetDirectory } from "../src/pipelines/target_directory.ts";
 import { TargetWatcher } from "../src/pipelines/target_watcher.ts";
 import { WatchAssignment } from "../src/pipelines/watch_assignment.ts";
-import type { ChainStage } from "../src/platform/types.ts";
+import type { ChainStage } from "../src/clients/types.ts";
 import { ManualClock } from "./manual_clock.ts";
 import {
   FakeConfig,
--- a/test/pipelines_fakes.ts
+++ b/test/pipelines_fakes.ts
@@ -22,7 +22,7 @@
   IMembership,
   Member,
 } from "../src/fleet/services.ts";
-import type { IEngineClient, ILogClient } from "../src/platform/services.ts";
+import type { IEngineClient, ILogClient } from "../src/clients/services.ts";
 import type {
   CallOptions,
   EngineOrder,
@@ -30,7 +30,7 @@
   LogEntry,
   LogPage,
   LogRecord,
-} from "../src/platform/types.ts";
+} from "../src/clients/types.ts";
 
 /** A configuration service that a test sets by hand. */
 export class FakeConfig implements IConfigService {
--- a/test/requests_engines.ts
+++ b/test/requests_engines.ts
@@ -8,7 +8,7 @@
 import type { Clock } from "../src/common/clock.ts";
 import { hash32 } from "../src/common/hash.ts";
 import { mayHaveRun, notRun, type Outcome } from "../src/common/verdict.ts";
-import type { IEngineClient, TokenListener } from "../src/platform/services.ts";
+import type { IEngineClient, TokenListener } from "../src/clients/services.ts";
 import {
   type CallOptions,
   chainSignature,
@@ -16,7 +16,7 @@
   type EngineState,
   type EngineToken,
   type GenerateRequest,
-} from "../src/platform/types.ts";
+} from "../src/clients/types.ts";
 
 /** Faults of engines and of what they send. */
 export const ENGINE_FAULTS = [
--- a/test/requests_log.ts
+++ b/test/requests_log.ts
@@ -9,8 +9,8 @@
 import type { Clock } from "../src/common/clock.ts";
 import type { Random } from "../src/common/random.ts";
 import { mayHaveRun, notRun, type Outcome } from "../src/common/verdict.ts";
-import type { ILogClient } from "../src/platform/services.ts";
-import type { LogEntry, LogRecord } from "../src/platform/types.ts";
+import type { ILogClient } from "../src/clients/services.ts";
+import type { LogEntry, LogRecord } from "../src/clients/types.ts";
 import type { TestHost } from "./requests_host.ts";
 
 /** Options of `TestLog`. */
--- a/test/requests_picker.ts
+++ b/test/requests_picker.ts
@@ -12,7 +12,7 @@
   IChainPicker,
   PickRequest,
 } from "../src/pipelines/services.ts";
-import type { ChainStage } from "../src/platform/types.ts";
+import type { ChainStage } from "../src/clients/types.ts";
 import type { TestEngines } from "./requests_engines.ts";
 
 /** Picks at random among engines as they were when last looked at. */
