Take a target for silent only where another one answers

Ruled out: a longer time for all reports, which delays finding a lost stage. One other host's word makes a stream ask its stages early, that of two makes it leave. The placing host that misses most reports marks nobody. A refused change of path doubles the pause like a question without a finding. From 24 hosts on hosts tell each other less often (600 ms at most), from 12 on they read the registry less often; marks within 20 ms are told together. Soak: troubles come twice as often.

--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -33,7 +33,7 @@
 const KINDS = Object.keys(SPANS_MS) as FaultKind[];
 
 /** Mean time between the starts of two troubles; most last longer, so that they overlap. */
-const MEAN_PAUSE_MS = 600;
+const MEAN_PAUSE_MS = 300;
 
 /** Troubles in the order of their starts. */
 export function drawSchedule(options: ScheduleOptions): Fault[] {
--- a/src/entry/peer_exchange.ts
+++ b/src/entry/peer_exchange.ts
@@ -9,15 +9,23 @@
 import type { ILog } from "../common/logging.ts";
 import type { Target } from "../paths/target.ts";
 import type { TargetBook } from "../paths/target_book.ts";
-import type { PeerLink } from "../peers/peer_link.ts";
+import type { Peer, PeerLink } from "../peers/peer_link.ts";
 import type { PeerState, PeerUse } from "../peers/peer_state.ts";
 import type { IHostRegistry } from "../ports/services.ts";
 import type { HostRecord } from "../ports/types.ts";
 
-/** Time between datagrams to each host. */
+/** Time between datagrams to each host, among few hosts. */
 const SEND_MS = 250;
+/** From here on the time grows with the hosts, so that what a link carries stays the same. */
+const MANY_HOSTS = 24;
+/** Longest time between datagrams; a host that was not heard for 1.5 s counts as down. */
+const MAX_SEND_MS = 600;
+/** Targets that fall silent within this time are told together. */
+const TELL_PAUSE_MS = 20;
 /** Time between readings of the registry. */
 const REGISTRY_MS = 8_000;
+/** From here on the time grows with the hosts, who hear of one another anyway. */
+const REGISTRY_HOSTS = 12;
 /** The same until this host has announced itself. */
 const FIRST_REGISTRY_MS = 400;
 /** Readings soon after the start, while hosts that start together announce themselves. */
@@ -55,9 +63,7 @@
     options.book.onChange((target) => {
       if (target.silentSinceMs !== undefined) this.#tellSoon();
     });
-    options.link.onState(({ state }) => {
-      if (state !== undefined) this.#take(state);
-    });
+    options.link.onState((peer) => this.#take(peer));
   }
 
   /** Whether this host has told the others that it exists. */
@@ -97,7 +103,9 @@
       link.send(this.#state());
       this.#sumPeerUse();
       onLoad();
-      await clock.sleep(SEND_MS, signal);
+      const manyFold = (link.live().length + 1) / MANY_HOSTS;
+      const pauseMs = Math.min(MAX_SEND_MS, SEND_MS * Math.max(1, manyFold));
+      await clock.sleep(pauseMs, signal);
     }
   }
 
@@ -115,7 +123,9 @@
         log.info("host registry unavailable", { reason: String(error) });
       }
       const isEarly = readings < EARLY_READINGS;
-      await clock.sleep(isEarly ? FIRST_REGISTRY_MS : REGISTRY_MS, signal);
+      const pauseMs = REGISTRY_MS *
+        Math.max(1, (link.live().length + 1) / REGISTRY_HOSTS);
+      await clock.sleep(isEarly ? FIRST_REGISTRY_MS : pauseMs, signal);
     }
   }
 
@@ -123,9 +133,10 @@
   #tellSoon(): void {
     if (this.#isTelling) return;
     this.#isTelling = true;
-    setImmediate(() => {
+    const { clock, link } = this.#options;
+    void clock.sleep(TELL_PAUSE_MS).then(() => {
       this.#isTelling = false;
-      this.#options.link.send(this.#state());
+      link.send(this.#state());
     });
   }
 
@@ -155,15 +166,16 @@
     return silent.length > targets.length * MAX_DOUBT_SHARE;
   }
 
-  #take(state: PeerState): void {
+  #take({ host, state }: Peer): void {
+    if (state === undefined) return;
     const { book, clock } = this.#options;
     const untilMs = clock.nowMs() + PEER_DOUBT_MS;
     for (const id of state.silentTargets) {
       const target = book.get(id);
       if (target === undefined) continue;
       const wasTrusted = target.isTrusted;
-      target.doubtedUntilMs = untilMs;
-      if (wasTrusted) book.notify(target);
+      target.doubt(host.id, untilMs);
+      if (wasTrusted && !target.isTrusted) book.notify(target);
     }
     if (state.slowTargets === undefined) return;
     const slow = new Map(state.slowTargets);
--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -23,7 +23,7 @@
 const OVERDUE_GAPS = 2.5;
 /** However slowly they come, this pause is questioned. */
 const MAX_EVENT_OVERDUE_MS = 300;
-/** An event that is overdue this long is enough where a stage is known to be silent. */
+/** An event that is overdue this long is enough where a stage is silent, or said to be. */
 const SUSPECT_OVERDUE_MS = 50;
 /** The first target names what a request waits for some hundred milliseconds later. */
 const STALLED_OVERDUE_MS = 350;
@@ -205,12 +205,20 @@
 
   get #overdueMs(): number {
     if (!this.#hasEvents) return FIRST_EVENT_OVERDUE_MS;
+    if (this.#hasSuspect) return SUSPECT_OVERDUE_MS;
     return Math.min(
       MAX_EVENT_OVERDUE_MS,
       Math.max(EVENT_OVERDUE_MS, this.#meanGapMs * OVERDUE_GAPS),
     );
   }
 
+  get #hasSuspect(): boolean {
+    const { book } = this.#options.context;
+    return this.#path.stages.some(({ targetId }) =>
+      book.get(targetId)?.isSuspect === true
+    );
+  }
+
   /** A stage after the first that the book tells to leave. */
   #knownFault(
     gapMs: number,
@@ -358,6 +366,7 @@
     const isMoved = outcome.kind === "begun" || outcome.kind === "already";
     if (!isMoved || this.#isDone) {
       next.release();
+      this.#vainAsks++;
       if (outcome.kind === "refused" && outcome.status === 404) {
         this.#giveUp("request not known to its first target");
       }
--- a/src/paths/target.ts
+++ b/src/paths/target.ts
@@ -8,6 +8,8 @@
 import { Backlog } from "./backlog.ts";
 import type { Span, TargetRecord, TargetReport } from "../ports/types.ts";
 
+/** Hosts whose word is taken that a target does not answer. */
+const DOUBTING_HOSTS = 2;
 /** Weight of the newest outcome in the share of failures. */
 const FAILURE_WEIGHT = 0.25;
 /** Half-life of the share of failures while no requests go to the target. */
@@ -43,8 +45,8 @@
   silentSinceMs: number | undefined;
   /** A refused request named it: it gets no new work until then. */
   avoidUntilMs = -Infinity;
-  /** Another host says that it does not answer; told again while that is so. */
-  doubtedUntilMs = -Infinity;
+  /** Hosts that say it does not answer, until when that counts; told again while it is so. */
+  readonly #doubts = new Map<string, number>();
   /** Time until the contexts are read that this host sent there. */
   readonly reading: Backlog;
   /** Over 1: slower than its kind. */
@@ -73,8 +75,30 @@
 
   /** Whether it answers, as far as this host and the others know. */
   get isAnswering(): boolean {
-    return this.silentSinceMs === undefined &&
-      this.#clock.nowMs() >= this.doubtedUntilMs;
+    return this.silentSinceMs === undefined && !this.#isDoubted;
+  }
+
+  /** Another host says, until `untilMs`, that it does not answer. */
+  doubt(host: string, untilMs: number): void {
+    this.#doubts.set(host, untilMs);
+  }
+
+  /** Whether any other host says that it does not answer. */
+  get isSuspect(): boolean {
+    return this.#doubtCount > 0;
+  }
+
+  /** One host may be wrong, by its own link; it counts only together with another. */
+  get #isDoubted(): boolean {
+    return this.#doubtCount >= DOUBTING_HOSTS;
+  }
+
+  get #doubtCount(): number {
+    const nowMs = this.#clock.nowMs();
+    for (const [host, untilMs] of this.#doubts) {
+      if (untilMs <= nowMs) this.#doubts.delete(host);
+    }
+    return this.#doubts.size;
   }
 
   /** Whether new work should go to it. */
--- a/src/placement/placement_keeper.ts
+++ b/src/placement/placement_keeper.ts
@@ -24,6 +24,8 @@
 const QUIET_ROUND_MS = 1_500;
 /** A report is due within this time; the targets answer in a few milliseconds. */
 const REPORT_TIMEOUT_MS = 400;
+/** A host that misses more of the reports doubts itself. */
+const MAX_MISSING_SHARE = 0.6;
 /** An order without an answer may still act for this long. */
 const UNKNOWN_ORDER_MS = 12_500;
 /** No first plan before the list of targets has stood still this long. */
@@ -103,7 +105,7 @@
     if (targets.length === 0 || clock.nowMs() - this.#changedMs < SETTLE_MS) {
       if (targets.every(({ span }) => span === undefined)) return false;
     }
-    await Promise.all(targets.map((target) => this.#ask(target)));
+    await this.#askAll(targets);
     const orders = planPlacement({
       figures,
       targets: targets.flatMap((target) => this.#toPlanTarget(target, figures)),
@@ -115,21 +117,25 @@
       );
   }
 
-  async #ask(target: Target): Promise<void> {
+  async #askAll(targets: readonly Target[]): Promise<void> {
     const { control, book, log } = this.#options;
-    const report = await control.report(addressOf(target), REPORT_TIMEOUT_MS);
-    if (report === undefined) {
-      if (target.silentSinceMs === undefined) {
-        target.markSilent();
-        log.warn("target silent", {
-          target: target.id,
-          address: target.record.address,
-        });
-        book.notify(target);
-      }
-      return;
+    const missing: Target[] = [];
+    await Promise.all(targets.map(async (target) => {
+      const report = await control.report(addressOf(target), REPORT_TIMEOUT_MS);
+      if (report === undefined) missing.push(target);
+      else takeReport(target, report, book);
+    }));
+    // Where most are missing it is this host that nothing reaches.
+    if (missing.length > targets.length * MAX_MISSING_SHARE) return;
+    for (const target of missing) {
+      if (target.silentSinceMs !== undefined) continue;
+      target.markSilent();
+      log.warn("target silent", {
+        target: target.id,
+        address: target.record.address,
+      });
+      book.notify(target);
     }
-    takeReport(target, report, book);
   }
 
   #toPlanTarget(target: Target, figures: EngineFigures): PlanTarget[] {
--- a/src/placement/placement_keeper_test.ts
+++ b/src/placement/placement_keeper_test.ts
@@ -265,3 +265,19 @@
   expect(spans[0]).not.toEqual(spans[1]);
   stop.abort();
 });
+
+test("a host that most reports don't reach doubts itself, not the targets", async () => {
+  const fleet = new Fleet();
+  const { book, stop } = keep(fleet, () => true);
+  await fleet.clock.advance(4_000);
+  const silent = () =>
+    book.all().filter(({ silentSinceMs }) => silentSinceMs !== undefined)
+      .map(({ id }) => id);
+  for (const id of IDS.slice(0, 5)) fleet.dead.add(id);
+  await fleet.clock.advance(4_000);
+  expect(silent()).toEqual([]);
+  for (const id of IDS.slice(1, 5)) fleet.dead.delete(id);
+  await fleet.clock.advance(4_000);
+  expect(silent()).toEqual(["a"]);
+  stop.abort();
+});
