--- /dev/null
+++ b/measure/placed/day.ts
@@ -0,0 +1,422 @@
+/**
+ * Plays a day on a placed model in virtual time: hosts of the product choose
+ * paths and queue requests, targets behave as their published figures say, and
+ * callers count what they get.
+ *
+ * @module
+ */
+
+import { WaitQueue } from "../../src/admission/wait_queue.ts";
+import { silentLog } from "../../src/common/logging.ts";
+import { type Random, seededRandom } from "../../src/common/random.ts";
+import {
+  PathChooser,
+  type ReservedPath,
+} from "../../src/paths/path_chooser.ts";
+import { TargetBook } from "../../src/paths/target_book.ts";
+import type { PathStage } from "../../src/ports/types.ts";
+import { EventQueue } from "../chains/fakes.ts";
+import { ModelTarget } from "./model_target.ts";
+import { summarize } from "./outcome.ts";
+import { PlainPaths } from "./plain_paths.ts";
+import { kindOf } from "./site.ts";
+import type {
+  DayOptions,
+  DayOutcome,
+  DayRequest,
+  RunningStream,
+} from "./types.ts";
+
+const SERVICE = "model";
+/** Hosts tell each other of their load this often. */
+const TELL_MS = 250;
+const PUMP_MS = 25;
+/** Longest wait for room. */
+const MAX_WAIT_MS = 1_200;
+const MAX_WAITING = 400;
+/** Time until a lost target is left: overdue events, a question, an order. */
+const DETECT_MS = 180;
+/** A target that refused a request gets none of that host for this long. */
+const AVOID_MS = 600;
+/** Targets to which one request may be sent. */
+const MAX_SENDS = 2;
+const FIRST_GOAL_MS = 500;
+const GAP_GOAL_MS = 250;
+const EVENT_TOKENS = 5;
+/** Share of the expected answer for which hosts keep memory. */
+const ANSWER_SHARE = 0.7;
+/** Delay of a step to the next target, within a failure domain and between two. */
+const HOP_MS = { near: 0.2, far: 0.95 };
+const CUSTOMERS = 24;
+const KINDS = [
+  { name: "brief", share: 0.54, promptTokens: 800, answerTokens: 170 },
+  { name: "check", share: 0.28, promptTokens: 714, answerTokens: 280 },
+  { name: "notes", share: 0.18, promptTokens: 800, answerTokens: 280 },
+];
+
+interface Host {
+  readonly domain: string;
+  readonly book: TargetBook;
+  readonly chooser: PathChooser;
+  readonly queue: WaitQueue;
+}
+
+/** Plays one day. */
+export function playDay(options: DayOptions): DayOutcome {
+  return new Day(options).play();
+}
+
+class Day {
+  readonly #options: DayOptions;
+  readonly #events = new EventQueue();
+  readonly #random: Random;
+  readonly #targets = new Map<string, ModelTarget>();
+  readonly #hosts: Host[];
+  readonly #plainPaths: PlainPaths;
+  readonly #requests: DayRequest[] = [];
+  readonly #streams = new Set<RunningStream>();
+
+  constructor(options: DayOptions) {
+    this.#options = options;
+    this.#random = seededRandom(options.seed);
+    const { figures, targets } = options;
+    const orders = options.planner(figures, targets);
+    for (const { targetId, span } of orders) {
+      const plan = targets.find(({ id }) => id === targetId);
+      if (plan === undefined) continue;
+      const readFactor = figures.kinds.get(kindOf(plan))?.readFactor ?? 1;
+      this.#targets.set(
+        targetId,
+        new ModelTarget({ plan, span, figures, readFactor }),
+      );
+    }
+    const domains = [...new Set(targets.map(({ domain }) => domain))];
+    this.#hosts = Array.from(
+      { length: options.hosts },
+      (_, index) => this.#makeHost(domains[index % domains.length]),
+    );
+    for (const { book } of this.#hosts) {
+      for (const [index, { targetId, span }] of orders.entries()) {
+        const plan = targets.find(({ id }) => id === targetId);
+        if (plan === undefined) continue;
+        book.put({
+          id: targetId,
+          service: SERVICE,
+          address: `10.0.0.1:${index + 1}`,
+          domain: plan.domain,
+          state: "ready",
+          bornMs: 0,
+          kind: kindOf(plan),
+          span,
+        });
+      }
+    }
+    this.#plainPaths = new PlainPaths({
+      figures,
+      orders,
+      way: options.pathWay,
+      random: this.#random,
+    });
+  }
+
+  play(): DayOutcome {
+    const { durationMs, load } = this.#options;
+    this.#arrive();
+    this.#every(TELL_MS, () => this.#tell());
+    this.#every(
+      PUMP_MS,
+      () => this.#hosts.forEach(({ queue }) => queue.pump()),
+    );
+    if (load.lost !== undefined) {
+      const { atMs, ids } = load.lost;
+      this.#events.after(atMs, () => this.#lose(ids));
+    }
+    this.#events.runUntil(durationMs + 30_000);
+    return summarize(this.#requests, durationMs);
+  }
+
+  #makeHost(domain: string): Host {
+    const clock = this.#events;
+    const book = new TargetBook({ clock, log: silentLog });
+    const chooser = new PathChooser({
+      book,
+      clock,
+      domain,
+      hosts: () => this.#options.hosts,
+      random: this.#random,
+    });
+    return {
+      domain,
+      book,
+      chooser,
+      queue: new WaitQueue({ clock, maxWaiting: MAX_WAITING }),
+    };
+  }
+
+  #every(pauseMs: number, act: () => void): void {
+    const again = (): void => {
+      act();
+      if (this.#events.nowMs() < this.#options.durationMs + 5_000) {
+        this.#events.after(pauseMs, again);
+      }
+    };
+    again();
+  }
+
+  /** Each host learns what the others put on targets. */
+  #tell(): void {
+    for (const host of this.#hosts) {
+      for (const target of host.book.all()) {
+        const sum = { streams: 0, tokenLayers: 0 };
+        for (const { book } of this.#hosts) {
+          if (book === host.book) continue;
+          const use = book.get(target.id)?.ownUse;
+          sum.streams += use?.streams ?? 0;
+          sum.tokenLayers += use?.tokenLayers ?? 0;
+        }
+        target.peerUse = sum;
+      }
+    }
+  }
+
+  #arrive(): void {
+    const { load, durationMs } = this.#options;
+    const nowMs = this.#events.nowMs();
+    const { burst } = load;
+    const isBurst = burst !== undefined && nowMs >= burst.fromMs &&
+      nowMs < burst.toMs;
+    const ratePerMs = load.requestsPerS * (isBurst ? burst.factor : 1) / 1_000;
+    const pauseMs = -Math.log(1 - this.#random()) / ratePerMs;
+    if (nowMs + pauseMs > durationMs) return;
+    this.#events.after(pauseMs, () => {
+      this.#offer(this.#draw());
+      this.#arrive();
+    });
+  }
+
+  #draw(): DayRequest {
+    const random = this.#random;
+    let share = random();
+    const kind = KINDS.find((one) => (share -= one.share) < 0) ?? KINDS[0];
+    // The first customers send most.
+    const customer = Math.floor(CUSTOMERS * random() ** 2);
+    const likelyTokens = kind.answerTokens * (0.5 + random());
+    const request: DayRequest = {
+      customer: `customer-${customer}`,
+      kind: kind.name,
+      rank: customer % 8 === 7 ? 0 : 1,
+      startMs: this.#events.nowMs(),
+      promptTokens: Math.round(kind.promptTokens * (0.4 + 1.2 * random())),
+      answerTokens: Math.round(likelyTokens * (0.5 + random())),
+      refusedBy: new Set(),
+      sends: 0,
+      likelyTokens,
+      end: undefined,
+      firstMs: undefined,
+    };
+    this.#requests.push(request);
+    return request;
+  }
+
+  #offer(request: DayRequest): void {
+    const { queueWay } = this.#options;
+    const host = this.#hosts[Math.floor(this.#random() * this.#hosts.length)];
+    const tryStart = (): boolean => this.#start(host, request);
+    const refuse = (): void => {
+      request.end = "refused";
+    };
+    if (queueWay === "none") {
+      if (!tryStart()) refuse();
+      return;
+    }
+    host.queue.add({
+      rank: queueWay === "ranked" ? request.rank : 0,
+      untilMs: this.#events.nowMs() + MAX_WAIT_MS,
+      tryStart,
+      refuse,
+    });
+  }
+
+  #start(host: Host, request: DayRequest): boolean {
+    const path = this.#choose(host, request);
+    if (path === undefined) return false;
+    const needed = request.promptTokens + request.answerTokens;
+    const refusing = this.#admit(path.stages, needed);
+    if (refusing !== undefined) {
+      path.release();
+      const target = host.book.get(refusing);
+      if (target !== undefined) {
+        target.avoidUntilMs = this.#events.nowMs() + AVOID_MS;
+      }
+      request.refusedBy.add(refusing);
+      if (++request.sends < MAX_SENDS) {
+        return this.#start(host, request);
+      }
+      request.end = "refused";
+      return true;
+    }
+    const stream: RunningStream = {
+      request,
+      host,
+      stages: path.stages,
+      release: path.release,
+      isLate: false,
+      isOver: false,
+    };
+    this.#streams.add(stream);
+    const readMs = this.#read(path.stages, request.promptTokens, []);
+    const firstMs = readMs + this.#tokenMs(path.stages) * EVENT_TOKENS;
+    request.firstMs = firstMs - request.startMs;
+    if (request.firstMs > FIRST_GOAL_MS) stream.isLate = true;
+    this.#events.after(
+      firstMs - this.#events.nowMs(),
+      () => this.#write(stream, request.answerTokens - EVENT_TOKENS),
+    );
+    return true;
+  }
+
+  #choose(host: Host, request: DayRequest): ReservedPath | undefined {
+    const { figures, pathWay } = this.#options;
+    if (pathWay !== "cost") {
+      const stages = this.#plainPaths.next(host.book);
+      return stages && { stages, msPerToken: 0, release: () => {} };
+    }
+    return host.chooser.choose({
+      service: SERVICE,
+      figures,
+      tokens: request.promptTokens + ANSWER_SHARE * request.likelyTokens,
+      excluded: request.refusedBy,
+    });
+  }
+
+  /** The target without memory for it, if there is one. */
+  #admit(stages: readonly PathStage[], tokens: number): string | undefined {
+    const admitted: PathStage[] = [];
+    for (const stage of stages) {
+      const target = this.#targets.get(stage.targetId);
+      const isAdmitted = target !== undefined && !target.isLost &&
+        target.admit(tokens * (stage.to - stage.from));
+      if (!isAdmitted) {
+        this.#leave(admitted, tokens);
+        return stage.targetId;
+      }
+      admitted.push(stage);
+    }
+    return undefined;
+  }
+
+  #leave(stages: readonly PathStage[], tokens: number): void {
+    for (const { targetId, from, to } of stages) {
+      this.#targets.get(targetId)?.leave(tokens * (to - from));
+    }
+  }
+
+  /** When all stages but those of `known` have read the context. */
+  #read(
+    stages: readonly PathStage[],
+    tokens: number,
+    known: readonly PathStage[],
+  ): number {
+    let atMs = this.#events.nowMs();
+    for (const { targetId, from, to } of stages) {
+      const isKnown = known.some((stage) =>
+        stage.targetId === targetId && stage.from <= from && stage.to >= to
+      );
+      if (isKnown) continue;
+      atMs = this.#targets.get(targetId)?.read(atMs, tokens, to - from) ?? atMs;
+    }
+    return atMs;
+  }
+
+  #tokenMs(stages: readonly PathStage[]): number {
+    let sumMs = 0;
+    let last: ModelTarget | undefined;
+    for (const { targetId, from, to } of stages) {
+      const target = this.#targets.get(targetId);
+      if (target === undefined) continue;
+      if (last !== undefined) {
+        sumMs += last.domain === target.domain ? HOP_MS.near : HOP_MS.far;
+      }
+      sumMs += target.tokenMs(to - from);
+      last = target;
+    }
+    return sumMs;
+  }
+
+  /** Writes the rest in pieces, so that the pace follows the load. */
+  #write(stream: RunningStream, leftTokens: number): void {
+    if (stream.isOver) return;
+    if (leftTokens <= 0) {
+      this.#end(stream, stream.isLate ? "late" : "in-time");
+      return;
+    }
+    const isHeld = stream.stages.some(({ targetId }) =>
+      this.#targets.get(targetId)?.isLost === true
+    );
+    // A stream without a sound path waits for its repair.
+    const tokens = isHeld ? 0 : Math.min(leftTokens, 4 * EVENT_TOKENS);
+    const tokenMs = this.#tokenMs(stream.stages);
+    if (tokenMs * EVENT_TOKENS > GAP_GOAL_MS) stream.isLate = true;
+    const tookMs = isHeld ? PUMP_MS : tokens * tokenMs;
+    this.#events.after(tookMs, () => this.#write(stream, leftTokens - tokens));
+  }
+
+  #end(stream: RunningStream, end: DayRequest["end"]): void {
+    if (stream.isOver) return;
+    stream.isOver = true;
+    stream.request.end = end;
+    stream.release();
+    const { promptTokens, answerTokens } = stream.request;
+    this.#leave(stream.stages, promptTokens + answerTokens);
+    this.#streams.delete(stream);
+  }
+
+  #lose(ids: readonly string[]): void {
+    for (const id of ids) {
+      const target = this.#targets.get(id);
+      if (target !== undefined) target.isLost = true;
+    }
+    this.#events.after(DETECT_MS, () => {
+      for (const { book } of this.#hosts) {
+        for (const id of ids) book.remove(id, true);
+      }
+      for (const stream of [...this.#streams]) {
+        this.#repair(stream, new Set(ids));
+      }
+    });
+  }
+
+  /** Another path from the same first target, else a start at another. */
+  #repair(stream: RunningStream, lost: ReadonlySet<string>): void {
+    const { request, host, stages } = stream;
+    if (!stages.some(({ targetId }) => lost.has(targetId))) return;
+    const { figures, pathWay } = this.#options;
+    const tokens = request.promptTokens + request.answerTokens;
+    this.#leave(stages, tokens);
+    stream.release();
+    stream.release = () => {};
+    const current = lost.has(stages[0].targetId) ? undefined : stages;
+    const next = pathWay === "cost"
+      ? host.chooser.choose({
+        service: SERVICE,
+        figures,
+        tokens,
+        excluded: lost,
+        current,
+      })
+      : undefined;
+    if (
+      next === undefined || this.#admit(next.stages, tokens) !== undefined
+    ) {
+      next?.release();
+      stream.stages = [];
+      this.#end(stream, "refused");
+      return;
+    }
+    stream.stages = next.stages;
+    stream.release = next.release;
+    const readMs = this.#read(next.stages, tokens, current ?? []);
+    const gapMs = DETECT_MS + readMs - this.#events.nowMs();
+    if (gapMs > GAP_GOAL_MS) stream.isLate = true;
+  }
+}
--- /dev/null
+++ b/measure/placed/model_target.ts
@@ -0,0 +1,74 @@
+/**
+ * A target of the model as it behaves: it reads one context after another,
+ * which holds up the steps of what it writes, and refuses what its memory does
+ * not hold.
+ *
+ * @module
+ */
+
+import type { PlanTarget } from "../../src/placement/types.ts";
+import type { EngineFigures, Span } from "../../src/ports/types.ts";
+
+/** Options of a target. */
+export interface ModelTargetOptions {
+  readonly plan: PlanTarget;
+  readonly span: Span;
+  readonly figures: EngineFigures;
+  readonly readFactor: number;
+}
+
+/** One target. */
+export class ModelTarget {
+  readonly #options: ModelTargetOptions;
+  readonly #capacity: number;
+  #readUntilMs = 0;
+  #used = 0;
+  #streams = 0;
+  isLost = false;
+
+  constructor(options: ModelTargetOptions) {
+    this.#options = options;
+    const { plan, span, figures } = options;
+    const weightsMb = (span.to - span.from) * figures.layerMb;
+    const bytesPerTokenLayer = figures.kvBytesPerToken / figures.layers;
+    this.#capacity = (plan.memoryMb - weightsMb) * 1_000_000 /
+      bytesPerTokenLayer;
+  }
+
+  get id(): string {
+    return this.#options.plan.id;
+  }
+
+  get domain(): string {
+    return this.#options.plan.domain;
+  }
+
+  /** False where memory does not hold it. */
+  admit(tokenLayers: number): boolean {
+    if (this.#used + tokenLayers > this.#capacity) return false;
+    this.#used += tokenLayers;
+    this.#streams++;
+    return true;
+  }
+
+  leave(tokenLayers: number): void {
+    this.#used -= tokenLayers;
+    this.#streams--;
+  }
+
+  /** Reads a context from `fromMs` on; returns when it is done. */
+  read(fromMs: number, tokens: number, layers: number): number {
+    const { figures, readFactor } = this.#options;
+    const tookMs = readFactor * tokens / figures.readTokensPerMs * layers /
+      figures.layers;
+    this.#readUntilMs = Math.max(fromMs, this.#readUntilMs) + tookMs;
+    return this.#readUntilMs;
+  }
+
+  /** Time of one token over some layers with the present load. */
+  tokenMs(layers: number): number {
+    const { figures, plan } = this.#options;
+    const stepMs = figures.stepMs + figures.perSequenceMs * this.#streams;
+    return plan.paceFactor * stepMs * layers / figures.layers;
+  }
+}
--- /dev/null
+++ b/measure/placed/planners.ts
@@ -0,0 +1,64 @@
+/**
+ * Plans to compare: the product's, and two plain ones.
+ *
+ * @module
+ */
+
+import { planPlacement } from "../../src/placement/placement_plan.ts";
+import type { PlannedOrder, PlanTarget } from "../../src/placement/types.ts";
+import type { EngineFigures } from "../../src/ports/types.ts";
+import type { Planner } from "./types.ts";
+
+/** Weights may take this much of a target; some room for requests must be left. */
+const FULL_SHARE = 0.97;
+
+export const PLANNERS: Readonly<Record<string, Planner>> = {
+  product: (figures, targets) => planPlacement({ figures, targets }),
+  "fewest targets": (figures, targets) =>
+    perDomain(
+      targets,
+      (own) =>
+        fill(figures, [...own].sort((a, b) => b.memoryMb - a.memoryMb), 1),
+    ),
+  "most copies": (figures, targets) =>
+    fill(
+      figures,
+      [...targets].sort((a, b) => a.domain < b.domain ? -1 : 1),
+      Infinity,
+    ),
+};
+
+/** Fills targets to the brim, one after the other, with `copies` copies at most. */
+function fill(
+  figures: EngineFigures,
+  targets: readonly PlanTarget[],
+  copies: number,
+): PlannedOrder[] {
+  const orders: PlannedOrder[] = [];
+  let copy: PlannedOrder[] = [];
+  let from = 0;
+  let done = 0;
+  for (const { id, memoryMb } of targets) {
+    if (done >= copies) break;
+    const most = Math.floor(memoryMb * FULL_SHARE / figures.layerMb);
+    const to = Math.min(figures.layers, from + most);
+    copy.push({ targetId: id, span: { from, to } });
+    from = to;
+    if (to < figures.layers) continue;
+    orders.push(...copy);
+    copy = [];
+    from = 0;
+    done++;
+  }
+  return orders;
+}
+
+function perDomain(
+  targets: readonly PlanTarget[],
+  plan: (own: readonly PlanTarget[]) => PlannedOrder[],
+): PlannedOrder[] {
+  const domains = new Set(targets.map(({ domain }) => domain));
+  return [...domains].flatMap((domain) =>
+    plan(targets.filter((target) => target.domain === domain))
+  );
+}
--- /dev/null
+++ b/measure/placed/site.ts
@@ -0,0 +1,56 @@
+/**
+ * A site as the users publish theirs: kinds of accelerators in three failure
+ * domains, and the figures of the model.
+ *
+ * @module
+ */
+
+import type { PlanTarget } from "../../src/placement/types.ts";
+import type { EngineFigures } from "../../src/ports/types.ts";
+
+const KINDS = [
+  { name: "large", memoryMb: 72_000, paceFactor: 2.4, readFactor: 3.2 },
+  { name: "middle", memoryMb: 43_200, paceFactor: 5.6, readFactor: 2.7 },
+  { name: "small", memoryMb: 21_600, paceFactor: 16, readFactor: 8.2 },
+];
+
+export const SITE_FIGURES: EngineFigures = {
+  layers: 80,
+  layerMb: 1_750,
+  kvBytesPerToken: 1_315_343,
+  slots: 134,
+  stepMs: 1.02,
+  perSequenceMs: 0.01,
+  contextPerKiloTokenMs: 0.0137,
+  readTokensPerMs: 105,
+  chunkTokens: 512,
+  activationBytes: 65_767,
+  domainPipeMbps: 26_000,
+  loadMs: 14_000,
+  loadsAtOnce: 5,
+  usualPromptTokens: 774,
+  usualAnswerTokens: 200,
+  kinds: new Map(KINDS.map((kind) => [kind.name, kind])),
+};
+
+/** Targets of each kind in each failure domain. */
+const COUNTS = { north: [1, 3, 8], middle: [1, 6, 5], south: [2, 2, 5] };
+
+export const SITE_TARGETS: readonly PlanTarget[] = Object.entries(COUNTS)
+  .flatMap(([domain, counts]) =>
+    counts.flatMap((count, kind) =>
+      Array.from({ length: count }, (_, index) => ({
+        id: `${domain}-${KINDS[kind].name}-${index}`,
+        domain,
+        memoryMb: KINDS[kind].memoryMb,
+        paceFactor: KINDS[kind].paceFactor,
+        span: undefined,
+        canTakeOrder: true,
+      }))
+    )
+  );
+
+/** Name of a target's kind. */
+export function kindOf({ memoryMb }: PlanTarget): string {
+  return KINDS.find((kind) => kind.memoryMb === memoryMb)?.name ?? "";
+}
