Keep many hosts from choosing the same targets

Hosts know each other's load 0.6 s late, and 15 % of noise in the costs left the fast targets the cheapest for all. Change: noise of 1 among nine hosts, growing with the hosts; a context given to a target counts as if each host gave it one, and is worked off like that. Soak: a key is revoked while the store is away, some callers don't ask the balancer, half of the server troubles hit plain servers, hosts end with the soak.

--- a/measure/placed/model_target.ts
+++ b/measure/placed/model_target.ts
@@ -8,6 +8,7 @@
 
 import type { PlanTarget } from "../../src/placement/types.ts";
 import type { EngineFigures, Span } from "../../src/ports/types.ts";
+import { STEPS_PER_PASS } from "./site.ts";
 
 /** Options of a target. */
 export interface ModelTargetOptions {
@@ -59,16 +60,27 @@
   /** Reads a context from `fromMs` on; returns when it is done. */
   read(fromMs: number, tokens: number, layers: number): number {
     const { figures, readFactor } = this.#options;
-    const tookMs = readFactor * tokens / figures.readTokensPerMs * layers /
-      figures.layers;
+    // Each pass reads one piece and takes the steps of those that write.
+    const pieces = Math.ceil(tokens / figures.chunkTokens);
+    const stepsMs = this.#streams > 1 ? STEPS_PER_PASS * this.#stepMs : 0;
+    const tookMs = layers / figures.layers *
+      (pieces * stepsMs + readFactor * tokens / figures.readTokensPerMs);
     this.#readUntilMs = Math.max(fromMs, this.#readUntilMs) + tookMs;
     return this.#readUntilMs;
   }
 
   /** Time of one token over some layers with the present load. */
-  tokenMs(layers: number): number {
+  tokenMs(layers: number, nowMs: number): number {
+    const { figures, readFactor } = this.#options;
+    const pieceMs = readFactor * figures.chunkTokens / figures.readTokensPerMs;
+    const readMs = this.#readUntilMs > nowMs ? pieceMs / STEPS_PER_PASS : 0;
+    return (this.#stepMs + readMs) * layers / figures.layers;
+  }
+
+  /** Time of a step over all layers. */
+  get #stepMs(): number {
     const { figures, plan } = this.#options;
-    const stepMs = figures.stepMs + figures.perSequenceMs * this.#streams;
-    return plan.paceFactor * stepMs * layers / figures.layers;
+    return plan.paceFactor *
+      (figures.stepMs + figures.perSequenceMs * this.#streams);
   }
 }
--- a/measure/placed/site.ts
+++ b/measure/placed/site.ts
@@ -14,6 +14,9 @@
   { name: "small", memoryMb: 21_600, paceFactor: 16, readFactor: 8.2 },
 ];
 
+/** Steps of those that write, in each pass of a target. */
+export const STEPS_PER_PASS = 5;
+
 export const SITE_FIGURES: EngineFigures = {
   layers: 80,
   layerMb: 1_750,
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -24,6 +24,8 @@
 const REQUEST_PAUSE_MS = 30;
 /** One caller in this many leaves early; one in as many has a key that nobody gave out. */
 const ODD_SHARE = 12;
+/** One in this many does not ask the balancer. */
+const STICKY_SHARE = 3;
 /** A caller that leaves does so within this time. */
 const LEAVE_WITHIN_MS = 300;
 const ROUTES: readonly RouteName[] = [
@@ -99,8 +101,12 @@
   #send(): void {
     const { random } = this.#options;
     const ready = [...this.#ready];
-    if (ready.length === 0) return;
-    const host = ready[Math.floor(random() * ready.length)];
+    // Some callers use the connections that they have, ready host or not.
+    const from = random() < 1 / STICKY_SHARE
+      ? this.#options.hosts.filter(({ isRunning }) => isRunning)
+      : ready;
+    if (from.length === 0) return;
+    const host = from[Math.floor(random() * from.length)];
     const route = ROUTES[Math.floor(random() * ROUTES.length)];
     const isOdd = random() < 1 / ODD_SHARE;
     const keys = Object.keys(CUSTOMER_KEYS);
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -30,10 +30,18 @@
 const troubleMs = (needCount("trouble-s") ?? DEFAULT_TROUBLE_S) * 1_000;
 const endMs = performance.now() + minutes * 60_000;
 
+let run: SoakRun | undefined;
+// Hosts must not outlive a soak that is broken off or fails.
+process.on("exit", () => run?.killHosts());
+for (const name of ["SIGINT", "SIGTERM"] as const) {
+  process.once(name, () => process.exit(1));
+}
+
 let failed = 0;
 let played = 0;
 for (let i = 0; i < seeds && performance.now() < endMs; i++) {
-  const outcome = await new SoakRun({ seed: firstSeed + i, troubleMs }).run();
+  run = new SoakRun({ seed: firstSeed + i, troubleMs });
+  const outcome = await run.run();
   played++;
   if (outcome.broken.length > 0) failed++;
   print(outcome, seeds === 1);
--- a/soak/promises.ts
+++ b/soak/promises.ts
@@ -9,6 +9,9 @@
 /** Back ends and callers run on one machine; stamps differ by scheduling only. */
 const STAMP_SLACK_MS = 250;
 
+/** Calls that were in progress when the store came back take this long to be made again. */
+const STORE_BACK_MS = 1_500;
+
 /** Each promise that was broken, as a line for people. */
 export function findBroken(history: History, bounds: Bounds): string[] {
   const runs = groupRuns(history.runs);
@@ -100,8 +103,8 @@
 function checkAbsent(history: History, { drainMs }: Bounds): string[] {
   return history.runs.flatMap(({ attemptId, serverId, atMs }) => {
     const absence = history.absences.find((one) =>
-      one.serverId === serverId &&
-      atMs > one.startMs + drainMs + STAMP_SLACK_MS && atMs < one.endMs
+      one.serverId === serverId && atMs < one.endMs &&
+      soundMs(history, one.startMs, atMs) > drainMs + STAMP_SLACK_MS
     );
     return absence === undefined
       ? []
@@ -109,6 +112,22 @@
   });
 }
 
+/** Time in which hosts could learn of something: the store's troubles are left out. */
+function soundMs(
+  { storeTroubles }: History,
+  fromMs: number,
+  untilMs: number,
+): number {
+  let sumMs = 0;
+  let atMs = fromMs;
+  const troubles = [...storeTroubles].sort((a, b) => a.startMs - b.startMs);
+  for (const { startMs, endMs } of troubles) {
+    sumMs += Math.max(0, Math.min(startMs, untilMs) - atMs);
+    atMs = Math.max(atMs, endMs + STORE_BACK_MS);
+  }
+  return sumMs + Math.max(0, untilMs - atMs);
+}
+
 function checkOrders(history: History, { maxLayers }: Bounds): string[] {
   return history.orders.flatMap(({ serverId, order }) => {
     if (order.op !== "place") return [];
--- a/soak/promises_test.ts
+++ b/soak/promises_test.ts
@@ -41,6 +41,7 @@
     orders: [],
     revocations: [],
     absences: [],
+    storeTroubles: [],
     quietFromMs: undefined,
     leftStreams: 0,
     ...more,
@@ -111,6 +112,14 @@
   expect(broken(more)).toHaveLength(1);
 });
 
+test("what hosts could not learn while the store was away does not bind them", () => {
+  const away = { startMs: 1_010, endMs: 3_000 };
+  const at = (atMs: number) =>
+    broken({ runs: [run({ atMs })], absences, storeTroubles: [away] });
+  expect(at(1_000 + BOUNDS.drainMs + 300)).toEqual([]);
+  expect(at(3_000 + 1_500 + BOUNDS.drainMs + 300)).toHaveLength(1);
+});
+
 test("more repeats than the budget are found", () => {
   const attempts = Array.from(
     { length: 200 },
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -28,6 +28,7 @@
   "store-reset": [300, 3_000],
   "store-delay": [500, 3_000],
   "key-revoked": [7_000, 9_000],
+  "key-revoked-unseen": [7_000, 9_000],
   "config-written": [0, 0],
 };
 const KINDS = Object.keys(SPANS_MS) as FaultKind[];
@@ -40,14 +41,22 @@
   const random = seededRandom(options.seed);
   const draw = (from: number, to: number) =>
     from + Math.floor(random() * (to - from + 1));
+  const { hosts, servers, plainServers } = options;
+  const drawIndex = (kind: FaultKind): number => {
+    if (kind.startsWith("host-")) return draw(0, hosts - 1);
+    // The few plain servers are hit as often as all the others.
+    const isPlain = draw(0, 1) === 0;
+    return isPlain
+      ? draw(servers - plainServers, servers - 1)
+      : draw(0, servers - 1);
+  };
   const faults: Fault[] = [];
   let startMs = draw(0, MEAN_PAUSE_MS);
   while (startMs < options.troubleMs) {
     const kind = KINDS[draw(0, KINDS.length - 1)];
     const [leastMs, mostMs] = SPANS_MS[kind];
     const endMs = Math.min(options.troubleMs, startMs + draw(leastMs, mostMs));
-    const count = kind.startsWith("host-") ? options.hosts : options.servers;
-    faults.push({ kind, startMs, endMs, index: draw(0, count - 1) });
+    faults.push({ kind, startMs, endMs, index: drawIndex(kind) });
     startMs += draw(0, 2 * MEAN_PAUSE_MS);
   }
   return faults;
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -27,7 +27,7 @@
   PLAIN_SERVERS,
   START_MS,
 } from "./settings.ts";
-import type { Fault, FaultKind, History } from "./types.ts";
+import type { Fault, FaultKind, History, Interval } from "./types.ts";
 
 /** Delay of a slow connection, each way. */
 const SLOW_MS = 40;
@@ -69,6 +69,8 @@
   readonly #backEnds = new BackEnds();
   readonly #folder: string;
   readonly #hosts: HostProcess[] = [];
+  readonly #storeTroubles: Interval[] = [];
+  #storeTroubledMs = 0;
   /** Troubles of one thing that last at the same time; it is sound when none is left. */
   readonly #active = new Map<unknown, number>();
 
@@ -77,6 +79,11 @@
     this.#folder = mkdtempSync(join(tmpdir(), `soak-${options.seed}-`));
   }
 
+  /** Ends the hosts at once; for a run that is broken off. */
+  killHosts(): void {
+    for (const host of this.#hosts) host.signal("SIGKILL");
+  }
+
   async run(): Promise<SoakOutcome> {
     const { seed, troubleMs } = this.#options;
     const schedule = drawSchedule({
@@ -84,6 +91,7 @@
       troubleMs,
       hosts: HOSTS,
       servers: MODEL_SERVERS + PLAIN_SERVERS,
+      plainServers: PLAIN_SERVERS,
     });
     await this.#backEnds.start();
     this.#startHosts();
@@ -233,18 +241,39 @@
       this.#backEnds.writeConfig();
       return;
     }
-    if (kind === "key-revoked") {
+    const isUnseen = kind === "key-revoked-unseen";
+    if (isUnseen) {
+      this.#beginStoreFault();
+      store.fault = "silent";
+    }
+    if (isUnseen || kind === "key-revoked") {
       this.#backEnds.revoke();
       await until(endMs);
       this.#backEnds.restoreKey();
+      if (isUnseen) this.#endStoreFault();
       return;
     }
-    this.#begin(store);
+    this.#beginStoreFault();
     const storeFault = STORE_FAULTS[kind];
     if (storeFault !== undefined) store.fault = storeFault;
     if (kind === "store-delay") storeProxy.delayMs = SLOW_MS;
     await until(endMs);
+    this.#endStoreFault();
+  }
+
+  #beginStoreFault(): void {
+    const { store } = this.#backEnds;
+    if ((this.#active.get(store) ?? 0) === 0) {
+      this.#storeTroubledMs = performance.now();
+    }
+    this.#begin(store);
+  }
+
+  #endStoreFault(): void {
+    const { store, storeProxy } = this.#backEnds;
     if (!this.#isLast(store)) return;
+    const startMs = this.#storeTroubledMs;
+    this.#storeTroubles.push({ startMs, endMs: performance.now() });
     store.fault = "none";
     heal(storeProxy);
   }
@@ -279,6 +308,7 @@
       ),
       revocations,
       absences,
+      storeTroubles: this.#storeTroubles,
       quietFromMs,
       leftStreams,
     };
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -24,6 +24,7 @@
   | "store-reset"
   | "store-delay"
   | "key-revoked"
+  | "key-revoked-unseen"
   | "config-written";
 
 /** One trouble; it is over at `endMs`, counted like `startMs` from the first request. */
@@ -42,6 +43,8 @@
   readonly troubleMs: number;
   readonly hosts: number;
   readonly servers: number;
+  /** The last of the servers, which hold no layers. */
+  readonly plainServers: number;
 }
 
 /** Routes that callers use. */
@@ -92,6 +95,8 @@
   readonly revocations: readonly Interval[];
   /** When servers were gone from the store's list. */
   readonly absences: readonly (Interval & { readonly serverId: string })[];
+  /** When the store did not answer, or late. */
+  readonly storeTroubles: readonly Interval[];
   /** When the last trouble ended; undefined where the run was cut short. */
   readonly quietFromMs: number | undefined;
   /** Streams that servers still ran after all callers had ended. */
--- a/src/paths/path_chooser.ts
+++ b/src/paths/path_chooser.ts
@@ -17,8 +17,13 @@
 const HEADROOM_SHARE = 0.06;
 /** Extra cost of a nearly full target, relative to an empty one. */
 const FULLNESS_WEIGHT = 1.0;
-/** Spread of costs between hosts, so that all don't pick the same path at once. */
-const NOISE_SHARE = 0.15;
+/**
+ * Spread of costs between hosts, so that all don't pick the same path at once;
+ * that many times over as hosts are more than `NOISE_HOSTS`, since what they
+ * know of each other covers less of the load.
+ */
+const NOISE_SHARE = 1;
+const NOISE_HOSTS = 9;
 /** Requests of a target that wait at another stage at any moment. */
 const BATCH_SHARE = 0.3;
 /** Time that the way between two failure domains adds to each token, without its pipe. */
@@ -116,6 +121,7 @@
     const { service, figures, tokens, excluded, current } = demand;
     const onPath = new Set(current?.map(({ targetId }) => targetId));
     const candidates: PathCandidate[] = [];
+    const spread = NOISE_SHARE * Math.max(1, this.#hosts() / NOISE_HOSTS);
     for (const target of this.#book.ofService(service)) {
       const { span } = target;
       if (span === undefined || target.isGone || excluded?.has(target.id)) {
@@ -126,12 +132,11 @@
         const needed = tokens * (span.to - span.from);
         if (freeTokenLayers(target, figures) < needed) continue;
       }
-      const noise = 1 + this.#random() * NOISE_SHARE;
+      const noise = 1 + this.#random() * spread;
       const canLead = (demand.leads?.has(target.id) ?? true) &&
         target.ownUse.streams + target.peerUse.streams < figures.slots;
-      // The other hosts send theirs there too.
-      const backlogMs = target.reading.leftMs * this.#hosts() /
-        SPREAD_TOKENS / (span.to - span.from);
+      const backlogMs = target.reading.leftMs / SPREAD_TOKENS /
+        (span.to - span.from);
       const costMs = layerMs(target, figures) * noise + backlogMs;
       candidates.push(toCandidate(target, costMs, canLead));
     }
@@ -160,7 +165,10 @@
       for (let layer = from; layer < to; layer++) {
         if (!runsLayer(demand.current, targetId, layer)) layers++;
       }
-      if (layers > 0) target.reading.add(layers * readLayerMs(target, demand));
+      if (layers === 0) continue;
+      // The other hosts are assumed to send as much there.
+      const workMs = layers * readLayerMs(target, demand);
+      target.reading.add(workMs * this.#hosts());
     }
   }
 
--- a/src/paths/path_chooser_test.ts
+++ b/src/paths/path_chooser_test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from "vitest";
 import { ManualClock } from "../../test/manual_clock.ts";
 import { silentLog } from "../common/logging.ts";
+import { seededRandom } from "../common/random.ts";
 import type { EngineFigures, Span } from "../ports/types.ts";
 import { freeTokenLayers, PathChooser } from "./path_chooser.ts";
 import { TargetBook } from "./target_book.ts";
@@ -210,3 +211,46 @@
   expect(chooser.choose(demand)?.stages.map(({ targetId }) => targetId))
     .toEqual(["b1", "b2"]);
 });
+
+test("among many hosts one's choices spread over more targets", async () => {
+  const twins = ["b", "c", "d"].map((id) => ({
+    id,
+    span: { from: 0, to: 20 },
+  }));
+  const firstsOf = async (hosts: number) => {
+    const { book, clock } = bookOf(twins);
+    // Each costs more than the one before.
+    for (const [id, slowness] of [["c", 1.2], ["d", 1.4]] as const) {
+      const target = book.get(id);
+      if (target !== undefined) target.slowness = slowness;
+    }
+    const chooser = new PathChooser({
+      book,
+      clock,
+      domain: "a",
+      hosts: () => hosts,
+      random: seededRandom(7),
+    });
+    const firsts: (string | undefined)[] = [];
+    for (let i = 0; i < 60; i++) {
+      const path = chooser.choose(demand);
+      path?.release();
+      firsts.push(path?.stages[0].targetId);
+      // What was given to a target before is read by then.
+      await clock.advance(60_000);
+    }
+    return firsts.filter((first) => first === "b").length;
+  };
+  expect(await firstsOf(73)).toBeLessThan(40);
+  expect(await firstsOf(73)).toBeLessThan(await firstsOf(9));
+});
+
+test("contexts given to a target count as if each host gave it as many", async () => {
+  const { book, chooser, clock } = bookOf(halves);
+  chooser.choose(demand);
+  // 1,000 tokens over half the layers at 100 a millisecond and a factor of 2.
+  const backlog = () => book.get("a2")?.reading.leftMs;
+  expect(backlog()).toBeCloseTo(9 * 10, 5);
+  await clock.advance(30);
+  expect(backlog()).toBeCloseTo(60, 5);
+});
