--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -32,6 +32,8 @@
   "config-written": [0, 0],
 };
 const KINDS = Object.keys(SPANS_MS) as FaultKind[];
+/** Troubles of the one store come rarely enough to leave hosts some time in touch. */
+const STORE_WEIGHT = 0.3;
 
 /** Mean time between the starts of two troubles; most last longer, so that they overlap. */
 const MEAN_PAUSE_MS = 300;
@@ -50,10 +52,17 @@
       ? draw(servers - plainServers, servers - 1)
       : draw(0, servers - 1);
   };
+  const drawKind = (): FaultKind => {
+    for (;;) {
+      const kind = KINDS[draw(0, KINDS.length - 1)];
+      const isStore = kind.startsWith("store-") || kind.endsWith("-unseen");
+      if (!isStore || random() < STORE_WEIGHT) return kind;
+    }
+  };
   const faults: Fault[] = [];
   let startMs = draw(0, MEAN_PAUSE_MS);
   while (startMs < options.troubleMs) {
-    const kind = KINDS[draw(0, KINDS.length - 1)];
+    const kind = drawKind();
     const [leastMs, mostMs] = SPANS_MS[kind];
     const endMs = Math.min(options.troubleMs, startMs + draw(leastMs, mostMs));
     faults.push({ kind, startMs, endMs, index: drawIndex(kind) });
