--- a/soak/loopback_proxy.ts
+++ b/soak/loopback_proxy.ts
@@ -41,6 +41,14 @@
     for (const socket of this.#sockets) socket.resetAndDestroy();
   }
 
+  /** Ends all troubles; connections that lost bytes are of no more use. */
+  heal(): void {
+    this.isSilent = false;
+    this.areAnswersLost = false;
+    this.delayMs = 0;
+    this.reset();
+  }
+
   dispose(): void {
     this.reset();
     this.#server.close();
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -229,7 +229,7 @@
     await until(endMs);
     if (!this.#isLast(server)) return;
     server.mode = "good";
-    heal(proxy);
+    proxy.heal();
   }
 
   async #troubleStore(
@@ -275,7 +275,7 @@
     const startMs = this.#storeTroubledMs;
     this.#storeTroubles.push({ startMs, endMs: performance.now() });
     store.fault = "none";
-    heal(storeProxy);
+    storeProxy.heal();
   }
 
   #begin(what: unknown): void {
@@ -322,18 +322,3 @@
     this.#backEnds.dispose();
   }
 }
-
-function heal(
-  proxy: {
-    isSilent: boolean;
-    delayMs: number;
-    areAnswersLost: boolean;
-    reset(): void;
-  },
-): void {
-  proxy.isSilent = false;
-  proxy.areAnswersLost = false;
-  proxy.delayMs = 0;
-  // Connections that lost bytes are of no more use.
-  proxy.reset();
-}
