--- a/measure/placed/day.ts
+++ b/measure/placed/day.ts
@@ -14,11 +14,11 @@
   type ReservedPath,
 } from "../../src/paths/path_chooser.ts";
 import { TargetBook } from "../../src/paths/target_book.ts";
-import type { PathStage } from "../../src/ports/types.ts";
 import { EventQueue } from "../chains/fakes.ts";
-import { ModelTarget } from "./model_target.ts";
 import { summarize } from "./outcome.ts";
+import { PlacedTargets } from "./placed_targets.ts";
 import { PlainPaths } from "./plain_paths.ts";
+import { drawPauseMs, drawRequest } from "./request_source.ts";
 import { kindOf } from "./site.ts";
 import type {
   DayOptions,
@@ -45,14 +45,6 @@
 const EVENT_TOKENS = 5;
 /** Share of the expected answer for which hosts keep memory. */
 const ANSWER_SHARE = 0.7;
-/** Delay of a step to the next target, within a failure domain and between two. */
-const HOP_MS = { near: 0.2, far: 0.95 };
-const CUSTOMERS = 24;
-const KINDS = [
-  { name: "brief", share: 0.54, promptTokens: 800, answerTokens: 170 },
-  { name: "check", share: 0.28, promptTokens: 714, answerTokens: 280 },
-  { name: "notes", share: 0.18, promptTokens: 800, answerTokens: 280 },
-];
 
 interface Host {
   readonly domain: string;
@@ -70,7 +62,7 @@
   readonly #options: DayOptions;
   readonly #events = new EventQueue();
   readonly #random: Random;
-  readonly #targets = new Map<string, ModelTarget>();
+  readonly #targets: PlacedTargets;
   readonly #hosts: Host[];
   readonly #plainPaths: PlainPaths;
   readonly #requests: DayRequest[] = [];
@@ -81,15 +73,12 @@
     this.#random = seededRandom(options.seed);
     const { figures, targets } = options;
     const orders = options.planner(figures, targets);
-    for (const { targetId, span } of orders) {
-      const plan = targets.find(({ id }) => id === targetId);
-      if (plan === undefined) continue;
-      const readFactor = figures.kinds.get(kindOf(plan))?.readFactor ?? 1;
-      this.#targets.set(
-        targetId,
-        new ModelTarget({ plan, span, figures, readFactor }),
-      );
-    }
+    this.#targets = new PlacedTargets({
+      events: this.#events,
+      figures,
+      targets,
+      orders,
+    });
     const domains = [...new Set(targets.map(({ domain }) => domain))];
     this.#hosts = Array.from(
       { length: options.hosts },
@@ -182,42 +171,16 @@
   #arrive(): void {
     const { load, durationMs } = this.#options;
     const nowMs = this.#events.nowMs();
-    const { burst } = load;
-    const isBurst = burst !== undefined && nowMs >= burst.fromMs &&
-      nowMs < burst.toMs;
-    const ratePerMs = load.requestsPerS * (isBurst ? burst.factor : 1) / 1_000;
-    const pauseMs = -Math.log(1 - this.#random()) / ratePerMs;
+    const pauseMs = drawPauseMs(load, nowMs, this.#random);
     if (nowMs + pauseMs > durationMs) return;
     this.#events.after(pauseMs, () => {
-      this.#offer(this.#draw());
+      const request = drawRequest(this.#events.nowMs(), this.#random);
+      this.#requests.push(request);
+      this.#offer(request);
       this.#arrive();
     });
   }
 
-  #draw(): DayRequest {
-    const random = this.#random;
-    let share = random();
-    const kind = KINDS.find((one) => (share -= one.share) < 0) ?? KINDS[0];
-    // The first customers send most.
-    const customer = Math.floor(CUSTOMERS * random() ** 2);
-    const likelyTokens = kind.answerTokens * (0.5 + random());
-    const request: DayRequest = {
-      customer: `customer-${customer}`,
-      kind: kind.name,
-      rank: customer % 8 === 7 ? 0 : 1,
-      startMs: this.#events.nowMs(),
-      promptTokens: Math.round(kind.promptTokens * (0.4 + 1.2 * random())),
-      answerTokens: Math.round(likelyTokens * (0.5 + random())),
-      refusedBy: new Set(),
-      sends: 0,
-      likelyTokens,
-      end: undefined,
-      firstMs: undefined,
-    };
-    this.#requests.push(request);
-    return request;
-  }
-
   #offer(request: DayRequest): void {
     const { queueWay } = this.#options;
     const host = this.#hosts[Math.floor(this.#random() * this.#hosts.length)];
@@ -241,7 +204,7 @@
     const path = this.#choose(host, request);
     if (path === undefined) return false;
     const needed = request.promptTokens + request.answerTokens;
-    const refusing = this.#admit(path.stages, needed);
+    const refusing = this.#targets.admit(path.stages, needed);
     if (refusing !== undefined) {
       path.release();
       const target = host.book.get(refusing);
@@ -264,8 +227,8 @@
       isOver: false,
     };
     this.#streams.add(stream);
-    this.#read(path.stages, request.promptTokens, [], () => {
-      const eventMs = this.#tokenMs(stream.stages) * EVENT_TOKENS;
+    this.#targets.read(path.stages, request.promptTokens, [], () => {
+      const eventMs = this.#targets.tokenMs(stream.stages) * EVENT_TOKENS;
       request.firstMs = this.#events.nowMs() + eventMs - request.startMs;
       if (request.firstMs > FIRST_GOAL_MS) stream.isLate = true;
       const leftTokens = request.answerTokens - EVENT_TOKENS;
@@ -288,68 +251,6 @@
     });
   }
 
-  /** The target without memory for it, if there is one. */
-  #admit(stages: readonly PathStage[], tokens: number): string | undefined {
-    const admitted: PathStage[] = [];
-    for (const stage of stages) {
-      const target = this.#targets.get(stage.targetId);
-      const isAdmitted = target !== undefined && !target.isLost &&
-        target.admit(tokens * (stage.to - stage.from));
-      if (!isAdmitted) {
-        this.#leave(admitted, tokens);
-        return stage.targetId;
-      }
-      admitted.push(stage);
-    }
-    return undefined;
-  }
-
-  #leave(stages: readonly PathStage[], tokens: number): void {
-    for (const { targetId, from, to } of stages) {
-      this.#targets.get(targetId)?.leave(tokens * (to - from));
-    }
-  }
-
-  /** Each stage reads when the one before has; those of `known` need not. */
-  #read(
-    stages: readonly PathStage[],
-    tokens: number,
-    known: readonly PathStage[],
-    onDone: () => void,
-  ): void {
-    const [stage, ...rest] = stages;
-    if (stage === undefined) {
-      onDone();
-      return;
-    }
-    const { targetId, from, to } = stage;
-    const isKnown = known.some((one) =>
-      one.targetId === targetId && one.from <= from && one.to >= to
-    );
-    const nowMs = this.#events.nowMs();
-    const target = isKnown ? undefined : this.#targets.get(targetId);
-    const doneMs = target?.read(nowMs, tokens, to - from) ?? nowMs;
-    this.#events.after(
-      doneMs - nowMs,
-      () => this.#read(rest, tokens, known, onDone),
-    );
-  }
-
-  #tokenMs(stages: readonly PathStage[]): number {
-    let sumMs = 0;
-    let last: ModelTarget | undefined;
-    for (const { targetId, from, to } of stages) {
-      const target = this.#targets.get(targetId);
-      if (target === undefined) continue;
-      if (last !== undefined) {
-        sumMs += last.domain === target.domain ? HOP_MS.near : HOP_MS.far;
-      }
-      sumMs += target.tokenMs(to - from, this.#events.nowMs());
-      last = target;
-    }
-    return sumMs;
-  }
-
   /** Writes the rest in pieces, so that the pace follows the load. */
   #write(stream: RunningStream, leftTokens: number): void {
     if (stream.isOver) return;
@@ -357,12 +258,10 @@
       this.#end(stream, stream.isLate ? "late" : "in-time");
       return;
     }
-    const isHeld = stream.stages.some(({ targetId }) =>
-      this.#targets.get(targetId)?.isLost === true
-    );
+    const isHeld = this.#targets.hasLost(stream.stages);
     // A stream without a sound path waits for its repair.
     const tokens = isHeld ? 0 : Math.min(leftTokens, 4 * EVENT_TOKENS);
-    const tokenMs = this.#tokenMs(stream.stages);
+    const tokenMs = this.#targets.tokenMs(stream.stages);
     if (tokenMs * EVENT_TOKENS > GAP_GOAL_MS) stream.isLate = true;
     const tookMs = isHeld ? PUMP_MS : tokens * tokenMs;
     this.#events.after(tookMs, () => this.#write(stream, leftTokens - tokens));
@@ -374,15 +273,12 @@
     stream.request.end = end;
     stream.release();
     const { promptTokens, answerTokens } = stream.request;
-    this.#leave(stream.stages, promptTokens + answerTokens);
+    this.#targets.leave(stream.stages, promptTokens + answerTokens);
     this.#streams.delete(stream);
   }
 
   #lose(ids: readonly string[]): void {
-    for (const id of ids) {
-      const target = this.#targets.get(id);
-      if (target !== undefined) target.isLost = true;
-    }
+    this.#targets.lose(ids);
     this.#events.after(DETECT_MS, () => {
       for (const { book } of this.#hosts) {
         for (const id of ids) book.remove(id, true);
@@ -399,7 +295,7 @@
     if (!stages.some(({ targetId }) => lost.has(targetId))) return;
     const { figures, pathWay } = this.#options;
     const tokens = request.promptTokens + request.answerTokens;
-    this.#leave(stages, tokens);
+    this.#targets.leave(stages, tokens);
     stream.release();
     stream.release = () => {};
     const current = lost.has(stages[0].targetId) ? undefined : stages;
@@ -413,7 +309,8 @@
       })
       : undefined;
     if (
-      next === undefined || this.#admit(next.stages, tokens) !== undefined
+      next === undefined ||
+      this.#targets.admit(next.stages, tokens) !== undefined
     ) {
       next?.release();
       stream.stages = [];
@@ -423,7 +320,7 @@
     stream.stages = next.stages;
     stream.release = next.release;
     const startMs = this.#events.nowMs() - DETECT_MS;
-    this.#read(next.stages, tokens, current ?? [], () => {
+    this.#targets.read(next.stages, tokens, current ?? [], () => {
       const gapMs = this.#events.nowMs() - startMs;
       if (gapMs > GAP_GOAL_MS) stream.isLate = true;
     });
--- /dev/null
+++ b/measure/placed/placed_targets.ts
@@ -0,0 +1,117 @@
+/**
+ * The targets of a day as requests meet them: memory that is taken and given
+ * back on all stages of a path, contexts that are read stage after stage, and
+ * the time of a token over a whole path.
+ *
+ * @module
+ */
+
+import type { PlannedOrder, PlanTarget } from "../../src/placement/types.ts";
+import type { EngineFigures, PathStage } from "../../src/ports/types.ts";
+import type { EventQueue } from "../chains/fakes.ts";
+import { ModelTarget } from "./model_target.ts";
+import { kindOf } from "./site.ts";
+
+/** Delay of a step to the next target, within a failure domain and between two. */
+const HOP_MS = { near: 0.2, far: 0.95 };
+
+/** Options of the targets. */
+export interface PlacedTargetsOptions {
+  readonly events: EventQueue;
+  readonly figures: EngineFigures;
+  readonly targets: readonly PlanTarget[];
+  readonly orders: readonly PlannedOrder[];
+}
+
+/** All targets that hold layers. */
+export class PlacedTargets {
+  readonly #events: EventQueue;
+  readonly #targets = new Map<string, ModelTarget>();
+
+  constructor({ events, figures, targets, orders }: PlacedTargetsOptions) {
+    this.#events = events;
+    for (const { targetId, span } of orders) {
+      const plan = targets.find(({ id }) => id === targetId);
+      if (plan === undefined) continue;
+      const readFactor = figures.kinds.get(kindOf(plan))?.readFactor ?? 1;
+      const target = new ModelTarget({ plan, span, figures, readFactor });
+      this.#targets.set(targetId, target);
+    }
+  }
+
+  lose(ids: readonly string[]): void {
+    for (const id of ids) {
+      const target = this.#targets.get(id);
+      if (target !== undefined) target.isLost = true;
+    }
+  }
+
+  hasLost(stages: readonly PathStage[]): boolean {
+    return stages.some(({ targetId }) =>
+      this.#targets.get(targetId)?.isLost === true
+    );
+  }
+
+  /** Takes memory on all stages, or gives the target that has none for it. */
+  admit(stages: readonly PathStage[], tokens: number): string | undefined {
+    const admitted: PathStage[] = [];
+    for (const stage of stages) {
+      const target = this.#targets.get(stage.targetId);
+      const isAdmitted = target !== undefined && !target.isLost &&
+        target.admit(tokens * (stage.to - stage.from));
+      if (!isAdmitted) {
+        this.leave(admitted, tokens);
+        return stage.targetId;
+      }
+      admitted.push(stage);
+    }
+    return undefined;
+  }
+
+  leave(stages: readonly PathStage[], tokens: number): void {
+    for (const { targetId, from, to } of stages) {
+      this.#targets.get(targetId)?.leave(tokens * (to - from));
+    }
+  }
+
+  /** Each stage reads when the one before has; those of `known` need not. */
+  read(
+    stages: readonly PathStage[],
+    tokens: number,
+    known: readonly PathStage[],
+    onDone: () => void,
+  ): void {
+    const [stage, ...rest] = stages;
+    if (stage === undefined) {
+      onDone();
+      return;
+    }
+    const { targetId, from, to } = stage;
+    const isKnown = known.some((one) =>
+      one.targetId === targetId && one.from <= from && one.to >= to
+    );
+    const nowMs = this.#events.nowMs();
+    const target = isKnown ? undefined : this.#targets.get(targetId);
+    const doneMs = target?.read(nowMs, tokens, to - from) ?? nowMs;
+    this.#events.after(
+      doneMs - nowMs,
+      () => this.read(rest, tokens, known, onDone),
+    );
+  }
+
+  /** Time of one token over a path with the present load. */
+  tokenMs(stages: readonly PathStage[]): number {
+    let sumMs = 0;
+    let last: ModelTarget | undefined;
+    for (const { targetId, from, to } of stages) {
+      const target = this.#targets.get(targetId);
+      if (target === undefined) continue;
+      if (last !== undefined) {
+        sumMs += last.domain === target.domain ? HOP_MS.near : HOP_MS.far;
+      }
+      sumMs += target.tokenMs(to - from, this.#events.nowMs());
+      last = target;
+    }
+    return sumMs;
+  }
+}
--- /dev/null
+++ b/measure/placed/request_source.ts
@@ -0,0 +1,50 @@
+/**
+ * Draws requests like those of the users' sheet: three kinds, customers of whom
+ * a few send most, answers whose length a caller only guesses.
+ *
+ * @module
+ */
+
+import type { Random } from "../../src/common/random.ts";
+import type { DayLoad, DayRequest } from "./types.ts";
+
+const CUSTOMERS = 24;
+/** Every eighth customer is urgent. */
+const URGENT_EVERY = 8;
+const KINDS = [
+  { name: "brief", share: 0.54, promptTokens: 800, answerTokens: 170 },
+  { name: "check", share: 0.28, promptTokens: 714, answerTokens: 280 },
+  { name: "notes", share: 0.18, promptTokens: 800, answerTokens: 280 },
+];
+
+/** Time until the next request of a load. */
+export function drawPauseMs(
+  { requestsPerS, burst }: DayLoad,
+  nowMs: number,
+  random: Random,
+): number {
+  const isBurst = burst !== undefined && nowMs >= burst.fromMs &&
+    nowMs < burst.toMs;
+  const ratePerMs = requestsPerS * (isBurst ? burst.factor : 1) / 1_000;
+  return -Math.log(1 - random()) / ratePerMs;
+}
+
+export function drawRequest(nowMs: number, random: Random): DayRequest {
+  let share = random();
+  const kind = KINDS.find((one) => (share -= one.share) < 0) ?? KINDS[0];
+  const customer = Math.floor(CUSTOMERS * random() ** 2);
+  const likelyTokens = kind.answerTokens * (0.5 + random());
+  return {
+    customer: `customer-${customer}`,
+    kind: kind.name,
+    rank: customer % URGENT_EVERY === URGENT_EVERY - 1 ? 0 : 1,
+    startMs: nowMs,
+    promptTokens: Math.round(kind.promptTokens * (0.4 + 1.2 * random())),
+    answerTokens: Math.round(likelyTokens * (0.5 + random())),
+    refusedBy: new Set(),
+    sends: 0,
+    likelyTokens,
+    end: undefined,
+    firstMs: undefined,
+  };
+}
--- a/test/layers_test.ts
+++ b/test/layers_test.ts
@@ -24,12 +24,18 @@
   "common",
 ];
 const MAX_LINES = 400;
+/** Every folder that holds code. */
+const FOLDERS = [
+  "src",
+  "platform",
+  "standins",
+  "measure",
+  "soak",
+  "demo",
+  "test",
+];
 const root = fileURLToPath(new URL("../", import.meta.url));
-const files = readdirSync(join(root, "src"), {
-  recursive: true,
-  encoding: "utf8",
-})
-  .filter((file) => file.endsWith(".ts"));
+const files = filesOf("src");
 const sources = files.filter((file) =>
   !file.endsWith("_test.ts") && !file.includes("testing/")
 );
@@ -40,8 +46,10 @@
 });
 
 test("no file is too long", () => {
-  const long = files.filter((file) =>
-    read(file).split("\n").length > MAX_LINES
+  const long = FOLDERS.flatMap((folder) =>
+    filesOf(folder).map((file) => `${folder}/${file}`)
+  ).filter((file) =>
+    readFileSync(join(root, file), "utf8").split("\n").length > MAX_LINES
   );
   expect(long).toEqual([]);
 });
@@ -60,18 +68,30 @@
 });
 
 test("platform/ is at most a sixth of src/", () => {
-  const lines = (folder: string): number =>
-    readdirSync(join(root, folder), { recursive: true, encoding: "utf8" })
-      .filter((file) => file.endsWith(".ts") && !file.endsWith("_test.ts"))
-      .reduce(
-        (sum, file) =>
-          sum +
-          readFileSync(join(root, folder, file), "utf8").split("\n").length,
-        0,
-      );
-  expect(lines("platform")).toBeLessThanOrEqual(lines("src") / 6);
+  expect(linesOf("platform")).toBeLessThanOrEqual(linesOf("src") / 6);
+});
+
+test("soak/ is at most a tenth of the code", () => {
+  const all = FOLDERS.reduce((sum, folder) => sum + linesOf(folder), 0);
+  expect(linesOf("soak")).toBeLessThanOrEqual(all / 10);
 });
 
+/** Lines of code without tests. */
+function linesOf(folder: string): number {
+  return filesOf(folder).filter((file) => !file.endsWith("_test.ts"))
+    .reduce(
+      (sum, file) =>
+        sum +
+        readFileSync(join(root, folder, file), "utf8").split("\n").length,
+      0,
+    );
+}
+
+function filesOf(folder: string): string[] {
+  return readdirSync(join(root, folder), { recursive: true, encoding: "utf8" })
+    .filter((file) => file.endsWith(".ts"));
+}
+
 function importsOfHigherLayers(file: string): string[] {
   const own = LAYERS.indexOf(file.split("/")[0]);
   return [...read(file).matchAll(/from "(\.[^"]+)"/g)]
