--- a/measure/placed/day.ts
+++ b/measure/placed/day.ts
@@ -11,6 +11,7 @@
 import { type Random, seededRandom } from "../../src/common/random.ts";
 import {
   PathChooser,
+  type PathDemand,
   type ReservedPath,
 } from "../../src/paths/path_chooser.ts";
 import { TargetBook } from "../../src/paths/target_book.ts";
@@ -21,6 +22,7 @@
 import { drawPauseMs, drawRequest } from "./request_source.ts";
 import { kindOf } from "./site.ts";
 import type {
+  DayHost,
   DayOptions,
   DayOutcome,
   DayRequest,
@@ -46,13 +48,6 @@
 /** Share of the expected answer for which hosts keep memory. */
 const ANSWER_SHARE = 0.7;
 
-interface Host {
-  readonly domain: string;
-  readonly book: TargetBook;
-  readonly chooser: PathChooser;
-  readonly queue: WaitQueue;
-}
-
 /** Plays one day. */
 export function playDay(options: DayOptions): DayOutcome {
   return new Day(options).play();
@@ -63,7 +58,7 @@
   readonly #events = new EventQueue();
   readonly #random: Random;
   readonly #targets: PlacedTargets;
-  readonly #hosts: Host[];
+  readonly #hosts: DayHost[];
   readonly #plainPaths: PlainPaths;
   readonly #requests: DayRequest[] = [];
   readonly #streams = new Set<RunningStream>();
@@ -124,7 +119,7 @@
     return summarize(this.#requests, durationMs);
   }
 
-  #makeHost(domain: string): Host {
+  #makeHost(domain: string): DayHost {
     const clock = this.#events;
     const book = new TargetBook({ clock, log: silentLog });
     const chooser = new PathChooser({
@@ -135,7 +130,6 @@
       random: this.#random,
     });
     return {
-      domain,
       book,
       chooser,
       queue: new WaitQueue({ clock, maxWaiting: MAX_WAITING }),
@@ -200,7 +194,7 @@
     });
   }
 
-  #start(host: Host, request: DayRequest): boolean {
+  #start(host: DayHost, request: DayRequest): boolean {
     const path = this.#choose(host, request);
     if (path === undefined) return false;
     const needed = request.promptTokens + request.answerTokens;
@@ -237,18 +231,24 @@
     return true;
   }
 
-  #choose(host: Host, request: DayRequest): ReservedPath | undefined {
+  #choose(host: DayHost, request: DayRequest): ReservedPath | undefined {
+    return this.#pathFor(host, {
+      tokens: request.promptTokens + ANSWER_SHARE * request.likelyTokens,
+      excluded: request.refusedBy,
+    });
+  }
+
+  /** A plain way always takes a whole copy; a stream then begins it anew. */
+  #pathFor(
+    host: DayHost,
+    demand: Omit<PathDemand, "service" | "figures">,
+  ): ReservedPath | undefined {
     const { figures, pathWay } = this.#options;
     if (pathWay !== "cost") {
       const stages = this.#plainPaths.next(host.book);
       return stages && { stages, msPerToken: 0, release: () => {} };
     }
-    return host.chooser.choose({
-      service: SERVICE,
-      figures,
-      tokens: request.promptTokens + ANSWER_SHARE * request.likelyTokens,
-      excluded: request.refusedBy,
-    });
+    return host.chooser.choose({ service: SERVICE, figures, ...demand });
   }
 
   /** Writes the rest in pieces, so that the pace follows the load. */
@@ -293,21 +293,12 @@
   #repair(stream: RunningStream, lost: ReadonlySet<string>): void {
     const { request, host, stages } = stream;
     if (!stages.some(({ targetId }) => lost.has(targetId))) return;
-    const { figures, pathWay } = this.#options;
     const tokens = request.promptTokens + request.answerTokens;
     this.#targets.leave(stages, tokens);
     stream.release();
     stream.release = () => {};
     const current = lost.has(stages[0].targetId) ? undefined : stages;
-    const next = pathWay === "cost"
-      ? host.chooser.choose({
-        service: SERVICE,
-        figures,
-        tokens,
-        excluded: lost,
-        current,
-      })
-      : undefined;
+    const next = this.#pathFor(host, { tokens, excluded: lost, current });
     if (
       next === undefined ||
       this.#targets.admit(next.stages, tokens) !== undefined
--- a/measure/placed/types.ts
+++ b/measure/placed/types.ts
@@ -4,7 +4,9 @@
  * @module
  */
 
+import type { WaitQueue } from "../../src/admission/wait_queue.ts";
 import type { PathChooser } from "../../src/paths/path_chooser.ts";
+import type { TargetBook } from "../../src/paths/target_book.ts";
 import type { PlannedOrder, PlanTarget } from "../../src/placement/types.ts";
 import type { EngineFigures, PathStage } from "../../src/ports/types.ts";
 
@@ -82,8 +84,9 @@
 
 /** A host of the day. */
 export interface DayHost {
+  readonly book: TargetBook;
   readonly chooser: PathChooser;
-  readonly domain: string;
+  readonly queue: WaitQueue;
 }
 
 /** A stream that runs. */
