Wait for a chain that is full or held rather than go back to a lost target

An engine died under several answers; each then had to run apart from the other suspects, and engines that another suspect held for the moment were avoided like those that had failed. Where that left no chain, the chooser dropped the engines that had failed from what it avoids, took the dead one again and again and burnt its eight tries in 50 ms. Change: what failed is tried again only where no chain is left without it, whether full or held; otherwise the answer waits as it does for its turn.

--- a/src/requests/chain_chooser.ts
+++ b/src/requests/chain_chooser.ts
@@ -9,7 +9,7 @@
 import type { Clock } from "../common/clock.ts";
 import { hash32 } from "../common/hash.ts";
 import type { Disposable } from "../common/lifecycle.ts";
-import { notRun, type Outcome } from "../common/verdict.ts";
+import { type Failure, notRun, type Outcome } from "../common/verdict.ts";
 import type {
   ChainPick,
   IChainPicker,
@@ -121,12 +121,23 @@
       ...(this.#first && versionOf(this.#first)),
     };
     const first = picker.pick(wanted);
-    const picked = first.isErr() && wanted.avoid.size > 0
+    const picked = first.isErr() && this.avoid.size > 0 &&
+        this.#hasNoOther(wanted, first.error)
       ? picker.pick({ ...wanted, avoid: new Set(taken) })
       : first;
     return picked.andThen((pick) => this.#keepVersion(pick));
   }
 
+  /** Whether no chain is left, full or taken for the moment, without what failed. */
+  #hasNoOther(wanted: PickRequest, failure: Failure): boolean {
+    // Going back to a lost target meanwhile would only burn tries.
+    if (failure.code !== "no-target") return false;
+    if (this.#taken.size === 0) return true;
+    const other = this.#options.picker.pick({ ...wanted, avoid: this.avoid });
+    if (other.isOk()) other.value.dispose();
+    return other.isErr() && other.error.code === "no-target";
+  }
+
   #keepVersion(pick: ChainPick): Outcome<ChainPick> {
     const first = this.#first;
     const isSame = first === undefined ||
