Mark a target silent in one place, and share counters among metrics

Cause: five places marked a target silent, told the listeners and, two of them, wrote the log line; the others left an operator without one, and told again what was known. Change: TargetBook.markSilent marks, logs with the evidence and tells, once a silence; common/counters.ts holds what the metrics share. The checker needs no log any more.

--- a/src/common/light_metrics.ts
+++ b/src/common/light_metrics.ts
@@ -5,8 +5,15 @@
  * @module
  */
 
-/** Labels of one series. */
-export type Labels = Readonly<Record<string, string>>;
+import {
+  braced,
+  Counters,
+  getOrAdd,
+  type Labels,
+  renderLabels,
+} from "./counters.ts";
+
+export type { Labels };
 
 /** Collects metrics. Names end in their unit. */
 export interface IMetrics {
@@ -45,18 +52,11 @@
 
 /** Metrics in the memory of this process. */
 export class LightMetrics implements IMetrics {
-  readonly #counters = new Map<string, Map<string, number>>();
+  readonly #counters = new Counters();
   readonly #histograms = new Map<string, Map<string, Buckets>>();
-  readonly #gauges = new Map<string, () => number>();
 
-  count(name: string, labels: Labels = {}, by = 1): void {
-    const series = getOrAdd(
-      this.#counters,
-      name,
-      () => new Map<string, number>(),
-    );
-    const key = renderLabels(labels);
-    series.set(key, (series.get(key) ?? 0) + by);
+  count(name: string, labels?: Labels, by?: number): void {
+    this.#counters.count(name, labels, by);
   }
 
   record(name: string, valueMs: number, labels: Labels = {}): void {
@@ -77,20 +77,11 @@
   }
 
   gauge(name: string, read: () => number): void {
-    this.#gauges.set(name, read);
+    this.#counters.gauge(name, read);
   }
 
   render(): string {
-    const lines: string[] = [];
-    for (const [name, series] of this.#counters) {
-      lines.push(`# TYPE ${name} counter`);
-      for (const [labels, value] of series) {
-        lines.push(`${name}${braced(labels)} ${value}`);
-      }
-    }
-    for (const [name, read] of this.#gauges) {
-      lines.push(`# TYPE ${name} gauge`, `${name} ${read()}`);
-    }
+    const lines = this.#counters.renderLines();
     for (const [name, series] of this.#histograms) {
       lines.push(`# TYPE ${name} histogram`);
       for (const [labels, buckets] of series) {
@@ -119,22 +110,3 @@
   );
   return lines;
 }
-
-function renderLabels(labels: Labels): string {
-  return Object.entries(labels).map(([name, value]) =>
-    `${name}=${JSON.stringify(value)}`
-  ).join(",");
-}
-
-function braced(labels: string): string {
-  return labels === "" ? "" : `{${labels}}`;
-}
-
-function getOrAdd<K, V>(map: Map<K, V>, key: K, create: () => V): V {
-  let value = map.get(key);
-  if (value === undefined) {
-    value = create();
-    map.set(key, value);
-  }
-  return value;
-}
--- a/src/common/metrics.ts
+++ b/src/common/metrics.ts
@@ -7,12 +7,18 @@
 
 import { build, type Histogram } from "hdr-histogram-js";
 import type { ServiceIdentifier } from "inversify";
+import {
+  braced,
+  Counters,
+  getOrAdd,
+  type Labels,
+  renderLabels,
+} from "./counters.ts";
 
 const QUANTILES = [0.5, 0.95, 0.99];
 const HIGHEST_VALUE = 3_600_000_000;
 
-/** Labels of one series, for instance `{ verdict: "not-run" }`. */
-export type Labels = Readonly<Record<string, string>>;
+export type { Labels };
 
 /** Collects metrics. Names end in their unit. */
 export interface IMetrics {
@@ -29,18 +35,11 @@
 
 /** Metrics in the memory of this process. */
 export class Metrics implements IMetrics {
-  readonly #counters = new Map<string, Map<string, number>>();
-  readonly #gauges = new Map<string, () => number>();
+  readonly #counters = new Counters();
   readonly #histograms = new Map<string, Map<string, Histogram>>();
 
-  count(name: string, labels: Labels = {}, by = 1): void {
-    const series = getOrAdd(
-      this.#counters,
-      name,
-      () => new Map<string, number>(),
-    );
-    const key = renderLabels(labels);
-    series.set(key, (series.get(key) ?? 0) + by);
+  count(name: string, labels?: Labels, by?: number): void {
+    this.#counters.count(name, labels, by);
   }
 
   record(name: string, value: number, labels: Labels = {}): void {
@@ -56,20 +55,11 @@
   }
 
   gauge(name: string, read: () => number): void {
-    this.#gauges.set(name, read);
+    this.#counters.gauge(name, read);
   }
 
   render(): string {
-    const lines: string[] = [];
-    for (const [name, series] of this.#counters) {
-      lines.push(`# TYPE ${name} counter`);
-      for (const [labels, value] of series) {
-        lines.push(`${name}${braced(labels)} ${value}`);
-      }
-    }
-    for (const [name, read] of this.#gauges) {
-      lines.push(`# TYPE ${name} gauge`, `${name} ${read()}`);
-    }
+    const lines = this.#counters.renderLines();
     for (const [name, series] of this.#histograms) {
       lines.push(`# TYPE ${name} summary`);
       for (const [labels, histogram] of series) {
@@ -108,22 +98,3 @@
   );
   return lines;
 }
-
-function renderLabels(labels: Labels): string {
-  return Object.entries(labels).map(([name, value]) =>
-    `${name}=${JSON.stringify(value)}`
-  ).join(",");
-}
-
-function braced(labels: string): string {
-  return labels === "" ? "" : `{${labels}}`;
-}
-
-function getOrAdd<K, V>(map: Map<K, V>, key: K, create: () => V): V {
-  let value = map.get(key);
-  if (value === undefined) {
-    value = create();
-    map.set(key, value);
-  }
-  return value;
-}
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -303,7 +303,7 @@
       book: this.#book,
       chooser: this.#chooser,
       control,
-      checker: new StageChecker({ book: this.#book, control, clock, log }),
+      checker: new StageChecker({ book: this.#book, control, clock }),
       codec,
       agent: this.#agent,
       watch: this.#watch,
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -203,10 +203,8 @@
       });
       if (outcome.kind === "failed") {
         if (outcome.verdict === "not-run") {
-          const target = book.get(first.targetId);
-          if (target !== undefined && !this.#abort.signal.aborted) {
-            target.markSilent();
-            book.notify(target);
+          if (!this.#abort.signal.aborted) {
+            book.markSilent(first.targetId, { reason: outcome.reason });
           }
           return { kind: "not-run", wasSent: false, reason: outcome.reason };
         }
--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -294,15 +294,12 @@
       REPORT_TIMEOUT_MS,
     );
     if (this.#isDone) return undefined;
-    const firstTarget = book.get(first.targetId);
     if (report === undefined) {
-      if (firstTarget !== undefined) {
-        firstTarget.markSilent();
-        book.notify(firstTarget);
-      }
+      book.markSilent(first.targetId, { askedForMs: REPORT_TIMEOUT_MS });
       this.#giveUp(`first target silent, no event for ${Math.round(gapMs)} ms`);
       return undefined;
     }
+    const firstTarget = book.get(first.targetId);
     if (firstTarget !== undefined) takeReport(firstTarget, report, book);
     const stalled = report.stalled.find((entry) =>
       entry.requestId === requestId
@@ -310,8 +307,7 @@
     if (stalled === undefined) return undefined;
     const target = book.byAddress(stalled.address);
     if (target !== undefined) {
-      target.markSilent();
-      book.notify(target);
+      book.markSilent(target.id, { waitedForBy: first.targetId });
     }
     return this.#path.stages.find(({ address }) => address === stalled.address);
   }
--- a/src/paths/stage_checker.ts
+++ b/src/paths/stage_checker.ts
@@ -6,7 +6,6 @@
  */
 
 import type { Clock } from "../common/clock.ts";
-import type { ILog } from "../common/logging.ts";
 import type { ITargetControl } from "../ports/services.ts";
 import type { PathStage } from "../ports/types.ts";
 import { takeReport } from "./take_report.ts";
@@ -37,7 +36,6 @@
   readonly book: TargetBook;
   readonly control: ITargetControl;
   readonly clock: Clock;
-  readonly log: ILog;
 }
 
 /** Checks stages and keeps the book. */
@@ -87,7 +85,7 @@
     const tookMs = clock.nowMs() - startedMs;
     if (tookMs > withinMs + HELD_UP_MS) return;
     if (this.#hasHeardOther(stage.targetId, startedMs)) {
-      this.#markSilent(stage.targetId, tookMs);
+      this.#markSilent(stage, tookMs);
       return;
     }
     // Nobody else answered meanwhile; perhaps nothing reaches this host.
@@ -100,21 +98,14 @@
     const isCredible = witness === undefined ||
       this.#hasHeardOther(stage.targetId, startedMs);
     if (isCredible) {
-      this.#markSilent(stage.targetId, clock.nowMs() - startedMs);
+      this.#markSilent(stage, clock.nowMs() - startedMs);
     } else this.#heardMs.delete(witness.targetId);
   }
 
-  #markSilent(id: string, askedForMs: number): void {
-    const { book, log } = this.#options;
-    const target = book.get(id);
-    if (target === undefined || target.silentSinceMs !== undefined) return;
-    target.markSilent();
-    log.warn("target silent", {
-      target: id,
-      address: target.record.address,
+  #markSilent({ targetId }: AskedStage, askedForMs: number): void {
+    this.#options.book.markSilent(targetId, {
       askedForMs: Math.round(askedForMs),
     });
-    book.notify(target);
   }
 
   /** Two questions, the second on a connection of its own; later answers still count. */
--- a/src/paths/stage_checker_test.ts
+++ b/src/paths/stage_checker_test.ts
@@ -61,7 +61,6 @@
     book,
     control: control as ITargetControl,
     clock: systemClock,
-    log: silentLog,
   });
   return { book, checker, asked: () => asked };
 }
@@ -154,7 +153,6 @@
     book,
     control: control as ITargetControl,
     clock: systemClock,
-    log: silentLog,
   });
   return { book, checker, dead, asked, stages };
 }
--- a/src/paths/target_book.ts
+++ b/src/paths/target_book.ts
@@ -113,6 +113,19 @@
     }
   }
 
+  /** Takes note that a target does not answer this host; `evidence` goes to the log. */
+  markSilent(id: string, evidence: Readonly<Record<string, unknown>>): void {
+    const target = this.#targets.get(id);
+    if (target === undefined || target.silentSinceMs !== undefined) return;
+    target.markSilent();
+    this.#log.warn("target silent", {
+      target: id,
+      address: target.record.address,
+      ...evidence,
+    });
+    this.#onChange.fire(target);
+  }
+
   /** Tells listeners that a target's standing changed. */
   notify(target: Target): void {
     this.#onChange.fire(target);
--- a/src/placement/placement_keeper.ts
+++ b/src/placement/placement_keeper.ts
@@ -118,7 +118,7 @@
   }
 
   async #askAll(targets: readonly Target[]): Promise<void> {
-    const { control, book, log } = this.#options;
+    const { control, book } = this.#options;
     const missing: Target[] = [];
     await Promise.all(targets.map(async (target) => {
       const report = await control.report(addressOf(target), REPORT_TIMEOUT_MS);
@@ -127,14 +127,8 @@
     }));
     // Where most are missing it is this host that nothing reaches.
     if (missing.length > targets.length * MAX_MISSING_SHARE) return;
-    for (const target of missing) {
-      if (target.silentSinceMs !== undefined) continue;
-      target.markSilent();
-      log.warn("target silent", {
-        target: target.id,
-        address: target.record.address,
-      });
-      book.notify(target);
+    for (const { id } of missing) {
+      book.markSilent(id, { askedForMs: REPORT_TIMEOUT_MS });
     }
   }
 
