Share the tests' figures of a site and of a small model

Change: test/users_site.ts and test/small_engine.ts hold them; no test's figures changed but pipes and activations that the small model does not use.

--- a/measure/placed/day_test.ts
+++ b/measure/placed/day_test.ts
@@ -2,7 +2,7 @@
 import { playDay } from "./day.ts";
 import { LOADS } from "./loads.ts";
 import { PLANNERS } from "./planners.ts";
-import { SITE_FIGURES, SITE_TARGETS } from "./site.ts";
+import { SITE_FIGURES, siteTargets } from "../../test/users_site.ts";
 import type { DayOptions, DayOutcome } from "./types.ts";
 
 const SEEDS = [11, 12, 13];
@@ -27,7 +27,7 @@
       seed,
       load,
       figures: SITE_FIGURES,
-      targets: SITE_TARGETS,
+      targets: siteTargets(),
       hosts: 9,
       durationMs: 16_000,
     }))
--- a/measure/placed/model_target.ts
+++ b/measure/placed/model_target.ts
@@ -8,7 +8,7 @@
 
 import type { PlanTarget } from "../../src/placement/types.ts";
 import type { EngineFigures, Span } from "../../src/ports/types.ts";
-import { STEPS_PER_PASS } from "./site.ts";
+import { STEPS_PER_PASS } from "../../test/users_site.ts";
 
 /** Options of a target. */
 export interface ModelTargetOptions {
--- a/measure/placed_days.ts
+++ b/measure/placed_days.ts
@@ -11,7 +11,7 @@
 import { playDay } from "./placed/day.ts";
 import { LOADS } from "./placed/loads.ts";
 import { PLANNERS } from "./placed/planners.ts";
-import { SITE_FIGURES, SITE_TARGETS } from "./placed/site.ts";
+import { SITE_FIGURES, siteTargets } from "../test/users_site.ts";
 import type { DayOptions } from "./placed/types.ts";
 import { printRows } from "./tables/rows.ts";
 
@@ -58,7 +58,7 @@
         ...ways,
         seed: SEED,
         figures: SITE_FIGURES,
-        targets: SITE_TARGETS,
+        targets: siteTargets(),
         load,
         hosts: HOSTS,
         durationMs: DURATION_MS,
--- a/src/forward/stream_relay_test.ts
+++ b/src/forward/stream_relay_test.ts
@@ -2,38 +2,17 @@
 import { PassThrough } from "node:stream";
 import { expect, test } from "vitest";
 import { ManualClock } from "../../test/manual_clock.ts";
+import { smallFigures } from "../../test/small_engine.ts";
 import { LightMetrics } from "../common/light_metrics.ts";
 import { silentLog } from "../common/logging.ts";
 import { PathChooser } from "../paths/path_chooser.ts";
 import { TargetBook } from "../paths/target_book.ts";
-import type { EngineFigures, OrderOutcome } from "../ports/types.ts";
+import type { OrderOutcome } from "../ports/types.ts";
 import type { CallContext } from "./context.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import { StreamWatch } from "./stream_watch.ts";
 
-const FIGURES: EngineFigures = {
-  layers: 8,
-  layerMb: 100,
-  kvBytesPerToken: 80_000,
-  slots: 64,
-  stepMs: 1,
-  perSequenceMs: 0,
-  contextPerKiloTokenMs: 0,
-  readTokensPerMs: 100,
-  chunkTokens: 512,
-  activationBytes: 0,
-  domainPipeMbps: Infinity,
-  loadMs: 1_000,
-  loadsAtOnce: 5,
-  usualPromptTokens: 100,
-  usualAnswerTokens: 20,
-  kinds: new Map([["small", {
-    name: "small",
-    memoryMb: 900,
-    paceFactor: 1,
-    readFactor: 1,
-  }]]),
-};
+const FIGURES = smallFigures(900);
 
 /** A stream over two targets that sends no event; a third could take the second's place. */
 function quietStream() {
--- a/src/placement/placement_keeper_test.ts
+++ b/src/placement/placement_keeper_test.ts
@@ -1,11 +1,11 @@
 import { expect, test } from "vitest";
 import { ManualClock } from "../../test/manual_clock.ts";
+import { smallFigures } from "../../test/small_engine.ts";
 import { LightMetrics } from "../common/light_metrics.ts";
 import { silentLog } from "../common/logging.ts";
 import { TargetBook } from "../paths/target_book.ts";
 import type { ITargetControl } from "../ports/services.ts";
 import type {
-  EngineFigures,
   OrderOutcome,
   RoutingConfig,
   Span,
@@ -14,29 +14,7 @@
 } from "../ports/types.ts";
 import { PlacementKeeper } from "./placement_keeper.ts";
 
-const FIGURES: EngineFigures = {
-  layers: 8,
-  layerMb: 100,
-  kvBytesPerToken: 80_000,
-  slots: 64,
-  stepMs: 1,
-  perSequenceMs: 0,
-  contextPerKiloTokenMs: 0,
-  readTokensPerMs: 100,
-  chunkTokens: 512,
-  activationBytes: 65_000,
-  domainPipeMbps: 26_000,
-  loadMs: 1_000,
-  loadsAtOnce: 5,
-  usualPromptTokens: 100,
-  usualAnswerTokens: 20,
-  kinds: new Map([["small", {
-    name: "small",
-    memoryMb: 300,
-    paceFactor: 1,
-    readFactor: 1,
-  }]]),
-};
+const FIGURES = smallFigures(300);
 const CONFIG: RoutingConfig = {
   version: 1,
   routes: [],
--- a/src/placement/placement_plan_test.ts
+++ b/src/placement/placement_plan_test.ts
@@ -1,50 +1,13 @@
 import fc from "fast-check";
 import { describe, expect, test } from "vitest";
-import type { EngineFigures } from "../ports/types.ts";
+import {
+  SITE_DOMAINS,
+  SITE_FIGURES,
+  siteTargets,
+} from "../../test/users_site.ts";
 import { planPlacement } from "./placement_plan.ts";
 import type { PlannedOrder, PlanTarget } from "./types.ts";
 
-const KINDS = [
-  { name: "large", memoryMb: 72_000, paceFactor: 2.4, readFactor: 3.2 },
-  { name: "middle", memoryMb: 43_200, paceFactor: 5.6, readFactor: 2.7 },
-  { name: "small", memoryMb: 21_600, paceFactor: 16, readFactor: 8.2 },
-];
-const FIGURES: EngineFigures = {
-  layers: 80,
-  layerMb: 1_750,
-  kvBytesPerToken: 1_315_343,
-  slots: 134,
-  stepMs: 1.02,
-  perSequenceMs: 0.01,
-  contextPerKiloTokenMs: 0.0137,
-  readTokensPerMs: 105,
-  chunkTokens: 512,
-  activationBytes: 65_000,
-  domainPipeMbps: 26_000,
-  loadMs: 14_000,
-  loadsAtOnce: 5,
-  usualPromptTokens: 774,
-  usualAnswerTokens: 200,
-  kinds: new Map(KINDS.map((kind) => [kind.name, kind])),
-};
-/** Targets of each kind in each failure domain, as at the users' sites. */
-const SITE = { north: [1, 3, 8], middle: [1, 6, 5], south: [2, 2, 5] };
-
-function siteTargets(site: Record<string, number[]> = SITE): PlanTarget[] {
-  return Object.entries(site).flatMap(([domain, counts]) =>
-    counts.flatMap((count, kind) =>
-      Array.from({ length: count }, (_, index) => ({
-        id: `${domain}-${kind}-${index}`,
-        domain,
-        memoryMb: KINDS[kind].memoryMb,
-        paceFactor: KINDS[kind].paceFactor,
-        span: undefined,
-        canTakeOrder: true,
-      }))
-    )
-  );
-}
-
 function apply(
   targets: readonly PlanTarget[],
   orders: readonly PlannedOrder[],
@@ -57,7 +20,7 @@
 }
 
 function holdersByLayer(targets: readonly PlanTarget[]): number[] {
-  return [...Array(FIGURES.layers).keys()].map((layer) =>
+  return [...Array(SITE_FIGURES.layers).keys()].map((layer) =>
     targets.filter(({ span }) =>
       span !== undefined && layer >= span.from && layer < span.to
     ).length
@@ -66,14 +29,14 @@
 
 /** Tokens of context for which the holders of each layer have room. */
 function roomByLayer(targets: readonly PlanTarget[]): number[] {
-  const bytesPerTokenLayer = FIGURES.kvBytesPerToken / FIGURES.layers;
-  return [...Array(FIGURES.layers).keys()].map((layer) =>
+  const bytesPerTokenLayer = SITE_FIGURES.kvBytesPerToken / SITE_FIGURES.layers;
+  return [...Array(SITE_FIGURES.layers).keys()].map((layer) =>
     targets.reduce((sum, { span, memoryMb }) => {
       if (span === undefined || layer < span.from || layer >= span.to) {
         return sum;
       }
       const length = span.to - span.from;
-      const freeMb = memoryMb - length * FIGURES.layerMb;
+      const freeMb = memoryMb - length * SITE_FIGURES.layerMb;
       return sum + freeMb * 1_000_000 / bytesPerTokenLayer / length;
     }, 0)
   );
@@ -83,8 +46,8 @@
   for (const { span, memoryMb } of targets) {
     if (span === undefined) continue;
     expect(span.from).toBeGreaterThanOrEqual(0);
-    expect(span.to).toBeLessThanOrEqual(FIGURES.layers);
-    expect((span.to - span.from) * FIGURES.layerMb).toBeLessThan(memoryMb);
+    expect(span.to).toBeLessThanOrEqual(SITE_FIGURES.layers);
+    expect((span.to - span.from) * SITE_FIGURES.layerMb).toBeLessThan(memoryMb);
   }
 }
 
@@ -92,13 +55,13 @@
   const targets = siteTargets();
   const placed = apply(
     targets,
-    planPlacement({ figures: FIGURES, targets }),
+    planPlacement({ figures: SITE_FIGURES, targets }),
   );
 
   test("gives every failure domain a whole copy and uses every target", () => {
     expectFits(placed);
     expect(placed.every(({ span }) => span !== undefined)).toBe(true);
-    for (const domain of Object.keys(SITE)) {
+    for (const domain of SITE_DOMAINS) {
       const own = placed.filter((target) => target.domain === domain);
       expect(Math.min(...holdersByLayer(own))).toBeGreaterThanOrEqual(1);
     }
@@ -112,7 +75,7 @@
   });
 
   test("keeps every layer when any one failure domain is lost", () => {
-    for (const domain of Object.keys(SITE)) {
+    for (const domain of SITE_DOMAINS) {
       const left = placed.filter((target) => target.domain !== domain);
       expect(Math.min(...holdersByLayer(left))).toBeGreaterThanOrEqual(1);
     }
@@ -120,21 +83,27 @@
 
   test("is the same on every host", () => {
     const shuffled = [...targets].reverse();
-    expect(new Set(planPlacement({ figures: FIGURES, targets: shuffled })))
-      .toEqual(new Set(planPlacement({ figures: FIGURES, targets })));
+    expect(new Set(planPlacement({ figures: SITE_FIGURES, targets: shuffled })))
+      .toEqual(new Set(planPlacement({ figures: SITE_FIGURES, targets })));
   });
 });
 
 test("a row that memory barely allows has no hole", () => {
   const targets = siteTargets({ a: [0, 0, 8] });
-  const placed = apply(targets, planPlacement({ figures: FIGURES, targets }));
+  const placed = apply(
+    targets,
+    planPlacement({ figures: SITE_FIGURES, targets }),
+  );
   expectFits(placed);
   expect(holdersByLayer(placed)).toEqual(new Array(80).fill(1));
 });
 
 test("domains without room for a copy each share one", () => {
   const targets = siteTargets({ a: [0, 2, 0], b: [0, 2, 0], c: [0, 1, 0] });
-  const placed = apply(targets, planPlacement({ figures: FIGURES, targets }));
+  const placed = apply(
+    targets,
+    planPlacement({ figures: SITE_FIGURES, targets }),
+  );
   expectFits(placed);
   expect(Math.min(...holdersByLayer(placed))).toBeGreaterThanOrEqual(1);
 });
@@ -142,11 +111,13 @@
 describe("a later plan", () => {
   const placed = apply(
     siteTargets(),
-    planPlacement({ figures: FIGURES, targets: siteTargets() }),
+    planPlacement({ figures: SITE_FIGURES, targets: siteTargets() }),
   );
 
   test("moves nothing that serves while all is placed", () => {
-    expect(planPlacement({ figures: FIGURES, targets: placed })).toEqual([]);
+    expect(planPlacement({ figures: SITE_FIGURES, targets: placed })).toEqual(
+      [],
+    );
   });
 
   test("gives an empty target layers that restore most of the least room", () => {
@@ -155,7 +126,7 @@
       const targets = placed.map((target) =>
         target === lost ? { ...target, span: undefined } : target
       );
-      const orders = planPlacement({ figures: FIGURES, targets });
+      const orders = planPlacement({ figures: SITE_FIGURES, targets });
       expect(orders.map(({ targetId }) => targetId)).toEqual([lost.id]);
       const after = apply(targets, orders);
       expectFits(after);
@@ -169,7 +140,7 @@
     const targets = placed.map((target, index) =>
       index === 0 ? { ...target, span: undefined, canTakeOrder: false } : target
     );
-    expect(planPlacement({ figures: FIGURES, targets })).toEqual([]);
+    expect(planPlacement({ figures: SITE_FIGURES, targets })).toEqual([]);
   });
 
   test("lets a neighbour grow over a gap where no target can be moved", () => {
@@ -180,15 +151,20 @@
     });
     // Each is the only holder of its layers; 41 layers fit into one target at most.
     const targets = [cut("high", 45, 80), cut("low", 0, 25)];
-    expect(planPlacement({ figures: FIGURES, targets })).toEqual([
+    expect(planPlacement({ figures: SITE_FIGURES, targets })).toEqual([
       { targetId: "low", span: { from: 0, to: 39 } },
     ]);
-    const after = apply(targets, planPlacement({ figures: FIGURES, targets }));
-    expect(planPlacement({ figures: FIGURES, targets: after })).toEqual([
+    const after = apply(
+      targets,
+      planPlacement({ figures: SITE_FIGURES, targets }),
+    );
+    expect(planPlacement({ figures: SITE_FIGURES, targets: after })).toEqual([
       { targetId: "high", span: { from: 41, to: 80 } },
     ]);
     const isBusy = { ...targets[1], canTakeOrder: false };
-    expect(planPlacement({ figures: FIGURES, targets: [isBusy] })).toEqual([]);
+    expect(planPlacement({ figures: SITE_FIGURES, targets: [isBusy] })).toEqual(
+      [],
+    );
   });
 
   test("moves one target where a layer has no holder, and never uncovers another", () => {
@@ -197,7 +173,7 @@
       fc.property(pick, (lost) => {
         let targets = placed.filter((_, index) => !lost.includes(index));
         const before = holdersByLayer(targets);
-        const orders = planPlacement({ figures: FIGURES, targets });
+        const orders = planPlacement({ figures: SITE_FIGURES, targets });
         expect(orders.length).toBeLessThanOrEqual(1);
         targets = apply(targets, orders);
         expectFits(targets);
--- a/measure/placed/site.ts
+++ b/test/users_site.ts
@@ -5,8 +5,8 @@
  * @module
  */
 
-import type { PlanTarget } from "../../src/placement/types.ts";
-import type { EngineFigures } from "../../src/ports/types.ts";
+import type { PlanTarget } from "../src/placement/types.ts";
+import type { EngineFigures } from "../src/ports/types.ts";
 
 const KINDS = [
   { name: "large", memoryMb: 72_000, paceFactor: 2.4, readFactor: 3.2 },
@@ -39,9 +39,12 @@
 /** Targets of each kind in each failure domain. */
 const COUNTS = { north: [1, 3, 8], middle: [1, 6, 5], south: [2, 2, 5] };
 
-export const SITE_TARGETS: readonly PlanTarget[] = Object.entries(COUNTS)
-  .flatMap(([domain, counts]) =>
-    counts.flatMap((count, kind) =>
+/** Empty targets, as many of each kind in each domain as `counts` says. */
+export function siteTargets(
+  counts: Readonly<Record<string, readonly number[]>> = COUNTS,
+): PlanTarget[] {
+  return Object.entries(counts).flatMap(([domain, perKind]) =>
+    perKind.flatMap((count, kind) =>
       Array.from({ length: count }, (_, index) => ({
         id: `${domain}-${KINDS[kind].name}-${index}`,
         domain,
@@ -52,6 +55,10 @@
       }))
     )
   );
+}
+
+/** Domains of the site. */
+export const SITE_DOMAINS = Object.keys(COUNTS);
 
 /** Name of a target's kind. */
 export function kindOf({ memoryMb }: PlanTarget): string {
