Split the caller's response out of StreamCall

StreamResponse holds what has been written to the caller: head, framing, last event. No change of behaviour.

--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -6,15 +6,14 @@
  * @module
  */
 
-import type { IncomingMessage } from "node:http";
 import type { ReservedPath } from "../paths/path_chooser.ts";
 import type { EngineProfile } from "../ports/types.ts";
 import { parseAddress } from "./address.ts";
-import { isUnframed, readResponseBody, responseHeaders } from "./response.ts";
 import { type CallContext, type CallPlan, jitterRetryMs } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
 import { waitForPath } from "./path_wait.ts";
-import { type RelayResult, StreamRelay } from "./stream_relay.ts";
+import { StreamRelay } from "./stream_relay.ts";
+import { StreamResponse } from "./stream_response.ts";
 import { type SendOutcome, sendUpstream } from "./upstream.ts";
 
 /** Resumed streams rank before all requests that have not started. */
@@ -55,11 +54,8 @@
   #sends = 0;
   #retries = 0;
   #mayHaveRun = false;
-  #lastEventId: number | undefined;
-  #isHeadSent = false;
-  #isUnframed = false;
+  readonly #response: StreamResponse;
   #waitedMs = 0;
-  #firstEventMs: number | undefined;
   #repaths = 0;
   #isExpired = false;
   #abort = new AbortController();
@@ -73,7 +69,7 @@
     this.#exchange = exchange;
     this.#plan = plan;
     this.#profile = plan.profile;
-    this.#lastEventId = exchange.metadata.lastEventId;
+    this.#response = new StreamResponse({ exchange });
     const { promptTokens, maxAnswerTokens, likelyAnswerTokens } =
       exchange.metadata;
     const likely = (likelyAnswerTokens ?? plan.profile.typicalAnswerTokens) *
@@ -159,7 +155,7 @@
       ).join(","),
       msPerToken: Math.round(path.msPerToken * 100) / 100,
       tokens: Math.round(this.#tokens),
-      lastEventId: this.#lastEventId,
+      lastEventId: this.#response.lastEventId,
       waitedMs: Math.round(this.#waitedMs),
     });
     const sendAbort = new AbortController();
@@ -190,7 +186,7 @@
           remainingMs: deadlineMs - startedMs,
           customer: customer?.name,
           path: path.stages,
-          lastEventId: this.#sends > 1 ? this.#lastEventId : undefined,
+          lastEventId: this.#sends > 1 ? this.#response.lastEventId : undefined,
           urgency: undefined,
         }),
         body,
@@ -246,76 +242,21 @@
       answer.destroy();
       return { kind: "broken", reason: "response has a content-encoding" };
     }
-    if (status !== 200) return await this.#forwardResponse(outcome, status);
+    const response = this.#response;
+    if (status !== 200) {
+      return toSendResult(await response.forwardWhole(outcome, status));
+    }
     const onDrain = (): void => relay.handleDrain();
     this.#exchange.response.on("drain", onDrain);
     const result = await relay.run(outcome, {
-      lastEventId: this.#lastEventId,
-      onEvents: (bytes, lastId) => this.#forwardEvents(answer, bytes, lastId),
+      lastEventId: response.lastEventId,
+      onEvents: (bytes, lastId) =>
+        response.forwardEvents(answer, bytes, lastId),
     });
     this.#exchange.response.off("drain", onDrain);
-    // The caller was sent a framed head, but an unframed body may be truncated.
-    const isEndAmbiguous = isUnframed(answer) && !this.#isUnframed;
-    return isEndAmbiguous && result.kind === "complete" && this.#isHeadSent
-      ? { kind: "broken", reason: "unframed stream may be truncated" }
-      : this.#toSendResult(result);
-  }
-
-  /** Forwards a response that is not a stream, if it is complete. */
-  async #forwardResponse(
-    outcome: UpstreamResponse,
-    status: number,
-  ): Promise<SendResult> {
-    const { answer } = outcome;
-    const body = await readResponseBody(outcome);
-    if (body === undefined) {
-      return { kind: "broken", reason: "response truncated or too large" };
-    }
-    if (this.#isHeadSent) {
-      return { kind: "broken", reason: `status ${status} on resume` };
-    }
-    if (!this.#exchange.isDisconnected) {
-      const headers = [
-        ...responseHeaders(answer),
-        "Content-Length",
-        String(body.length),
-      ];
-      this.#exchange.answer(status, headers, body);
-      this.#isHeadSent = true;
-    }
-    return { kind: "done" };
-  }
-
-  /** Returns false on backpressure; the relay then pauses until the drain. */
-  #forwardEvents(
-    answer: IncomingMessage,
-    bytes: Buffer,
-    lastId: number | undefined,
-  ): boolean {
-    if (this.#exchange.isDisconnected) return true;
-    if (!this.#isHeadSent) {
-      this.#isHeadSent = true;
-      this.#firstEventMs = this.#exchange.ageMs;
-      this.#isUnframed = isUnframed(answer);
-      if (this.#isUnframed) {
-        this.#exchange.writeUnframedHead(200, responseHeaders(answer));
-      } else {
-        this.#exchange.writeHead(200, responseHeaders(answer));
-      }
-    }
-    this.#lastEventId = lastId;
-    return this.#exchange.response.write(bytes);
-  }
-
-  #toSendResult(end: RelayResult): SendResult {
-    if (end.kind === "broken") return { kind: "broken", reason: end.reason };
-    if (!this.#exchange.isDisconnected) {
-      if (!this.#isHeadSent) {
-        return { kind: "broken", reason: "stream ended without an event" };
-      }
-      this.#exchange.response.end();
-    }
-    return { kind: "done" };
+    return toSendResult(
+      result.kind === "complete" ? response.end(answer) : result.reason,
+    );
   }
 
   /** Whether another send is allowed after a failed one. */
@@ -350,8 +291,8 @@
       request: requestId,
       outcome: result.kind,
       reason: result.kind === "done" ? undefined : result.reason,
-      lastEventId: this.#lastEventId,
-      isHeadSent: this.#isHeadSent,
+      lastEventId: this.#response.lastEventId,
+      isHeadSent: this.#response.isHeadSent,
       goesOn: willRetry,
     });
     return willRetry;
@@ -364,7 +305,7 @@
     if (exchange.isDisconnected) {
       status = "caller left";
     } else if (result.kind !== "done") {
-      if (this.#isHeadSent) {
+      if (this.#response.isHeadSent) {
         status = "broken off";
         exchange.abortResponse();
       } else if (this.#mayHaveRun) {
@@ -380,8 +321,9 @@
       }
     }
     metrics.count("jackdawshift_answers_total", { status: String(status) });
-    if (this.#firstEventMs !== undefined) {
-      metrics.record("jackdawshift_first_event_ms", this.#firstEventMs);
+    const { firstEventMs, lastEventId } = this.#response;
+    if (firstEventMs !== undefined) {
+      metrics.record("jackdawshift_first_event_ms", firstEventMs);
     }
     log.info("request finished", {
       request: this.#plan.requestId,
@@ -390,10 +332,16 @@
       sends: this.#sends,
       repaths: this.#repaths,
       waitedMs: Math.round(this.#waitedMs),
-      firstEventMs: this.#firstEventMs && Math.round(this.#firstEventMs),
-      lastEventId: this.#lastEventId,
+      firstEventMs: firstEventMs && Math.round(firstEventMs),
+      lastEventId,
       ageMs: Math.round(exchange.ageMs),
       reason: result.kind === "done" ? undefined : result.reason,
     });
   }
 }
+
+function toSendResult(failure: string | undefined): SendResult {
+  return failure === undefined
+    ? { kind: "done" }
+    : { kind: "broken", reason: failure };
+}
--- /dev/null
+++ b/src/forward/stream_response.ts
@@ -0,0 +1,104 @@
+/**
+ * The response of a streaming call to its caller, which may be joined from the
+ * responses of several targets.
+ *
+ * @module
+ */
+
+import type { IncomingMessage } from "node:http";
+import type { Exchange } from "./exchange.ts";
+import { isUnframed, readResponseBody, responseHeaders } from "./response.ts";
+import type { SendOutcome } from "./upstream.ts";
+
+type UpstreamResponse = Extract<SendOutcome, { readonly kind: "answer" }>;
+
+export interface StreamResponseOptions {
+  readonly exchange: Exchange;
+}
+
+/** Writes the head once, then events in order. */
+export class StreamResponse {
+  readonly #exchange: Exchange;
+  #isHeadSent = false;
+  #isUnframed = false;
+  #lastEventId: number | undefined;
+  #firstEventMs: number | undefined;
+
+  constructor({ exchange }: StreamResponseOptions) {
+    this.#exchange = exchange;
+    this.#lastEventId = exchange.metadata.lastEventId;
+  }
+
+  get isHeadSent(): boolean {
+    return this.#isHeadSent;
+  }
+
+  /** Id of the last event that was forwarded, or that the caller already has. */
+  get lastEventId(): number | undefined {
+    return this.#lastEventId;
+  }
+
+  /** Time from the request's arrival to its first event. */
+  get firstEventMs(): number | undefined {
+    return this.#firstEventMs;
+  }
+
+  /** Returns false on backpressure. */
+  forwardEvents(
+    answer: IncomingMessage,
+    bytes: Buffer,
+    lastId: number | undefined,
+  ): boolean {
+    if (this.#exchange.isDisconnected) return true;
+    if (!this.#isHeadSent) {
+      this.#isHeadSent = true;
+      this.#firstEventMs = this.#exchange.ageMs;
+      this.#isUnframed = isUnframed(answer);
+      if (this.#isUnframed) {
+        this.#exchange.writeUnframedHead(200, responseHeaders(answer));
+      } else {
+        this.#exchange.writeHead(200, responseHeaders(answer));
+      }
+    }
+    this.#lastEventId = lastId;
+    return this.#exchange.response.write(bytes);
+  }
+
+  /**
+   * Forwards a response that is not a stream, if it is complete. Returns why it
+   * could not be forwarded, or undefined.
+   */
+  async forwardWhole(
+    outcome: UpstreamResponse,
+    status: number,
+  ): Promise<string | undefined> {
+    const body = await readResponseBody(outcome);
+    if (body === undefined) return "response truncated or too large";
+    if (this.#isHeadSent) return `status ${status} on resume`;
+    if (!this.#exchange.isDisconnected) {
+      const headers = [
+        ...responseHeaders(outcome.answer),
+        "Content-Length",
+        String(body.length),
+      ];
+      this.#exchange.answer(status, headers, body);
+      this.#isHeadSent = true;
+    }
+    return undefined;
+  }
+
+  /**
+   * Ends the response after the last event of `answer`. Returns why it could
+   * not be ended as complete, or undefined.
+   */
+  end(answer: IncomingMessage): string | undefined {
+    // The caller was sent a framed head, but an unframed body may be truncated.
+    if (this.#isHeadSent && isUnframed(answer) && !this.#isUnframed) {
+      return "unframed stream may be truncated";
+    }
+    if (this.#exchange.isDisconnected) return undefined;
+    if (!this.#isHeadSent) return "stream ended without an event";
+    this.#exchange.response.end();
+    return undefined;
+  }
+}
