Tell in logs and metrics which content ends its targets

Callers saw one content sent to servers again and again; the logs named the request id only, which is new with each attempt, no send of a plain call, and no target that ended. So 'one attempt is sent on too often' and 'nothing remembers the content' looked alike across hosts, and granted retries were not counted at all.

Change: a digest of method, path, customer and body on 'request sent' and 'request finished'; a check of the target's port after a send that the target broke off (or a stage that a stream had to leave), logged as 'target ended during a request'; counters of targets lost and retries granted.

Ruled out: telling a crash from the broken connection alone, which resets and cut answers of sound servers produce too.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -13,6 +13,7 @@
 import type { ILog } from "../common/logging.ts";
 import { Supervisor } from "../common/supervisor.ts";
 import type { CallContext } from "../forward/context.ts";
+import { LossDetector } from "../forward/loss_detector.ts";
 import { RequestHandler } from "../forward/request_handler.ts";
 import { StreamMonitor } from "../forward/stream_monitor.ts";
 import { UpstreamAgent } from "../forward/upstream_agent.ts";
@@ -318,6 +319,7 @@
       checker: new StageChecker({ targetTable: this.#targets, control, clock }),
       codec,
       agent: this.#agent,
+      lossDetector: new LossDetector(),
       monitor: this.#watch,
       domain: settings.domain,
       random: this.#random,
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -14,6 +14,7 @@
 import type { TargetTable } from "../paths/target_table.ts";
 import type { IHeaderCodec, ITargetControl } from "../ports/services.ts";
 import type { Customer, Route, Service } from "../ports/types.ts";
+import type { LossDetector } from "./loss_detector.ts";
 import type { StreamMonitor } from "./stream_monitor.ts";
 import type { UpstreamAgent } from "./upstream_agent.ts";
 
@@ -28,6 +29,7 @@
   readonly checker: StageChecker;
   readonly codec: IHeaderCodec;
   readonly agent: UpstreamAgent;
+  readonly lossDetector: LossDetector;
   readonly monitor: StreamMonitor;
   readonly domain: string;
   readonly random: () => number;
@@ -41,12 +43,27 @@
   readonly service: Service;
   readonly customer: Customer | undefined;
   readonly requestId: string;
+  /** Equal for requests with the same content, see `content_id.ts`. */
+  readonly contentId: string;
   /** Time on the host's clock at which the request times out. */
   readonly deadlineMs: number;
   /** Position in the wait queue; lower ranks are served first. */
   readonly rank: number;
 }
 
+/** Acquires a retry from the service's budget, and counts the outcome. */
+export function tryAcquireRetry(
+  { budgetOf, metrics }: CallContext,
+  service: string,
+): boolean {
+  const isGranted = budgetOf(service).tryAcquire();
+  const name = isGranted
+    ? "jackdawshift_repeats_granted_total"
+    : "jackdawshift_repeats_denied_total";
+  metrics.count(name, { service });
+  return isGranted;
+}
+
 /** Width of the jitter on retry times, so that refused callers don't retry at once. */
 const RETRY_JITTER_FRACTION = 0.5;
 
--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -8,7 +8,13 @@
 
 import type { Target } from "../paths/target.ts";
 import { isUnframed, readResponseBody, responseHeaders } from "./response.ts";
-import { type CallContext, type CallPlan, jitterRetryMs } from "./context.ts";
+import { CallLosses } from "./call_losses.ts";
+import {
+  type CallContext,
+  type CallPlan,
+  jitterRetryMs,
+  tryAcquireRetry,
+} from "./context.ts";
 import type { Exchange } from "./exchange.ts";
 import { pickPlainTarget } from "./plain_target.ts";
 import { sendUpstream } from "./upstream.ts";
@@ -42,6 +48,7 @@
   readonly #context: CallContext;
   readonly #exchange: Exchange;
   readonly #plan: CallPlan;
+  readonly #losses: CallLosses;
   readonly #tried = new Set<string>();
   readonly #abort = new AbortController();
   #sends = 0;
@@ -54,6 +61,7 @@
     this.#context = context;
     this.#exchange = exchange;
     this.#plan = plan;
+    this.#losses = new CallLosses({ context, plan });
   }
 
   async run(): Promise<void> {
@@ -88,7 +96,7 @@
           return;
         }
         this.#running++;
-        void this.#attempt(target).then((attempt) => {
+        void this.#attempt(target, isIdempotent).then((attempt) => {
           this.#running--;
           if (this.#isFinal(attempt, isIdempotent)) resolve(attempt);
           else launch();
@@ -135,10 +143,7 @@
       random,
     });
     if (target === undefined) return undefined;
-    if (this.#sends > 0 && !this.#context.budgetOf(service.name).tryAcquire()) {
-      this.#context.metrics.count("jackdawshift_repeats_denied_total", {
-        service: service.name,
-      });
+    if (this.#sends > 0 && !tryAcquireRetry(this.#context, service.name)) {
       return undefined;
     }
     this.#tried.add(target.id);
@@ -146,9 +151,15 @@
     return target;
   }
 
-  async #attempt(target: Target): Promise<Attempt> {
+  async #attempt(target: Target, mayRetry: boolean): Promise<Attempt> {
     const { clock, log, metrics } = this.#context;
     const startedMs = clock.nowMs();
+    log.info("request sent", {
+      request: this.#plan.requestId,
+      content: this.#plan.contentId,
+      target: target.id,
+      send: this.#sends,
+    });
     target.ownLoad.streams++;
     const attempt = await this.#send(target);
     target.ownLoad.streams--;
@@ -174,6 +185,11 @@
         isCancelled: this.#abort.signal.aborted,
       });
     }
+    if (attempt.kind === "may-have-run" && !this.#abort.signal.aborted) {
+      const { id: targetId, record: { address } } = target;
+      const check = this.#losses.check({ targetId, address }, undefined);
+      if (mayRetry) await check;
+    }
     return attempt;
   }
 
@@ -268,6 +284,7 @@
     });
     log.info("request finished", {
       request: this.#plan.requestId,
+      content: this.#plan.contentId,
       route: this.#plan.route.name,
       status,
       sends: this.#sends,
--- a/src/forward/request_handler.ts
+++ b/src/forward/request_handler.ts
@@ -7,6 +7,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Customer } from "../ports/types.ts";
+import { contentId } from "./content_id.ts";
 import { type CallContext, type CallPlan, jitterRetryMs } from "./context.ts";
 import { Exchange } from "./exchange.ts";
 import { PlainCall } from "./plain_call.ts";
@@ -36,7 +37,7 @@
 }
 
 type Admission =
-  | { readonly kind: "admit"; readonly plan: CallPlan }
+  | { readonly kind: "admit"; readonly plan: Omit<CallPlan, "contentId"> }
   | {
     readonly kind: "refuse";
     readonly status: number;
@@ -91,9 +92,9 @@
       this.#refuse(exchange, admission);
       return;
     }
-    const { plan } = admission;
+    const { deadlineMs, customer, service } = admission.plan;
     const limitBytes = this.#options.routes()?.config.limits.bodyBytes ?? 0;
-    const outcome = await exchange.readBody(limitBytes, plan.deadlineMs);
+    const outcome = await exchange.readBody(limitBytes, deadlineMs);
     if (outcome.kind === "disconnected") return;
     if (outcome.kind !== "complete") {
       const refusal = outcome.kind === "timed-out"
@@ -106,7 +107,17 @@
       return;
     }
     const { context } = this.#options;
-    const { engine } = plan.service;
+    const { method, url } = exchange.request;
+    const plan: CallPlan = {
+      ...admission.plan,
+      contentId: contentId({
+        method: method ?? "GET",
+        path: url ?? "/",
+        customer: customer?.name,
+        body: outcome.body,
+      }),
+    };
+    const { engine } = service;
     if (engine === undefined) {
       await new PlainCall(context, exchange, plan).run();
     } else {await new StreamCall(context, exchange, {
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -7,9 +7,15 @@
  */
 
 import type { ReservedPath } from "../paths/path_chooser.ts";
-import type { EngineProfile } from "../ports/types.ts";
+import type { EngineProfile, PathStage } from "../ports/types.ts";
 import { parseAddress } from "./address.ts";
-import { type CallContext, type CallPlan, jitterRetryMs } from "./context.ts";
+import { CallLosses } from "./call_losses.ts";
+import {
+  type CallContext,
+  type CallPlan,
+  jitterRetryMs,
+  tryAcquireRetry,
+} from "./context.ts";
 import type { Exchange } from "./exchange.ts";
 import { waitForPath } from "./path_wait.ts";
 import { StreamRelay } from "./stream_relay.ts";
@@ -55,6 +61,7 @@
   #retries = 0;
   #mayHaveRun = false;
   readonly #response: StreamResponse;
+  readonly #losses: CallLosses;
   #waitedMs = 0;
   #repaths = 0;
   #isExpired = false;
@@ -70,6 +77,7 @@
     this.#plan = plan;
     this.#profile = plan.profile;
     this.#response = new StreamResponse({ exchange });
+    this.#losses = new CallLosses({ context, plan });
     const { promptTokens, maxAnswerTokens, likelyAnswerTokens } =
       exchange.metadata;
     const likely = (likelyAnswerTokens ?? plan.profile.typicalAnswerTokens) *
@@ -140,24 +148,13 @@
   }
 
   async #send(path: ReservedPath): Promise<SendResult> {
-    const { codec, agent, clock, targets, log } = this.#context;
-    const { request, body } = this.#exchange;
-    const { route, customer, requestId, deadlineMs } = this.#plan;
+    const { clock } = this.#context;
+    const { route, requestId } = this.#plan;
     const [first] = path.stages;
-    const startedMs = clock.nowMs();
     this.#firstIds.add(first.targetId);
     this.#currentFirstId = first.targetId;
     this.#sends++;
-    log.info("request sent", {
-      request: requestId,
-      path: path.stages.map((stage) =>
-        `${stage.targetId}=${stage.from}-${stage.to}`
-      ).join(","),
-      msPerToken: Math.round(path.msPerToken * 100) / 100,
-      tokens: Math.round(this.#tokens),
-      lastEventId: this.#response.lastEventId,
-      waitedMs: Math.round(this.#waitedMs),
-    });
+    this.#logSend(path);
     const sendAbort = new AbortController();
     const onAbort = (): void => sendAbort.abort();
     this.#abort.signal.addEventListener("abort", onAbort, { once: true });
@@ -171,47 +168,92 @@
       abort: () => sendAbort.abort(),
       mayAbandon: () =>
         route.isResumable && this.#firstIds.size < route.maxAttempts,
+      onStageLost: (stage) =>
+        void this.#losses.check(stage, this.#response.lastEventId),
       onPathChange: (next) => {
         this.#path = next;
         this.#repaths++;
       },
     });
     try {
-      const outcome = await sendUpstream({
-        endpoint: parseAddress(first.address),
-        method: request.method ?? "POST",
-        path: request.url ?? "/",
-        headers: codec.forward(request.rawHeaders, {
-          targetId: first.targetId,
-          remainingMs: deadlineMs - startedMs,
-          customer: customer?.name,
-          path: path.stages,
-          lastEventId: this.#sends > 1 ? this.#response.lastEventId : undefined,
-          urgency: undefined,
-        }),
-        body,
-        mayReuse: route.isResumable,
+      const outcome = await this.#sendUpstream(path, {
+        startedMs: clock.nowMs(),
         signal: sendAbort.signal,
-        agent,
       });
-      if (outcome.kind === "failed") {
-        if (outcome.verdict === "not-run") {
-          if (!this.#abort.signal.aborted) {
-            targets.markUnresponsive(first.targetId, {
-              reason: outcome.reason,
-            });
-          }
-          return { kind: "not-run", wasSent: false, reason: outcome.reason };
-        }
-        return { kind: "broken", reason: relay.failure ?? outcome.reason };
+      const result = outcome.kind === "failed"
+        ? this.#handleFailedSend(first, outcome, relay)
+        : await this.#receive(outcome, relay);
+      const isClosedByTarget = result.kind === "broken" &&
+        relay.failure === undefined && !this.#abort.signal.aborted;
+      if (isClosedByTarget) {
+        await this.#losses.check(first, this.#response.lastEventId);
       }
-      return await this.#receive(outcome, relay);
+      return result;
     } finally {
       relay.dispose();
       this.#abort.signal.removeEventListener("abort", onAbort);
     }
   }
 
+  #logSend(path: ReservedPath): void {
+    this.#context.log.info("request sent", {
+      request: this.#plan.requestId,
+      content: this.#plan.contentId,
+      send: this.#sends,
+      path: path.stages.map((stage) =>
+        `${stage.targetId}=${stage.from}-${stage.to}`
+      ).join(","),
+      msPerToken: Math.round(path.msPerToken * 100) / 100,
+      tokens: Math.round(this.#tokens),
+      lastEventId: this.#response.lastEventId,
+      waitedMs: Math.round(this.#waitedMs),
+    });
+  }
+
+  #sendUpstream(
+    { stages }: ReservedPath,
+    { startedMs, signal }: {
+      readonly startedMs: number;
+      readonly signal: AbortSignal;
+    },
+  ): Promise<SendOutcome> {
+    const { codec, agent } = this.#context;
+    const { request, body } = this.#exchange;
+    const { route, customer, deadlineMs } = this.#plan;
+    const [first] = stages;
+    return sendUpstream({
+      endpoint: parseAddress(first.address),
+      method: request.method ?? "POST",
+      path: request.url ?? "/",
+      headers: codec.forward(request.rawHeaders, {
+        targetId: first.targetId,
+        remainingMs: deadlineMs - startedMs,
+        customer: customer?.name,
+        path: stages,
+        lastEventId: this.#sends > 1 ? this.#response.lastEventId : undefined,
+        urgency: undefined,
+      }),
+      body,
+      mayReuse: route.isResumable,
+      signal,
+      agent,
+    });
+  }
+
+  #handleFailedSend(
+    { targetId }: PathStage,
+    { verdict, reason }: Extract<SendOutcome, { readonly kind: "failed" }>,
+    relay: StreamRelay,
+  ): SendResult {
+    if (verdict === "may-have-run") {
+      return { kind: "broken", reason: relay.failure ?? reason };
+    }
+    if (!this.#abort.signal.aborted) {
+      this.#context.targets.markUnresponsive(targetId, { reason });
+    }
+    return { kind: "not-run", wasSent: false, reason };
+  }
+
   async #receive(
     outcome: UpstreamResponse,
     relay: StreamRelay,
@@ -261,7 +303,7 @@
 
   /** Whether another send is allowed after a failed one. */
   #mayRetry(result: SendResult): boolean {
-    const { log, budgetOf, clock, metrics } = this.#context;
+    const { log, clock } = this.#context;
     const { route, requestId, service, deadlineMs } = this.#plan;
     if (result.kind === "broken") {
       this.#mayHaveRun = true;
@@ -280,12 +322,7 @@
     const hasRetries = hasTarget && ++this.#retries <= MAX_RETRIES;
     let willRetry = isAllowed && hasTime && hasRetries;
     if (willRetry && !(result.kind === "not-run" && !result.wasSent)) {
-      willRetry = budgetOf(service.name).tryAcquire();
-      if (!willRetry) {
-        metrics.count("jackdawshift_repeats_denied_total", {
-          service: service.name,
-        });
-      }
+      willRetry = tryAcquireRetry(this.#context, service.name);
     }
     log.info("send failed", {
       request: requestId,
@@ -327,6 +364,7 @@
     }
     log.info("request finished", {
       request: this.#plan.requestId,
+      content: this.#plan.contentId,
       route: this.#plan.route.name,
       status,
       sends: this.#sends,
--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -65,6 +65,8 @@
   readonly abort: () => void;
   /** Whether the request may be resumed elsewhere; otherwise the relay keeps waiting. */
   readonly mayAbandon: () => boolean;
+  /** Called when a stage after the first does not respond. */
+  readonly onStageLost: (stage: PathStage) => void;
   /** Called with the new path after a repath. */
   readonly onPathChange: (path: ReservedPath) => void;
 }
@@ -326,6 +328,9 @@
     const { context, requestId, service, figures, tokens } = this.#options;
     const { chooser, control, clock, log, metrics } = context;
     const [first] = this.#path.stages;
+    if (fault === "silent" || fault === "stalled") {
+      this.#options.onStageLost(faulty);
+    }
     // Another path may be no faster, so this is tried only once.
     if (fault === "slow") this.#hasAvoidedSlow = true;
     if (faulty.targetId === first.targetId) {
--- a/src/forward/stream_relay_test.ts
+++ b/src/forward/stream_relay_test.ts
@@ -86,6 +86,7 @@
     path,
     abort: () => {},
     mayAbandon: () => false,
+    onStageLost: () => {},
     onPathChange: () => {},
   });
   const runChecks = async (spanMs: number) => {
