Reproduce the content that ends its targets without bound (red)

Three hosts, servers that end when they execute a given body and listen again after 50 ms, one content twelve times. Today: 24 sends and 24 servers ended, as plain calls and as streams; allowed are three losses and three sends more. 24 = 12 attempts x 2 targets, so each attempt keeps its limit and only the memory across attempts and hosts is missing.

--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -64,11 +64,18 @@
   readonly #options: ModelServerOptions;
   readonly #server: Server;
   readonly #streams = new Map<string, RunningStream>();
+  #restart: NodeJS.Timeout | undefined;
   mode: ServerMode = "good";
   /** Events before a stream fails in mode `stall` or `cut`. */
   stallAfterEvents = 2;
   /** Stage that stops in mode `stall`; reports name it for stalled streams. */
   stalledStageAddress = "";
+  /** A request whose body contains this ends the server that executes it. */
+  crashingText: string | undefined;
+  /** Time until a server that ended listens again, with its layers loaded. */
+  restartMs = 50;
+  /** Number of times that the server ended. */
+  crashes = 0;
   /** Number of requests to reject before `mode` applies again. */
   rejectNextCount = 0;
   /** Pause after the third event of a stream. */
@@ -130,6 +137,7 @@
   }
 
   close(): void {
+    clearTimeout(this.#restart);
     this.#server.closeAllConnections();
     this.#server.close();
   }
@@ -145,6 +153,19 @@
     });
   }
 
+  /** Ends all connections and refuses new ones until the restart. */
+  #crash(): void {
+    const { port } = this.#server.address() as AddressInfo;
+    this.crashes++;
+    this.#server.close();
+    this.#server.closeAllConnections();
+    this.seq = 0;
+    this.#restart = setTimeout(
+      () => this.#server.listen(port, "127.0.0.1"),
+      this.restartMs,
+    );
+  }
+
   #report(response: ServerResponse): void {
     if (this.mode === "hang") return;
     const stalled = [...this.#streams.values()].filter((stream) =>
@@ -224,6 +245,10 @@
       return;
     }
     this.#recordExecution(requestId);
+    if (this.crashingText !== undefined && body.includes(this.crashingText)) {
+      this.#crash();
+      return;
+    }
     if (mode === "error") {
       response.writeHead(500, this.#answerHeaders(requestId)).end("failed");
       return;
