Split the pace of events out of StreamRelay, and budgets and queues out of EntryHost

EventPace tells when an event is overdue; ServiceLimits holds the retry budget and the queue of each service. No change of behaviour.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -6,8 +6,6 @@
  * @module
  */
 
-import { ServiceRetryBudget } from "../admission/service_retry_budget.ts";
-import { WaitQueue } from "../admission/wait_queue.ts";
 import type { Clock } from "../common/clock.ts";
 import { BucketMetrics } from "../common/bucket_metrics.ts";
 import type { ILog } from "../common/logging.ts";
@@ -34,6 +32,7 @@
 import { HostListeners, type HostPorts } from "./host_listeners.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { TargetProber } from "./target_prober.ts";
+import { ServiceLimits } from "./service_limits.ts";
 import { StoreFeeds } from "./store_feeds.ts";
 import { TargetFeed } from "./target_feed.ts";
 
@@ -44,12 +43,6 @@
  * balancer moves callers before they are rejected.
  */
 const MAX_READY_CONFIG_AGE_MS = 2_500;
-/** Requests of a service that may wait for a path; a stream uses about 100 KB. */
-const MAX_QUEUED_REQUESTS = 400;
-/** Allowance for unknown hosts, which may be starting or partitioned. */
-const UNDISCOVERED_HOSTS = 4;
-/** Minimum number of hosts among which the retry slack is divided. */
-const MIN_HOSTS = 12;
 /**
  * A stopping host accepts requests for this long: a stream takes some seconds,
  * and the load balancer reacts within two.
@@ -94,8 +87,7 @@
   readonly #watch: StreamMonitor;
   readonly #agent: UpstreamAgent;
   readonly #core: RequestHandler;
-  readonly #budgets = new Map<string, ServiceRetryBudget>();
-  readonly #queues = new Map<string, WaitQueue>();
+  readonly #limits: ServiceLimits;
   readonly #listeners: HostListeners;
   #isStopping = false;
   #isClosed = false;
@@ -125,6 +117,11 @@
     this.#config = new ConfigTracker({ decoder, log });
     const host = hostRecord(settings, clock);
     this.#link = new PeerLink({ host, clock, log });
+    this.#limits = new ServiceLimits({
+      clock,
+      bounds: settings.bounds,
+      knownHosts: () => this.#link.knownCount,
+    });
     this.#feeds = new StoreFeeds({
       configLog: options.configLog,
       targetLog: options.targetLog,
@@ -153,7 +150,7 @@
       canLead: () => !this.#isStopping && this.#isFresh(),
       canRead: () => !this.#isStopping && this.#feeds.isStoreReachable,
       slowTargets: () => this.#placement.slowTargets(),
-      onPeerLoad: () => this.#pump(),
+      onPeerLoad: () => this.#limits.dispatch(),
     });
     this.#prober = new TargetProber({
       targets: this.#targets,
@@ -162,7 +159,10 @@
       log,
       hasReports: (service) => this.#engineOf(service) !== undefined,
     });
-    this.#watch = new StreamMonitor({ clock, onTick: () => this.#pump() });
+    this.#watch = new StreamMonitor({
+      clock,
+      onTick: () => this.#limits.dispatch(),
+    });
     this.#agent = new UpstreamAgent({
       onUnsolicitedData: (address, sizeBytes) =>
         log.warn("unexpected bytes on idle connection to target", {
@@ -280,7 +280,7 @@
     );
     this.#feeds.config.onBatch((batch) => this.#config.apply(batch));
     this.#feeds.targets.onBatch((batch) => feed.apply(batch));
-    this.#targets.onChange(() => this.#pump());
+    this.#targets.onChange(() => this.#limits.dispatch());
     this.#metrics.gauge(
       "jackdawshift_requests_active",
       () => this.#core.active,
@@ -323,44 +323,11 @@
       monitor: this.#watch,
       domain: settings.domain,
       random: this.#random,
-      budgetOf: (service) => this.#budgetOf(service),
-      queueOf: (service) => this.#queueOf(service),
+      budgetOf: (service) => this.#limits.budgetOf(service),
+      queueOf: (service) => this.#limits.queueOf(service),
     };
   }
 
-  #budgetOf(service: string): ServiceRetryBudget {
-    let budget = this.#budgets.get(service);
-    if (budget === undefined) {
-      const { bounds } = this.#options.settings;
-      budget = new ServiceRetryBudget({
-        clock: this.#options.clock,
-        windowMs: bounds.retryWindowMs,
-        ratio: bounds.retryRatio,
-        slack: bounds.retrySlack,
-        hostLimit: () =>
-          Math.max(MIN_HOSTS, this.#link.knownCount + 1 + UNDISCOVERED_HOSTS),
-      });
-      this.#budgets.set(service, budget);
-    }
-    return budget;
-  }
-
-  #queueOf(service: string): WaitQueue {
-    let queue = this.#queues.get(service);
-    if (queue === undefined) {
-      queue = new WaitQueue({
-        clock: this.#options.clock,
-        maxWaiting: MAX_QUEUED_REQUESTS,
-      });
-      this.#queues.set(service, queue);
-    }
-    return queue;
-  }
-
-  #pump(): void {
-    for (const queue of this.#queues.values()) queue.dispatch();
-  }
-
   #engineOf(service: string): unknown {
     return this.#config.table?.config.services.get(service)?.engine;
   }
--- /dev/null
+++ b/src/entry/service_limits.ts
@@ -0,0 +1,69 @@
+/**
+ * The retry budget and the wait queue of each service at one host, created when
+ * the service is first used.
+ *
+ * @module
+ */
+
+import { ServiceRetryBudget } from "../admission/service_retry_budget.ts";
+import { WaitQueue } from "../admission/wait_queue.ts";
+import type { Clock } from "../common/clock.ts";
+import type { HostBounds } from "../ports/types.ts";
+
+/** Requests of a service that may wait for a path; a stream uses about 100 KB. */
+const MAX_QUEUED_REQUESTS = 400;
+/** Allowance for unknown hosts, which may be starting or partitioned. */
+const UNDISCOVERED_HOSTS = 4;
+/** Minimum number of hosts among which the retry slack is divided. */
+const MIN_HOSTS = 12;
+
+export interface ServiceLimitsOptions {
+  readonly clock: Clock;
+  readonly bounds: HostBounds;
+  /** Number of other hosts that are known, live or not. */
+  readonly knownHosts: () => number;
+}
+
+export class ServiceLimits {
+  readonly #options: ServiceLimitsOptions;
+  readonly #budgets = new Map<string, ServiceRetryBudget>();
+  readonly #queues = new Map<string, WaitQueue>();
+
+  constructor(options: ServiceLimitsOptions) {
+    this.#options = options;
+  }
+
+  budgetOf(service: string): ServiceRetryBudget {
+    let budget = this.#budgets.get(service);
+    if (budget === undefined) {
+      const { clock, bounds, knownHosts } = this.#options;
+      budget = new ServiceRetryBudget({
+        clock,
+        windowMs: bounds.retryWindowMs,
+        ratio: bounds.retryRatio,
+        slack: bounds.retrySlack,
+        hostLimit: () =>
+          Math.max(MIN_HOSTS, knownHosts() + 1 + UNDISCOVERED_HOSTS),
+      });
+      this.#budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  queueOf(service: string): WaitQueue {
+    let queue = this.#queues.get(service);
+    if (queue === undefined) {
+      queue = new WaitQueue({
+        clock: this.#options.clock,
+        maxWaiting: MAX_QUEUED_REQUESTS,
+      });
+      this.#queues.set(service, queue);
+    }
+    return queue;
+  }
+
+  /** Lets waiting requests start whose path has capacity now. */
+  dispatch(): void {
+    for (const queue of this.#queues.values()) queue.dispatch();
+  }
+}
--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -11,20 +11,11 @@
 import type { EngineProfile } from "../ports/types.ts";
 import { applyReport } from "../paths/apply_report.ts";
 import type { CallContext } from "./context.ts";
+import { EventPace, SUSPECT_OVERDUE_MS } from "./event_pace.ts";
 import { EventReader } from "./event_reader.ts";
 import type { SendOutcome } from "./upstream.ts";
 import type { MonitoredStream } from "./stream_monitor.ts";
 
-/** Wait for the first event before the path is checked; prompts take some 100 ms. */
-const FIRST_EVENT_OVERDUE_MS = 250;
-/** Least gap before a check of a fast stream; events arrive every 20 to 60 ms. */
-const EVENT_OVERDUE_MS = 95;
-/** For slower streams, the gap before a check as a multiple of the mean gap. */
-const OVERDUE_GAP_FACTOR = 2.5;
-/** Longest gap before a check, however slow the stream is. */
-const MAX_EVENT_OVERDUE_MS = 300;
-/** Gap before a check or repath if a stage is unresponsive or suspect. */
-const SUSPECT_OVERDUE_MS = 50;
 /** A first target reports a stalled request only after some hundred milliseconds. */
 const STALLED_OVERDUE_MS = 350;
 /** Delay after the first check of a stream. */
@@ -34,16 +25,10 @@
 /** Delay between attempts to leave a stage that still works. */
 const LEAVE_RETRY_INTERVAL_MS = 500;
 const REPORT_TIMEOUT_MS = 300;
-/** After a repath, the context is read again before the next event. */
-const REPATH_GRACE_MS = 250;
 /** Gap after which a send is abandoned; callers disconnect after two seconds. */
 const ABANDON_AFTER_MS = 1_500;
 /** A stage this much slower than its kind is avoided if events are late. */
 const SLOW_STAGE_FACTOR = 2;
-/** Weight of the latest gap in the moving average. */
-const GAP_WEIGHT = 0.3;
-/** Mean gap above which events are late; close to the limit of a timely stream. */
-const SLOW_GAP_MS = 150;
 
 type UpstreamResponse = Extract<SendOutcome, { readonly kind: "answer" }>;
 
@@ -85,12 +70,10 @@
 export class StreamRelay implements MonitoredStream {
   readonly #options: StreamRelayOptions;
   #path: ReservedPath;
-  #progressMs: number;
+  readonly #pace: EventPace;
   #nextCheckMs = 0;
-  #meanGapMs = 0;
   /** Checks without a finding, and failed repaths, since the last event. */
   #fruitlessChecks = 0;
-  #hasEvents = false;
   #hasTriedUrgent = false;
   #hasAvoidedSlow = false;
   #isRepairing = false;
@@ -102,7 +85,7 @@
   constructor(options: StreamRelayOptions) {
     this.#options = options;
     this.#path = options.path;
-    this.#progressMs = options.context.clock.nowMs();
+    this.#pace = new EventPace({ startMs: options.context.clock.nowMs() });
     options.context.monitor.add(this);
   }
 
@@ -149,22 +132,16 @@
       answer.on("close", () => fail("stream truncated"));
       this.#resume = () => {
         this.#isPaused = false;
-        this.#progressMs = this.#options.context.clock.nowMs();
+        this.#pace.resume(this.#options.context.clock.nowMs());
         answer.resume();
       };
     });
   }
 
   #recordProgress(): void {
-    const nowMs = this.#options.context.clock.nowMs();
-    if (this.#hasEvents) {
-      const gapMs = nowMs - this.#progressMs;
-      this.#meanGapMs += (gapMs - this.#meanGapMs) * GAP_WEIGHT;
-    }
-    this.#hasEvents = true;
+    this.#pace.recordEvent(this.#options.context.clock.nowMs());
     this.#hasTriedUrgent = false;
     this.#fruitlessChecks = 0;
-    this.#progressMs = nowMs;
   }
 
   /** Resumes after backpressure. */
@@ -176,9 +153,10 @@
 
   checkProgress(nowMs: number): void {
     if (this.#isDone || this.#isRepairing || this.#isPaused) return;
-    const gapMs = nowMs - this.#progressMs;
+    const gapMs = this.#pace.gapMs(nowMs);
     const found = this.#knownFault(gapMs);
-    if (found === undefined && gapMs < this.#overdueMs) return;
+    const overdueMs = this.#pace.overdueMs(this.#hasSuspect);
+    if (found === undefined && gapMs < overdueMs) return;
     const isUrgent = found !== undefined && found.fault === "silent";
     if (nowMs < this.#nextCheckMs && !(isUrgent && !this.#hasTriedUrgent)) {
       return;
@@ -207,15 +185,6 @@
     );
   }
 
-  get #overdueMs(): number {
-    if (!this.#hasEvents) return FIRST_EVENT_OVERDUE_MS;
-    if (this.#hasSuspect) return SUSPECT_OVERDUE_MS;
-    return Math.min(
-      MAX_EVENT_OVERDUE_MS,
-      Math.max(EVENT_OVERDUE_MS, this.#meanGapMs * OVERDUE_GAP_FACTOR),
-    );
-  }
-
   get #hasSuspect(): boolean {
     const { targets } = this.#options.context;
     return this.#path.stages.some(({ targetId }) =>
@@ -228,7 +197,7 @@
     gapMs: number,
   ): { readonly stage: PathStage; readonly fault: Fault } | undefined {
     const { targets } = this.#options.context;
-    const isLate = this.#meanGapMs > SLOW_GAP_MS;
+    const { isLate } = this.#pace;
     for (const stage of this.#path.stages.slice(1)) {
       const target = targets.get(stage.targetId);
       if (target === undefined || !target.isResponsive) {
@@ -275,10 +244,10 @@
     const { stages } = this.#path;
     await this.#options.context.checker.check(stages);
     if (this.#isDone) return undefined;
-    const nowMs = this.#options.context.clock.nowMs();
+    const newGapMs = this.#pace.gapMs(this.#options.context.clock.nowMs());
     // An event arrived during the check.
-    if (nowMs - this.#progressMs < gapMs) return undefined;
-    const known = this.#knownFault(nowMs - this.#progressMs);
+    if (newGapMs < gapMs) return undefined;
+    const known = this.#knownFault(newGapMs);
     if (known !== undefined) return known;
     const first = this.#options.context.targets.get(stages[0].targetId);
     if (gapMs < STALLED_OVERDUE_MS && first?.noResponseSinceMs === undefined) {
@@ -382,10 +351,7 @@
     this.#path.release();
     this.#path = next;
     this.#options.onPathChange(next);
-    this.#progressMs = Math.max(
-      this.#progressMs,
-      clock.nowMs() + REPATH_GRACE_MS - EVENT_OVERDUE_MS,
-    );
+    this.#pace.recordRepath(clock.nowMs());
   }
 
   #abandon(reason: string): void {
