Count retries in a window that slides exactly

Callers saw nothing of it so far; the bound is on any span of the window's length. Cause: retries were counted in slices of half a second, and the oldest slice was dropped whole as soon as it began to leave, so a burst at its end was forgotten up to half a second early and the slack could be spent twice within one window. Evidence: the new test, red before (a host that spent its slack at some offset has it again 1 ms before the window is over). Ruled out: keeping one more slice, which holds back retries half a second too long ('an exhausted slack is available again after the window' would fail).

Change: the times of granted retries are kept, as many as the limit at most; requests stay in slices, where dropping early only lowers the limit.

--- a/src/admission/service_retry_budget.ts
+++ b/src/admission/service_retry_budget.ts
@@ -8,7 +8,7 @@
 
 import type { Clock } from "../common/clock.ts";
 
-/** Number of slices of the window, which slides by one slice at a time. */
+/** Number of slices of the window in which requests are counted. */
 const SLICES = 20;
 
 export interface ServiceRetryBudgetOptions {
@@ -25,16 +25,18 @@
 interface Slice {
   index: number;
   requests: number;
-  retries: number;
 }
 
 /** The retry budget of one service at one host. */
 export class ServiceRetryBudget {
   readonly #options: ServiceRetryBudgetOptions;
+  /** Slices drop requests up to one slice early, which only lowers the limit. */
   readonly #slices: Slice[] = Array.from(
     { length: SLICES },
-    () => ({ index: -Infinity, requests: 0, retries: 0 }),
+    () => ({ index: -Infinity, requests: 0 }),
   );
+  /** Times of the retries in the window, oldest first; as many as the limit at most. */
+  #retriesAtMs: number[] = [];
 
   constructor(options: ServiceRetryBudgetOptions) {
     this.#options = options;
@@ -46,20 +48,26 @@
 
   /** Acquires one retry; returns false if the budget is exhausted. */
   tryAcquire(): boolean {
-    const { ratio, slack, hostLimit } = this.#options;
-    const current = this.#currentSlice();
-    let requests = 0;
-    let retries = 0;
-    for (const slice of this.#slices) {
-      if (slice.index <= current.index - SLICES) continue;
-      requests += slice.requests;
-      retries += slice.retries;
-    }
-    if (retries + 1 > requests * ratio + slack / hostLimit()) return false;
-    current.retries++;
+    const { clock, windowMs, ratio, slack, hostLimit } = this.#options;
+    const nowMs = clock.nowMs();
+    this.#retriesAtMs = this.#retriesAtMs.filter((atMs) =>
+      atMs > nowMs - windowMs
+    );
+    const limit = this.#countRequests() * ratio + slack / hostLimit();
+    if (this.#retriesAtMs.length + 1 > limit) return false;
+    this.#retriesAtMs.push(nowMs);
     return true;
   }
 
+  #countRequests(): number {
+    const current = this.#currentSlice();
+    return this.#slices.reduce(
+      (sum, { index, requests }) =>
+        index > current.index - SLICES ? sum + requests : sum,
+      0,
+    );
+  }
+
   #currentSlice(): Slice {
     const { clock, windowMs } = this.#options;
     const index = Math.floor(clock.nowMs() / (windowMs / SLICES));
@@ -67,7 +75,6 @@
     if (slice.index !== index) {
       slice.index = index;
       slice.requests = 0;
-      slice.retries = 0;
     }
     return slice;
   }
--- a/src/admission/service_retry_budget_test.ts
+++ b/src/admission/service_retry_budget_test.ts
@@ -52,3 +52,14 @@
   await clock.advance(WINDOW_MS);
   expect(host.tryAcquire()).toBe(true);
 });
+
+test("no span of the window's length has more retries than the limit, whenever in a slice they came", async () => {
+  for (let offsetMs = 0; offsetMs < WINDOW_MS; offsetMs += 110) {
+    const clock = new ManualClock();
+    const [host] = budgets(clock);
+    await clock.advance(offsetMs);
+    while (host.tryAcquire());
+    await clock.advance(WINDOW_MS - 1);
+    expect(host.tryAcquire()).toBe(false);
+  }
+});
