Count a stream's retry when it is sent, not when its send before failed

Cause: a stream acquired its retry when a send failed and then waited for a path, 1.2 s at most; the target saw it that much later than the budget counted it, so the budget let more through in some span of the window's length. Callers saw nothing of it so far. Ruled out: a window longer by the longest wait, which holds every other retry back.

Change: a failed send asks whether a retry is left (if not, the caller is answered at once), and the retry is acquired when a path was found.

--- a/src/admission/service_retry_budget.ts
+++ b/src/admission/service_retry_budget.ts
@@ -48,15 +48,20 @@
 
   /** Acquires one retry; returns false if the budget is exhausted. */
   tryAcquire(): boolean {
+    if (!this.hasRetry()) return false;
+    this.#retriesAtMs.push(this.#options.clock.nowMs());
+    return true;
+  }
+
+  /** Whether a retry could be acquired now. */
+  hasRetry(): boolean {
     const { clock, windowMs, ratio, slack, hostLimit } = this.#options;
     const nowMs = clock.nowMs();
     this.#retriesAtMs = this.#retriesAtMs.filter((atMs) =>
       atMs > nowMs - windowMs
     );
     const limit = this.#countRequests() * ratio + slack / hostLimit();
-    if (this.#retriesAtMs.length + 1 > limit) return false;
-    this.#retriesAtMs.push(nowMs);
-    return true;
+    return this.#retriesAtMs.length + 1 <= limit;
   }
 
   #countRequests(): number {
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -55,7 +55,7 @@
 
 /** Acquires a retry from the service's budget, and counts the outcome. */
 export function tryAcquireRetry(
-  { budgetOf, metrics }: CallContext,
+  { budgetOf, metrics }: Pick<CallContext, "budgetOf" | "metrics">,
   service: string,
 ): boolean {
   const isGranted = budgetOf(service).tryAcquire();
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -11,12 +11,8 @@
 import type { EngineProfile, PathStage } from "../ports/types.ts";
 import { parseAddress } from "./address.ts";
 import { CallLosses } from "./call_losses.ts";
-import {
-  type CallContext,
-  type CallPlan,
-  jitterRetryMs,
-  tryAcquireRetry,
-} from "./context.ts";
+import { CallRetries } from "./call_retries.ts";
+import { type CallContext, type CallPlan, jitterRetryMs } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
 import { waitForPath } from "./path_wait.ts";
 import { StreamRelay } from "./stream_relay.ts";
@@ -63,6 +59,7 @@
   #mayHaveRun = false;
   readonly #response: StreamResponse;
   readonly #losses: CallLosses;
+  readonly #budgetedRetries: CallRetries;
   #waitedMs = 0;
   #repaths = 0;
   #isExpired = false;
@@ -79,6 +76,10 @@
     this.#profile = plan.profile;
     this.#response = new StreamResponse({ exchange });
     this.#losses = new CallLosses({ context, plan });
+    this.#budgetedRetries = new CallRetries({
+      context,
+      service: plan.service.name,
+    });
     const { promptTokens, maxAnswerTokens, likelyAnswerTokens } =
       exchange.metadata;
     const likely = (likelyAnswerTokens ?? plan.profile.typicalAnswerTokens) *
@@ -107,6 +108,7 @@
         if (this.#path === undefined) break;
         // The content may have been quarantined while the request waited.
         if (this.#losses.quarantinedForMs > 0) break;
+        if (!this.#budgetedRetries.tryBeginSend()) break;
         result = await this.#send(this.#path);
         this.#release();
         if (result.kind === "done" || !this.#mayRetry(result)) break;
@@ -317,7 +319,7 @@
   /** Whether another send is allowed after a failed one. */
   #mayRetry(result: SendResult): boolean {
     const { log, clock } = this.#context;
-    const { route, requestId, service, deadlineMs } = this.#plan;
+    const { route, requestId, deadlineMs } = this.#plan;
     if (result.kind === "broken") {
       this.#mayHaveRun = true;
       this.#excluded.add(this.#currentFirstId);
@@ -334,10 +336,9 @@
       [...this.#firstIds].some((id) => !this.#excluded.has(id));
     const hasTarget = mayReuseFirst || this.#firstIds.size < route.maxAttempts;
     const hasRetries = hasTarget && ++this.#retries <= MAX_RETRIES;
-    let willRetry = isAllowed && hasTime && hasRetries;
-    if (willRetry && !(result.kind === "not-run" && !result.wasSent)) {
-      willRetry = tryAcquireRetry(this.#context, service.name);
-    }
+    const wasSent = result.kind !== "not-run" || result.wasSent;
+    const willRetry = isAllowed && hasTime && hasRetries &&
+      this.#budgetedRetries.recordFailure({ wasSent });
     log.info("send failed", {
       request: requestId,
       outcome: result.kind,
