Withhold the slack of retries for one window after a restart

A process that started had its whole part of the slack again, so hosts that restart while targets fail spend it once in each process: 768 retries in one window where 198 are allowed (new test, four processes each of twelve hosts; red before). Callers saw nothing of it so far. Ruled out: telling other hosts what was spent (lost when all restart together), a smaller part for every process (still grows with restarts).

Change: only where the platform says that the whole system starts for the first time (bootstrap) is the slack there at once; else a host repeats its ratio only until one window has passed.

--- a/src/admission/service_retry_budget.ts
+++ b/src/admission/service_retry_budget.ts
@@ -20,6 +20,11 @@
   readonly slack: number;
   /** An upper bound on the number of hosts. */
   readonly hostLimit: () => number;
+  /**
+   * Time from which the host has its part of the slack; at once by default. A
+   * host that starts may have spent it in the process before.
+   */
+  readonly slackFromMs?: number;
 }
 
 interface Slice {
@@ -55,15 +60,20 @@
 
   /** Whether a retry could be acquired now. */
   hasRetry(): boolean {
-    const { clock, windowMs, ratio, slack, hostLimit } = this.#options;
+    const { clock, windowMs, ratio } = this.#options;
     const nowMs = clock.nowMs();
     this.#retriesAtMs = this.#retriesAtMs.filter((atMs) =>
       atMs > nowMs - windowMs
     );
-    const limit = this.#countRequests() * ratio + slack / hostLimit();
+    const limit = this.#countRequests() * ratio + this.#slackAt(nowMs);
     return this.#retriesAtMs.length + 1 <= limit;
   }
 
+  #slackAt(nowMs: number): number {
+    const { slack, hostLimit, slackFromMs = -Infinity } = this.#options;
+    return nowMs < slackFromMs ? 0 : slack / hostLimit();
+  }
+
   #countRequests(): number {
     const current = this.#currentSlice();
     return this.#slices.reduce(
--- a/src/admission/service_retry_budget_test.ts
+++ b/src/admission/service_retry_budget_test.ts
@@ -7,10 +7,14 @@
 const RATIO = 0.2;
 const WINDOW_MS = 10_000;
 
-function budgets(clock: ManualClock): ServiceRetryBudget[] {
+function budgets(
+  clock: ManualClock,
+  slackFromMs?: number,
+): ServiceRetryBudget[] {
   return Array.from({ length: HOSTS }, () =>
     new ServiceRetryBudget({
       clock,
+      slackFromMs,
       windowMs: WINDOW_MS,
       ratio: RATIO,
       slack: SLACK,
@@ -63,3 +67,24 @@
     expect(host.tryAcquire()).toBe(false);
   }
 });
+
+test("hosts that restart within a window stay within the limit of all together", async () => {
+  const clock = new ManualClock();
+  const retries: number[] = [];
+  for (let restart = 0; restart < 4; restart++) {
+    const slackFromMs = restart === 0 ? undefined : clock.nowMs() + WINDOW_MS;
+    for (const host of budgets(clock, slackFromMs)) {
+      while (host.tryAcquire()) retries.push(clock.nowMs());
+    }
+    await clock.advance(WINDOW_MS / 4);
+  }
+  expect(retries.length).toBeLessThanOrEqual(SLACK);
+});
+
+test("a host that restarted has its part of the slack after a window", async () => {
+  const clock = new ManualClock();
+  const [host] = budgets(clock, clock.nowMs() + WINDOW_MS);
+  expect(host.tryAcquire()).toBe(false);
+  await clock.advance(WINDOW_MS);
+  expect(host.tryAcquire()).toBe(true);
+});
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -123,7 +123,7 @@
     this.#link = new PeerLink({ host, clock, log });
     this.#limits = new ServiceLimits({
       clock,
-      bounds: settings.bounds,
+      settings,
       knownHosts: () => this.#link.knownCount,
     });
     this.#quarantine = new QuarantineLedger({ clock });
--- a/src/entry/service_limits.ts
+++ b/src/entry/service_limits.ts
@@ -8,7 +8,7 @@
 import { ServiceRetryBudget } from "../admission/service_retry_budget.ts";
 import { WaitQueue } from "../admission/wait_queue.ts";
 import type { Clock } from "../common/clock.ts";
-import type { HostBounds } from "../ports/types.ts";
+import type { HostSettings } from "../ports/types.ts";
 
 /** Requests of a service that may wait for a path; a stream uses about 100 KB. */
 const MAX_QUEUED_REQUESTS = 400;
@@ -19,7 +19,7 @@
 
 export interface ServiceLimitsOptions {
   readonly clock: Clock;
-  readonly bounds: HostBounds;
+  readonly settings: Pick<HostSettings, "bounds" | "isFirstStart">;
   /** Number of other hosts that are known, live or not. */
   readonly knownHosts: () => number;
 }
@@ -28,20 +28,26 @@
   readonly #options: ServiceLimitsOptions;
   readonly #budgets = new Map<string, ServiceRetryBudget>();
   readonly #queues = new Map<string, WaitQueue>();
+  readonly #slackFromMs: number;
 
   constructor(options: ServiceLimitsOptions) {
     this.#options = options;
+    const { clock, settings: { bounds, isFirstStart } } = options;
+    this.#slackFromMs = isFirstStart
+      ? -Infinity
+      : clock.nowMs() + bounds.retryWindowMs;
   }
 
   budgetOf(service: string): ServiceRetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
-      const { clock, bounds, knownHosts } = this.#options;
+      const { clock, settings: { bounds }, knownHosts } = this.#options;
       budget = new ServiceRetryBudget({
         clock,
         windowMs: bounds.retryWindowMs,
         ratio: bounds.retryRatio,
         slack: bounds.retrySlack,
+        slackFromMs: this.#slackFromMs,
         hostLimit: () =>
           Math.max(MIN_HOSTS, knownHosts() + 1 + UNDISCOVERED_HOSTS),
       });
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -298,6 +298,8 @@
   readonly readiness: Endpoint;
   readonly metrics: Endpoint;
   readonly peerPort: number;
+  /** No process ran on this host before, as the whole system starts first. */
+  readonly isFirstStart: boolean;
   readonly bounds: HostBounds;
 }
 
--- a/standins/users_platform/deployment.ts
+++ b/standins/users_platform/deployment.ts
@@ -144,6 +144,7 @@
     readiness: local,
     metrics: local,
     peerPort: 0,
+    isFirstStart: true,
     bounds: {
       revokeMs: 5_000,
       drainMs: 2_000,
