--- a/src/admission/quarantine_ledger.ts
+++ b/src/admission/quarantine_ledger.ts
@@ -144,6 +144,14 @@
     return true;
   }
 
+  /** Contents that are quarantined for at least this long from now. */
+  entriesQuarantinedFor(durationMs: number): LossEntry[] {
+    const fromMs = this.#clock.nowMs() + durationMs;
+    return [...this.#rows.values()]
+      .filter((row) => row.quarantinedUntilMs >= fromMs)
+      .map(({ entry }) => entry);
+  }
+
   /** Recent changes and quarantined contents, those with most losses first. */
   entriesToShare(limit: number): LossEntry[] {
     const nowMs = this.#clock.nowMs();
--- a/src/entry/config_tracker.ts
+++ b/src/entry/config_tracker.ts
@@ -10,6 +10,7 @@
 import type { KeyedBatch } from "../feeds/keyed_follower.ts";
 import { RouteTable } from "../forward/route_table.ts";
 import type { IRecordDecoder } from "../ports/services.ts";
+import type { KeyedRecord } from "../ports/types.ts";
 
 export interface ConfigTrackerOptions {
   readonly decoder: IRecordDecoder;
@@ -32,6 +33,15 @@
     return this.#table;
   }
 
+  /** Whether a record holds a configuration at least as new as the one in force. */
+  isNewest({ key, value }: KeyedRecord): boolean {
+    const { decoder } = this.#options;
+    if (key !== decoder.configKey || value === undefined) return false;
+    const config = decoder.config(value);
+    return typeof config !== "string" &&
+      config.version >= (this.#table?.config.version ?? -1);
+  }
+
   /**
    * Applies the last valid configuration of a batch, if its version is newer;
    * earlier records are skipped.
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -11,6 +11,7 @@
 import { BucketMetrics } from "../common/bucket_metrics.ts";
 import type { ILog } from "../common/logging.ts";
 import { Supervisor } from "../common/supervisor.ts";
+import { type EraChange, EraTracker } from "../feeds/era_tracker.ts";
 import type { CallContext } from "../forward/context.ts";
 import { LossDetector } from "../forward/loss_detector.ts";
 import { RequestHandler } from "../forward/request_handler.ts";
@@ -64,6 +65,8 @@
   readonly configLog: IKeyedLog;
   readonly targetLog: IKeyedLog;
   readonly registry: IHostRegistry;
+  /** Also told of the eras in the answers of the store's other calls. */
+  readonly eras?: EraTracker;
   readonly decoder: IRecordDecoder;
   readonly codec: IHeaderCodec;
   readonly control: ITargetControl;
@@ -81,6 +84,7 @@
   readonly #targets: TargetTable;
   readonly #chooser: PathChooser;
   readonly #config: ConfigTracker;
+  readonly #eras: EraTracker;
   readonly #feeds: StoreFeeds;
   readonly #link: PeerLink;
   readonly #peers: PeerExchange;
@@ -127,7 +131,9 @@
       knownHosts: () => this.#link.knownCount,
     });
     this.#quarantine = new QuarantineLedger({ clock });
+    this.#eras = options.eras ?? new EraTracker({ clock, log });
     this.#feeds = new StoreFeeds({
+      eras: this.#eras,
       configLog: options.configLog,
       targetLog: options.targetLog,
       link: this.#link,
@@ -135,6 +141,7 @@
       log,
       metrics: this.#metrics,
       reader: () => this.#peers.reader(),
+      isNewestConfig: (record) => this.#config.isNewest(record),
       random: this.#random,
     });
     this.#placement = new PlacementController({
@@ -154,6 +161,8 @@
     });
     this.#peers = new PeerExchange({
       quarantine: this.#quarantineSync,
+      eras: this.#eras,
+      random: this.#random,
       link: this.#link,
       registry,
       targets: this.#targets,
@@ -286,6 +295,7 @@
       decoder,
       log,
       sinceRecoveryMs: () => this.#feeds.targets.sinceRecoveryMs,
+      isEraSettled: () => this.#eras.isSettled,
     });
     this.#config.onChange(({ config }) =>
       this.#listeners.applyLimits(config.limits)
@@ -293,35 +303,44 @@
     this.#feeds.config.onBatch((batch) => this.#config.apply(batch));
     this.#feeds.targets.onBatch((batch) => feed.apply(batch));
     this.#targets.onChange(() => this.#limits.dispatch());
+    this.#eras.onAdvance((change) => this.#handleEraChange(change));
     this.#quarantine.onLoss(() => this.#peers.scheduleBroadcast());
-    this.#metrics.gauge(
-      "jackdawshift_requests_active",
-      () => this.#core.active,
-    );
-    this.#metrics.gauge(
-      "jackdawshift_config_age_ms",
-      () => this.#feeds.config.ageMs,
-    );
-    this.#metrics.gauge(
-      "jackdawshift_config_version",
-      () => this.#config.table?.config.version ?? 0,
-    );
-    this.#metrics.gauge(
-      "jackdawshift_targets_known",
-      () => this.#targets.all().length,
-    );
-    this.#metrics.gauge(
-      "jackdawshift_peers_live",
-      () => this.#link.live().length,
-    );
-    this.#metrics.gauge(
-      "jackdawshift_contents_quarantined",
-      () => this.#quarantine.quarantinedCount,
-    );
-    this.#metrics.gauge(
-      "jackdawshift_resident_bytes",
-      () => process.memoryUsage.rss(),
-    );
+    this.#registerGauges();
+  }
+
+  #registerGauges(): void {
+    const gauges: [string, () => number][] = [
+      ["jackdawshift_requests_active", () => this.#core.active],
+      ["jackdawshift_config_age_ms", () => this.#feeds.config.ageMs],
+      [
+        "jackdawshift_config_version",
+        () => this.#config.table?.config.version ?? 0,
+      ],
+      ["jackdawshift_store_era", () => this.#eras.current ?? 0],
+      ["jackdawshift_targets_known", () => this.#targets.all().length],
+      ["jackdawshift_peers_live", () => this.#link.live().length],
+      [
+        "jackdawshift_contents_quarantined",
+        () => this.#quarantine.quarantinedCount,
+      ],
+      ["jackdawshift_resident_bytes", () => process.memoryUsage.rss()],
+    ];
+    for (const [name, read] of gauges) this.#metrics.gauge(name, read);
+  }
+
+  #handleEraChange({ from, to, source }: EraChange): void {
+    if (from === undefined) {
+      this.#options.log.info("store era known", { era: to, source });
+      return;
+    }
+    this.#metrics.count("jackdawshift_store_era_changes_total");
+    this.#options.log.warn("store era changed", {
+      from,
+      to,
+      source,
+      configVersion: this.#config.table?.config.version,
+      configAgeMs: Math.round(this.#feeds.config.ageMs),
+    });
   }
 
   #context(): CallContext {
--- a/src/entry/peer_exchange.ts
+++ b/src/entry/peer_exchange.ts
@@ -8,6 +8,7 @@
 
 import type { Clock } from "../common/clock.ts";
 import type { ILog } from "../common/logging.ts";
+import type { EraTracker } from "../feeds/era_tracker.ts";
 import type { Target } from "../paths/target.ts";
 import type { TargetTable } from "../paths/target_table.ts";
 import type { Peer, PeerLink } from "../peers/peer_link.ts";
@@ -30,6 +31,8 @@
 const MAX_SEND_INTERVAL_MS = 600;
 /** Targets that become unresponsive within this time share a broadcast. */
 const BROADCAST_DELAY_MS = 20;
+/** Spreads the registrations of all hosts when the era of the store rises. */
+const ERA_JITTER_MS = 300;
 /** Time between registry reads. */
 const REGISTRY_INTERVAL_MS = 8_000;
 /**
@@ -70,6 +73,8 @@
   readonly canRead: () => boolean;
   readonly slowTargets: () => (readonly [string, number])[];
   readonly quarantine: QuarantineSync;
+  readonly eras: EraTracker;
+  readonly random: () => number;
   /** Called when the load of the other hosts has been updated. */
   readonly onPeerLoad: () => void;
 }
@@ -78,6 +83,9 @@
   readonly #options: PeerExchangeOptions;
   #sequenceNumber = 0;
   #isAnnounced = false;
+  #mustAnnounce = true;
+  /** Aborts the pause before the next read of the registry. */
+  #registryPause = new AbortController();
   #isBroadcastScheduled = false;
 
   constructor(options: PeerExchangeOptions) {
@@ -86,6 +94,13 @@
       if (target.noResponseSinceMs !== undefined) this.scheduleBroadcast();
     });
     options.link.onState((peer) => this.#applyState(peer));
+    options.eras.onAdvance(({ from }) => {
+      if (from === undefined) return;
+      // The copy may lack this host's record.
+      this.#mustAnnounce = true;
+      this.#registryPause.abort();
+      this.scheduleBroadcast();
+    });
   }
 
   /** Whether this host has registered itself. */
@@ -140,11 +155,11 @@
     let readCount = 0;
     while (!signal.aborted) {
       try {
-        if (!this.#isAnnounced) await registry.announce(link.host);
-        this.#isAnnounced = true;
-        const { hosts, quarantined } = await registry.list();
-        link.addHosts(hosts);
-        await this.#options.quarantine.synchronize(quarantined);
+        await this.#announce();
+        const snapshot = await registry.list();
+        link.addHosts(snapshot.hosts);
+        await this.#shareSettledEra(snapshot.settledEra);
+        await this.#options.quarantine.synchronize(snapshot.quarantined);
         readCount++;
       } catch (error) {
         log.info("host registry unavailable", { reason: String(error) });
@@ -152,10 +167,41 @@
       const isEarly = readCount < INITIAL_REGISTRY_READS;
       const pauseMs = REGISTRY_INTERVAL_MS *
         Math.max(1, (link.live().length + 1) / REGISTRY_SCALING_HOSTS);
+      const pause = this.#registryPause = new AbortController();
       await clock.sleep(
         isEarly ? INITIAL_REGISTRY_INTERVAL_MS : pauseMs,
-        signal,
+        AbortSignal.any([signal, pause.signal]),
       );
+      if (pause.signal.aborted) {
+        await clock.sleep(this.#options.random() * ERA_JITTER_MS, signal);
+      }
+    }
+  }
+
+  async #announce(): Promise<void> {
+    if (!this.#mustAnnounce) return;
+    const { registry, link } = this.#options;
+    this.#mustAnnounce = false;
+    try {
+      await registry.announce(link.host);
+      this.#isAnnounced = true;
+    } catch (error) {
+      this.#mustAnnounce = true;
+      throw error;
+    }
+  }
+
+  /**
+   * Keeps the last settled era in the store, so that a fleet that restarts as a
+   * whole need not wait for the era to settle.
+   */
+  async #shareSettledEra(storedEra: number | undefined): Promise<void> {
+    const { eras, registry } = this.#options;
+    const { current } = eras;
+    if (current === undefined) return;
+    if (storedEra === current) eras.observeSettled(current, "store");
+    else if (eras.isSettled && this.isLeader()) {
+      await registry.writeSettledEra(current);
     }
   }
 
@@ -189,6 +235,8 @@
       canLead: this.#options.canLead() && !this.#isIsolated(),
       isReader: this.#options.canRead(),
       losses: this.#options.quarantine.entriesToShare(),
+      era: this.#options.eras.current,
+      isEraSettled: this.#options.eras.isSettled,
     };
   }
 
@@ -202,7 +250,9 @@
 
   #applyState({ host, state }: Peer): void {
     if (state === undefined) return;
-    const { targets, clock, quarantine } = this.#options;
+    const { targets, clock, quarantine, eras } = this.#options;
+    if (state.isEraSettled) eras.observeSettled(state.era, host.id);
+    else eras.observe(state.era, host.id);
     quarantine.merge(state.losses, host.id);
     const untilMs = clock.nowMs() + SUSPICION_TTL_MS;
     for (const id of state.unresponsiveTargets) {
--- a/src/entry/peer_exchange_test.ts
+++ b/src/entry/peer_exchange_test.ts
@@ -3,6 +3,7 @@
 import { QuarantineLedger } from "../admission/quarantine_ledger.ts";
 import { Emitter } from "../common/emitter.ts";
 import { silentLog } from "../common/logging.ts";
+import { EraTracker } from "../feeds/era_tracker.ts";
 import { TargetTable } from "../paths/target_table.ts";
 import type { Peer, PeerLink } from "../peers/peer_link.ts";
 import type { PeerState } from "../peers/peer_state.ts";
@@ -23,6 +24,8 @@
     canLead: true,
     isReader,
     losses: [],
+    era: undefined,
+    isEraSettled: false,
   };
   return { host, state, lastReceivedMs: 0 };
 }
@@ -52,18 +55,33 @@
       span: undefined,
     });
   }
+  const eras = new EraTracker({ clock, log: silentLog });
+  const registered = { announcements: 0, settledEras: [] as number[] };
   const registry = {
-    announce: () => Promise.resolve(),
+    announce: () => {
+      registered.announcements++;
+      return Promise.resolve();
+    },
     list: () => {
       listings++;
-      return Promise.resolve({ hosts: [], quarantined: [] });
+      return Promise.resolve({
+        hosts: [],
+        quarantined: [],
+        settledEra: undefined,
+      });
     },
     writeQuarantine: () => Promise.resolve(),
     removeQuarantine: () => Promise.resolve(),
+    writeSettledEra: (era: number) => {
+      registered.settledEras.push(era);
+      return Promise.resolve();
+    },
   };
   const exchange = new PeerExchange({
     link,
     registry,
+    eras,
+    random: () => 0.5,
     quarantine: new QuarantineSync({
       ledger: new QuarantineLedger({ clock }),
       registry,
@@ -78,7 +96,15 @@
     slowTargets: () => [],
     onPeerLoad: () => {},
   });
-  return { exchange, sent, targets, clock, listings: () => listings };
+  return {
+    exchange,
+    sent,
+    targets,
+    clock,
+    eras,
+    registered,
+    listings: () => listings,
+  };
 }
 
 test("the reader is the oldest host of the failure domain that reads the store", () => {
@@ -150,3 +176,30 @@
   };
   expect(await readings(71)).toBeLessThanOrEqual(await readings(11) * 2);
 });
+
+test("a host whose registration a new era may lack registers once more, not more often", async () => {
+  const { exchange, clock, eras, registered } = exchangeAmong([]);
+  const stop = new AbortController();
+  void exchange.runRegistry(stop.signal);
+  eras.observe(1, "store");
+  await clock.advance(10_000);
+  expect(registered.announcements).toBe(1);
+  eras.observe(2, "store");
+  await clock.advance(400);
+  expect(registered.announcements).toBe(2);
+  await clock.advance(30_000);
+  expect(registered.announcements).toBe(2);
+  stop.abort();
+});
+
+test("the leader keeps the settled era in the store, once it is settled", async () => {
+  const { exchange, clock, eras, registered } = exchangeAmong([]);
+  const stop = new AbortController();
+  eras.observe(3, "store");
+  void exchange.runRegistry(stop.signal);
+  await clock.advance(1_500);
+  expect(registered.settledEras).toEqual([]);
+  await clock.advance(9_000);
+  expect(registered.settledEras[0]).toBe(3);
+  stop.abort();
+});
--- a/src/entry/quarantine_sync.ts
+++ b/src/entry/quarantine_sync.ts
@@ -26,8 +26,6 @@
 
 export class QuarantineSync {
   readonly #options: QuarantineSyncOptions;
-  /** Quarantines of this host that the store does not hold yet. */
-  readonly #unsaved = new Map<string, LossEntry>();
 
   constructor(options: QuarantineSyncOptions) {
     this.#options = options;
@@ -55,41 +53,38 @@
   }
 
   /**
-   * Applies the contents that the store lists, saves those that it lacks and
-   * removes those whose quarantine has ended. Rejects when the store fails.
+   * Applies the contents that the store lists. The leader also saves those that
+   * the store lacks, and removes those whose quarantine has ended. Rejects when
+   * the store fails.
    */
   async synchronize(stored: readonly LossEntry[]): Promise<void> {
     const { ledger, registry, isLeader } = this.#options;
     this.merge(stored, "store");
-    for (const contentId of this.#unsaved.keys()) await this.#save(contentId);
     if (!isLeader()) return;
-    for (const { contentId } of stored) {
+    const storedIds = new Set(stored.map(({ contentId }) => contentId));
+    for (const entry of ledger.entriesQuarantinedFor(MIN_SAVED_MS)) {
+      if (!storedIds.has(entry.contentId)) {
+        await registry.writeQuarantine(entry);
+      }
+    }
+    for (const contentId of storedIds) {
       if (ledger.isQuarantined(contentId)) continue;
       await registry.removeQuarantine(contentId);
     }
   }
 
   #handleLoss(entry: LossEntry): void {
-    const { ledger, log } = this.#options;
+    const { ledger, registry, log } = this.#options;
     const { contentId, losses } = entry;
     const forMs = Math.round(ledger.quarantinedForMs(contentId));
     if (forMs === 0) return;
     log.warn("content quarantined", { content: contentId, losses, forMs });
     if (forMs < MIN_SAVED_MS) return;
-    this.#unsaved.set(contentId, entry);
-    this.#save(contentId).catch((error) =>
-      log.info("quarantine not saved; will retry", {
+    registry.writeQuarantine(entry).catch((error) =>
+      log.info("quarantine not saved; the leader will retry", {
         content: contentId,
         reason: String(error),
       })
     );
   }
-
-  async #save(contentId: string): Promise<void> {
-    const entry = this.#unsaved.get(contentId);
-    if (entry === undefined) return;
-    await this.#options.registry.writeQuarantine(entry);
-    // A later loss may have replaced the entry meanwhile.
-    if (this.#unsaved.get(contentId) === entry) this.#unsaved.delete(contentId);
-  }
 }
--- /dev/null
+++ b/src/entry/quarantine_sync_test.ts
@@ -0,0 +1,63 @@
+import { expect, test } from "vitest";
+import { ManualClock } from "../../test/manual_clock.ts";
+import { QuarantineLedger } from "../admission/quarantine_ledger.ts";
+import { silentLog } from "../common/logging.ts";
+import type { LossEntry } from "../ports/types.ts";
+import { QuarantineSync } from "./quarantine_sync.ts";
+
+const ENTRY: LossEntry = {
+  contentId: "c",
+  clearCount: 0,
+  losses: 3,
+  lossEventId: -1,
+};
+
+function syncWith(isLeader: boolean) {
+  const clock = new ManualClock();
+  const ledger = new QuarantineLedger({ clock });
+  const written: string[] = [];
+  const removed: string[] = [];
+  const sync = new QuarantineSync({
+    ledger,
+    log: silentLog,
+    isLeader: () => isLeader,
+    registry: {
+      announce: () => Promise.resolve(),
+      list: () => Promise.reject(new Error("unused")),
+      writeSettledEra: () => Promise.resolve(),
+      writeQuarantine: ({ contentId }) => {
+        written.push(contentId);
+        return Promise.resolve();
+      },
+      removeQuarantine: (contentId) => {
+        removed.push(contentId);
+        return Promise.resolve();
+      },
+    },
+  });
+  return { clock, ledger, sync, written, removed };
+}
+
+test("the leader writes a quarantine that the store lost, and only once while it is there", async () => {
+  const { ledger, sync, written } = syncWith(true);
+  ledger.merge(ENTRY);
+  await sync.synchronize([]);
+  await sync.synchronize([ENTRY]);
+  expect(written).toEqual(["c"]);
+});
+
+test("another host than the leader writes and removes nothing", async () => {
+  const { ledger, sync, written, removed } = syncWith(false);
+  ledger.merge(ENTRY);
+  await sync.synchronize([{ ...ENTRY, contentId: "old", losses: 0 }]);
+  expect([written, removed]).toEqual([[], []]);
+});
+
+test("a quarantine in the store is learnt, and removed when it has ended", async () => {
+  const { clock, ledger, sync, removed } = syncWith(true);
+  await sync.synchronize([ENTRY]);
+  expect(ledger.isQuarantined("c")).toBe(true);
+  await clock.advance(600_000);
+  await sync.synchronize([ENTRY]);
+  expect(removed).toEqual(["c"]);
+});
--- a/src/entry/store_feeds.ts
+++ b/src/entry/store_feeds.ts
@@ -8,12 +8,16 @@
 import type { Clock } from "../common/clock.ts";
 import type { IMetrics } from "../common/bucket_metrics.ts";
 import type { ILog } from "../common/logging.ts";
-import { KeyedFollower } from "../feeds/keyed_follower.ts";
+import type { EraTracker } from "../feeds/era_tracker.ts";
+import {
+  KeyedFollower,
+  type KeyedFollowerOptions,
+} from "../feeds/keyed_follower.ts";
 import { LogResponder } from "../peers/log_responder.ts";
 import type { PeerLink } from "../peers/peer_link.ts";
 import { SharedLog } from "../peers/shared_log.ts";
 import type { IKeyedLog } from "../ports/services.ts";
-import type { HostRecord } from "../ports/types.ts";
+import type { HostRecord, KeyedRecord } from "../ports/types.ts";
 
 /** How long a read waits for a record; limits the age of the watermark. */
 const READ_WAIT_MS = 900;
@@ -27,6 +31,7 @@
   readonly configLog: IKeyedLog;
   readonly targetLog: IKeyedLog;
   readonly link: PeerLink;
+  readonly eras: EraTracker;
   readonly clock: Clock;
   readonly log: ILog;
   readonly metrics: IMetrics;
@@ -36,6 +41,8 @@
    */
   readonly reader: () => HostRecord | undefined;
   readonly random: () => number;
+  /** Whether a record is a configuration at least as new as the one in force. */
+  readonly isNewestConfig?: (record: KeyedRecord) => boolean;
 }
 
 /** Follows both logs and answers other hosts' queries about them. */
@@ -54,8 +61,18 @@
     this.#configLog = this.#share("config", configLog, READ_WAIT_MS);
     // Target heartbeats would end each wait at once, so reads do not wait.
     this.#targetLog = this.#share("targets", targetLog, 0);
-    this.config = this.#follow("config", this.#configLog, 0);
-    this.targets = this.#follow("targets", this.#targetLog, TARGET_PAUSE_MS);
+    this.config = this.#follow({
+      name: "config",
+      source: this.#configLog,
+      pauseMs: 0,
+      // Each configuration is complete, so the newest one makes up for all.
+      isRewritten: options.isNewestConfig,
+    });
+    this.targets = this.#follow({
+      name: "targets",
+      source: this.#targetLog,
+      pauseMs: TARGET_PAUSE_MS,
+    });
     link.onQuery(({ query, reply }) => this.#responder.handle(query, reply));
   }
 
@@ -66,8 +83,9 @@
   }
 
   #share(name: string, source: IKeyedLog, sourceWaitMs: number): SharedLog {
-    const { link, clock, metrics, reader } = this.#options;
+    const { link, clock, metrics, reader, eras } = this.#options;
     return new SharedLog({
+      era: () => eras.current,
       name,
       source,
       sourceWaitMs,
@@ -78,18 +96,22 @@
     });
   }
 
-  #follow(name: string, source: IKeyedLog, pauseMs: number): KeyedFollower {
-    const { clock, log, random } = this.#options;
+  #follow(
+    feed: Pick<
+      KeyedFollowerOptions,
+      "name" | "source" | "pauseMs" | "isRewritten"
+    >,
+  ): KeyedFollower {
+    const { clock, log, random, eras } = this.#options;
     const follower = new KeyedFollower({
-      name,
-      source,
+      ...feed,
       waitMs: READ_WAIT_MS,
-      pauseMs,
+      eras,
       clock,
       log,
       random,
     });
-    this.#responder.add(name, follower);
+    this.#responder.add(feed.name, follower);
     return follower;
   }
 }
--- a/src/entry/store_feeds_test.ts
+++ b/src/entry/store_feeds_test.ts
@@ -3,6 +3,7 @@
 import { Emitter } from "../common/emitter.ts";
 import { BucketMetrics } from "../common/bucket_metrics.ts";
 import { silentLog } from "../common/logging.ts";
+import { EraTracker } from "../feeds/era_tracker.ts";
 import type { PeerLink } from "../peers/peer_link.ts";
 import type { IKeyedLog } from "../ports/services.ts";
 import { StoreFeeds } from "./store_feeds.ts";
@@ -34,6 +35,7 @@
     targetLog: failing,
     link: { onQuery: new Emitter().event } as unknown as PeerLink,
     clock,
+    eras: new EraTracker({ clock, log: silentLog }),
     log: silentLog,
     metrics: new BucketMetrics(),
     reader: () => undefined,
--- a/src/entry/target_feed.ts
+++ b/src/entry/target_feed.ts
@@ -23,6 +23,8 @@
   readonly log: ILog;
   /** Time since the store's last outage ended. */
   readonly sinceRecoveryMs: () => number;
+  /** Whether records that the store lost are expected to be back. */
+  readonly isEraSettled: () => boolean;
 }
 
 export class TargetFeed {
@@ -34,8 +36,13 @@
   }
 
   apply(batch: KeyedBatch): void {
-    const { targets, sinceRecoveryMs } = this.#options;
-    const isStoreStable = sinceRecoveryMs() >= REREGISTRATION_MS;
+    const { targets, sinceRecoveryMs, isEraSettled } = this.#options;
+    const isStoreStable = sinceRecoveryMs() >= REREGISTRATION_MS &&
+      isEraSettled();
+    if (batch.isRestored === true) {
+      this.#merge(batch);
+      return;
+    }
     if (batch.isSnapshot) {
       const records = batch.records.flatMap((record) =>
         this.#decode(record) ?? []
@@ -52,6 +59,17 @@
     targets.sweep();
   }
 
+  /** Merges a copy of the store that is older than what this host knows. */
+  #merge({ records }: KeyedBatch): void {
+    const { targets } = this.#options;
+    const restored = records.flatMap((record) => this.#decode(record) ?? []);
+    const present = new Set(restored.map(({ id }) => id));
+    for (const { id } of targets.all()) {
+      if (!present.has(id)) targets.remove(id, false);
+    }
+    for (const record of restored) targets.putRestored(record);
+  }
+
   #decode(record: KeyedRecord): TargetRecord | undefined {
     if (record.value === undefined) return undefined;
     const target = this.#options.decoder.target(record.key, record.value);
--- a/src/feeds/keyed_follower.ts
+++ b/src/feeds/keyed_follower.ts
@@ -1,7 +1,9 @@
 /**
  * Follows a keyed log of the store: reads a snapshot of the newest records,
  * then the records appended after it. A complete read advances the watermark to
- * the read's start. If the next offset has expired, a new snapshot is read.
+ * the read's start. If the next offset has expired, a new snapshot is read. So
+ * it is if the log's era rises: offsets of the era before may name other records,
+ * and until the era is settled no read proves which records are the newest.
  *
  * @module
  */
@@ -11,6 +13,7 @@
 import type { ILog } from "../common/logging.ts";
 import type { IKeyedLog } from "../ports/services.ts";
 import type { KeyedRecord, RelayedRead } from "../ports/types.ts";
+import type { EraTracker } from "./era_tracker.ts";
 import { addMs, readClocks, Watermark } from "./watermark.ts";
 
 /** First delay after a failed call; a healthy store responds in milliseconds. */
@@ -20,6 +23,8 @@
 
 /** Minimum delay between reads that do not wait at the store. */
 const CATCH_UP_PAUSE_MS = 10;
+/** Spreads the snapshots that all hosts read when the era rises. */
+const REBUILD_JITTER_MS = 200;
 /** Consecutive failures that count as an outage; a single one may be a lost packet. */
 const OUTAGE_FAILURES = 2;
 
@@ -30,6 +35,9 @@
   readonly waitMs: number;
   /** Delay between reads that the log itself answers. */
   readonly pauseMs: number;
+  readonly eras: EraTracker;
+  /** Whether a record shows that what the log lost has been written again. */
+  readonly isRewritten?: (record: KeyedRecord) => boolean;
   readonly clock: Clock;
   readonly log: ILog;
   readonly random?: () => number;
@@ -39,6 +47,11 @@
 export interface KeyedBatch {
   /** `records` holds every key that exists. */
   readonly isSnapshot: boolean;
+  /**
+   * A snapshot of a later era than the batches before. It may lack records that
+   * were read, and hold some that were replaced since.
+   */
+  readonly isRestored?: boolean;
   /** `records` reaches the end of the log as of the start of the read. */
   readonly isComplete: boolean;
   readonly records: readonly KeyedRecord[];
@@ -51,13 +64,25 @@
   readonly relay: RelayedRead | undefined;
 }
 
+/** Offset of the next read, and the era in which it is valid. */
+interface Position {
+  readonly era: number | undefined;
+  readonly offset: number;
+}
+
 export class KeyedFollower {
   readonly #options: KeyedFollowerOptions;
   readonly #onBatch = new Emitter<KeyedBatch>();
   readonly #onWatermark = new Emitter<void>();
   readonly #random: () => number;
-  #nextOffset: number | undefined;
+  #position: Position | undefined;
+  /** Position that was dropped because the era rose. */
+  #droppedPosition: Position | undefined;
   readonly #watermark: Watermark;
+  /** Era of the last record that showed that the log is complete again. */
+  #rewrittenEra: number | undefined;
+  /** Era in which the watermark was last renewed. */
+  #watermarkEra: number | undefined;
   #failures = 0;
   #recoveredMs = -Infinity;
 
@@ -81,10 +106,19 @@
     return this.#watermark.ageMs;
   }
 
-  /** Monotonic time up to which all records are known; undefined if unknown. */
+  /** Era of the batches; undefined before the first and for a log without eras. */
+  get era(): number | undefined {
+    return this.#position?.era;
+  }
+
+  /**
+   * Monotonic time up to which all records of the present era are known;
+   * undefined if unknown.
+   */
   get watermarkMs(): number | undefined {
-    const { ageMs } = this;
-    return ageMs === Infinity ? undefined : this.#options.clock.nowMs() - ageMs;
+    const { ageMs, era } = this;
+    if (ageMs === Infinity || this.#watermarkEra !== era) return undefined;
+    return this.#options.clock.nowMs() - ageMs;
   }
 
   /** False after consecutive failures, which show an outage earlier than `ageMs` does. */
@@ -118,16 +152,18 @@
 
   async #poll(signal: AbortSignal): Promise<"direct" | "relayed" | "failed"> {
     const started = readClocks(this.#options.clock);
+    const wasSettled = this.#settlesInMs === 0;
     try {
-      const fetched = await this.#fetch();
+      const fetched = await this.#fetch(signal);
       if (signal.aborted) return "direct";
       this.#recordSuccess();
-      // A read of an expired offset does not show which records are the newest.
+      // Without a batch it is not known which records are the newest.
       if (fetched === undefined) return "direct";
       const { batch, relay } = fetched;
       if (relay !== undefined) this.#applyRecovery(relay.sinceRecoveryMs);
       this.#onBatch.fire(batch);
-      if (batch.isComplete) {
+      if (batch.isComplete && wasSettled) {
+        this.#watermarkEra = this.era;
         this.#watermark.renew(addMs(started, relay?.watermarkDeltaMs ?? 0));
         this.#onWatermark.fire();
       }
@@ -144,39 +180,126 @@
     this.#recoveredMs = Math.max(this.#recoveredMs, recoveredMs);
   }
 
-  async #fetch(): Promise<FetchResult | undefined> {
-    const { source, waitMs } = this.#options;
-    if (this.#nextOffset === undefined) {
-      const snapshot = await source.newest();
-      this.#nextOffset = snapshot.nextOffset;
-      // A snapshot is read in pages; the next read returns the records appended
-      // meanwhile.
-      const { records, nextOffset } = snapshot;
-      return {
-        batch: { isSnapshot: true, isComplete: false, records, nextOffset },
-        relay: undefined,
-      };
-    }
-    // While recovering, an immediate response matters more than the next record.
-    const isUpToDate = this.#failures === 0 && this.ageMs !== Infinity;
-    const readWaitMs = isUpToDate ? waitMs : 0;
-    const read = await source.read(this.#nextOffset, readWaitMs);
+  async #fetch(signal: AbortSignal): Promise<FetchResult | undefined> {
+    this.#dropOutdatedPosition();
+    const position = this.#position;
+    if (position === undefined) return await this.#fetchSnapshot(signal);
+    const { source, waitMs, log, name } = this.#options;
+    const read = await this.#untilEraChanges(
+      source.read(position.offset, Math.min(waitMs, this.#maxWaitMs)),
+    );
+    if (read === undefined) return undefined;
+    this.#requireCurrent(read.era);
+    const era = read.era ?? position.era;
+    // The era rose while the read was on its way.
+    if (position.era !== undefined && era !== position.era) return undefined;
     if (read.kind === "expired") {
-      this.#options.log.warn("store offset expired; reading a new snapshot", {
-        feed: this.#options.name,
-        offset: this.#nextOffset,
+      log.warn("store offset expired; reading a new snapshot", {
+        feed: name,
+        offset: position.offset,
       });
-      this.#nextOffset = undefined;
+      this.#position = undefined;
       return undefined;
     }
-    this.#nextOffset = read.nextOffset;
     const { records, nextOffset, isComplete, relay } = read;
+    this.#position = { era, offset: nextOffset };
+    const isRewritten = this.#settlesInMs > 0 &&
+      records.some((record) => this.#options.isRewritten?.(record));
+    if (isRewritten) this.#rewrittenEra = era;
     return {
       batch: { isSnapshot: false, isComplete, records, nextOffset },
       relay,
     };
   }
 
+  /** Time until reads in the present era prove which records are the newest. */
+  get #settlesInMs(): number {
+    const { eras } = this.#options;
+    const isRewritten = this.#rewrittenEra !== undefined &&
+      this.#rewrittenEra === eras.current;
+    return isRewritten ? 0 : eras.settlesInMs;
+  }
+
+  /** Longest useful wait for the next record. */
+  get #maxWaitMs(): number {
+    const settlesInMs = this.#settlesInMs;
+    if (settlesInMs > 0) return settlesInMs;
+    // Without a recent proof, an immediate response matters more.
+    const hasProof = this.#failures === 0 && this.ageMs !== Infinity &&
+      this.#watermarkEra === this.era;
+    return hasProof ? Infinity : 0;
+  }
+
+  async #fetchSnapshot(signal: AbortSignal): Promise<FetchResult | undefined> {
+    const { source, clock } = this.#options;
+    const dropped = this.#droppedPosition;
+    if (dropped !== undefined) {
+      await clock.sleep(this.#random() * REBUILD_JITTER_MS, signal);
+    }
+    const snapshot = await this.#untilEraChanges(source.newest());
+    if (snapshot === undefined) return undefined;
+    this.#requireCurrent(snapshot.era);
+    // A snapshot is read in pages; the next read returns the records appended
+    // meanwhile.
+    const { records, nextOffset, era } = snapshot;
+    this.#position = { era, offset: nextOffset };
+    this.#droppedPosition = undefined;
+    if (dropped !== undefined) this.#logRebuilt(dropped, this.#position);
+    return {
+      batch: {
+        isSnapshot: true,
+        isRestored: dropped !== undefined,
+        isComplete: false,
+        records,
+        nextOffset,
+      },
+      relay: undefined,
+    };
+  }
+
+  #dropOutdatedPosition(): void {
+    const position = this.#position;
+    if (position === undefined) return;
+    if (this.#options.eras.isCurrent(position.era)) return;
+    this.#position = undefined;
+    this.#droppedPosition = position;
+  }
+
+  #requireCurrent(era: number | undefined): void {
+    const { eras } = this.#options;
+    if (eras.isCurrent(era)) return;
+    throw new Error(`answer of era ${era}, the present one is ${eras.current}`);
+  }
+
+  /**
+   * Resolves to undefined if the era rises or is settled first; the result of
+   * the call is then dropped.
+   */
+  #untilEraChanges<T>(call: Promise<T>): Promise<T | undefined> {
+    const { eras } = this.#options;
+    return new Promise((resolve, reject) => {
+      const subscriptions = [
+        eras.onAdvance(({ from }) => {
+          if (from !== undefined) resolve(undefined);
+        }),
+        eras.onSettled(() => resolve(undefined)),
+      ];
+      call.then(resolve, reject).finally(() => {
+        for (const subscription of subscriptions) subscription.dispose();
+      });
+    });
+  }
+
+  #logRebuilt(dropped: Position, position: Position): void {
+    this.#options.log.warn("store came back from an older copy", {
+      feed: this.#options.name,
+      droppedEra: dropped.era,
+      droppedOffset: dropped.offset,
+      era: position.era,
+      offset: position.offset,
+    });
+  }
+
   #recordSuccess(): void {
     if (this.#failures === 0) return;
     this.#options.log.info("store reads recovered", {
--- a/src/feeds/keyed_follower_test.ts
+++ b/src/feeds/keyed_follower_test.ts
@@ -2,6 +2,7 @@
 import { ManualClock } from "../../test/manual_clock.ts";
 import { silentLog } from "../common/logging.ts";
 import type { KeyedRead, KeyedSnapshot } from "../ports/types.ts";
+import { EraTracker } from "./era_tracker.ts";
 import { type KeyedBatch, KeyedFollower } from "./keyed_follower.ts";
 import { addMs, readClocks, Watermark } from "./watermark.ts";
 
@@ -10,6 +11,7 @@
 /** A log that waits as long as the read requests and then returns `answer()`. */
 class Source {
   readonly clock = new ManualClock();
+  readonly eras = new EraTracker({ clock: this.clock, log: silentLog });
   readonly reads: { from: number; waitMs: number }[] = [];
   snapshots = 0;
   answer: () => KeyedRead | Error = () => records(0);
@@ -46,6 +48,7 @@
     source,
     waitMs: WAIT_MS,
     pauseMs,
+    eras: source.eras,
     clock: source.clock,
     log: silentLog,
     random: () => 1,
@@ -156,3 +159,84 @@
   wallMs -= 2_000;
   expect(watermark.ageMs).toBe(Infinity);
 });
+
+/** A source with the records of two eras; offsets 3 and 4 are given out again. */
+function twoEras() {
+  const source = new Source();
+  const key = (name: string) => ({ key: name, value: Buffer.from(name) });
+  const eras = [
+    { era: 1, records: ["a", "b", "c", "lost-1", "lost-2"].map(key) },
+    { era: 2, records: ["a", "b", "c", "new-1", "new-2", "new-3"].map(key) },
+  ];
+  const state = { present: eras[0] };
+  source.newest = () => {
+    const { era, records } = state.present;
+    source.eras.observe(era, "store");
+    source.snapshots++;
+    return Promise.resolve({ records, nextOffset: records.length, era });
+  };
+  source.read = async (from, waitMs) => {
+    await source.clock.sleep(waitMs);
+    const { era, records } = state.present;
+    source.eras.observe(era, "store");
+    return {
+      kind: "records",
+      records: records.slice(from),
+      nextOffset: records.length,
+      isComplete: true,
+      era,
+    };
+  };
+  const drill = () => state.present = eras[1];
+  const keysOf = (batches: readonly KeyedBatch[]) =>
+    new Set(batches.flatMap(({ records }) => records.map(({ key }) => key)));
+  return { source, drill, keysOf };
+}
+
+test("an offset that a later era gives out again hides no record", async () => {
+  const { source, drill, keysOf } = twoEras();
+  const { batches, stop } = follow(source);
+  await source.clock.advance(3_000);
+  const before = batches.length;
+  drill();
+  await source.clock.advance(3_000);
+  const after = batches.slice(before);
+  expect([...keysOf(after)]).toEqual(
+    expect.arrayContaining(["new-1", "new-2", "new-3"]),
+  );
+  expect(after.find(({ isSnapshot }) => isSnapshot)?.isRestored).toBe(true);
+  // No batch joins records of both eras.
+  expect(keysOf(after).has("lost-1")).toBe(false);
+  stop.abort();
+});
+
+test("a read in a new era proves nothing until the era is settled, and the old proof ages", async () => {
+  const { source, drill } = twoEras();
+  const { follower, stop } = follow(source);
+  await source.clock.advance(4_000);
+  expect(follower.ageMs).toBeLessThanOrEqual(2 * WAIT_MS);
+  drill();
+  await source.clock.advance(1_900);
+  expect(follower.ageMs).toBeGreaterThanOrEqual(1_900);
+  expect(follower.watermarkMs).toBeUndefined();
+  await source.clock.advance(2_500);
+  expect(follower.ageMs).toBeLessThanOrEqual(2 * WAIT_MS);
+  expect(follower.watermarkMs).toBeDefined();
+  stop.abort();
+});
+
+test("an answer of an older era that arrives late changes nothing", async () => {
+  const source = new Source();
+  source.eras.observe(1, "store");
+  source.answer = () => ({ ...records(1), era: 1 }) as KeyedRead;
+  source.newest = () => Promise.resolve({ records: [], nextOffset: 5, era: 1 });
+  const { follower, batches, stop } = follow(source);
+  await source.clock.advance(50);
+  const before = batches.length;
+  const { ageMs } = follower;
+  source.eras.observe(2, "host-1");
+  await source.clock.advance(2 * WAIT_MS);
+  expect(batches.length).toBe(before);
+  expect(follower.ageMs).toBeGreaterThanOrEqual(ageMs + 2 * WAIT_MS);
+  stop.abort();
+});
--- a/src/paths/target_table.ts
+++ b/src/paths/target_table.ts
@@ -17,6 +17,13 @@
  * recovery; until then a missing record does not mean that the target is gone.
  */
 const RECOVERY_GRACE_MS = 2_000;
+/** How long a removed target is remembered; older than any copy of the store. */
+const REMOVED_RETENTION_MS = 120_000;
+
+interface RemovedTarget {
+  readonly bornMs: number;
+  readonly atMs: number;
+}
 
 export interface TargetTableOptions {
   readonly clock: Clock;
@@ -29,6 +36,7 @@
   readonly #log: ILog;
   readonly #targets = new Map<string, Target>();
   readonly #removeAtMs = new Map<string, number>();
+  readonly #removed = new Map<string, RemovedTarget>();
   readonly #onChange = new Emitter<Target>();
 
   /** Fires when a target is added, changed or removed, or when its health changes. */
@@ -58,6 +66,7 @@
   /** Adds or updates a target from its record in the store. */
   put(record: TargetRecord): void {
     this.#removeAtMs.delete(record.id);
+    this.#removed.delete(record.id);
     const known = this.#targets.get(record.id);
     if (known === undefined) {
       const target = new Target({ record, clock: this.#clock });
@@ -72,6 +81,16 @@
     }
   }
 
+  /**
+   * Adds a target from an older copy of the store. What this host knows of a
+   * target, also that it left, is newer than the copy.
+   */
+  putRestored(record: TargetRecord): void {
+    const removed = this.#removed.get(record.id);
+    const hasLeft = removed !== undefined && removed.bornMs >= record.bornMs;
+    if (!hasLeft && !this.#targets.has(record.id)) this.put(record);
+  }
+
   /**
    * Removes a target that has no record in the store. While `isStoreRecovered`
    * is false, which lasts until some time after an outage, the removal is
@@ -101,6 +120,9 @@
   /** Removes targets whose grace period is over; called periodically. */
   sweep(): void {
     const nowMs = this.#clock.nowMs();
+    for (const [id, { atMs }] of this.#removed) {
+      if (nowMs - atMs > REMOVED_RETENTION_MS) this.#removed.delete(id);
+    }
     for (const [id, untilMs] of this.#removeAtMs) {
       if (nowMs < untilMs) continue;
       this.#removeAtMs.delete(id);
@@ -108,6 +130,7 @@
       if (target === undefined) continue;
       this.#targets.delete(id);
       target.isRemoved = true;
+      this.#removed.set(id, { bornMs: target.record.bornMs, atMs: nowMs });
       this.#log.info("target removed", {
         target: id,
         address: target.record.address,
--- a/src/peers/log_messages.ts
+++ b/src/peers/log_messages.ts
@@ -13,6 +13,8 @@
   readonly log: string;
   readonly fromOffset: number;
   readonly mayWait: boolean;
+  /** Era in which the offset is valid; undefined if the log has none. */
+  readonly era: number | undefined;
 }
 
 /** `read` is undefined if the host cannot answer the query. */
@@ -25,12 +27,15 @@
 export interface LogAnswerRead extends RelayedRead {
   readonly records: readonly KeyedRecord[];
   readonly nextOffset: number;
+  readonly era: number | undefined;
 }
 
 export function encodeLogQuery(query: LogQuery): Buffer {
-  const { id, log, fromOffset, mayWait } = query;
+  const { id, log, fromOffset, mayWait, era } = query;
   return Buffer.from(
-    JSON.stringify({ ask: [id, log, fromOffset, mayWait ? 1 : 0] }),
+    JSON.stringify({
+      ask: [id, log, fromOffset, mayWait ? 1 : 0, era ?? null],
+    }),
   );
 }
 
@@ -45,6 +50,7 @@
         key,
         value === undefined ? null : value.toString("base64"),
       ]),
+      read.era ?? null,
     ],
   }));
 }
@@ -52,22 +58,36 @@
 /** Returns undefined for a malformed query. */
 export function decodeLogQuery(value: unknown): LogQuery | undefined {
   if (!Array.isArray(value)) return undefined;
-  const [id, log, fromOffset, mayWait] = value;
-  if (!isOffset(id) || typeof log !== "string" || !isOffset(fromOffset)) {
-    return undefined;
-  }
-  return { id, log, fromOffset, mayWait: mayWait === 1 };
+  const [id, log, fromOffset, mayWait, era = null] = value;
+  if (
+    !isOffset(id) || typeof log !== "string" || !isOffset(fromOffset) ||
+    !isEra(era)
+  ) return undefined;
+  return {
+    id,
+    log,
+    fromOffset,
+    mayWait: mayWait === 1,
+    era: era ?? undefined,
+  };
 }
 
 /** Returns undefined for a malformed answer. */
 export function decodeLogAnswer(value: unknown): LogAnswer | undefined {
   if (!Array.isArray(value)) return undefined;
-  const [id, watermarkDeltaMs, sinceRecoveryMs, nextOffset, items] = value;
+  const [
+    id,
+    watermarkDeltaMs,
+    sinceRecoveryMs,
+    nextOffset,
+    items,
+    era = null,
+  ] = value;
   if (!isOffset(id)) return undefined;
   if (value.length === 1) return { id, read: undefined };
   if (
     !Number.isFinite(watermarkDeltaMs) || !isDurationMs(sinceRecoveryMs) ||
-    !isOffset(nextOffset) || !Array.isArray(items)
+    !isOffset(nextOffset) || !Array.isArray(items) || !isEra(era)
   ) return undefined;
   const records: KeyedRecord[] = [];
   for (const item of items) {
@@ -83,6 +103,7 @@
       sinceRecoveryMs,
       nextOffset,
       records,
+      era: era ?? undefined,
     },
   };
 }
@@ -100,6 +121,10 @@
   return Number.isSafeInteger(value) && (value as number) >= 0;
 }
 
+function isEra(value: unknown): value is number | null {
+  return value === null || isOffset(value);
+}
+
 function isDurationMs(value: unknown): value is number {
   return Number.isFinite(value) && (value as number) >= 0;
 }
--- a/src/peers/log_messages_test.ts
+++ b/src/peers/log_messages_test.ts
@@ -13,6 +13,7 @@
     watermarkDeltaMs: -312.5,
     sinceRecoveryMs: 800,
     nextOffset: 90,
+    era: 3,
     records: [
       { key: "a", value: Buffer.from([0, 255, 10]) },
       { key: "b", value: undefined },
@@ -21,7 +22,13 @@
 };
 
 test("queries and answers are decoded as they were encoded", () => {
-  const query = { id: 7, log: "config", fromOffset: 12, mayWait: true };
+  const query = {
+    id: 7,
+    log: "config",
+    fromOffset: 12,
+    mayWait: true,
+    era: undefined,
+  };
   expect(decodeDatagram(encodeLogQuery(query)))
     .toEqual({ kind: "query", query });
   expect(decodeDatagram(encodeLogAnswer(ANSWER)))
--- a/src/peers/log_responder.ts
+++ b/src/peers/log_responder.ts
@@ -90,11 +90,13 @@
   { follower, mirror }: FollowedLog,
   { query, arrivedMs }: PendingQuery,
 ): LogAnswerRead | undefined {
-  const watermarkMs = follower.watermarkMs;
+  const { watermarkMs, era } = follower;
+  if (era !== query.era) return undefined;
   const read = mirror.readAfter(query.fromOffset);
   if (watermarkMs === undefined || read === undefined) return undefined;
   return {
     ...read,
+    era,
     watermarkDeltaMs: watermarkMs - arrivedMs,
     sinceRecoveryMs: Math.min(MAX_RECOVERY_AGE_MS, follower.sinceRecoveryMs),
   };
--- a/src/peers/log_responder_test.ts
+++ b/src/peers/log_responder_test.ts
@@ -30,7 +30,7 @@
   const answers: LogAnswer[] = [];
   const query = (mayWait: boolean, log = "log") =>
     logs.handle(
-      { id: 1, log, fromOffset: 5, mayWait },
+      { id: 1, log, fromOffset: 5, mayWait, era: undefined },
       (answer) => answers.push(answer),
     );
   const advanceWatermark = (isKnown = true) => {
--- a/src/peers/peer_state.ts
+++ b/src/peers/peer_state.ts
@@ -37,6 +37,9 @@
   readonly isReader: boolean;
   /** Contents that ended targets; those that were cleared have no losses. */
   readonly losses: readonly LossEntry[];
+  /** The highest era of the store that the host has met. */
+  readonly era: number | undefined;
+  readonly isEraSettled: boolean;
 }
 
 /** A state with the host that sent it. */
@@ -59,6 +62,7 @@
     c: state.losses.map((
       { contentId, clearCount, losses, lossEventId },
     ) => [contentId, clearCount, losses, lossEventId]),
+    e: state.era === undefined ? null : [state.era, state.isEraSettled ? 1 : 0],
   }));
 }
 
@@ -66,7 +70,7 @@
 export function decodePeerState(
   fields: Readonly<Record<string, unknown>>,
 ): ReceivedState | undefined {
-  const { h, n, u, q, w, l, r, c } = fields;
+  const { h, n, u, q, w, l, r, c, e } = fields;
   if (!Array.isArray(h) || !Array.isArray(u) || !Array.isArray(q)) {
     return undefined;
   }
@@ -89,6 +93,7 @@
       isReader: r === 1,
       // Hosts of earlier versions send none.
       losses: Array.isArray(c) ? c.flatMap(decodeLosses) : [],
+      ...decodeEra(e),
     },
   };
 }
@@ -112,6 +117,14 @@
   return [{ contentId, clearCount, losses, lossEventId }];
 }
 
+function decodeEra(
+  value: unknown,
+): Pick<PeerState, "era" | "isEraSettled"> {
+  const [era, settled] = Array.isArray(value) ? value : [];
+  if (!isCount(era)) return { era: undefined, isEraSettled: false };
+  return { era, isEraSettled: settled === 1 };
+}
+
 function isCount(value: unknown, min = 0): value is number {
   return Number.isSafeInteger(value) && (value as number) >= min;
 }
--- a/src/peers/peer_state_test.ts
+++ b/src/peers/peer_state_test.ts
@@ -12,6 +12,8 @@
   canLead: true,
   isReader: true,
   losses: [{ contentId: "c", clearCount: 1, losses: 2, lossEventId: -1 }],
+  era: 7,
+  isEraSettled: true,
 };
 
 test("a state is decoded as it was encoded", () => {
--- a/src/peers/shared_log.ts
+++ b/src/peers/shared_log.ts
@@ -41,6 +41,8 @@
   readonly ask: QueryLog;
   readonly clock: Clock;
   readonly metrics: IMetrics;
+  /** The highest era that this host has met. */
+  readonly era: () => number | undefined;
   /** The host to query; undefined if this host reads the source. */
   readonly reader: () => HostRecord | undefined;
 }
@@ -67,10 +69,18 @@
         this.#options.source.read(fromOffset, sourceWaitMs)
       );
     }
+    const startedMs = this.#options.clock.nowMs();
     const read = await this.#queryReader(reader, fromOffset, waitMs > 0);
     if (read !== undefined) return read;
+    // A reader that can't answer says so at once; reads then wait at the source.
+    const remainingMs = QUERY_TIMEOUT_MS -
+      (this.#options.clock.nowMs() - startedMs);
+    const sourceWaitMs = Math.max(
+      0,
+      Math.min(waitMs, this.#options.sourceWaitMs, remainingMs),
+    );
     return await this.#readSource(() =>
-      this.#options.source.read(fromOffset, 0)
+      this.#options.source.read(fromOffset, sourceWaitMs)
     );
   }
 
@@ -99,7 +109,7 @@
     const startedMs = clock.nowMs();
     const read = await ask(
       reader,
-      { log: name, fromOffset, mayWait },
+      { log: name, fromOffset, mayWait, era: this.#options.era() },
       QUERY_TIMEOUT_MS,
     );
     if (read === undefined || !isUsable(read, clock.nowMs() - startedMs)) {
@@ -112,9 +122,17 @@
       nextOffset,
       watermarkDeltaMs,
       sinceRecoveryMs,
+      era,
     } = read;
     const relay = { watermarkDeltaMs, sinceRecoveryMs };
-    return { kind: "records", records, nextOffset, isComplete: true, relay };
+    return {
+      kind: "records",
+      records,
+      nextOffset,
+      isComplete: true,
+      era,
+      relay,
+    };
   }
 
   #count(from: string): void {
--- a/src/peers/shared_log_test.ts
+++ b/src/peers/shared_log_test.ts
@@ -2,6 +2,7 @@
 import { ManualClock } from "../../test/manual_clock.ts";
 import { BucketMetrics } from "../common/bucket_metrics.ts";
 import { silentLog } from "../common/logging.ts";
+import { EraTracker } from "../feeds/era_tracker.ts";
 import { type KeyedBatch, KeyedFollower } from "../feeds/keyed_follower.ts";
 import type { IKeyedLog } from "../ports/services.ts";
 import type {
@@ -81,7 +82,9 @@
 
   #follow(reader: () => HostRecord | undefined): KeyedFollower {
     const { clock } = this;
+    const eras = new EraTracker({ clock, log: silentLog });
     const source = new SharedLog({
+      era: () => eras.current,
       name: "test",
       source: this.log,
       sourceWaitMs: WAIT_MS,
@@ -99,6 +102,7 @@
       source,
       waitMs: WAIT_MS,
       pauseMs: 0,
+      eras,
       clock,
       log: silentLog,
       random: () => 1,
--- a/src/ports/services.ts
+++ b/src/ports/services.ts
@@ -41,6 +41,7 @@
   /** Keeps a quarantined content for hosts that start later. */
   writeQuarantine(entry: LossEntry): Promise<void>;
   removeQuarantine(contentId: string): Promise<void>;
+  writeSettledEra(era: number): Promise<void>;
 }
 
 /**
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -251,6 +251,8 @@
 export interface RegistrySnapshot {
   readonly hosts: readonly HostRecord[];
   readonly quarantined: readonly LossEntry[];
+  /** The last era of the store that a host held for settled. */
+  readonly settledEra: number | undefined;
 }
 
 /** A record of a keyed log. An undefined value is a tombstone, which deletes the key. */
@@ -267,10 +269,12 @@
     readonly nextOffset: number;
     /** The read reached the end of the log. */
     readonly isComplete: boolean;
+    /** Era of the log; undefined if it has none. */
+    readonly era?: number;
     /** Defined if another host answered instead of the log. */
     readonly relay?: RelayedRead;
   }
-  | { readonly kind: "expired" };
+  | { readonly kind: "expired"; readonly era?: number };
 
 /** Freshness of a log's records as reported by another host. */
 export interface RelayedRead {
@@ -287,6 +291,8 @@
 export interface KeyedSnapshot {
   readonly records: readonly KeyedRecord[];
   readonly nextOffset: number;
+  /** Era of the log; undefined if it has none. */
+  readonly era?: number;
 }
 
 /** The deployment settings that the core uses. */
--- a/standins/users_platform/deployment.ts
+++ b/standins/users_platform/deployment.ts
@@ -17,6 +17,7 @@
 import type { Clock } from "../../src/common/clock.ts";
 import { systemClock } from "../../src/common/clock.ts";
 import { type ILog, silentLog } from "../../src/common/logging.ts";
+import { EraTracker } from "../../src/feeds/era_tracker.ts";
 import { EntryHost } from "../../src/entry/entry_host.ts";
 import type { HostSettings } from "../../src/ports/types.ts";
 import { ModelServer, type ModelServerOptions } from "./model_server.ts";
@@ -85,20 +86,24 @@
   }
 
   async startHost(index: number): Promise<EntryHost> {
+    const log = this.#options.log ?? silentLog;
+    const clock = this.#options.clock ?? systemClock;
+    const eras = new EraTracker({ clock, log });
     const store = new StoreClient({
       endpoint: parseEndpoint(this.store.address) ?? { ip: "", port: 0 },
+      onEra: (era) => eras.observe(era, "store"),
     });
-    const log = this.#options.log ?? silentLog;
     const control = new TargetControl({ log });
     const host = new EntryHost({
       settings: hostSettings(index, this.#options.bounds),
       configLog: store.keyedLog(CONFIG_TOPIC),
       targetLog: store.keyedLog(TARGET_TOPIC),
       registry: store,
+      eras,
       decoder: recordDecoder,
       codec: headerCodec,
       control,
-      clock: this.#options.clock ?? systemClock,
+      clock,
       log,
       // A constant, so that the same request always takes the same path.
       random: () => 0.5,
--- a/standins/users_platform/store_standin.ts
+++ b/standins/users_platform/store_standin.ts
@@ -15,6 +15,18 @@
 
 export type StoreFault = "none" | "silent" | "busy" | "reset";
 
+export interface DrillOptions {
+  /** The store comes back as it was this long before it goes away. */
+  readonly copyAgeMs: number;
+  /** How long it is away. */
+  readonly awayMs: number;
+}
+
+interface JournalEntry extends KeyedEntry {
+  readonly topic: string;
+  readonly atMs: number;
+}
+
 interface KeyedEntry {
   readonly key: string;
   readonly value: Buffer;
@@ -30,7 +42,11 @@
   readonly #server: Server;
   readonly #topics = new Map<string, Topic>();
   readonly #waitingReads = new Set<() => void>();
+  readonly #journal: JournalEntry[] = [];
+  #isAway = false;
   fault: StoreFault = "none";
+  /** Named in all answers if defined; each drill increments it. */
+  era: number | undefined;
   /** Paths of all received calls, in order. */
   readonly calls: string[] = [];
 
@@ -66,6 +82,26 @@
     this.#append(topic, key, bytes);
   }
 
+  /**
+   * Goes away and comes back from an older copy, without the records that were
+   * appended since. Resolves when the store is back.
+   */
+  async drill({ copyAgeMs, awayMs }: DrillOptions): Promise<void> {
+    const copiedMs = performance.now() - copyAgeMs;
+    this.#isAway = true;
+    this.#server.closeAllConnections();
+    await new Promise((resolve) => setTimeout(resolve, awayMs));
+    const kept = this.#journal.filter(({ atMs }) => atMs <= copiedMs);
+    this.#journal.length = 0;
+    this.#topics.clear();
+    this.#waitingReads.clear();
+    for (const { topic, key, value, atMs } of kept) {
+      this.#append(topic, key, value, atMs);
+    }
+    this.era = (this.era ?? 0) + 1;
+    this.#isAway = false;
+  }
+
   /** Drops the history of a topic; only snapshots keep the newest value of each key. */
   compact(topic: string): void {
     const compacted = this.#topic(topic);
@@ -73,8 +109,14 @@
     compacted.records.length = 0;
   }
 
-  #append(name: string, key: string, value: Buffer): number {
+  #append(
+    name: string,
+    key: string,
+    value: Buffer,
+    atMs = performance.now(),
+  ): number {
     const topic = this.#topic(name);
+    this.#journal.push({ topic: name, key, value, atMs });
     const offset = topic.firstOffset + topic.records.length;
     topic.records.push({ key, value });
     if (value.length === 0) topic.newest.delete(key);
@@ -95,8 +137,9 @@
   #serve(request: IncomingMessage, response: ServerResponse): void {
     const url = new URL(request.url ?? "/", "http://store");
     this.calls.push(url.pathname);
+    if (this.era !== undefined) response.setHeader("Store-Era", this.era);
     if (this.fault === "silent") return;
-    if (this.fault === "reset") {
+    if (this.#isAway || this.fault === "reset") {
       request.socket.destroy();
       return;
     }
@@ -120,7 +163,8 @@
     const answer = (): void => {
       clearTimeout(timer);
       this.#waitingReads.delete(wake);
-      if (from < topic.firstOffset) {
+      const endOffset = topic.firstOffset + topic.records.length;
+      if (from < topic.firstOffset || from > endOffset) {
         response.writeHead(410).end(
           JSON.stringify({ "start-offset": topic.firstOffset }),
         );
