Count a loss before a point that the content ran past as the first of a sequence

Trace: it was broken off at its seventh event by another content, resumed onto the target that the cause ended next, held; both holds ended 40 ms apart, and its next run met the cause's third try and was broken off at its third event. Cause of the wrong verdict: it had run past its third event before, so it can't have ended both targets, but the loss was added all the same. Ruled out: a hold that was forgotten (both hosts held it), clock jumps (holds are on the monotonic clock).

Change: a loss before the point of the losses so far starts a new sequence; holds are drawn from 2 to 6 s instead of 2 to 4.

--- a/src/admission/quarantine_ledger.ts
+++ b/src/admission/quarantine_ledger.ts
@@ -19,7 +19,7 @@
  * cause is tried again at another time than the cause, and is cleared.
  */
 const MIN_HOLD_MS = 2_000;
-const MAX_HOLD_MS = 4_000;
+const MAX_HOLD_MS = 6_000;
 /** Losses in sequence after which a content is quarantined. */
 const QUARANTINE_LOSSES = 3;
 /** Duration of the first quarantine; each further loss doubles it. */
@@ -87,15 +87,18 @@
       readonly lastEventId: number | undefined;
     },
   ): boolean {
-    const { clearCount } = this.baseline(contentId);
-    const lossesBefore = baseline.clearCount === clearCount
-      ? baseline.losses
-      : 0;
+    const known = this.#rows.get(contentId)?.entry;
+    const clearCount = known?.clearCount ?? 0;
+    const lossEventId = lastEventId ?? -1;
+    const isSameSequence = baseline.clearCount === clearCount;
+    // It ran past this point before, so it did not end both targets.
+    const isContradiction = isSameSequence && known !== undefined &&
+      known.losses > 0 && lossEventId < known.lossEventId;
     const entry: LossEntry = {
       contentId,
-      clearCount,
-      losses: lossesBefore + 1,
-      lossEventId: lastEventId ?? -1,
+      clearCount: isContradiction ? clearCount + 1 : clearCount,
+      losses: isSameSequence && !isContradiction ? baseline.losses + 1 : 1,
+      lossEventId,
     };
     if (!this.merge(entry)) return false;
     this.#onLoss.fire({ ...entry, ...this.#rows.get(contentId)?.entry });
