Soak a store that comes back from an older copy

The fault store-drill: the store's stand-in is away for up to 1.5 s and comes back from a copy 0.4 to 6 s old, its era one higher; the operator's configuration and the states of servers that left are written again 0.8 s later, servers by their heartbeats. The check of servers that left does not count the time until the records are there again, as the platform's rule does not.

--- a/soak/back_ends.ts
+++ b/soak/back_ends.ts
@@ -34,7 +34,7 @@
   readonly server: ModelServer;
   readonly proxy: LoopbackProxy;
   /** Set from the drain notice until registered again; suspends its heartbeat. */
-  isAbsent: boolean;
+  absence: "draining" | "removed" | undefined;
 }
 
 /** The store and the servers that the hosts connect to. */
@@ -46,10 +46,12 @@
   #storeProxy: LoopbackProxy | undefined;
   #heartbeat: NodeJS.Timeout | undefined;
   #version = 1;
+  #config: Record<string, unknown> = {};
   #revokedAtMs: number | undefined;
 
   async start(): Promise<void> {
     await this.store.listen();
+    this.store.era = 1;
     this.#storeProxy = new LoopbackProxy(this.store.address);
     await this.#storeProxy.listen();
     for (let i = 0; i < MODEL_SERVER_COUNT + PLAIN_SERVER_COUNT; i++) {
@@ -69,7 +71,7 @@
       server.restartMs = CRASH_RESTART_MS;
       server.onListeningChange = (isListening) =>
         isListening ? proxy.accept() : proxy.refuse();
-      this.servers.push({ server, proxy, isAbsent: false });
+      this.servers.push({ server, proxy, absence: undefined });
     }
     this.writeConfig();
     this.#register();
@@ -99,14 +101,26 @@
     const keys = Object.entries(CUSTOMER_KEYS).filter(([name]) =>
       name !== "second" || this.#revokedAtMs === undefined
     );
-    this.store.put(CONFIG_TOPIC, "config", {
+    this.#config = {
       ...defaultConfig(this.#version++),
       tenants: keys.map(([name, key]) => ({
         name,
         "api-keys": [key],
         priority: 1,
       })),
-    });
+    };
+    this.store.put(CONFIG_TOPIC, "config", this.#config);
+  }
+
+  /** Writes again what the operator and the store itself had written. */
+  rewrite(): void {
+    this.store.put(CONFIG_TOPIC, "config", this.#config);
+    for (const backEnd of this.servers) {
+      if (backEnd.absence === "draining") this.#putDraining(backEnd);
+      else if (backEnd.absence === "removed") {
+        this.store.put(TARGET_TOPIC, backEnd.server.id, undefined);
+      }
+    }
   }
 
   revokeKey(): void {
@@ -125,15 +139,16 @@
 
   /** Marks a server as draining, removes it from the store and registers it again. */
   async deregisterFor(backEnd: BackEnd, absentMs: number): Promise<void> {
-    if (backEnd.isAbsent) return;
+    if (backEnd.absence !== undefined) return;
     const { server } = backEnd;
     const startMs = performance.now();
-    this.#put(backEnd, { state: "draining" });
-    backEnd.isAbsent = true;
+    this.#putDraining(backEnd);
+    backEnd.absence = "draining";
     await sleep(absentMs / 3);
+    backEnd.absence = "removed";
     this.store.put(TARGET_TOPIC, server.id, undefined);
     await sleep(absentMs * 2 / 3);
-    backEnd.isAbsent = false;
+    backEnd.absence = undefined;
     const endMs = performance.now();
     this.absences.push({ startMs, endMs, serverId: server.id });
     this.#put(backEnd);
@@ -151,11 +166,15 @@
 
   #register(): void {
     for (const backEnd of this.servers) {
-      const { isAbsent, server } = backEnd;
-      if (!isAbsent && server.isListening) this.#put(backEnd);
+      const { absence, server } = backEnd;
+      if (absence === undefined && server.isListening) this.#put(backEnd);
     }
   }
 
+  #putDraining(backEnd: BackEnd): void {
+    this.#put(backEnd, { state: "draining" });
+  }
+
   #put(
     { server, proxy }: BackEnd,
     overrides: Record<string, unknown> = {},
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -27,12 +27,19 @@
   "store-busy": [300, 3_000],
   "store-reset": [300, 3_000],
   "store-delay": [500, 3_000],
+  "store-drill": [0, 1_500],
   "key-revoked": [7_000, 9_000],
   "key-revoked-unseen": [7_000, 9_000],
   "config-written": [0, 0],
   "content-crashes": [0, 0],
 };
-const KINDS = Object.keys(DURATIONS_MS) as FaultKind[];
+/** Drills are drawn apart, so that a seed gives the same other faults as before. */
+const KINDS = (Object.keys(DURATIONS_MS) as FaultKind[]).filter((kind) =>
+  kind !== "store-drill"
+);
+/** Offset of the seed from which drills are drawn. */
+const DRILL_SEED_OFFSET = 1_000_003;
+const MEAN_DRILL_INTERVAL_MS = 6_000;
 /**
  * Probability that a drawn store fault is kept. There is only one store, and at
  * the full rate hosts would hardly ever reach it.
@@ -75,5 +82,27 @@
     faults.push({ kind, startMs, endMs, index: drawIndex(kind) });
     startMs += draw(0, 2 * MEAN_START_INTERVAL_MS);
   }
-  return faults;
+  return [...faults, ...drawDrills(options)].sort((a, b) =>
+    a.startMs - b.startMs
+  );
+}
+
+function drawDrills({ seed, faultPhaseMs, servers }: ScheduleOptions): Fault[] {
+  const random = seededRandom(seed + DRILL_SEED_OFFSET);
+  // The first draws of neighbouring seeds are alike.
+  random();
+  const [minMs, maxMs] = DURATIONS_MS["store-drill"];
+  const drills: Fault[] = [];
+  let startMs = 0;
+  for (;;) {
+    startMs += Math.floor(random() * 2 * MEAN_DRILL_INTERVAL_MS);
+    if (startMs >= faultPhaseMs) return drills;
+    const awayMs = minMs + Math.floor(random() * (maxMs - minMs + 1));
+    drills.push({
+      kind: "store-drill",
+      startMs,
+      endMs: Math.min(faultPhaseMs, startMs + awayMs),
+      index: Math.floor(random() * servers),
+    });
+  }
 }
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -39,6 +39,10 @@
 /** Delay of a slow connection in each direction. */
 const SLOW_DELAY_MS = 40;
 const POLL_INTERVAL_MS = 50;
+/** A store comes back from a copy of one to fifteen times this age. */
+const COPY_AGE_STEP_MS = 400;
+/** Time from the return of the store until lost records are written again. */
+const REWRITE_DELAY_MS = 800;
 /** Time in which servers must cancel the streams of callers that disconnected. */
 const CANCEL_TIMEOUT_MS = 1_000;
 
@@ -77,6 +81,8 @@
   readonly #hosts: HostProcess[] = [];
   readonly #storeFaults: Interval[] = [];
   #storeFaultStartMs = 0;
+  /** Drills take place one after another. */
+  #drills = Promise.resolve();
   /** Number of active faults by the store or server that they affect. */
   readonly #activeFaults = new Map<unknown, number>();
 
@@ -251,10 +257,16 @@
   }
 
   async #injectStoreFault(
-    { kind, endMs }: Fault,
+    fault: Fault,
     waitUntil: (atMs: number) => Promise<void>,
   ): Promise<void> {
+    const { kind, endMs } = fault;
     const { store, storeProxy } = this.#backEnds;
+    if (kind === "store-drill") {
+      this.#drills = this.#drills.then(() => this.#drillStore(fault));
+      await this.#drills;
+      return;
+    }
     if (kind === "config-written") {
       this.#backEnds.writeConfig();
       return;
@@ -279,6 +291,17 @@
     this.#endStoreFault();
   }
 
+  async #drillStore({ startMs, endMs, index }: Fault): Promise<void> {
+    this.#beginStoreFault();
+    await this.#backEnds.store.drill({
+      copyAgeMs: COPY_AGE_STEP_MS * (index + 1),
+      awayMs: endMs - startMs,
+    });
+    await systemClock.sleep(REWRITE_DELAY_MS);
+    this.#backEnds.rewrite();
+    this.#endStoreFault();
+  }
+
   #beginStoreFault(): void {
     const { store } = this.#backEnds;
     if ((this.#activeFaults.get(store) ?? 0) === 0) {
--- a/soak/soak_run_test.ts
+++ b/soak/soak_run_test.ts
@@ -7,6 +7,12 @@
 
 test.each([
   ["a short run of one seed", ["--seed", "1", "--trouble-s", "6"]],
+  ["a short run with a drill of the store", [
+    "--seed",
+    "12",
+    "--trouble-s",
+    "6",
+  ]],
   // A content of all callers met the targets that another content ended.
   ["a run with contents that end their servers", ["--seed", "5000"]],
 ])("%s violates no invariant", (_name, options) => {
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -24,6 +24,7 @@
   | "store-busy"
   | "store-reset"
   | "store-delay"
+  | "store-drill"
   | "key-revoked"
   | "key-revoked-unseen"
   | "config-written"
