Hold hosts to the drain limit only once they are in touch again, in the soak's check

Trace: host-0 was paused from 0.3 to 4.1 s; the server's drain notice and removal came at 2.1 and 3.8 s; the host's reads failed on resuming and recovered 0.13 s later, it took its own pause for an outage of the store, in which a missing record means nothing for two seconds, and sent four requests there until 1.1 s after it resumed. The platform binds machines in touch only, those whose processes ran without a freeze for stable-window-ms (3 s), so the case is allowed and the check was wrong to count it.

Change: executions sent by a host within 3 s after its pause, kill, stop or clock jump are not held to the drain limit; a test shows both sides of the window and another host. All other checks stay. Left as it is: a host can't tell its own pause from an outage by a failed read.

--- a/soak/invariants_test.ts
+++ b/soak/invariants_test.ts
@@ -43,6 +43,7 @@
     revocations: [],
     absences: [],
     storeFaults: [],
+    hostFaults: [],
     faultsEndMs: undefined,
     leakedStreams: 0,
     ...overrides,
@@ -137,6 +138,19 @@
   expect(at(3_000 + 1_500 + BOUNDS.drainMs + 300)).toHaveLength(1);
 });
 
+test("a host that was paused is held to the drain limit after the stable window", () => {
+  const pause = { host: "host-0", startMs: 1_500, endMs: 4_000 };
+  const at = (atMs: number, host = "host-0") =>
+    violations({
+      executions: [execution({ atMs })],
+      absences,
+      hostFaults: [{ ...pause, host }],
+    });
+  expect(at(4_000 + BOUNDS.stableWindowMs - 1)).toEqual([]);
+  expect(at(4_000 + BOUNDS.stableWindowMs + 1)).toHaveLength(1);
+  expect(at(4_000 + BOUNDS.stableWindowMs - 1, "host-1")).toHaveLength(1);
+});
+
 test("more retries than the retry budget are a violation", () => {
   const attempts = Array.from(
     { length: 200 },
--- a/soak/settings.ts
+++ b/soak/settings.ts
@@ -38,6 +38,7 @@
   maxAttempts: 2,
   events: 12,
   maxLayers: 2,
+  stableWindowMs: 3_000,
   maxCrashes: 3,
   maxSendsAfterCrashes: 3,
   crashReactionMs: 3_000,
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -80,6 +80,7 @@
   readonly #folder: string;
   readonly #hosts: HostProcess[] = [];
   readonly #storeFaults: Interval[] = [];
+  readonly #hostFaults: (Interval & { readonly host: string })[] = [];
   #storeFaultStartMs = 0;
   /** Drills take place one after another. */
   #drills = Promise.resolve();
@@ -219,8 +220,12 @@
     { kind, endMs }: Fault,
     waitUntil: (atMs: number) => Promise<void>,
   ): Promise<void> {
-    if (kind === "host-reload") host.signal("SIGHUP");
-    else if (kind === "host-clock-jump") host.signal("SIGUSR2");
+    const startMs = performance.now();
+    if (kind === "host-reload") {
+      host.signal("SIGHUP");
+      return;
+    }
+    if (kind === "host-clock-jump") host.signal("SIGUSR2");
     else if (kind === "host-pause") {
       host.signal("SIGSTOP");
       await waitUntil(endMs);
@@ -233,6 +238,11 @@
       await waitUntil(endMs);
       if (!host.isRunning) host.start();
     }
+    this.#hostFaults.push({
+      host: host.name,
+      startMs,
+      endMs: performance.now(),
+    });
   }
 
   async #injectServerFault(
@@ -354,6 +364,7 @@
       revocations,
       absences,
       storeFaults: this.#storeFaults,
+      hostFaults: this.#hostFaults,
       faultsEndMs,
       leakedStreams,
     };
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -100,6 +100,8 @@
   readonly absences: readonly (Interval & { readonly serverId: string })[];
   /** When the store failed or was slow. */
   readonly storeFaults: readonly Interval[];
+  /** When hosts were stopped, killed, paused or had their clocks set. */
+  readonly hostFaults: readonly (Interval & { readonly host: string })[];
   /** When the last fault ended; undefined if the run ended before that. */
   readonly faultsEndMs: number | undefined;
   /** Streams that servers still executed after all callers had finished. */
@@ -117,6 +119,8 @@
   readonly maxAttempts: number;
   readonly events: number;
   readonly maxLayers: number;
+  /** Time after a fault of a host from which bounds on its knowledge hold. */
+  readonly stableWindowMs: number;
   /** Servers that one content may end before it counts as their cause. */
   readonly maxCrashes: number;
   /** Sends of such a content that may follow later than `crashReactionMs`. */
