Let a server of the soak take its port again when another process holds it

Cause is the soak's own; no host was concerned. Ruled out: two runs on the same addresses (ports are the system's).

--- a/soak/loopback_proxy.ts
+++ b/soak/loopback_proxy.ts
@@ -7,6 +7,7 @@
 
 import { connect, createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
+import { listenAgain } from "../standins/users_platform/listen_again.ts";
 
 /** Forwards connections to one address. */
 export class LoopbackProxy {
@@ -46,7 +47,7 @@
   }
 
   accept(): void {
-    this.#server.listen(this.#refusedPort, "127.0.0.1");
+    listenAgain(this.#server, this.#refusedPort);
   }
 
   /** Resets all connections. */
--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -12,6 +12,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import { listenAgain } from "./listen_again.ts";
 
 /** How requests are answered; all modes except `good` are faults. */
 export type ServerMode =
@@ -171,7 +172,7 @@
     this.seq = 0;
     this.onListeningChange(false);
     this.#restart = setTimeout(() => {
-      this.#server.listen(this.#port, "127.0.0.1");
+      listenAgain(this.#server, this.#port);
       this.onListeningChange(true);
     }, this.restartMs);
   }
