--- a/src/feeds/keyed_follower_test.ts
+++ b/src/feeds/keyed_follower_test.ts
@@ -240,3 +240,31 @@
   expect(follower.ageMs).toBeGreaterThanOrEqual(ageMs + 2 * WAIT_MS);
   stop.abort();
 });
+
+test("a host that was cut off through two drills reads the newest records of the last era", async () => {
+  const { source, drill, keysOf } = twoEras();
+  const { batches, follower, stop } = follow(source);
+  await source.clock.advance(3_000);
+  const { read } = source;
+  source.read = () => Promise.reject(new Error("cut off"));
+  await source.clock.advance(8_000);
+  const before = batches.length;
+  drill();
+  source.eras.observe(7, "host-1");
+  source.newest = () =>
+    Promise.resolve({
+      records: [{ key: "newest", value: Buffer.from("v") }],
+      nextOffset: 2,
+      era: 7,
+    });
+  source.read = async (from, waitMs) => ({
+    ...await read(from, waitMs),
+    era: 7,
+  });
+  await source.clock.advance(1_000);
+  const after = batches.slice(before);
+  expect(after[0]).toMatchObject({ isSnapshot: true, isRestored: true });
+  expect(keysOf(after.slice(0, 1))).toEqual(new Set(["newest"]));
+  expect(follower.era).toBe(7);
+  stop.abort();
+});
