Log what the port of a target did after a send broke off there

What operators could not see: whether a send that broke off had ended its target. A line came only for ports that refuse connections at once, so a target that ended in another way looked like a connection that merely broke.

Change: `target checked after a failed send` with request, content, target, address and the state of the port (refuses, accepts, silent), and the counter jackdawshift_target_checks_total by that state. No decision changes.

Ruled out: deriving it from `send failed`, which has the reason of the connection, not the state of the port.

--- a/src/forward/call_losses.ts
+++ b/src/forward/call_losses.ts
@@ -60,7 +60,16 @@
     },
   ): Promise<void> {
     const { context, plan } = this.#options;
-    if (!(await context.lossDetector.hasEnded(target))) return;
+    const port = await context.lossDetector.checkPort(target);
+    context.metrics.count("jackdawshift_target_checks_total", { port });
+    context.log.info("target checked after a failed send", {
+      request: plan.requestId,
+      content: plan.contentId,
+      target: target.targetId,
+      address: target.address,
+      port,
+    });
+    if (port !== "refuses") return;
     const loss = { baseline, lastEventId };
     if (!context.quarantine.recordLoss(plan.contentId, loss)) return;
     context.metrics.count("jackdawshift_targets_lost_total", {
--- a/src/forward/loss_detector.ts
+++ b/src/forward/loss_detector.ts
@@ -18,18 +18,21 @@
   readonly address: string;
 }
 
+/** What the port of a target does with a new connection. */
+export type PortState = "refuses" | "accepts" | "silent";
+
 /** Checks of the same target at the same time share one connection. */
 export class LossDetector {
-  readonly #pending = new Map<string, Promise<boolean>>();
+  readonly #pending = new Map<string, Promise<PortState>>();
 
   /**
-   * Resolves to true if the target's port refuses connections. A target that
-   * does not answer at all may be cut off, so it does not count as ended.
+   * Connects to the target's port. A target that does not answer at all may be
+   * cut off.
    */
-  hasEnded({ targetId, address }: LostTarget): Promise<boolean> {
+  checkPort({ targetId, address }: LostTarget): Promise<PortState> {
     let pending = this.#pending.get(targetId);
     if (pending === undefined) {
-      pending = refusesConnections(parseAddress(address)).finally(() =>
+      pending = connectOnce(parseAddress(address)).finally(() =>
         this.#pending.delete(targetId)
       );
       this.#pending.set(targetId, pending);
@@ -38,18 +41,19 @@
   }
 }
 
-function refusesConnections({ ip, port }: Endpoint): Promise<boolean> {
+function connectOnce({ ip, port }: Endpoint): Promise<PortState> {
   return new Promise((resolve) => {
     const socket = connect({ host: ip, port });
-    const finish = (isRefused: boolean): void => {
+    const finish = (state: PortState): void => {
       socket.destroy();
-      resolve(isRefused);
+      resolve(state);
     };
-    socket.setTimeout(CONNECT_TIMEOUT_MS, () => finish(false));
-    socket.on("connect", () => finish(false));
+    socket.setTimeout(CONNECT_TIMEOUT_MS, () => finish("silent"));
+    socket.on("connect", () => finish("accepts"));
     socket.on(
       "error",
-      (error: NodeJS.ErrnoException) => finish(error.code === "ECONNREFUSED"),
+      (error: NodeJS.ErrnoException) =>
+        finish(error.code === "ECONNREFUSED" ? "refuses" : "silent"),
     );
   });
 }
