--- a/soak/back_ends.ts
+++ b/soak/back_ends.ts
@@ -68,8 +68,8 @@
       const proxy = new LoopbackProxy(server.address);
       await proxy.listen();
       server.crashingText = CRASHING_TEXT;
-      server.restartMs = CRASH_RESTART_MS;
-      server.onListeningChange = (isListening) =>
+      server.life.restartMs = CRASH_RESTART_MS;
+      server.life.onListeningChange = (isListening) =>
         isListening ? proxy.accept() : proxy.refuse();
       this.servers.push({ server, proxy, absence: undefined });
     }
@@ -167,7 +167,7 @@
   #register(): void {
     for (const backEnd of this.servers) {
       const { absence, server } = backEnd;
-      if (absence === undefined && server.isListening) this.#put(backEnd);
+      if (absence === undefined && server.life.isRunning) this.#put(backEnd);
     }
   }
 
--- a/standins/users_platform/deployment.ts
+++ b/standins/users_platform/deployment.ts
@@ -30,6 +30,8 @@
 export const CUSTOMER = "breeders";
 
 const LAYER_COUNT = 8;
+/** The store removes the record of a server that has not written it for so long. */
+const LAPSE_MS = 1_500;
 
 export interface DeploymentOptions {
   /** Started and registered in the store before the hosts start. */
@@ -59,6 +61,8 @@
       await server.listen();
       this.servers.push(server);
       this.register(server);
+      server.life.onListeningChange = (isListening) =>
+        isListening ? this.register(server) : this.#scheduleLapse(server);
     }
     this.configure();
     for (let i = 0; i < (this.#options.hosts ?? 1); i++) {
@@ -66,6 +70,16 @@
     }
   }
 
+  #scheduleLapse(server: ModelServer): void {
+    const { id } = server;
+    const lapse = setTimeout(() => {
+      if (server.id !== id || !server.life.isRunning) {
+        this.store.put(TARGET_TOPIC, id, undefined);
+      }
+    }, LAPSE_MS);
+    this.#owned.push({ dispose: () => clearTimeout(lapse) });
+  }
+
   register(server: ModelServer, overrides: Record<string, unknown> = {}): void {
     this.store.put(TARGET_TOPIC, server.id, { ...server.entry, ...overrides });
   }
--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -12,7 +12,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
-import { listenAgain } from "./listen_again.ts";
+import { ServerLife } from "./server_life.ts";
 
 /** How requests are answered; all modes except `good` are faults. */
 export type ServerMode =
@@ -55,6 +55,8 @@
 interface RunningStream {
   readonly response: ServerResponse;
   readonly requestId: string;
+  /** The event instead of which the server ends. */
+  readonly crashAt: number;
   path: string;
   next: number;
   isStalled: boolean;
@@ -66,20 +68,19 @@
   readonly #server: Server;
   readonly #streams = new Map<string, RunningStream>();
   #port = 0;
-  #restart: NodeJS.Timeout | undefined;
   mode: ServerMode = "good";
   /** Events before a stream fails in mode `stall` or `cut`. */
   stallAfterEvents = 2;
   /** Stage that stops in mode `stall`; reports name it for stalled streams. */
   stalledStageAddress = "";
+  readonly life: ServerLife;
   /** A request whose body contains this ends the server that executes it. */
   crashingText: string | undefined;
-  /** Time until a server that ended listens again, with its layers loaded. */
-  restartMs = 50;
-  /** Called when the server ends, and when it listens again. */
-  onListeningChange: (isListening: boolean) => void = () => {};
-  /** Number of times that the server ended. */
-  crashes = 0;
+  /**
+   * Numbers of events after which such a stream ends the server, in turn; empty
+   * if it ends the server before the response.
+   */
+  crashAfterEvents: readonly number[] = [];
   /** Number of requests to reject before `mode` applies again. */
   rejectNextCount = 0;
   /** Pause after the third event of a stream. */
@@ -99,10 +100,11 @@
     this.#server = createServer((request, response) =>
       this.#serve(request, response)
     );
+    this.life = new ServerLife({ id: options.id, server: this.#server });
   }
 
   get id(): string {
-    return this.#options.id;
+    return this.life.id;
   }
 
   /** Number of streams that have not ended. */
@@ -126,6 +128,7 @@
       state: "ready",
       "cold-left-ms": 0,
       seq: this.seq,
+      born: this.life.bornMs,
       ...(kind === undefined ? {} : { "route-kind": kind }),
       ...(this.span === undefined
         ? {}
@@ -133,10 +136,6 @@
     };
   }
 
-  get isListening(): boolean {
-    return this.#server.listening;
-  }
-
   listen(): Promise<void> {
     return new Promise((resolve) =>
       this.#server.listen(0, "127.0.0.1", () => {
@@ -147,12 +146,13 @@
   }
 
   close(): void {
-    clearTimeout(this.#restart);
+    this.life.dispose();
     this.#server.closeAllConnections();
     this.#server.close();
   }
 
   #serve(request: IncomingMessage, response: ServerResponse): void {
+    if (this.life.isSilent) return;
     const chunks: Buffer[] = [];
     request.on("data", (chunk: Buffer) => chunks.push(chunk));
     request.on("end", () => {
@@ -163,18 +163,12 @@
     });
   }
 
-  /** Ends all connections and refuses new ones until the restart. */
+  /** Ends the process, as `life.ending` says. */
   crash(): void {
-    if (!this.isListening) return;
-    this.crashes++;
-    this.#server.close();
-    this.#server.closeAllConnections();
+    if (!this.life.isRunning) return;
     this.seq = 0;
-    this.onListeningChange(false);
-    this.#restart = setTimeout(() => {
-      listenAgain(this.#server, this.#port);
-      this.onListeningChange(true);
-    }, this.restartMs);
+    this.#streams.clear();
+    this.life.end();
   }
 
   #report(response: ServerResponse): void {
@@ -188,6 +182,7 @@
     response.writeHead(200, { "content-type": "application/json" });
     response.end(JSON.stringify({
       phase: "colocated",
+      born: this.life.bornMs,
       busy: false,
       seq: this.seq,
       queued: 0,
@@ -241,8 +236,15 @@
     });
     response.on("close", () => {
       if (!response.writableFinished) this.cancelled++;
-      this.#streams.delete(requestId);
+      if (this.#streams.get(requestId)?.response === response) {
+        this.#streams.delete(requestId);
+      }
     });
+    const expectedId = request.headers["jackdawshift-expect-instance"];
+    if (expectedId !== undefined && expectedId !== this.id) {
+      response.writeHead(421).end();
+      return;
+    }
     if (mode === "hang") {
       this.#recordExecution(requestId);
       return;
@@ -256,7 +258,10 @@
       return;
     }
     this.#recordExecution(requestId);
-    if (this.crashingText !== undefined && body.includes(this.crashingText)) {
+    const isCrashing = this.crashingText !== undefined &&
+      body.includes(this.crashingText);
+    const crashAfter = isCrashing ? this.#nextCrash() : Infinity;
+    if (crashAfter === 0) {
       this.crash();
       return;
     }
@@ -265,7 +270,7 @@
       return;
     }
     if (this.#options.events !== undefined) {
-      this.#stream(request, requestId, response);
+      this.#stream(request, response, { requestId, crashAfter });
       return;
     }
     const headers = this.#answerHeaders(
@@ -296,21 +301,33 @@
     this.executions.push({ requestId, atMs: performance.now() });
   }
 
+  /** Number of events after which the next crashing stream ends the server. */
+  #nextCrash(): number {
+    const { crashAfterEvents, life: { endedAtMs } } = this;
+    if (crashAfterEvents.length === 0) return 0;
+    return crashAfterEvents[endedAtMs.length % crashAfterEvents.length];
+  }
+
   #stream(
     request: IncomingMessage,
-    requestId: string,
     response: ServerResponse,
+    { requestId, crashAfter }: {
+      readonly requestId: string;
+      readonly crashAfter: number;
+    },
   ): void {
     const last = request.headers["last-event-id"];
     response.writeHead(200, {
       ...this.#answerHeaders(requestId),
       "content-type": "text/event-stream",
     });
+    const next = last === undefined ? 0 : Number(last) + 1;
     const stream: RunningStream = {
       response,
       requestId,
       path: String(request.headers["jackdawshift-hop-count"]),
-      next: last === undefined ? 0 : Number(last) + 1,
+      crashAt: next + crashAfter,
+      next,
       isStalled: false,
     };
     this.#streams.set(requestId, stream);
@@ -320,6 +337,11 @@
   #emit(stream: RunningStream): void {
     const { events = 0, eventGapMs = 5 } = this.#options;
     if (stream.response.destroyed || stream.isStalled) return;
+    if (this.#streams.get(stream.requestId) !== stream) return;
+    if (stream.next >= stream.crashAt) {
+      this.crash();
+      return;
+    }
     if (stream.next >= events) {
       stream.response.end();
       return;
