--- /dev/null
+++ b/src/admission/content_quarantine.ts
@@ -0,0 +1,127 @@
+/**
+ * Decides whether a content may be sent to targets. Two ledgers count its
+ * failures over all hosts: one the targets that ended while they ran it, one the
+ * sends that broke off, whose targets may have ended unseen. The former
+ * quarantines a content; the latter holds it back for a time that grows with
+ * each further failure.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import type { LossEntry } from "../ports/types.ts";
+import { type LossBaseline, QuarantineLedger } from "./quarantine_ledger.ts";
+
+/** Losses in sequence after which a content is held back for a short time. */
+const HOLD_LOSSES = 2;
+/**
+ * Least and greatest hold. Content that was merely on the same targets as the
+ * cause is tried again at another time than the cause, and is cleared.
+ */
+const MIN_HOLD_MS = 2_000;
+const MAX_HOLD_MS = 6_000;
+/** Losses in sequence after which a content is quarantined. */
+const QUARANTINE_LOSSES = 3;
+/** The same for losses between which it ran on, but never to its end. */
+const QUARANTINE_TOTAL_LOSSES = 4;
+/** Duration of the first quarantine; each further loss doubles it. */
+const QUARANTINE_MS = 600_000;
+const MAX_QUARANTINE_MS = 86_400_000;
+/** Sends in sequence that broke off, after which a content is held back. */
+const HOLD_BREAKS = 3;
+/** The same for sends between which it ran on, but never to its end. */
+const HOLD_TOTAL_BREAKS = 4;
+/** Duration of the first such hold; each further one is four times as long. */
+const BREAK_HOLD_MS = 8_000;
+const BREAK_HOLD_FACTOR = 4;
+const MAX_BREAK_HOLD_MS = 600_000;
+
+/** What was known of a content when a send of it began. */
+export interface SendBaseline {
+  readonly losses: LossBaseline;
+  readonly breaks: LossBaseline;
+}
+
+export interface ContentQuarantineOptions {
+  readonly clock: Clock;
+}
+
+export class ContentQuarantine {
+  /** Targets that ended. */
+  readonly losses: QuarantineLedger;
+  /** Sends that broke off. */
+  readonly breaks: QuarantineLedger;
+
+  constructor({ clock }: ContentQuarantineOptions) {
+    this.losses = new QuarantineLedger({
+      clock,
+      quarantineMs: lossQuarantineMs,
+    });
+    this.breaks = new QuarantineLedger({ clock, quarantineMs: breakHoldMs });
+  }
+
+  baseline(contentId: string): SendBaseline {
+    return {
+      losses: this.losses.baseline(contentId),
+      breaks: this.breaks.baseline(contentId),
+    };
+  }
+
+  /** Whether a send of the content failed and none has completed since. */
+  isSuspect(contentId: string): boolean {
+    const { losses, breaks } = this.baseline(contentId);
+    return losses.totalLosses > 0 || breaks.totalLosses > 0;
+  }
+
+  /** Time until the content may be sent again; 0 if it may be sent now. */
+  heldForMs(contentId: string): number {
+    return Math.max(
+      this.losses.quarantinedForMs(contentId),
+      this.breaks.quarantinedForMs(contentId),
+    );
+  }
+
+  /**
+   * Records that a target ran the content up to an event; `Infinity` for its
+   * end.
+   */
+  recordProgress(contentId: string, eventId: number): void {
+    this.losses.recordProgress(contentId, eventId);
+    this.breaks.recordProgress(contentId, eventId);
+  }
+}
+
+/** Time for which losses withhold a content; used by its ledger. */
+export function lossQuarantineMs(entry: LossEntry): number {
+  const { contentId, losses, totalLosses } = entry;
+  const excess = Math.max(
+    losses - QUARANTINE_LOSSES,
+    totalLosses - QUARANTINE_TOTAL_LOSSES,
+  );
+  if (excess >= 0) {
+    return Math.min(MAX_QUARANTINE_MS, QUARANTINE_MS * 2 ** excess);
+  }
+  return losses < HOLD_LOSSES ? 0 : holdMs(contentId);
+}
+
+/** Time for which broken sends withhold a content; used by their ledger. */
+export function breakHoldMs({ losses, totalLosses }: LossEntry): number {
+  const excess = Math.max(
+    losses - HOLD_BREAKS,
+    totalLosses - HOLD_TOTAL_BREAKS,
+  );
+  if (excess < 0) return 0;
+  return Math.min(
+    MAX_BREAK_HOLD_MS,
+    BREAK_HOLD_MS * BREAK_HOLD_FACTOR ** excess,
+  );
+}
+
+/**
+ * The same on every host, and different for most contents, whose ids are
+ * hexadecimal digests.
+ */
+function holdMs(contentId: string): number {
+  const share = Number.parseInt(contentId.slice(0, 8), 16) / 2 ** 32 || 0;
+  return MIN_HOLD_MS + share * (MAX_HOLD_MS - MIN_HOLD_MS);
+}
--- a/src/admission/quarantine_ledger.ts
+++ b/src/admission/quarantine_ledger.ts
@@ -1,6 +1,6 @@
 /**
- * Limits the number of targets that one content may end, over all hosts and
- * over all requests that carry it. Entries of several hosts merge to the same
+ * Counts the targets that one content ended, over all hosts and over all
+ * requests that carry it. Entries of several hosts merge to the same
  * result in any order and need no common clock: losses are counted along chains
  * in which each send began after the loss before it was known. Copies that one
  * event ends at the same time therefore count once.
@@ -12,19 +12,6 @@
 import { Emitter, type Event } from "../common/emitter.ts";
 import type { LossEntry } from "../ports/types.ts";
 
-/** Losses in sequence after which a content is held back for a short time. */
-const HOLD_LOSSES = 2;
-/**
- * Least and greatest hold. Content that was merely on the same targets as the
- * cause is tried again at another time than the cause, and is cleared.
- */
-const MIN_HOLD_MS = 2_000;
-const MAX_HOLD_MS = 6_000;
-/** Losses in sequence after which a content is quarantined. */
-const QUARANTINE_LOSSES = 3;
-/** Duration of the first quarantine; each further loss doubles it. */
-const QUARANTINE_MS = 600_000;
-const MAX_QUARANTINE_MS = 86_400_000;
 /** Contents in memory; the one that changed least recently is evicted. */
 const CAPACITY = 10_000;
 /** How long a change is repeated to the other hosts, since datagrams get lost. */
@@ -32,10 +19,17 @@
 
 export interface QuarantineLedgerOptions {
   readonly clock: Clock;
+  /** Time for which an entry withholds its content, from its last loss. */
+  readonly quarantineMs: (entry: LossEntry) => number;
 }
 
 /** What was known of a content when a send of it began. */
-export type LossBaseline = Pick<LossEntry, "clearCount" | "losses">;
+export type LossBaseline = Pick<
+  LossEntry,
+  "clearCount" | "losses" | "totalLosses"
+>;
+
+const NO_LOSSES: LossBaseline = { clearCount: 0, losses: 0, totalLosses: 0 };
 
 interface Row {
   readonly entry: LossEntry;
@@ -46,6 +40,7 @@
 /** Losses by content id. */
 export class QuarantineLedger {
   readonly #clock: Clock;
+  readonly #quarantineMs: (entry: LossEntry) => number;
   readonly #rows = new Map<string, Row>();
   readonly #onLoss = new Emitter<LossEntry>();
 
@@ -54,6 +49,7 @@
 
   constructor(options: QuarantineLedgerOptions) {
     this.#clock = options.clock;
+    this.#quarantineMs = options.quarantineMs;
   }
 
   /** Number of contents that are held or quarantined now. */
@@ -62,7 +58,7 @@
   }
 
   baseline(contentId: string): LossBaseline {
-    return this.#rows.get(contentId)?.entry ?? { clearCount: 0, losses: 0 };
+    return this.#rows.get(contentId)?.entry ?? NO_LOSSES;
   }
 
   isQuarantined(contentId: string): boolean {
@@ -77,8 +73,8 @@
 
   /**
    * Records that a send ended its target. `lastEventId` is the last event that
-   * the caller has; undefined if none. Returns false if the loss was counted
-   * before.
+   * the caller has; undefined if none. Returns what a send that begins after
+   * this loss knows of it, and whether the loss had not been counted before.
    */
   recordLoss(
     contentId: string,
@@ -86,7 +82,7 @@
       readonly baseline: LossBaseline;
       readonly lastEventId: number | undefined;
     },
-  ): boolean {
+  ): { readonly after: LossBaseline; readonly isNew: boolean } {
     const known = this.#rows.get(contentId)?.entry;
     const clearCount = known?.clearCount ?? 0;
     const lossEventId = lastEventId ?? -1;
@@ -98,11 +94,16 @@
       contentId,
       clearCount: isContradiction ? clearCount + 1 : clearCount,
       losses: isSameSequence && !isContradiction ? baseline.losses + 1 : 1,
+      // A run may have completed since the send began.
+      totalLosses: 1 +
+        Math.min(baseline.totalLosses, known?.totalLosses ?? 0),
       lossEventId,
     };
-    if (!this.merge(entry)) return false;
-    this.#onLoss.fire({ ...entry, ...this.#rows.get(contentId)?.entry });
-    return true;
+    const isNew = this.merge(entry);
+    if (isNew) {
+      this.#onLoss.fire({ ...entry, ...this.#rows.get(contentId)?.entry });
+    }
+    return { after: entry, isNew };
   }
 
   /**
@@ -110,13 +111,16 @@
    * end. Content that runs past the point of its losses did not cause them.
    */
   recordProgress(contentId: string, eventId: number): void {
-    const row = this.#rows.get(contentId);
-    if (row === undefined || row.entry.losses === 0) return;
-    if (eventId <= row.entry.lossEventId) return;
+    const entry = this.#rows.get(contentId)?.entry;
+    if (entry === undefined) return;
+    const isComplete = eventId === Infinity;
+    const hasPassed = entry.losses > 0 && eventId > entry.lossEventId;
+    if (!hasPassed && !(isComplete && entry.totalLosses > 0)) return;
     this.merge({
       contentId,
-      clearCount: row.entry.clearCount + 1,
+      clearCount: entry.clearCount + 1,
       losses: 0,
+      totalLosses: isComplete ? 0 : entry.totalLosses,
       lossEventId: -1,
     });
   }
@@ -131,13 +135,14 @@
     if (known !== undefined && isSame(known.entry, entry)) return false;
     const nowMs = this.#clock.nowMs();
     const hasMoreLosses = entry.clearCount !== known?.entry.clearCount ||
-      entry.losses > known.entry.losses;
+      entry.losses > known.entry.losses ||
+      entry.totalLosses > known.entry.totalLosses;
     this.#rows.delete(contentId);
     this.#rows.set(contentId, {
       entry,
       changedMs: nowMs,
       quarantinedUntilMs: hasMoreLosses
-        ? nowMs + quarantineMs(entry)
+        ? nowMs + this.#quarantineMs(entry)
         : known.quarantinedUntilMs,
     });
     if (this.#rows.size > CAPACITY) {
@@ -168,34 +173,17 @@
   }
 }
 
-function quarantineMs({ contentId, losses }: LossEntry): number {
-  if (losses < HOLD_LOSSES) return 0;
-  if (losses < QUARANTINE_LOSSES) return holdMs(contentId);
-  return Math.min(
-    MAX_QUARANTINE_MS,
-    QUARANTINE_MS * 2 ** (losses - QUARANTINE_LOSSES),
-  );
-}
-
-/**
- * The same on every host, and different for most contents, whose ids are
- * hexadecimal digests.
- */
-function holdMs(contentId: string): number {
-  const share = Number.parseInt(contentId.slice(0, 8), 16) / 2 ** 32 || 0;
-  return MIN_HOLD_MS + share * (MAX_HOLD_MS - MIN_HOLD_MS);
-}
-
 function mergeEntries(a: LossEntry, b: LossEntry): LossEntry {
   if (a.clearCount !== b.clearCount) return a.clearCount > b.clearCount ? a : b;
   return {
     ...a,
     losses: Math.max(a.losses, b.losses),
+    totalLosses: Math.max(a.totalLosses, b.totalLosses),
     lossEventId: Math.max(a.lossEventId, b.lossEventId),
   };
 }
 
 function isSame(a: LossEntry, b: LossEntry): boolean {
   return a.clearCount === b.clearCount && a.losses === b.losses &&
-    a.lossEventId === b.lossEventId;
+    a.totalLosses === b.totalLosses && a.lossEventId === b.lossEventId;
 }
--- a/src/admission/quarantine_ledger_test.ts
+++ b/src/admission/quarantine_ledger_test.ts
@@ -2,16 +2,17 @@
 import { expect, test } from "vitest";
 import { ManualClock } from "../../test/manual_clock.ts";
 import type { LossEntry } from "../ports/types.ts";
-import { QuarantineLedger } from "./quarantine_ledger.ts";
+import { breakHoldMs, lossQuarantineMs } from "./content_quarantine.ts";
+import { type LossBaseline, QuarantineLedger } from "./quarantine_ledger.ts";
 
 const SEED = 20261204;
 const CONTENT = "c";
 
-function fleet(hosts: number) {
+function fleet(hosts: number, quarantineMs = lossQuarantineMs) {
   const clock = new ManualClock();
   const ledgers = Array.from(
     { length: hosts },
-    () => new QuarantineLedger({ clock }),
+    () => new QuarantineLedger({ clock, quarantineMs }),
   );
   const share = () => {
     for (const from of ledgers) {
@@ -118,6 +119,60 @@
   expect(a.quarantinedForMs(CONTENT)).toBe(2 * firstMs);
 });
 
+test("a content that ends its targets at another event each time, and never completes, is quarantined", () => {
+  const { ledgers: [a, b], share } = fleet(2);
+  for (const [ledger, lastEventId] of [[a, 1], [b, 4], [a, 0]] as const) {
+    lose(ledger, lastEventId);
+    ledger.recordProgress(CONTENT, lastEventId + 2);
+    share();
+  }
+  expect(b.isQuarantined(CONTENT)).toBe(false);
+  lose(b, 2);
+  share();
+  expect(a.quarantinedForMs(CONTENT)).toBeGreaterThan(60_000);
+  // Copies that still run on do not lift it.
+  a.recordProgress(CONTENT, 3);
+  expect(a.quarantinedForMs(CONTENT)).toBeGreaterThan(60_000);
+});
+
+test("a content that completes between its losses is not quarantined, nor one whose send began before", () => {
+  const { ledgers: [a] } = fleet(1);
+  for (let i = 0; i < 3; i++) lose(a, 5 - i);
+  const baseline = a.baseline(CONTENT);
+  a.recordProgress(CONTENT, Infinity);
+  a.recordLoss(CONTENT, { baseline, lastEventId: 9 });
+  expect(a.baseline(CONTENT).totalLosses).toBe(1);
+  expect(a.isQuarantined(CONTENT)).toBe(false);
+});
+
+test("three sends in sequence that broke off hold a content, each further one four times as long", async () => {
+  const { ledgers: [a], clock } = fleet(1, breakHoldMs);
+  lose(a);
+  lose(a);
+  expect(a.isQuarantined(CONTENT)).toBe(false);
+  const heldMs: number[] = [];
+  for (let i = 0; i < 5; i++) {
+    lose(a);
+    heldMs.push(a.quarantinedForMs(CONTENT));
+    await clock.advance(a.quarantinedForMs(CONTENT));
+  }
+  expect(heldMs).toEqual([8_000, 32_000, 128_000, 512_000, 600_000]);
+  a.recordProgress(CONTENT, Infinity);
+  lose(a);
+  expect(a.isQuarantined(CONTENT)).toBe(false);
+});
+
+test("four sends that broke off at a later event each time hold a content", () => {
+  const { ledgers: [a] } = fleet(1, breakHoldMs);
+  for (let event = 0; event < 3; event++) {
+    lose(a, event);
+    a.recordProgress(CONTENT, event + 1);
+  }
+  expect(a.isQuarantined(CONTENT)).toBe(false);
+  lose(a, 4);
+  expect(a.quarantinedForMs(CONTENT)).toBe(8_000);
+});
+
 test("of many contents that one event ends, those with most losses are shared first", () => {
   const { ledgers: [a] } = fleet(1);
   lose(a);
@@ -147,6 +202,7 @@
     contentId: fc.constant(CONTENT),
     clearCount: fc.nat({ max: 2 }),
     losses: fc.nat({ max: 4 }),
+    totalLosses: fc.nat({ max: 4 }),
     lossEventId: fc.integer({ min: -1, max: 3 }),
   });
   const shuffled = fc.array(entry, { maxLength: 6 }).chain((entries) =>
@@ -179,7 +235,7 @@
   fc.assert(
     fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
       const { ledgers, share } = fleet(4);
-      const running: { ledger: QuarantineLedger; losses: number }[] = [];
+      const running: ({ ledger: QuarantineLedger } & LossBaseline)[] = [];
       let sends = 0;
       let unshared = 0;
       let mostInFlight = 0;
@@ -191,7 +247,8 @@
         }
         if (kind === "lost" && running.length > 0) {
           const [send] = running.splice(host % running.length, 1);
-          const baseline = { clearCount: 0, losses: send.losses };
+          const { losses, totalLosses } = send;
+          const baseline = { clearCount: 0, losses, totalLosses };
           send.ledger.recordLoss(CONTENT, { baseline, lastEventId: undefined });
           unshared++;
         }
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import { QuarantineLedger } from "../admission/quarantine_ledger.ts";
+import { ContentQuarantine } from "../admission/content_quarantine.ts";
 import type { Clock } from "../common/clock.ts";
 import { BucketMetrics } from "../common/bucket_metrics.ts";
 import type { ILog } from "../common/logging.ts";
@@ -31,6 +31,7 @@
 } from "../ports/services.ts";
 import type { HostRecord, HostSettings } from "../ports/types.ts";
 import { ConfigTracker } from "./config_tracker.ts";
+import { registerGauges } from "./host_gauges.ts";
 import { HostListeners, type HostPorts } from "./host_listeners.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { TargetProber } from "./target_prober.ts";
@@ -88,7 +89,7 @@
   readonly #feeds: StoreFeeds;
   readonly #link: PeerLink;
   readonly #peers: PeerExchange;
-  readonly #quarantine: QuarantineLedger;
+  readonly #quarantine: ContentQuarantine;
   readonly #quarantineSync: QuarantineSync;
   readonly #placement: PlacementController;
   readonly #prober: TargetProber;
@@ -130,7 +131,7 @@
       settings,
       knownHosts: () => this.#link.knownCount,
     });
-    this.#quarantine = new QuarantineLedger({ clock });
+    this.#quarantine = new ContentQuarantine({ clock });
     this.#eras = options.eras ?? new EraTracker({ clock, log });
     this.#feeds = new StoreFeeds({
       eras: this.#eras,
@@ -154,7 +155,7 @@
       isLeader: () => this.#peers.isLeader(),
     });
     this.#quarantineSync = new QuarantineSync({
-      ledger: this.#quarantine,
+      quarantine: this.#quarantine,
       registry,
       log,
       isLeader: () => this.#peers.isLeader(),
@@ -304,28 +305,17 @@
     this.#feeds.targets.onBatch((batch) => feed.apply(batch));
     this.#targets.onChange(() => this.#limits.dispatch());
     this.#eras.onAdvance((change) => this.#handleEraChange(change));
-    this.#quarantine.onLoss(() => this.#peers.scheduleBroadcast());
-    this.#registerGauges();
-  }
-
-  #registerGauges(): void {
-    const gauges: [string, () => number][] = [
-      ["jackdawshift_requests_active", () => this.#core.active],
-      ["jackdawshift_config_age_ms", () => this.#feeds.config.ageMs],
-      [
-        "jackdawshift_config_version",
-        () => this.#config.table?.config.version ?? 0,
-      ],
-      ["jackdawshift_store_era", () => this.#eras.current ?? 0],
-      ["jackdawshift_targets_known", () => this.#targets.all().length],
-      ["jackdawshift_peers_live", () => this.#link.live().length],
-      [
-        "jackdawshift_contents_quarantined",
-        () => this.#quarantine.quarantinedCount,
-      ],
-      ["jackdawshift_resident_bytes", () => process.memoryUsage.rss()],
-    ];
-    for (const [name, read] of gauges) this.#metrics.gauge(name, read);
+    this.#quarantine.losses.onLoss(() => this.#peers.scheduleBroadcast());
+    this.#quarantine.breaks.onLoss(() => this.#peers.scheduleBroadcast());
+    registerGauges(this.#metrics, {
+      active: () => this.#core.active,
+      configAgeMs: () => this.#feeds.config.ageMs,
+      configVersion: () => this.#config.table?.config.version ?? 0,
+      era: () => this.#eras.current ?? 0,
+      targets: this.#targets,
+      link: this.#link,
+      quarantine: this.#quarantine,
+    });
   }
 
   #handleEraChange({ from, to, source }: EraChange): void {
@@ -355,7 +345,7 @@
       checker: new StageChecker({ targetTable: this.#targets, control, clock }),
       codec,
       agent: this.#agent,
-      lossDetector: new LossDetector(),
+      lossDetector: new LossDetector({ clock, targets: this.#targets }),
       quarantine: this.#quarantine,
       monitor: this.#watch,
       domain: settings.domain,
--- /dev/null
+++ b/src/entry/host_gauges.ts
@@ -0,0 +1,43 @@
+/**
+ * The gauges of a host: what it knows and does at the moment of a scrape.
+ *
+ * @module
+ */
+
+import type { ContentQuarantine } from "../admission/content_quarantine.ts";
+import type { BucketMetrics } from "../common/bucket_metrics.ts";
+import type { TargetTable } from "../paths/target_table.ts";
+import type { PeerLink } from "../peers/peer_link.ts";
+
+export interface GaugeSources {
+  /** Requests in progress. */
+  readonly active: () => number;
+  readonly configAgeMs: () => number;
+  readonly configVersion: () => number;
+  readonly era: () => number;
+  readonly targets: TargetTable;
+  readonly link: PeerLink;
+  readonly quarantine: ContentQuarantine;
+}
+
+export function registerGauges(
+  metrics: BucketMetrics,
+  sources: GaugeSources,
+): void {
+  const { targets, link, quarantine } = sources;
+  const gauges: [string, () => number][] = [
+    ["jackdawshift_requests_active", sources.active],
+    ["jackdawshift_config_age_ms", sources.configAgeMs],
+    ["jackdawshift_config_version", sources.configVersion],
+    ["jackdawshift_store_era", sources.era],
+    ["jackdawshift_targets_known", () => targets.all().length],
+    ["jackdawshift_peers_live", () => link.live().length],
+    [
+      "jackdawshift_contents_quarantined",
+      () => quarantine.losses.quarantinedCount,
+    ],
+    ["jackdawshift_contents_held", () => quarantine.breaks.quarantinedCount],
+    ["jackdawshift_resident_bytes", () => process.memoryUsage.rss()],
+  ];
+  for (const [name, read] of gauges) metrics.gauge(name, read);
+}
--- a/src/entry/peer_exchange.ts
+++ b/src/entry/peer_exchange.ts
@@ -234,7 +234,8 @@
       slowTargets: this.isLeader() ? this.#options.slowTargets() : undefined,
       canLead: this.#options.canLead() && !this.#isIsolated(),
       isReader: this.#options.canRead(),
-      losses: this.#options.quarantine.entriesToShare(),
+      losses: this.#options.quarantine.lossesToShare(),
+      breaks: this.#options.quarantine.breaksToShare(),
       era: this.#options.eras.current,
       isEraSettled: this.#options.eras.isSettled,
     };
@@ -253,7 +254,8 @@
     const { targets, clock, quarantine, eras } = this.#options;
     if (state.isEraSettled) eras.observeSettled(state.era, host.id);
     else eras.observe(state.era, host.id);
-    quarantine.merge(state.losses, host.id);
+    quarantine.mergeLosses(state.losses, host.id);
+    quarantine.mergeBreaks(state.breaks, host.id);
     const untilMs = clock.nowMs() + SUSPICION_TTL_MS;
     for (const id of state.unresponsiveTargets) {
       const target = targets.get(id);
--- a/src/entry/peer_exchange_test.ts
+++ b/src/entry/peer_exchange_test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "vitest";
 import { ManualClock } from "../../test/manual_clock.ts";
-import { QuarantineLedger } from "../admission/quarantine_ledger.ts";
+import { ContentQuarantine } from "../admission/content_quarantine.ts";
 import { Emitter } from "../common/emitter.ts";
 import { silentLog } from "../common/logging.ts";
 import { EraTracker } from "../feeds/era_tracker.ts";
@@ -24,6 +24,7 @@
     canLead: true,
     isReader,
     losses: [],
+    breaks: [],
     era: undefined,
     isEraSettled: false,
   };
@@ -83,7 +84,7 @@
     eras,
     random: () => 0.5,
     quarantine: new QuarantineSync({
-      ledger: new QuarantineLedger({ clock }),
+      quarantine: new ContentQuarantine({ clock }),
       registry,
       log: silentLog,
       isLeader: () => false,
--- a/src/entry/quarantine_sync.ts
+++ b/src/entry/quarantine_sync.ts
@@ -1,11 +1,12 @@
 /**
- * Shares quarantined content among hosts: changes go out with the broadcasts of
- * this host, and contents under quarantine are kept in the store, so that a
- * fleet that restarts as a whole still knows them.
+ * Shares failed content among hosts: changes go out with the broadcasts of this
+ * host, and contents that ended targets and are under quarantine are kept in the
+ * store, so that a fleet that restarts as a whole still knows them.
  *
  * @module
  */
 
+import type { ContentQuarantine } from "../admission/content_quarantine.ts";
 import type { QuarantineLedger } from "../admission/quarantine_ledger.ts";
 import type { ILog } from "../common/logging.ts";
 import type { IHostRegistry } from "../ports/services.ts";
@@ -17,7 +18,7 @@
 const MAX_SHARED_ENTRIES = 32;
 
 export interface QuarantineSyncOptions {
-  readonly ledger: QuarantineLedger;
+  readonly quarantine: ContentQuarantine;
   readonly registry: IHostRegistry;
   readonly log: ILog;
   /** Only the leader removes records from the store. */
@@ -29,16 +30,35 @@
 
   constructor(options: QuarantineSyncOptions) {
     this.#options = options;
-    options.ledger.onLoss((entry) => this.#handleLoss(entry));
+    const { losses, breaks } = options.quarantine;
+    losses.onLoss((entry) => this.#handleLoss(entry));
+    breaks.onLoss((entry) => this.#handleBreak(entry));
   }
 
-  entriesToShare(): LossEntry[] {
-    return this.#options.ledger.entriesToShare(MAX_SHARED_ENTRIES);
+  lossesToShare(): LossEntry[] {
+    return this.#options.quarantine.losses.entriesToShare(MAX_SHARED_ENTRIES);
   }
 
-  /** Merges entries of another host, or of the store. */
-  merge(entries: readonly LossEntry[], source: string): void {
-    const { ledger, log } = this.#options;
+  breaksToShare(): LossEntry[] {
+    return this.#options.quarantine.breaks.entriesToShare(MAX_SHARED_ENTRIES);
+  }
+
+  /** Merges losses that another host or the store knows. */
+  mergeLosses(entries: readonly LossEntry[], source: string): void {
+    this.#merge(this.#options.quarantine.losses, entries, source);
+  }
+
+  /** Merges broken sends that another host knows. */
+  mergeBreaks(entries: readonly LossEntry[], source: string): void {
+    this.#merge(this.#options.quarantine.breaks, entries, source);
+  }
+
+  #merge(
+    ledger: QuarantineLedger,
+    entries: readonly LossEntry[],
+    source: string,
+  ): void {
+    const { log } = this.#options;
     for (const entry of entries) {
       const wasQuarantined = ledger.isQuarantined(entry.contentId);
       ledger.merge(entry);
@@ -58,8 +78,9 @@
    * the store fails.
    */
   async synchronize(stored: readonly LossEntry[]): Promise<void> {
-    const { ledger, registry, isLeader } = this.#options;
-    this.merge(stored, "store");
+    const { quarantine: { losses: ledger }, registry, isLeader } =
+      this.#options;
+    this.mergeLosses(stored, "store");
     if (!isLeader()) return;
     const storedIds = new Set(stored.map(({ contentId }) => contentId));
     for (const entry of ledger.entriesQuarantinedFor(MIN_SAVED_MS)) {
@@ -74,11 +95,16 @@
   }
 
   #handleLoss(entry: LossEntry): void {
-    const { ledger, registry, log } = this.#options;
-    const { contentId, losses } = entry;
-    const forMs = Math.round(ledger.quarantinedForMs(contentId));
+    const { quarantine, registry, log } = this.#options;
+    const { contentId, losses, totalLosses } = entry;
+    const forMs = Math.round(quarantine.losses.quarantinedForMs(contentId));
     if (forMs === 0) return;
-    log.warn("content quarantined", { content: contentId, losses, forMs });
+    log.warn("content quarantined", {
+      content: contentId,
+      losses,
+      totalLosses,
+      forMs,
+    });
     if (forMs < MIN_SAVED_MS) return;
     registry.writeQuarantine(entry).catch((error) =>
       log.info("quarantine not saved; the leader will retry", {
@@ -87,4 +113,15 @@
       })
     );
   }
+
+  #handleBreak({ contentId, losses }: LossEntry): void {
+    const { quarantine, log } = this.#options;
+    const forMs = Math.round(quarantine.breaks.quarantinedForMs(contentId));
+    if (forMs === 0) return;
+    log.warn("content held after broken sends", {
+      content: contentId,
+      breaks: losses,
+      forMs,
+    });
+  }
 }
--- a/src/entry/quarantine_sync_test.ts
+++ b/src/entry/quarantine_sync_test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "vitest";
 import { ManualClock } from "../../test/manual_clock.ts";
-import { QuarantineLedger } from "../admission/quarantine_ledger.ts";
+import { ContentQuarantine } from "../admission/content_quarantine.ts";
 import { silentLog } from "../common/logging.ts";
 import type { LossEntry } from "../ports/types.ts";
 import { QuarantineSync } from "./quarantine_sync.ts";
@@ -9,16 +9,18 @@
   contentId: "c",
   clearCount: 0,
   losses: 3,
+  totalLosses: 3,
   lossEventId: -1,
 };
 
 function syncWith(isLeader: boolean) {
   const clock = new ManualClock();
-  const ledger = new QuarantineLedger({ clock });
+  const quarantine = new ContentQuarantine({ clock });
+  const ledger = quarantine.losses;
   const written: string[] = [];
   const removed: string[] = [];
   const sync = new QuarantineSync({
-    ledger,
+    quarantine,
     log: silentLog,
     isLeader: () => isLeader,
     registry: {
--- a/src/forward/call_losses.ts
+++ b/src/forward/call_losses.ts
@@ -1,37 +1,83 @@
 /**
- * Attributes the targets that end while they run one call to the content of the
- * call, and tells whether the content may still be sent.
+ * Attributes the failed sends of one call, and the targets that end while they
+ * run it, to the content of the call, and tells whether the content may still be
+ * sent.
  *
  * @module
  */
 
+import type { SendBaseline } from "../admission/content_quarantine.ts";
 import type { LossBaseline } from "../admission/quarantine_ledger.ts";
+import type { PathStage } from "../ports/types.ts";
 import type { CallContext, CallPlan } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
-import type { LostTarget } from "./loss_detector.ts";
+import type { EndEvidence, TargetProcess } from "./loss_detector.ts";
 
 export interface CallLossesOptions {
   readonly context: Pick<
     CallContext,
-    "log" | "metrics" | "lossDetector" | "quarantine"
+    "log" | "metrics" | "lossDetector" | "quarantine" | "targets"
   >;
   readonly plan: Pick<CallPlan, "requestId" | "contentId" | "service">;
 }
 
+/** A send, or the part of one after its path was changed. */
+export interface MarkedSend {
+  readonly baseline: SendBaseline;
+  /** The processes of its targets when it began. */
+  readonly processes: readonly TargetProcess[];
+  /** Failures of the call before it began. */
+  readonly preceding: readonly CallFailure[];
+}
+
+/** A failure at one target. */
+interface CallFailure {
+  readonly send: MarkedSend;
+  readonly process: TargetProcess;
+  readonly lastEventId: number | undefined;
+  hasEnded: boolean;
+  /** What a send after it knows of the content; undefined until it has ended. */
+  after: LossBaseline | undefined;
+}
+
+export interface FailureDetails {
+  readonly targetId: string;
+  /** The last event that the caller has; undefined if none. */
+  readonly lastEventId: number | undefined;
+}
+
+export interface SendFailure extends FailureDetails {
+  /** Whether the caller left, so that the target may be sound. */
+  readonly isAbandoned: boolean;
+}
+
 export class CallLosses {
   readonly #options: CallLossesOptions;
+  readonly #failures: CallFailure[] = [];
 
   constructor(options: CallLossesOptions) {
     this.#options = options;
   }
 
-  /** Time until the content may be sent again; 0 if it is not quarantined. */
-  get quarantinedForMs(): number {
+  /** Time until the content may be sent again; 0 if it may be sent now. */
+  get heldForMs(): number {
+    const { context, plan } = this.#options;
+    return context.quarantine.heldForMs(plan.contentId);
+  }
+
+  /** Whether targets that ended withhold the content, also from its present run. */
+  get isQuarantined(): boolean {
     const { context, plan } = this.#options;
-    return context.quarantine.quarantinedForMs(plan.contentId);
+    return context.quarantine.losses.isQuarantined(plan.contentId);
   }
 
-  /** Refuses a request that was not run, for this reason unless quarantined. */
+  /** Whether a send of the content failed and none has completed since. */
+  get isSuspect(): boolean {
+    const { context, plan } = this.#options;
+    return context.quarantine.isSuspect(plan.contentId);
+  }
+
+  /** Refuses a request that was not run, for this reason unless held back. */
   refuse(
     exchange: Exchange,
     { reason, retryAfterMs }: {
@@ -39,50 +85,89 @@
       readonly retryAfterMs: number;
     },
   ): void {
-    const forMs = this.quarantinedForMs;
+    const forMs = this.heldForMs;
     if (forMs > 0) {
       exchange.refuse(503, "content quarantined: it ended targets", forMs);
     } else exchange.refuse(503, reason, retryAfterMs);
   }
 
-  /** Called before each send and repath; a loss of it is added to the result. */
-  baseline(): LossBaseline {
+  /** Called before each send and after each change of a path. */
+  beginSend(targets: readonly Pick<PathStage, "targetId">[]): MarkedSend {
     const { context, plan } = this.#options;
-    return context.quarantine.baseline(plan.contentId);
+    const processes = targets.flatMap(({ targetId }) => {
+      const record = context.targets.get(targetId)?.record;
+      if (record === undefined) return [];
+      return [{ targetId, address: record.address, bornMs: record.bornMs }];
+    });
+    return {
+      baseline: context.quarantine.baseline(plan.contentId),
+      processes,
+      preceding: [...this.#failures],
+    };
   }
 
-  /** Checks a target that failed the call; resolves when the loss is recorded. */
-  async check(
-    target: LostTarget,
-    { baseline, lastEventId }: {
-      readonly baseline: LossBaseline;
-      readonly lastEventId: number | undefined;
+  /**
+   * Records a send that ended without a complete response, and observes its
+   * target. Resolves as `observe` does.
+   */
+  recordFailure(send: MarkedSend, failure: SendFailure): Promise<void> {
+    const { context: { quarantine }, plan: { contentId } } = this.#options;
+    const { lastEventId, isAbandoned } = failure;
+    if (!isAbandoned && !this.isQuarantined) {
+      quarantine.breaks.recordLoss(contentId, {
+        baseline: send.baseline.breaks,
+        lastEventId,
+      });
+    }
+    return this.observe(send, { ...failure, checksPort: !isAbandoned });
+  }
+
+  /**
+   * Observes a target that may have ended. Resolves when its port was checked
+   * and, if it refuses connections, the loss is recorded.
+   */
+  async observe(
+    send: MarkedSend,
+    { targetId, lastEventId, checksPort = true }: FailureDetails & {
+      readonly checksPort?: boolean;
     },
   ): Promise<void> {
     const { context, plan } = this.#options;
-    const port = await context.lossDetector.checkPort(target);
+    const process = send.processes.find((one) => one.targetId === targetId);
+    if (process === undefined) return;
+    const failure: CallFailure = {
+      send,
+      process,
+      lastEventId,
+      hasEnded: false,
+      after: undefined,
+    };
+    this.#failures.push(failure);
+    const { firstCheck, evidence } = context.lossDetector.observe(process, {
+      checksPort,
+    });
+    const recorded = evidence.then((found) => {
+      if (found !== undefined) this.#recordEnd(failure, found);
+    });
+    const port = await firstCheck;
+    if (port === undefined) return;
     context.metrics.count("jackdawshift_target_checks_total", { port });
     context.log.info("target checked after a failed send", {
       request: plan.requestId,
       content: plan.contentId,
-      target: target.targetId,
-      address: target.address,
+      target: targetId,
+      address: process.address,
       port,
     });
-    if (port !== "refuses") return;
-    const loss = { baseline, lastEventId };
-    if (!context.quarantine.recordLoss(plan.contentId, loss)) return;
-    context.metrics.count("jackdawshift_targets_lost_total", {
-      service: plan.service.name,
-    });
-    context.log.info("target ended during a request", {
-      request: plan.requestId,
-      content: plan.contentId,
-      target: target.targetId,
-      address: target.address,
-      lastEventId,
-      losses: this.baseline().losses,
-    });
+    if (port === "refuses") await recorded;
+  }
+
+  /** Records a response that says that another process is at the address. */
+  recordReplaced(send: MarkedSend, targetId: string): void {
+    const process = send.processes.find((one) => one.targetId === targetId);
+    if (process !== undefined) {
+      this.#options.context.lossDetector.recordReplaced(process);
+    }
   }
 
   /** Records that a target ran the call up to this event. */
@@ -95,4 +180,55 @@
   recordCompletion(): void {
     this.recordProgress(Infinity);
   }
+
+  #recordEnd(failure: CallFailure, evidence: EndEvidence): void {
+    const { context, plan } = this.#options;
+    failure.hasEnded = true;
+    const isNew = this.#countEnds();
+    if (!isNew) return;
+    context.metrics.count("jackdawshift_targets_lost_total", {
+      service: plan.service.name,
+    });
+    context.log.info("target ended during a request", {
+      request: plan.requestId,
+      content: plan.contentId,
+      target: failure.process.targetId,
+      address: failure.process.address,
+      evidence,
+      lastEventId: failure.lastEventId,
+      ...context.quarantine.losses.baseline(plan.contentId),
+    });
+  }
+
+  /**
+   * Counts all ends of the call anew, in the order of its failures, since
+   * evidence may come in another order. Returns whether the count has risen.
+   */
+  #countEnds(): boolean {
+    const { context: { quarantine }, plan: { contentId } } = this.#options;
+    let hasRisen = false;
+    for (const failure of this.#failures) {
+      if (!failure.hasEnded) continue;
+      const { after, isNew } = quarantine.losses.recordLoss(contentId, {
+        baseline: raisedBaseline(failure.send),
+        lastEventId: failure.lastEventId,
+      });
+      failure.after = after;
+      hasRisen ||= isNew;
+    }
+    return hasRisen;
+  }
+}
+
+/** The baseline of a send with the ends before it that were proven since. */
+function raisedBaseline({ baseline, preceding }: MarkedSend): LossBaseline {
+  let { clearCount, losses, totalLosses } = baseline.losses;
+  for (const { after } of preceding) {
+    if (after === undefined) continue;
+    totalLosses = Math.max(totalLosses, after.totalLosses);
+    if (after.clearCount === clearCount) {
+      losses = Math.max(losses, after.losses);
+    }
+  }
+  return { clearCount, losses, totalLosses };
 }
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { QuarantineLedger } from "../admission/quarantine_ledger.ts";
+import type { ContentQuarantine } from "../admission/content_quarantine.ts";
 import type { ServiceRetryBudget } from "../admission/service_retry_budget.ts";
 import type { WaitQueue } from "../admission/wait_queue.ts";
 import type { Clock } from "../common/clock.ts";
@@ -31,7 +31,7 @@
   readonly codec: IHeaderCodec;
   readonly agent: UpstreamAgent;
   readonly lossDetector: LossDetector;
-  readonly quarantine: QuarantineLedger;
+  readonly quarantine: ContentQuarantine;
   readonly monitor: StreamMonitor;
   readonly domain: string;
   readonly random: () => number;
--- a/src/forward/loss_detector.ts
+++ b/src/forward/loss_detector.ts
@@ -1,44 +1,189 @@
 /**
  * Tells a target that ended while it ran a request from a connection that
- * merely broke: the port of an ended process refuses connections.
+ * merely broke. A process can end in several ways, so a target is observed for
+ * some seconds after a send failed there: its port may refuse connections, its
+ * record may name a later start or disappear, another process may be at its
+ * address.
  *
  * @module
  */
 
 import { connect } from "node:net";
+import type { Clock } from "../common/clock.ts";
+import { type Deferred, deferred } from "../common/deferred.ts";
+import type { Target } from "../paths/target.ts";
+import type { TargetTable } from "../paths/target_table.ts";
 import type { Endpoint } from "../ports/types.ts";
 import { parseAddress } from "./address.ts";
 
 /** A connection is accepted or refused within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 50;
+/** Pauses before the checks of a port; a process that ends may close it late. */
+const CHECK_PAUSES_MS = [0, 60, 140, 400];
+/**
+ * How long a target is observed. The record of one that fell silent is removed
+ * after three heartbeats, of 1.2 s each.
+ */
+const OBSERVATION_MS = 6_000;
 
-/** The part of a path's stage that the detector needs. */
-export interface LostTarget {
+/** A process of a target: a later start has a later time. */
+export interface TargetProcess {
   readonly targetId: string;
   readonly address: string;
+  /** Wall-clock start time as the target reports it; 0 if it does not. */
+  readonly bornMs: number;
 }
 
 /** What the port of a target does with a new connection. */
 export type PortState = "refuses" | "accepts" | "silent";
 
-/** Checks of the same target at the same time share one connection. */
+/** Why a target is known to have ended. */
+export type EndEvidence =
+  | "port-refuses"
+  | "restarted"
+  | "deregistered"
+  | "address-reused";
+
+export interface Observation {
+  /** Resolves with the first check of the port; undefined without checks. */
+  readonly firstCheck: Promise<PortState | undefined>;
+  /** Resolves to undefined if the target is not known to have ended. */
+  readonly evidence: Promise<EndEvidence | undefined>;
+}
+
+export interface LossDetectorOptions {
+  readonly clock: Clock;
+  readonly targets: TargetTable;
+}
+
+interface Watch {
+  readonly process: TargetProcess;
+  readonly evidence: Deferred<EndEvidence | undefined>;
+  untilMs: number;
+  /** Aborts the pauses before the next checks of the port. */
+  pauses: AbortController;
+  pendingCheck: Promise<PortState> | undefined;
+}
+
+/** Observations of the same process share their evidence and connections. */
 export class LossDetector {
-  readonly #pending = new Map<string, Promise<PortState>>();
-
-  /**
-   * Connects to the target's port. A target that does not answer at all may be
-   * cut off.
-   */
-  checkPort({ targetId, address }: LostTarget): Promise<PortState> {
-    let pending = this.#pending.get(targetId);
-    if (pending === undefined) {
-      pending = connectOnce(parseAddress(address)).finally(() =>
-        this.#pending.delete(targetId)
-      );
-      this.#pending.set(targetId, pending);
+  readonly #clock: Clock;
+  readonly #targets: TargetTable;
+  readonly #watches = new Map<string, Watch>();
+
+  constructor({ clock, targets }: LossDetectorOptions) {
+    this.#clock = clock;
+    this.#targets = targets;
+    targets.onChange((target) => this.#handleChange(target));
+  }
+
+  /** Observes a target after a send failed there. */
+  observe(
+    process: TargetProcess,
+    { checksPort }: { readonly checksPort: boolean },
+  ): Observation {
+    const watch = this.#watch(process);
+    const firstCheck = checksPort
+      ? this.#checkPort(watch)
+      : Promise.resolve(undefined);
+    for (const target of this.#targets.all()) this.#compare(watch, target);
+    return { firstCheck, evidence: watch.evidence.promise };
+  }
+
+  /** Another process than this one responded at its address. */
+  recordReplaced({ targetId, bornMs }: Omit<TargetProcess, "address">): void {
+    const watch = this.#watches.get(watchKey({ targetId, bornMs }));
+    if (watch !== undefined) this.#resolve(watch, "address-reused");
+  }
+
+  #watch(process: TargetProcess): Watch {
+    const untilMs = this.#clock.nowMs() + OBSERVATION_MS;
+    const key = watchKey(process);
+    const known = this.#watches.get(key);
+    if (known !== undefined) {
+      known.untilMs = untilMs;
+      return known;
     }
-    return pending;
+    const watch: Watch = {
+      process,
+      evidence: deferred(),
+      untilMs,
+      pauses: new AbortController(),
+      pendingCheck: undefined,
+    };
+    this.#watches.set(key, watch);
+    void this.#expire(watch);
+    return watch;
   }
+
+  async #expire(watch: Watch): Promise<void> {
+    while (this.#isOpen(watch) && this.#clock.nowMs() < watch.untilMs) {
+      await this.#clock.sleep(watch.untilMs - this.#clock.nowMs());
+    }
+    if (this.#isOpen(watch)) this.#resolve(watch, undefined);
+  }
+
+  #isOpen(watch: Watch): boolean {
+    return this.#watches.get(watchKey(watch.process)) === watch;
+  }
+
+  #resolve(watch: Watch, evidence: EndEvidence | undefined): void {
+    watch.pauses.abort();
+    watch.evidence.resolve(evidence);
+    if (this.#isOpen(watch)) this.#watches.delete(watchKey(watch.process));
+  }
+
+  /** Checks the port now and a few times later; resolves with the first state. */
+  #checkPort(watch: Watch): Promise<PortState> {
+    watch.pauses.abort();
+    watch.pauses = new AbortController();
+    const { signal } = watch.pauses;
+    const first = this.#checkOnce(watch);
+    void (async () => {
+      for (const pauseMs of CHECK_PAUSES_MS.slice(1)) {
+        await this.#clock.sleep(pauseMs, signal);
+        if (signal.aborted) return;
+        await this.#checkOnce(watch);
+      }
+    })();
+    return first;
+  }
+
+  #checkOnce(watch: Watch): Promise<PortState> {
+    watch.pendingCheck ??= connectOnce(parseAddress(watch.process.address))
+      .then((state) => {
+        watch.pendingCheck = undefined;
+        if (state === "refuses") this.#resolve(watch, "port-refuses");
+        return state;
+      });
+    return watch.pendingCheck;
+  }
+
+  #handleChange(target: Target): void {
+    for (const watch of [...this.#watches.values()]) {
+      this.#compare(watch, target);
+    }
+  }
+
+  #compare(watch: Watch, { record, isRemoved }: Target): void {
+    const { targetId, address, bornMs } = watch.process;
+    if (isRemoved && record.id === targetId && record.bornMs === bornMs) {
+      // A target that was draining left as planned.
+      if (record.state === "ready") this.#resolve(watch, "deregistered");
+      return;
+    }
+    if (isRemoved || record.bornMs <= bornMs) return;
+    if (record.id === targetId) this.#resolve(watch, "restarted");
+    else if (record.address === address) {
+      this.#resolve(watch, "address-reused");
+    }
+  }
+}
+
+function watchKey(
+  { targetId, bornMs }: Omit<TargetProcess, "address">,
+): string {
+  return `${targetId} ${bornMs}`;
 }
 
 function connectOnce({ ip, port }: Endpoint): Promise<PortState> {
--- /dev/null
+++ b/src/forward/loss_detector_test.ts
@@ -0,0 +1,99 @@
+import { createServer, type Server } from "node:net";
+import type { AddressInfo } from "node:net";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { ManualClock } from "../../test/manual_clock.ts";
+import { silentLog } from "../common/logging.ts";
+import { TargetTable } from "../paths/target_table.ts";
+import type { TargetRecord } from "../ports/types.ts";
+import { LossDetector } from "./loss_detector.ts";
+
+let server: Server;
+let record: TargetRecord;
+let clock: ManualClock;
+let targets: TargetTable;
+let detector: LossDetector;
+
+beforeEach(async () => {
+  server = createServer((socket) => socket.destroy());
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  record = {
+    id: "t",
+    service: "s",
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    domain: "a",
+    state: "ready",
+    bornMs: 1_000,
+    kind: undefined,
+    span: undefined,
+  };
+  clock = new ManualClock();
+  targets = new TargetTable({ clock, log: silentLog });
+  targets.put(record);
+  detector = new LossDetector({ clock, targets });
+});
+
+afterEach(() => {
+  server.close();
+});
+
+function observe() {
+  const { address, bornMs } = record;
+  return detector.observe({ targetId: "t", address, bornMs }, {
+    checksPort: true,
+  });
+}
+
+test("a port that closes only after the first check is found closed", async () => {
+  const { firstCheck, evidence } = observe();
+  expect(await firstCheck).toBe("accepts");
+  await new Promise((resolve) => server.close(resolve));
+  await clock.advance(60);
+  expect(await evidence).toBe("port-refuses");
+});
+
+test.each<[string, string, () => void]>([
+  [
+    "restarted under its id",
+    "restarted",
+    () => targets.put({ ...record, bornMs: 2_000 }),
+  ],
+  [
+    "replaced at its address",
+    "address-reused",
+    () => targets.put({ ...record, id: "u", service: "other", bornMs: 2_000 }),
+  ],
+  ["gone from the store", "deregistered", () => targets.remove("t", true)],
+  [
+    "answered for by another",
+    "address-reused",
+    () => detector.recordReplaced({ targetId: "t", bornMs: 1_000 }),
+  ],
+])("a target that is %s has ended", async (_how, found, change) => {
+  const { firstCheck, evidence } = observe();
+  await firstCheck;
+  change();
+  expect(await evidence).toBe(found);
+  // Known before the next observation begins.
+  if (found === "restarted") expect(await observe().evidence).toBe(found);
+});
+
+test.each<[string, () => void]>([
+  ["left as planned", () => {
+    targets.put({ ...record, state: "draining" });
+    targets.remove("t", true);
+  }],
+  [
+    "got an older neighbour's record",
+    () => targets.put({ ...record, id: "u", bornMs: 500 }),
+  ],
+  [
+    "changed its span",
+    () => targets.put({ ...record, span: { from: 0, to: 4 } }),
+  ],
+])("a target that %s has not ended", async (_how, change) => {
+  const { firstCheck, evidence } = observe();
+  await firstCheck;
+  change();
+  await clock.advance(6_000);
+  expect(await evidence).toBe(undefined);
+});
--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -8,7 +8,7 @@
 
 import type { Target } from "../paths/target.ts";
 import { isUnframed, readResponseBody, responseHeaders } from "./response.ts";
-import { CallLosses } from "./call_losses.ts";
+import { CallLosses, type MarkedSend } from "./call_losses.ts";
 import {
   type CallContext,
   type CallPlan,
@@ -54,6 +54,8 @@
   #sends = 0;
   #running = 0;
   #mayHaveRun = false;
+  /** A send has completed; the others are cancelled. */
+  #isDecided = false;
   #fallback: Attempt | undefined;
   #lastReason = "no eligible target";
 
@@ -75,6 +77,7 @@
     this.#context.budgetOf(this.#plan.service.name).recordRequest();
     try {
       const answer = await this.#serve();
+      this.#isDecided = answer?.kind === "answer";
       if (!this.#exchange.isDisconnected) this.#finish(answer);
     } finally {
       clearTimeout(timer);
@@ -103,9 +106,10 @@
         });
       };
       launch();
-      if (!isIdempotent) return;
+      // A content that may end its targets runs on one of them at a time.
+      if (!isIdempotent || this.#losses.isSuspect) return;
       const hedge = setTimeout(() => {
-        if (this.#running > 0) launch();
+        if (this.#running > 0 && !this.#losses.isSuspect) launch();
       }, this.#plan.route.firstByteGoalMs * HEDGE_DELAY_FRACTION);
       this.#abort.signal.addEventListener("abort", () => clearTimeout(hedge), {
         once: true,
@@ -135,7 +139,7 @@
     if (this.#abort.signal.aborted || this.#sends >= route.maxAttempts) {
       return undefined;
     }
-    if (this.#losses.quarantinedForMs > 0) return undefined;
+    if (this.#losses.heldForMs > 0) return undefined;
     if (deadlineMs - clock.nowMs() < MIN_REMAINING_MS) return undefined;
     const target = pickPlainTarget({
       targets: targets.ofService(service.name),
@@ -155,7 +159,7 @@
   async #attempt(target: Target, mayRetry: boolean): Promise<Attempt> {
     const { clock, log, metrics } = this.#context;
     const startedMs = clock.nowMs();
-    const baseline = this.#losses.baseline();
+    const send = this.#losses.beginSend([{ targetId: target.id }]);
     log.info("request sent", {
       request: this.#plan.requestId,
       content: this.#plan.contentId,
@@ -163,7 +167,7 @@
       send: this.#sends,
     });
     target.ownLoad.streams++;
-    const attempt = await this.#send(target);
+    const attempt = await this.#send(target, send);
     target.ownLoad.streams--;
     const durationMs = clock.nowMs() - startedMs;
     // A request that did not reach a target does not count as a send.
@@ -188,17 +192,18 @@
       });
     }
     if (attempt.kind === "answer") this.#losses.recordCompletion();
-    if (attempt.kind === "may-have-run" && !this.#abort.signal.aborted) {
-      const check = this.#losses.check(
-        { targetId: target.id, address: target.record.address },
-        { baseline, lastEventId: undefined },
-      );
-      if (mayRetry) await check;
+    if (attempt.kind === "may-have-run" && !this.#isDecided) {
+      const check = this.#losses.recordFailure(send, {
+        targetId: target.id,
+        lastEventId: undefined,
+        isAbandoned: this.#exchange.isDisconnected,
+      });
+      if (mayRetry && !this.#abort.signal.aborted) await check;
     }
     return attempt;
   }
 
-  async #send(target: Target): Promise<Attempt> {
+  async #send(target: Target, send: MarkedSend): Promise<Attempt> {
     const { codec, agent, clock } = this.#context;
     const { request, body } = this.#exchange;
     const { route, customer, requestId, deadlineMs } = this.#plan;
@@ -229,6 +234,7 @@
     const status = answer.statusCode ?? 0;
     if (metadata.isNotExecuted || status === 421) {
       answer.resume();
+      if (status === 421) this.#losses.recordReplaced(send, target.id);
       return {
         kind: "not-run",
         wasSent: true,
--- a/src/forward/request_handler.ts
+++ b/src/forward/request_handler.ts
@@ -117,15 +117,13 @@
         body: outcome.body,
       }),
     };
-    const quarantinedForMs = context.quarantine.quarantinedForMs(
-      plan.contentId,
-    );
-    if (quarantinedForMs > 0) {
+    const heldForMs = context.quarantine.heldForMs(plan.contentId);
+    if (heldForMs > 0) {
       this.#refuse(exchange, {
         kind: "refuse",
         status: 503,
         reason: `content ${plan.contentId} quarantined: it ended targets`,
-        retryAfterMs: quarantinedForMs,
+        retryAfterMs: heldForMs,
       });
       return;
     }
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -6,26 +6,23 @@
  * @module
  */
 
-import type { LossBaseline } from "../admission/quarantine_ledger.ts";
+import { describePath } from "../paths/describe_path.ts";
 import type { ReservedPath } from "../paths/path_chooser.ts";
 import type { EngineProfile, PathStage } from "../ports/types.ts";
 import { parseAddress } from "./address.ts";
-import { CallLosses } from "./call_losses.ts";
+import { CallLosses, type MarkedSend } from "./call_losses.ts";
 import { CallRetries } from "./call_retries.ts";
 import { type CallContext, type CallPlan, jitterRetryMs } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
 import { waitForPath } from "./path_wait.ts";
+import { type SendResult, toSendResult } from "./send_result.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import { StreamResponse } from "./stream_response.ts";
+import { tokensToReserve } from "./token_reservation.ts";
 import { type SendOutcome, sendUpstream } from "./upstream.ts";
 
 /** Resumed streams rank before all requests that have not started. */
 const RESUME_RANK = -1;
-/**
- * Share of the estimated answer for which memory is reserved. On average, the
- * answers of a target are half generated; estimates are accurate at the median.
- */
-const RESERVED_ANSWER_SHARE = 0.7;
 /** Retry time for refused callers; a stream takes some seconds. */
 const RETRY_AFTER_MS = 700;
 /** Retries after which a request is abandoned, refused sends included. */
@@ -34,15 +31,6 @@
 
 type UpstreamResponse = Extract<SendOutcome, { readonly kind: "answer" }>;
 
-type SendResult =
-  | { readonly kind: "done" }
-  | {
-    readonly kind: "not-run";
-    readonly wasSent: boolean;
-    readonly reason: string;
-  }
-  | { readonly kind: "broken"; readonly reason: string };
-
 export class StreamCall {
   readonly #context: CallContext;
   readonly #exchange: Exchange;
@@ -80,12 +68,7 @@
       context,
       service: plan.service.name,
     });
-    const { promptTokens, maxAnswerTokens, likelyAnswerTokens } =
-      exchange.metadata;
-    const likely = (likelyAnswerTokens ?? plan.profile.typicalAnswerTokens) *
-      RESERVED_ANSWER_SHARE;
-    this.#tokens = promptTokens +
-      (maxAnswerTokens > 0 ? Math.min(maxAnswerTokens, likely) : likely);
+    this.#tokens = tokensToReserve(exchange.metadata, plan.profile);
   }
 
   async run(): Promise<void> {
@@ -107,7 +90,7 @@
         this.#path = await this.#waitForPath();
         if (this.#path === undefined) break;
         // The content may have been quarantined while the request waited.
-        if (this.#losses.quarantinedForMs > 0) break;
+        if (this.#losses.heldForMs > 0) break;
         if (!this.#budgetedRetries.tryBeginSend()) break;
         result = await this.#send(this.#path);
         this.#release();
@@ -160,7 +143,8 @@
     this.#currentFirstId = first.targetId;
     this.#sends++;
     this.#logSend(path);
-    let baseline = this.#losses.baseline();
+    let marked = this.#losses.beginSend(path.stages);
+    const { lastEventId } = this.#response;
     const sendAbort = new AbortController();
     const onAbort = (): void => sendAbort.abort();
     this.#abort.signal.addEventListener("abort", onAbort, { once: true });
@@ -174,10 +158,14 @@
       abort: () => sendAbort.abort(),
       mayAbandon: () =>
         route.isResumable && this.#firstIds.size < route.maxAttempts,
-      isQuarantined: () => this.#losses.quarantinedForMs > 0,
-      onStageLost: (stage) => void this.#checkLoss(stage, baseline),
+      isQuarantined: () => this.#losses.isQuarantined,
+      onStageLost: ({ targetId }) =>
+        void this.#losses.observe(marked, {
+          targetId,
+          lastEventId: this.#response.lastEventId,
+        }),
       onPathChange: (next) => {
-        baseline = this.#losses.baseline();
+        marked = this.#losses.beginSend(next.stages);
         this.#path = next;
         this.#repaths++;
       },
@@ -190,9 +178,13 @@
       const result = outcome.kind === "failed"
         ? this.#handleFailedSend(first, outcome, relay)
         : await this.#receive(outcome, relay);
-      const isClosedByTarget = result.kind === "broken" &&
-        relay.failure === undefined && !this.#abort.signal.aborted;
-      if (isClosedByTarget) await this.#checkLoss(first, baseline);
+      if (result.kind === "broken") {
+        const hasEvents = this.#response.lastEventId !== lastEventId;
+        const check = this.#recordFailure(first, marked, hasEvents);
+        if (relay.failure === undefined && !this.#abort.signal.aborted) {
+          await check;
+        }
+      }
       if (result.kind === "done" && !this.#exchange.isDisconnected) {
         this.#losses.recordCompletion();
       }
@@ -203,9 +195,18 @@
     }
   }
 
-  #checkLoss(stage: PathStage, baseline: LossBaseline): Promise<void> {
-    const { lastEventId } = this.#response;
-    return this.#losses.check(stage, { baseline, lastEventId });
+  async #recordFailure(
+    { targetId }: PathStage,
+    marked: MarkedSend,
+    hasEvents: boolean,
+  ): Promise<void> {
+    // A stream that is still running at its deadline has not failed.
+    if (this.#isExpired && hasEvents) return;
+    await this.#losses.recordFailure(marked, {
+      targetId,
+      lastEventId: this.#response.lastEventId,
+      isAbandoned: this.#exchange.isDisconnected,
+    });
   }
 
   #logSend(path: ReservedPath): void {
@@ -213,9 +214,7 @@
       request: this.#plan.requestId,
       content: this.#plan.contentId,
       send: this.#sends,
-      path: path.stages.map((stage) =>
-        `${stage.targetId}=${stage.from}-${stage.to}`
-      ).join(","),
+      path: describePath(path.stages),
       msPerToken: Math.round(path.msPerToken * 100) / 100,
       tokens: Math.round(this.#tokens),
       lastEventId: this.#response.lastEventId,
@@ -329,7 +328,7 @@
       this.#excluded.add(this.#currentFirstId);
     }
     const isAllowed = (result.kind === "not-run" || route.isResumable) &&
-      this.#losses.quarantinedForMs === 0;
+      this.#losses.heldForMs === 0;
     const hasTime = clock.nowMs() < deadlineMs && !this.#abort.signal.aborted;
     // A later stage may have refused; another path can start at the same target.
     const mayReuseFirst = result.kind === "not-run" && result.wasSent &&
@@ -391,9 +390,3 @@
     });
   }
 }
-
-function toSendResult(failure: string | undefined): SendResult {
-  return failure === undefined
-    ? { kind: "done" }
-    : { kind: "broken", reason: failure };
-}
--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -7,6 +7,7 @@
  */
 
 import type { PathStage } from "../ports/types.ts";
+import { describePath } from "../paths/describe_path.ts";
 import type { ReservedPath } from "../paths/path_chooser.ts";
 import type { EngineProfile } from "../ports/types.ts";
 import { applyReport } from "../paths/apply_report.ts";
@@ -340,9 +341,7 @@
       request: requestId,
       faulty: faulty.targetId,
       fault,
-      path: next.stages.map((stage) =>
-        `${stage.targetId}=${stage.from}-${stage.to}`
-      ).join(","),
+      path: describePath(next.stages),
       gapMs: Math.round(gapMs),
       outcome,
     });
--- a/src/peers/peer_state.ts
+++ b/src/peers/peer_state.ts
@@ -37,6 +37,8 @@
   readonly isReader: boolean;
   /** Contents that ended targets; those that were cleared have no losses. */
   readonly losses: readonly LossEntry[];
+  /** Contents whose sends broke off, in the same form. */
+  readonly breaks: readonly LossEntry[];
   /** The highest era of the store that the host has met. */
   readonly era: number | undefined;
   readonly isEraSettled: boolean;
@@ -59,9 +61,8 @@
     w: state.slowTargets ?? null,
     l: state.canLead ? 1 : 0,
     r: state.isReader ? 1 : 0,
-    c: state.losses.map((
-      { contentId, clearCount, losses, lossEventId },
-    ) => [contentId, clearCount, losses, lossEventId]),
+    c: state.losses.map(encodeLosses),
+    b: state.breaks.map(encodeLosses),
     e: state.era === undefined ? null : [state.era, state.isEraSettled ? 1 : 0],
   }));
 }
@@ -70,7 +71,7 @@
 export function decodePeerState(
   fields: Readonly<Record<string, unknown>>,
 ): ReceivedState | undefined {
-  const { h, n, u, q, w, l, r, c, e } = fields;
+  const { h, n, u, q, w, l, r, c, b, e } = fields;
   if (!Array.isArray(h) || !Array.isArray(u) || !Array.isArray(q)) {
     return undefined;
   }
@@ -93,6 +94,7 @@
       isReader: r === 1,
       // Hosts of earlier versions send none.
       losses: Array.isArray(c) ? c.flatMap(decodeLosses) : [],
+      breaks: Array.isArray(b) ? b.flatMap(decodeLosses) : [],
       ...decodeEra(e),
     },
   };
@@ -107,14 +109,21 @@
   return [{ targetId, streams, tokenLayers }];
 }
 
+function encodeLosses(entry: LossEntry): unknown[] {
+  const { contentId, clearCount, losses, lossEventId, totalLosses } = entry;
+  return [contentId, clearCount, losses, lossEventId, totalLosses];
+}
+
 function decodeLosses(value: unknown): LossEntry[] {
   if (!Array.isArray(value)) return [];
-  const [contentId, clearCount, losses, lossEventId] = value;
+  // Hosts of earlier versions send no total.
+  const [contentId, clearCount, losses, lossEventId, totalLosses = losses] =
+    value;
   if (
     typeof contentId !== "string" || !isCount(clearCount) || !isCount(losses) ||
-    !isCount(lossEventId, -1)
+    !isCount(lossEventId, -1) || !isCount(totalLosses)
   ) return [];
-  return [{ contentId, clearCount, losses, lossEventId }];
+  return [{ contentId, clearCount, losses, lossEventId, totalLosses }];
 }
 
 function decodeEra(
--- a/src/peers/peer_state_test.ts
+++ b/src/peers/peer_state_test.ts
@@ -11,7 +11,14 @@
   slowTargets: [["w", 2.5]] as const,
   canLead: true,
   isReader: true,
-  losses: [{ contentId: "c", clearCount: 1, losses: 2, lossEventId: -1 }],
+  losses: [{
+    contentId: "c",
+    clearCount: 1,
+    losses: 2,
+    totalLosses: 4,
+    lossEventId: -1,
+  }],
+  breaks: [],
   era: 7,
   isEraSettled: true,
 };
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -243,6 +243,8 @@
   readonly clearCount: number;
   /** Targets lost in sequence since then. */
   readonly losses: number;
+  /** Targets lost in sequence since the last complete response. */
+  readonly totalLosses: number;
   /** Last event that was sent before any of these losses; -1 if none. */
   readonly lossEventId: number;
 }
