Count sends that are overdue, and targets that left the store meanwhile

What callers would have seen: a content that ends its targets silently, sent again before the sends before have timed out, goes on until the first of them reaches its deadline (several seconds on routes with long ones), and a target whose record lapsed before that was not counted at all.

Cause: a failure was noted when its send ended, and the record of a target was compared only with what came after that. Found while the endings were taken into the soak, whose callers send a content each 250 ms with 3 s of time.

Ruled out: checking the port of a target that is overdue (a connection for each slow answer of an overloaded server).

Change: a plain call counts as broken off after twice its route's latency goal, a stream when its relay would give it up, also where it can't go on elsewhere; a completed response clears it as before. The table of targets remembers whether a removed target had been draining; one that had not has ended.

--- a/src/forward/call_losses.ts
+++ b/src/forward/call_losses.ts
@@ -28,6 +28,8 @@
   readonly processes: readonly TargetProcess[];
   /** Failures of the call before it began. */
   readonly preceding: readonly CallFailure[];
+  /** Whether it counts as broken off. */
+  isBroken: boolean;
 }
 
 /** A failure at one target. */
@@ -48,7 +50,9 @@
 
 export interface SendFailure extends FailureDetails {
   /** Whether the caller left, so that the target may be sound. */
-  readonly isAbandoned: boolean;
+  readonly isAbandoned?: boolean;
+  /** Whether the target's port is checked; by default, unless abandoned. */
+  readonly checksPort?: boolean;
 }
 
 export class CallLosses {
@@ -103,23 +107,31 @@
       baseline: context.quarantine.baseline(plan.contentId),
       processes,
       preceding: [...this.#failures],
+      isBroken: false,
     };
   }
 
+  /** Records a send whose response is long overdue, before it has ended. */
+  recordOverdue(send: MarkedSend, details: FailureDetails): void {
+    if (send.isBroken) return;
+    void this.recordFailure(send, { ...details, checksPort: false });
+  }
+
   /**
    * Records a send that ended without a complete response, and observes its
    * target. Resolves as `observe` does.
    */
   recordFailure(send: MarkedSend, failure: SendFailure): Promise<void> {
     const { context: { quarantine }, plan: { contentId } } = this.#options;
-    const { lastEventId, isAbandoned } = failure;
-    if (!isAbandoned && !this.isQuarantined) {
+    const { lastEventId, isAbandoned = false } = failure;
+    if (!isAbandoned && !send.isBroken && !this.isQuarantined) {
+      send.isBroken = true;
       quarantine.breaks.recordLoss(contentId, {
         baseline: send.baseline.breaks,
         lastEventId,
       });
     }
-    return this.observe(send, { ...failure, checksPort: !isAbandoned });
+    return this.observe(send, { checksPort: !isAbandoned, ...failure });
   }
 
   /**
--- a/src/forward/loss_detector.ts
+++ b/src/forward/loss_detector.ts
@@ -86,6 +86,9 @@
     const firstCheck = checksPort
       ? this.#checkPort(watch)
       : Promise.resolve(undefined);
+    if (this.#targets.hasVanished(process.targetId, process.bornMs)) {
+      this.#resolve(watch, "deregistered");
+    }
     for (const target of this.#targets.all()) this.#compare(watch, target);
     return { firstCheck, evidence: watch.evidence.promise };
   }
@@ -167,10 +170,8 @@
 
   #compare(watch: Watch, { record, isRemoved }: Target): void {
     const { targetId, address, bornMs } = watch.process;
-    if (isRemoved && record.id === targetId && record.bornMs === bornMs) {
-      // A target that was draining left as planned.
-      if (record.state === "ready") this.#resolve(watch, "deregistered");
-      return;
+    if (this.#targets.hasVanished(targetId, bornMs)) {
+      this.#resolve(watch, "deregistered");
     }
     if (isRemoved || record.bornMs <= bornMs) return;
     if (record.id === targetId) this.#resolve(watch, "restarted");
--- a/src/forward/loss_detector_test.ts
+++ b/src/forward/loss_detector_test.ts
@@ -73,8 +73,8 @@
   await firstCheck;
   change();
   expect(await evidence).toBe(found);
-  // Known before the next observation begins.
-  if (found === "restarted") expect(await observe().evidence).toBe(found);
+  // Known when the next observation begins.
+  if (found !== "address-reused") expect(await observe().evidence).toBe(found);
 });
 
 test.each<[string, () => void]>([
--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -22,6 +22,8 @@
 
 /** Share of the route's latency goal after which a hedged send starts. */
 const HEDGE_DELAY_FRACTION = 0.6;
+/** Multiple of the route's latency goal after which a response is overdue. */
+const OVERDUE_FACTOR = 2;
 /** Least time before the deadline with which a send is worthwhile. */
 const MIN_REMAINING_MS = 8;
 /** Retry time for refused callers; calls take some 20 ms. */
@@ -167,7 +169,13 @@
       send: this.#sends,
     });
     target.ownLoad.streams++;
+    const failure = { targetId: target.id, lastEventId: undefined };
+    const overdue = setTimeout(
+      () => this.#losses.recordOverdue(send, failure),
+      this.#plan.route.firstByteGoalMs * OVERDUE_FACTOR,
+    );
     const attempt = await this.#send(target, send);
+    clearTimeout(overdue);
     target.ownLoad.streams--;
     const durationMs = clock.nowMs() - startedMs;
     // A request that did not reach a target does not count as a send.
@@ -194,8 +202,7 @@
     if (attempt.kind === "answer") this.#losses.recordCompletion();
     if (attempt.kind === "may-have-run" && !this.#isDecided) {
       const check = this.#losses.recordFailure(send, {
-        targetId: target.id,
-        lastEventId: undefined,
+        ...failure,
         isAbandoned: this.#exchange.isDisconnected,
       });
       if (mayRetry && !this.#abort.signal.aborted) await check;
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -10,7 +10,11 @@
 import type { ReservedPath } from "../paths/path_chooser.ts";
 import type { EngineProfile, PathStage } from "../ports/types.ts";
 import { parseAddress } from "./address.ts";
-import { CallLosses, type MarkedSend } from "./call_losses.ts";
+import {
+  CallLosses,
+  type FailureDetails,
+  type MarkedSend,
+} from "./call_losses.ts";
 import { CallRetries } from "./call_retries.ts";
 import { type CallContext, type CallPlan, jitterRetryMs } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
@@ -159,11 +163,10 @@
       mayAbandon: () =>
         route.isResumable && this.#firstIds.size < route.maxAttempts,
       isQuarantined: () => this.#losses.isQuarantined,
-      onStageLost: ({ targetId }) =>
-        void this.#losses.observe(marked, {
-          targetId,
-          lastEventId: this.#response.lastEventId,
-        }),
+      onStageLost: (stage) =>
+        void this.#losses.observe(marked, this.#failureAt(stage)),
+      onOverdue: () =>
+        this.#losses.recordOverdue(marked, this.#failureAt(first)),
       onPathChange: (next) => {
         marked = this.#losses.beginSend(next.stages);
         this.#path = next;
@@ -196,17 +199,19 @@
   }
 
   async #recordFailure(
-    { targetId }: PathStage,
+    first: PathStage,
     marked: MarkedSend,
     hasEvents: boolean,
   ): Promise<void> {
     // A stream that is still running at its deadline has not failed.
     if (this.#isExpired && hasEvents) return;
-    await this.#losses.recordFailure(marked, {
-      targetId,
-      lastEventId: this.#response.lastEventId,
-      isAbandoned: this.#exchange.isDisconnected,
-    });
+    const isAbandoned = this.#exchange.isDisconnected;
+    const failure = { ...this.#failureAt(first), isAbandoned };
+    await this.#losses.recordFailure(marked, failure);
+  }
+
+  #failureAt({ targetId }: PathStage): FailureDetails {
+    return { targetId, lastEventId: this.#response.lastEventId };
   }
 
   #logSend(path: ReservedPath): void {
--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -55,6 +55,8 @@
   readonly isQuarantined: () => boolean;
   /** Called when a stage after the first does not respond. */
   readonly onStageLost: (stage: PathStage) => void;
+  /** Called when the send is of no more use; again with each further check. */
+  readonly onOverdue: () => void;
   /** Called with the new path after a repath. */
   readonly onPathChange: (path: ReservedPath) => void;
 }
@@ -361,7 +363,9 @@
   }
 
   #abandon(reason: string): void {
-    if (this.#isDone || !this.#options.mayAbandon()) return;
+    if (this.#isDone) return;
+    this.#options.onOverdue();
+    if (!this.#options.mayAbandon()) return;
     this.failure = reason;
     this.#options.abort();
   }
--- a/src/forward/stream_relay_test.ts
+++ b/src/forward/stream_relay_test.ts
@@ -88,6 +88,7 @@
     mayAbandon: () => false,
     isQuarantined: () => false,
     onStageLost: () => {},
+    onOverdue: () => {},
     onPathChange: () => {},
   });
   const runChecks = async (spanMs: number) => {
--- a/src/paths/target_table.ts
+++ b/src/paths/target_table.ts
@@ -23,6 +23,8 @@
 interface RemovedTarget {
   readonly bornMs: number;
   readonly atMs: number;
+  /** Whether it was draining before, so that it left as planned. */
+  readonly wasDraining: boolean;
 }
 
 export interface TargetTableOptions {
@@ -51,6 +53,12 @@
     return this.#targets.get(id);
   }
 
+  /** Whether a process of a target was removed although it was not draining. */
+  hasVanished(id: string, bornMs: number): boolean {
+    const removed = this.#removed.get(id);
+    return removed?.bornMs === bornMs && !removed.wasDraining;
+  }
+
   all(): Target[] {
     return [...this.#targets.values()];
   }
@@ -130,7 +138,9 @@
       if (target === undefined) continue;
       this.#targets.delete(id);
       target.isRemoved = true;
-      this.#removed.set(id, { bornMs: target.record.bornMs, atMs: nowMs });
+      const { bornMs, state } = target.record;
+      const wasDraining = state === "draining";
+      this.#removed.set(id, { bornMs, atMs: nowMs, wasDraining });
       this.#log.info("target removed", {
         target: id,
         address: target.record.address,
