Soak servers that end in every way, and streams that end them in progress

What was missing: the soak's servers ended in one way, refusing connections at once, before the first event.

Change: a seed draws one of five endings, in turn, and whether streams end their servers before one of the first events (soak/endings.ts, server_life.ts behind the proxies). Executions name the server as it was then. Records of replaced servers lapse after three heartbeats, and again after a drill.

Checks: contents that end servers stop being sent one restart before the checked time after recovery. The check of sends later than 3 s after the third end stays as it is and covers everything before.

--- a/soak/back_ends.ts
+++ b/soak/back_ends.ts
@@ -13,6 +13,8 @@
 import { ModelServer } from "../standins/users_platform/model_server.ts";
 import { StoreStandin } from "../standins/users_platform/store_standin.ts";
 import { CONFIG_TOPIC, TARGET_TOPIC } from "../platform/store_client.ts";
+import { CLOSING_MS } from "../standins/users_platform/server_life.ts";
+import type { DrawnEndings } from "./endings.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
 import {
   BOUNDS,
@@ -27,6 +29,8 @@
 
 /** Interval at which servers rewrite their target records. */
 const HEARTBEAT_MS = 500;
+/** The store removes a record that was not written for three heartbeats. */
+const LAPSE_MS = 3 * HEARTBEAT_MS;
 const EVENT_GAP_MS = 10;
 
 /** A server and the proxy in front of it. */
@@ -43,13 +47,15 @@
   readonly servers: BackEnd[] = [];
   readonly revocations: Interval[] = [];
   readonly absences: (Interval & { readonly serverId: string })[] = [];
+  /** Ids of servers that were replaced, whose records have lapsed. */
+  readonly #lapsedIds = new Set<string>();
   #storeProxy: LoopbackProxy | undefined;
   #heartbeat: NodeJS.Timeout | undefined;
   #version = 1;
   #config: Record<string, unknown> = {};
   #revokedAtMs: number | undefined;
 
-  async start(): Promise<void> {
+  async start(endings: DrawnEndings): Promise<void> {
     await this.store.listen();
     this.store.era = 1;
     this.#storeProxy = new LoopbackProxy(this.store.address);
@@ -68,10 +74,13 @@
       const proxy = new LoopbackProxy(server.address);
       await proxy.listen();
       server.crashingText = CRASHING_TEXT;
+      server.crashAfterEvents = endings.crashAfterEvents;
+      server.life.ending = endings.ending;
       server.life.restartMs = CRASH_RESTART_MS;
+      const backEnd: BackEnd = { server, proxy, absence: undefined };
       server.life.onListeningChange = (isListening) =>
-        isListening ? proxy.accept() : proxy.refuse();
-      this.servers.push({ server, proxy, absence: undefined });
+        isListening ? this.#handleStart(backEnd) : this.#handleEnd(backEnd);
+      this.servers.push(backEnd);
     }
     this.writeConfig();
     this.#register();
@@ -115,6 +124,9 @@
   /** Writes again what the operator and the store itself had written. */
   rewrite(): void {
     this.store.put(CONFIG_TOPIC, "config", this.#config);
+    for (const id of this.#lapsedIds) {
+      this.store.put(TARGET_TOPIC, id, undefined);
+    }
     for (const backEnd of this.servers) {
       if (backEnd.absence === "draining") this.#putDraining(backEnd);
       else if (backEnd.absence === "removed") {
@@ -141,16 +153,17 @@
   async deregisterFor(backEnd: BackEnd, absentMs: number): Promise<void> {
     if (backEnd.absence !== undefined) return;
     const { server } = backEnd;
+    const { id } = server;
     const startMs = performance.now();
     this.#putDraining(backEnd);
     backEnd.absence = "draining";
     await sleep(absentMs / 3);
     backEnd.absence = "removed";
-    this.store.put(TARGET_TOPIC, server.id, undefined);
+    this.store.put(TARGET_TOPIC, id, undefined);
     await sleep(absentMs * 2 / 3);
     backEnd.absence = undefined;
     const endMs = performance.now();
-    this.absences.push({ startMs, endMs, serverId: server.id });
+    this.absences.push({ startMs, endMs, serverId: id });
     this.#put(backEnd);
   }
 
@@ -164,6 +177,29 @@
     this.store.close();
   }
 
+  #handleEnd({ server, proxy }: BackEnd): void {
+    const { id, life: { ending } } = server;
+    if (ending === "refuses") proxy.refuse();
+    else if (ending !== "silent") proxy.reset();
+    if (ending === "closes-late") {
+      setTimeout(() => {
+        if (!server.life.isRunning) proxy.refuse();
+      }, CLOSING_MS).unref();
+    }
+    // The record of a server that is replaced lapses.
+    setTimeout(() => {
+      if (server.id === id) return;
+      this.#lapsedIds.add(id);
+      this.store.put(TARGET_TOPIC, id, undefined);
+    }, LAPSE_MS).unref();
+  }
+
+  #handleStart({ server, proxy }: BackEnd): void {
+    const { ending } = server.life;
+    if (ending === "refuses" || ending === "closes-late") proxy.accept();
+    if (ending === "silent") proxy.reset();
+  }
+
   #register(): void {
     for (const backEnd of this.servers) {
       const { absence, server } = backEnd;
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -60,6 +60,7 @@
   readonly #ready = new Set<HostProcess>();
   readonly #pending = new Set<Promise<void>>();
   #timers: NodeJS.Timeout[] = [];
+  #crashing: NodeJS.Timeout[] = [];
 
   constructor(options: CallersOptions) {
     this.#options = options;
@@ -82,17 +83,23 @@
     this.#timers.push(setInterval(() => this.#send(), REQUEST_INTERVAL_MS));
   }
 
-  /** Sends a content that ends its servers, from now on until `stop`. */
+  /** Sends a content that ends its servers, until `stopCrashing` or `stop`. */
   startCrashing(name: string, route: RouteName): void {
     const content = `${CRASHING_TEXT}, ${name}`;
-    this.#timers.push(setInterval(() => {
+    this.#crashing.push(setInterval(() => {
       const host = this.#pickHost();
       if (host !== undefined) this.#startAttempt({ host, route, content });
     }, CRASHING_INTERVAL_MS));
   }
 
+  stopCrashing(): void {
+    for (const timer of this.#crashing) clearInterval(timer);
+    this.#crashing = [];
+  }
+
   /** Stops sending; resolves when all pending requests have ended. */
   async stop(): Promise<void> {
+    this.stopCrashing();
     for (const timer of this.#timers) clearInterval(timer);
     this.#timers = [];
     await Promise.all(this.#pending);
--- a/soak/loopback_proxy.ts
+++ b/soak/loopback_proxy.ts
@@ -41,12 +41,14 @@
 
   /** Resets all connections and refuses new ones until `accept`. */
   refuse(): void {
+    if (!this.#server.listening) return;
     this.#refusedPort = (this.#server.address() as AddressInfo).port;
     this.#server.close();
     this.reset();
   }
 
   accept(): void {
+    if (this.#server.listening) return;
     listenAgain(this.#server, this.#refusedPort);
   }
 
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -53,9 +53,11 @@
 
 function print(outcome: SoakOutcome, showsSchedule: boolean): void {
   const { seed, attempts, complete, violations, schedule, folder } = outcome;
+  const { ending, crashAfterEvents } = outcome.endings;
   console.log(
     `seed ${seed}: ${attempts} requests, ${complete} complete, ` +
-      `${schedule.length} faults, ${violations.length} violations`,
+      `${schedule.length} faults, ${violations.length} violations; servers end ` +
+      `as ${ending} after ${crashAfterEvents.join(", ") || "no"} events`,
   );
   if (!showsSchedule && violations.length === 0) return;
   for (const { kind, index, startMs, endMs } of schedule) {
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -18,10 +18,12 @@
 import { Callers } from "./callers.ts";
 import { HostProcess } from "./host_process.ts";
 import { findViolations } from "./invariants.ts";
+import { drawEndings, type DrawnEndings } from "./endings.ts";
 import { drawSchedule } from "./schedule.ts";
 import {
   BOUNDS,
   CHECKED_RECOVERY_MS,
+  CRASH_RESTART_MS,
   DOMAINS,
   HOST_COUNT,
   MODEL_SERVER_COUNT,
@@ -67,6 +69,7 @@
 export interface SoakOutcome {
   readonly seed: number;
   readonly schedule: readonly Fault[];
+  readonly endings: DrawnEndings;
   readonly violations: readonly string[];
   readonly attempts: number;
   readonly complete: number;
@@ -106,7 +109,8 @@
       servers: MODEL_SERVER_COUNT + PLAIN_SERVER_COUNT,
       plainServers: PLAIN_SERVER_COUNT,
     });
-    await this.#backEnds.start();
+    const endings = drawEndings(seed);
+    await this.#backEnds.start(endings);
     this.#startHosts();
     const callers = new Callers({
       hosts: this.#hosts,
@@ -122,7 +126,10 @@
       );
       this.#backEnds.restoreKey();
       const faultsEndMs = performance.now();
-      await systemClock.sleep(BOUNDS.recoveryMs + CHECKED_RECOVERY_MS);
+      await systemClock.sleep(BOUNDS.recoveryMs - CRASH_RESTART_MS);
+      // Servers that a content ends after that would not be back in time.
+      callers.stopCrashing();
+      await systemClock.sleep(CRASH_RESTART_MS + CHECKED_RECOVERY_MS);
       await callers.stop();
       const leakedStreams = await this.#waitUntilCancelled();
       const history = this.#collectHistory(callers, faultsEndMs, leakedStreams);
@@ -131,6 +138,7 @@
       return {
         seed,
         schedule,
+        endings,
         violations,
         attempts: callers.attempts.length,
         complete: callers.attempts.filter(({ status, isWhole }) =>
@@ -352,9 +360,9 @@
     return {
       attempts: callers.attempts,
       executions: servers.flatMap(({ server }) =>
-        server.executions.map(({ requestId, atMs }) => ({
+        server.executions.map(({ requestId, serverId, atMs }) => ({
           attemptId: requestId,
-          serverId: server.id,
+          serverId,
           atMs,
         }))
       ),
--- a/src/forward/call_losses.ts
+++ b/src/forward/call_losses.ts
@@ -58,6 +58,7 @@
 export class CallLosses {
   readonly #options: CallLossesOptions;
   readonly #failures: CallFailure[] = [];
+  #isComplete = false;
 
   constructor(options: CallLossesOptions) {
     this.#options = options;
@@ -190,14 +191,15 @@
 
   /** Records a complete response, whatever its status. */
   recordCompletion(): void {
+    this.#isComplete = true;
     this.recordProgress(Infinity);
   }
 
   #recordEnd(failure: CallFailure, evidence: EndEvidence): void {
     const { context, plan } = this.#options;
     failure.hasEnded = true;
-    const isNew = this.#countEnds();
-    if (!isNew) return;
+    // A content that ran to its end is not the cause of an end before.
+    if (!this.#isComplete && !this.#countEnds()) return;
     context.metrics.count("jackdawshift_targets_lost_total", {
       service: plan.service.name,
     });
