--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -202,6 +202,8 @@
   /** Address of the target whose stage of the path failed. */
   readonly failedStageAddress: string | undefined;
   readonly load: TargetLoad | undefined;
+  /** Requests a second that the target accepts from all hosts together. */
+  readonly requestLimitPerS: number | undefined;
 }
 
 /** Request counts as reported by a target. */
