--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -89,8 +89,12 @@
   pauseMs = 0;
   /** Address that a rejection names in `at-server`; empty for this server. */
   rejectingAddress = "";
+  /** Requests a second that its responses name as its limit; undefined for none. */
+  limitPerS: number | undefined;
   span: { from: number; to: number } | undefined;
   seq = 0;
+  /** Times of all requests, queries and orders on the process's clock. */
+  readonly arrivedAtMs: number[] = [];
   readonly receivedRequests: ReceivedRequest[] = [];
   readonly executions: StartedExecution[] = [];
   readonly orders: Record<string, unknown>[] = [];
@@ -155,6 +159,10 @@
 
   #serve(request: IncomingMessage, response: ServerResponse): void {
     if (!this.life.isRunning) return;
+    this.arrivedAtMs.push(performance.now());
+    if (this.limitPerS !== undefined) {
+      response.setHeader("Server-Limit", this.limitPerS);
+    }
     const chunks: Buffer[] = [];
     request.on("data", (chunk: Buffer) => chunks.push(chunk));
     request.on("end", () => {
