Keep the requests of all hosts within the limit that a target names

Cause: no part of the system read the limit. Class: a fact about a target that binds all hosts together, known to none of them; the retry budget and the losses of a content are of the same class.

Ruled out: each host keeps to the limit alone (7 times too many); each host keeps to its part of it (a part below one request in 4 s is never used, and at 88 hosts their single requests exceed it); a limit only from when it is named (the second before counts in the same 4 s).

Change: src/paths/target_limits.ts. A limit and its withdrawal travel with the broadcasts, with the age of the response that showed it; the newest wins. At most one host for each request a second, by rendezvous hashing, shares the limit evenly; the others send nothing. Each host also tells how many requests it sent there in the last 4 s, also from before the limit, and no host sends while the sum is at the limit. Queries for reports wait for the limit too (withheld, which is no sign of a fault), orders count against it. A path may not begin at a target without room, a call is not sent there; with no other target it is refused at once. A plain call goes to a limited target that no response has confirmed for a second, so that a withdrawal is seen; a limit ends with its process, and after 30 s that no response confirms. stream_call.ts and plain_call.ts now share the code that sends to a target; the drain of a host has a file of its own.

Why it works: the sum that the rule counts is known to each host that may send, late by one broadcast (20 to 600 ms), and what the sharers can send in that time is less than the half that the rule allows beyond the limit.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -18,7 +18,9 @@
 import { StreamMonitor } from "../forward/stream_monitor.ts";
 import { UpstreamAgent } from "../forward/upstream_agent.ts";
 import { PathChooser } from "../paths/path_chooser.ts";
+import { LimitedTargetControl } from "../paths/limited_target_control.ts";
 import { StageChecker } from "../paths/stage_checker.ts";
+import { TargetLimits } from "../paths/target_limits.ts";
 import { TargetTable } from "../paths/target_table.ts";
 import { PeerLink } from "../peers/peer_link.ts";
 import { PlacementController } from "../placement/placement_controller.ts";
@@ -31,6 +33,7 @@
 } from "../ports/services.ts";
 import type { HostRecord, HostSettings } from "../ports/types.ts";
 import { ConfigTracker } from "./config_tracker.ts";
+import { drainHost } from "./host_drain.ts";
 import { registerGauges } from "./host_gauges.ts";
 import { HostListeners, type HostPorts } from "./host_listeners.ts";
 import { PeerExchange } from "./peer_exchange.ts";
@@ -47,20 +50,8 @@
  * balancer moves callers before they are rejected.
  */
 const MAX_READY_CONFIG_AGE_MS = 2_500;
-/**
- * A stopping host accepts requests for this long: a stream takes some seconds,
- * and the load balancer reacts within two.
- */
-const STOP_LINGER_MS = 2_600;
-/** Then requests on kept-alive connections are rejected for this long. */
-const STOP_REFUSE_MS = 1_000;
-/** A stopping host exits this long before it would be killed. */
-const STOP_MARGIN_MS = 900;
 /** Maximum wait for tasks to end. */
 const TASK_STOP_TIMEOUT_MS = 100;
-/** Interval for checking whether requests are still in progress. */
-const STOP_POLL_INTERVAL_MS = 50;
-
 export interface EntryHostOptions {
   readonly settings: HostSettings;
   readonly configLog: IKeyedLog;
@@ -83,6 +74,8 @@
   readonly #random: () => number;
   readonly #supervisor: Supervisor;
   readonly #targets: TargetTable;
+  readonly #targetLimits: TargetLimits;
+  readonly #control: ITargetControl;
   readonly #chooser: PathChooser;
   readonly #config: ConfigTracker;
   readonly #eras: EraTracker;
@@ -104,7 +97,7 @@
 
   constructor(options: EntryHostOptions) {
     this.#options = options;
-    const { settings, clock, log, decoder, control, registry } = options;
+    const { settings, clock, log, decoder, registry } = options;
     this.#metrics = options.metrics ?? new BucketMetrics();
     this.#random = options.random ?? Math.random;
     this.#supervisor = new Supervisor({
@@ -116,12 +109,26 @@
       log.error("background task failed", { ...failure })
     );
     this.#targets = new TargetTable({ clock, log });
+    this.#targetLimits = new TargetLimits({
+      clock,
+      log,
+      targets: this.#targets,
+      hostId: settings.hostId,
+      otherHosts: () => this.#link.live().map((peer) => peer.host.id),
+    });
+    const control = new LimitedTargetControl({
+      control: options.control,
+      limits: this.#targetLimits,
+      clock,
+    });
+    this.#control = control;
     this.#chooser = new PathChooser({
       targetTable: this.#targets,
       clock,
       domain: settings.domain,
       hosts: () => this.#link.live().length + 1,
       random: this.#random,
+      limits: this.#targetLimits,
     });
     this.#config = new ConfigTracker({ decoder, log });
     const host = hostRecord(settings, clock);
@@ -167,6 +174,7 @@
       link: this.#link,
       registry,
       targets: this.#targets,
+      limits: this.#targetLimits,
       clock,
       log,
       canLead: () => !this.#isStopping && this.#isFresh(),
@@ -249,19 +257,12 @@
     if (this.#isStopping) return;
     this.#isStopping = true;
     const { clock, log, settings } = this.#options;
-    const startedMs = clock.nowMs();
-    const endMs = startedMs +
-      Math.max(0, settings.bounds.graceMs - STOP_MARGIN_MS);
-    log.info("host stopping", { active: this.#core.active });
-    await clock.sleep(Math.min(STOP_LINGER_MS, endMs - startedMs));
-    this.#isClosed = true;
-    await clock.sleep(Math.min(STOP_REFUSE_MS, endMs - clock.nowMs()));
-    while (clock.nowMs() < endMs && this.#core.active > 0) {
-      await clock.sleep(STOP_POLL_INTERVAL_MS);
-    }
-    log.info("host stopped", {
-      active: this.#core.active,
-      durationMs: Math.round(clock.nowMs() - startedMs),
+    await drainHost({
+      clock,
+      log,
+      graceMs: settings.bounds.graceMs,
+      activeRequests: () => this.#core.active,
+      rejectNew: () => this.#isClosed = true,
     });
     this.dispose();
     // A task may be waiting for the store, so the wait for its end is limited.
@@ -304,6 +305,7 @@
     this.#feeds.config.onBatch((batch) => this.#config.apply(batch));
     this.#feeds.targets.onBatch((batch) => feed.apply(batch));
     this.#targets.onChange(() => this.#limits.dispatch());
+    this.#targetLimits.onChange(() => this.#peers.scheduleBroadcast());
     this.#eras.onAdvance((change) => this.#handleEraChange(change));
     this.#quarantine.losses.onLoss(() => this.#peers.scheduleBroadcast());
     this.#quarantine.breaks.onLoss(() => this.#peers.scheduleBroadcast());
@@ -313,6 +315,7 @@
       configVersion: () => this.#config.table?.config.version ?? 0,
       era: () => this.#eras.current ?? 0,
       targets: this.#targets,
+      limits: this.#targetLimits,
       link: this.#link,
       quarantine: this.#quarantine,
     });
@@ -334,12 +337,14 @@
   }
 
   #context(): CallContext {
-    const { clock, log, control, codec, settings } = this.#options;
+    const { clock, log, codec, settings } = this.#options;
+    const control = this.#control;
     return {
       clock,
       log,
       metrics: this.#metrics,
       targets: this.#targets,
+      limits: this.#targetLimits,
       chooser: this.#chooser,
       control,
       checker: new StageChecker({ targetTable: this.#targets, control, clock }),
--- a/src/entry/host_gauges.ts
+++ b/src/entry/host_gauges.ts
@@ -6,6 +6,7 @@
 
 import type { ContentQuarantine } from "../admission/content_quarantine.ts";
 import type { BucketMetrics } from "../common/bucket_metrics.ts";
+import type { TargetLimits } from "../paths/target_limits.ts";
 import type { TargetTable } from "../paths/target_table.ts";
 import type { PeerLink } from "../peers/peer_link.ts";
 
@@ -16,6 +17,7 @@
   readonly configVersion: () => number;
   readonly era: () => number;
   readonly targets: TargetTable;
+  readonly limits: TargetLimits;
   readonly link: PeerLink;
   readonly quarantine: ContentQuarantine;
 }
@@ -24,13 +26,14 @@
   metrics: BucketMetrics,
   sources: GaugeSources,
 ): void {
-  const { targets, link, quarantine } = sources;
+  const { targets, limits, link, quarantine } = sources;
   const gauges: [string, () => number][] = [
     ["jackdawshift_requests_active", sources.active],
     ["jackdawshift_config_age_ms", sources.configAgeMs],
     ["jackdawshift_config_version", sources.configVersion],
     ["jackdawshift_store_era", sources.era],
     ["jackdawshift_targets_known", () => targets.all().length],
+    ["jackdawshift_targets_limited", () => limits.limitedCount],
     ["jackdawshift_peers_live", () => link.live().length],
     [
       "jackdawshift_contents_quarantined",
--- a/src/entry/peer_exchange.ts
+++ b/src/entry/peer_exchange.ts
@@ -10,6 +10,7 @@
 import type { ILog } from "../common/logging.ts";
 import type { EraTracker } from "../feeds/era_tracker.ts";
 import type { Target } from "../paths/target.ts";
+import type { TargetLimits } from "../paths/target_limits.ts";
 import type { TargetTable } from "../paths/target_table.ts";
 import type { Peer, PeerLink } from "../peers/peer_link.ts";
 import type { PeerState, PeerUse } from "../peers/peer_state.ts";
@@ -65,6 +66,7 @@
   readonly link: PeerLink;
   readonly registry: IHostRegistry;
   readonly targets: TargetTable;
+  readonly limits: TargetLimits;
   readonly clock: Clock;
   readonly log: ILog;
   /** Whether the store is reachable and this host is not stopping. */
@@ -236,6 +238,7 @@
       isReader: this.#options.canRead(),
       losses: this.#options.quarantine.lossesToShare(),
       breaks: this.#options.quarantine.breaksToShare(),
+      limits: this.#options.limits.entriesToShare(),
       era: this.#options.eras.current,
       isEraSettled: this.#options.eras.isSettled,
     };
@@ -251,11 +254,12 @@
 
   #applyState({ host, state }: Peer): void {
     if (state === undefined) return;
-    const { targets, clock, quarantine, eras } = this.#options;
+    const { targets, limits, clock, quarantine, eras } = this.#options;
     if (state.isEraSettled) eras.observeSettled(state.era, host.id);
     else eras.observe(state.era, host.id);
     quarantine.mergeLosses(state.losses, host.id);
     quarantine.mergeBreaks(state.breaks, host.id);
+    limits.merge(state.limits, host.id);
     const untilMs = clock.nowMs() + SUSPICION_TTL_MS;
     for (const id of state.unresponsiveTargets) {
       const target = targets.get(id);
--- a/src/entry/peer_exchange_test.ts
+++ b/src/entry/peer_exchange_test.ts
@@ -4,6 +4,7 @@
 import { Emitter } from "../common/emitter.ts";
 import { silentLog } from "../common/logging.ts";
 import { EraTracker } from "../feeds/era_tracker.ts";
+import { TargetLimits } from "../paths/target_limits.ts";
 import { TargetTable } from "../paths/target_table.ts";
 import type { Peer, PeerLink } from "../peers/peer_link.ts";
 import type { PeerState } from "../peers/peer_state.ts";
@@ -25,6 +26,7 @@
     isReader,
     losses: [],
     breaks: [],
+    limits: [],
     era: undefined,
     isEraSettled: false,
   };
@@ -90,6 +92,13 @@
       isLeader: () => false,
     }),
     targets,
+    limits: new TargetLimits({
+      clock,
+      log: silentLog,
+      targets,
+      hostId: "self",
+      otherHosts: () => [],
+    }),
     clock,
     log: silentLog,
     canLead: () => true,
--- a/src/entry/target_prober.ts
+++ b/src/entry/target_prober.ts
@@ -61,7 +61,7 @@
       { id, address: record.address },
       REPORT_TIMEOUT_MS,
     );
-    if (report === undefined) return;
+    if (report === undefined || report === "withheld") return;
     applyReport(target, report, targets);
     log.info("target responds again", {
       target: id,
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -12,6 +12,7 @@
 import type { ILog } from "../common/logging.ts";
 import type { PathChooser } from "../paths/path_chooser.ts";
 import type { StageChecker } from "../paths/stage_checker.ts";
+import type { TargetLimits } from "../paths/target_limits.ts";
 import type { TargetTable } from "../paths/target_table.ts";
 import type { IHeaderCodec, ITargetControl } from "../ports/services.ts";
 import type { Customer, Route, Service } from "../ports/types.ts";
@@ -25,6 +26,7 @@
   readonly log: ILog;
   readonly metrics: IMetrics;
   readonly targets: TargetTable;
+  readonly limits: TargetLimits;
   readonly chooser: PathChooser;
   readonly control: ITargetControl;
   readonly checker: StageChecker;
--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -17,8 +17,7 @@
 } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
 import { pickPlainTarget } from "./plain_target.ts";
-import { sendUpstream } from "./upstream.ts";
-import { parseAddress } from "./address.ts";
+import { sendToTarget } from "./target_send.ts";
 
 /** Share of the route's latency goal after which a hedged send starts. */
 const HEDGE_DELAY_FRACTION = 0.6;
@@ -137,16 +136,19 @@
   /** Selects the target of the next send; undefined if no send is allowed. */
   #nextTarget(): Target | undefined {
     const { route, service, deadlineMs } = this.#plan;
-    const { targets, clock, random, domain } = this.#context;
+    const { targets, limits, clock, random, domain } = this.#context;
     if (this.#abort.signal.aborted || this.#sends >= route.maxAttempts) {
       return undefined;
     }
     if (this.#losses.heldForMs > 0) return undefined;
     if (deadlineMs - clock.nowMs() < MIN_REMAINING_MS) return undefined;
     const target = pickPlainTarget({
-      targets: targets.ofService(service.name),
+      targets: targets.ofService(service.name).filter(({ id }) =>
+        limits.canSend(id)
+      ),
       tried: this.#tried,
       domain,
+      isPreferred: ({ id }) => limits.isRenewalDue(id),
       random,
     });
     if (target === undefined) return undefined;
@@ -154,6 +156,7 @@
       return undefined;
     }
     this.#tried.add(target.id);
+    limits.recordSend(target.id);
     this.#sends++;
     return target;
   }
@@ -211,25 +214,15 @@
   }
 
   async #send(target: Target, send: MarkedSend): Promise<Attempt> {
-    const { codec, agent, clock } = this.#context;
-    const { request, body } = this.#exchange;
-    const { route, customer, requestId, deadlineMs } = this.#plan;
-    const outcome = await sendUpstream({
-      endpoint: parseAddress(target.record.address),
-      method: request.method ?? "GET",
-      path: request.url ?? "/",
-      headers: codec.forward(request.rawHeaders, {
-        targetId: target.id,
-        remainingMs: deadlineMs - clock.nowMs(),
-        customer: customer?.name,
-        path: undefined,
-        lastEventId: undefined,
-        urgency: undefined,
-      }),
-      body,
+    const { codec } = this.#context;
+    const { route, requestId } = this.#plan;
+    const outcome = await sendToTarget({
+      context: this.#context,
+      exchange: this.#exchange,
+      plan: this.#plan,
+      target: { targetId: target.id, address: target.record.address },
       mayReuse: route.retryPolicy === "idempotent",
       signal: this.#abort.signal,
-      agent,
     });
     if (outcome.kind === "failed") {
       return outcome.verdict === "not-run"
--- a/src/forward/plain_target.ts
+++ b/src/forward/plain_target.ts
@@ -21,6 +21,8 @@
   /** Ids of targets that were sent this call already. */
   readonly tried: ReadonlySet<string>;
   readonly domain: string;
+  /** Whether the target is to be used next whatever its expected time. */
+  readonly isPreferred?: (target: Target) => boolean;
   readonly random: () => number;
 }
 
@@ -32,7 +34,9 @@
     target.isReady && !options.tried.has(target.id)
   );
   const trusted = open.filter((target) => target.isAvailable);
-  const candidates = trusted.length > 0 ? trusted : open;
+  const preferred = trusted.filter((target) => options.isPreferred?.(target));
+  const candidates =
+    [preferred, trusted, open].find(({ length }) => length > 0) ?? [];
   let best: Target | undefined;
   let bestMs = Infinity;
   for (const target of candidates) {
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -9,7 +9,6 @@
 import { describePath } from "../paths/describe_path.ts";
 import type { ReservedPath } from "../paths/path_chooser.ts";
 import type { EngineProfile, PathStage } from "../ports/types.ts";
-import { parseAddress } from "./address.ts";
 import {
   CallLosses,
   type FailureDetails,
@@ -23,7 +22,8 @@
 import { StreamRelay } from "./stream_relay.ts";
 import { StreamResponse } from "./stream_response.ts";
 import { tokensToReserve } from "./token_reservation.ts";
-import { type SendOutcome, sendUpstream } from "./upstream.ts";
+import { sendToTarget } from "./target_send.ts";
+import type { SendOutcome } from "./upstream.ts";
 
 /** Resumed streams rank before all requests that have not started. */
 const RESUME_RANK = -1;
@@ -140,7 +140,6 @@
   }
 
   async #send(path: ReservedPath): Promise<SendResult> {
-    const { clock } = this.#context;
     const { route, requestId } = this.#plan;
     const [first] = path.stages;
     this.#firstIds.add(first.targetId);
@@ -174,8 +173,14 @@
       },
     });
     try {
-      const outcome = await this.#sendUpstream(path, {
-        startedMs: clock.nowMs(),
+      const outcome = await sendToTarget({
+        context: this.#context,
+        exchange: this.#exchange,
+        plan: this.#plan,
+        target: first,
+        path: path.stages,
+        lastEventId: this.#sends > 1 ? lastEventId : undefined,
+        mayReuse: route.isResumable,
         signal: sendAbort.signal,
       });
       const result = outcome.kind === "failed"
@@ -227,36 +232,6 @@
     });
   }
 
-  #sendUpstream(
-    { stages }: ReservedPath,
-    { startedMs, signal }: {
-      readonly startedMs: number;
-      readonly signal: AbortSignal;
-    },
-  ): Promise<SendOutcome> {
-    const { codec, agent } = this.#context;
-    const { request, body } = this.#exchange;
-    const { route, customer, deadlineMs } = this.#plan;
-    const [first] = stages;
-    return sendUpstream({
-      endpoint: parseAddress(first.address),
-      method: request.method ?? "POST",
-      path: request.url ?? "/",
-      headers: codec.forward(request.rawHeaders, {
-        targetId: first.targetId,
-        remainingMs: deadlineMs - startedMs,
-        customer: customer?.name,
-        path: stages,
-        lastEventId: this.#sends > 1 ? this.#response.lastEventId : undefined,
-        urgency: undefined,
-      }),
-      body,
-      mayReuse: route.isResumable,
-      signal,
-      agent,
-    });
-  }
-
   #handleFailedSend(
     { targetId }: PathStage,
     { verdict, reason }: Extract<SendOutcome, { readonly kind: "failed" }>,
--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -271,7 +271,7 @@
       { id: first.targetId, address: first.address },
       REPORT_TIMEOUT_MS,
     );
-    if (this.#isDone) return undefined;
+    if (this.#isDone || report === "withheld") return undefined;
     if (report === undefined) {
       targets.markUnresponsive(first.targetId, {
         askedForMs: REPORT_TIMEOUT_MS,
--- /dev/null
+++ b/src/forward/target_send.ts
@@ -0,0 +1,62 @@
+/**
+ * Sends a call to a target with the headers that targets expect, and learns the
+ * limit that the target names in its response.
+ *
+ * @module
+ */
+
+import type { PathStage } from "../ports/types.ts";
+import { parseAddress } from "./address.ts";
+import type { CallContext, CallPlan } from "./context.ts";
+import type { Exchange } from "./exchange.ts";
+import { type SendOutcome, sendUpstream } from "./upstream.ts";
+
+export interface TargetSendOptions {
+  readonly context: Pick<CallContext, "codec" | "agent" | "clock" | "limits">;
+  readonly exchange: Pick<Exchange, "request" | "body">;
+  readonly plan: Pick<CallPlan, "customer" | "deadlineMs">;
+  readonly target: Pick<PathStage, "targetId" | "address">;
+  /** Undefined if the target serves the call alone. */
+  readonly path?: readonly PathStage[];
+  /** Defined if a stream resumes at the target. */
+  readonly lastEventId?: number;
+  readonly mayReuse: boolean;
+  readonly signal: AbortSignal;
+}
+
+/** Resolves with the head of the response. Never rejects. */
+export async function sendToTarget(
+  options: TargetSendOptions,
+): Promise<SendOutcome> {
+  const { context, exchange: { request, body }, plan, target } = options;
+  const { codec, agent, clock, limits } = context;
+  const sentMs = clock.nowMs();
+  const outcome = await sendUpstream({
+    endpoint: parseAddress(target.address),
+    method: request.method ?? "GET",
+    path: request.url ?? "/",
+    headers: codec.forward(request.rawHeaders, {
+      targetId: target.targetId,
+      remainingMs: plan.deadlineMs - sentMs,
+      customer: plan.customer?.name,
+      path: options.path,
+      lastEventId: options.lastEventId,
+      urgency: undefined,
+    }),
+    body,
+    mayReuse: options.mayReuse,
+    signal: options.signal,
+    agent,
+  });
+  if (outcome.kind === "failed") return outcome;
+  const { statusCode = 0, rawHeaders } = outcome.answer;
+  // Another process than the target responded.
+  if (statusCode === 421) return outcome;
+  const { requestLimitPerS, isSigned } = codec.answer(rawHeaders);
+  limits.observe(target.targetId, {
+    limitPerS: requestLimitPerS,
+    sentMs,
+    mayWithdraw: statusCode === 200 && isSigned,
+  });
+  return outcome;
+}
--- /dev/null
+++ b/src/paths/limited_target_control.ts
@@ -0,0 +1,61 @@
+/**
+ * Counts queries and orders to targets against the limits that the targets name,
+ * and withholds queries that would exceed them.
+ *
+ * @module
+ */
+
+import type { Clock } from "../common/clock.ts";
+import type { ITargetControl, OrderTarget } from "../ports/services.ts";
+import type {
+  OrderOutcome,
+  PathStage,
+  ReportOutcome,
+  Span,
+} from "../ports/types.ts";
+import type { TargetLimits } from "./target_limits.ts";
+
+export interface LimitedTargetControlOptions {
+  readonly control: ITargetControl;
+  readonly limits: TargetLimits;
+  readonly clock: Clock;
+}
+
+export class LimitedTargetControl implements ITargetControl {
+  readonly #options: LimitedTargetControlOptions;
+
+  constructor(options: LimitedTargetControlOptions) {
+    this.#options = options;
+  }
+
+  async report(target: OrderTarget, timeoutMs: number): Promise<ReportOutcome> {
+    const { control, limits, clock } = this.#options;
+    if (!limits.tryAcquire(target.id)) return "withheld";
+    const sentMs = clock.nowMs();
+    const report = await control.report(target, timeoutMs);
+    if (report !== undefined && report !== "withheld") {
+      const limitPerS = report.requestLimitPerS;
+      // Not every report may name the limit that responses to requests name.
+      limits.observe(target.id, { limitPerS, sentMs, mayWithdraw: false });
+    }
+    return report;
+  }
+
+  place(
+    target: OrderTarget,
+    span: Span,
+    expectedSeq: number,
+  ): Promise<OrderOutcome> {
+    this.#options.limits.recordSend(target.id);
+    return this.#options.control.place(target, span, expectedSeq);
+  }
+
+  repath(
+    first: OrderTarget,
+    requestId: string,
+    path: readonly PathStage[],
+  ): Promise<OrderOutcome> {
+    this.#options.limits.recordSend(first.id);
+    return this.#options.control.repath(first, requestId, path);
+  }
+}
--- a/src/paths/path_chooser.ts
+++ b/src/paths/path_chooser.ts
@@ -11,6 +11,7 @@
 import { DomainLinks, tokenTransferMs } from "./domain_links.ts";
 import { findPath, type FoundPath, type PathCandidate } from "./path_finder.ts";
 import type { Target } from "./target.ts";
+import type { TargetLimits } from "./target_limits.ts";
 import type { TargetTable } from "./target_table.ts";
 
 /**
@@ -49,6 +50,8 @@
   /** Number of hosts that choose paths, including this one. */
   readonly hosts?: () => number;
   readonly random?: () => number;
+  /** Limits that targets name for their requests; none by default. */
+  readonly limits?: Pick<TargetLimits, "canSend" | "recordSend">;
 }
 
 /** Requirements of a request on its path. */
@@ -75,6 +78,7 @@
   readonly #hosts: () => number;
   readonly #links: DomainLinks;
   readonly #random: () => number;
+  readonly #limits: PathChooserOptions["limits"];
 
   constructor(options: PathChooserOptions) {
     this.#hosts = options.hosts ?? (() => 1);
@@ -82,6 +86,7 @@
     this.#targetTable = options.targetTable;
     this.#domain = options.domain;
     this.#random = options.random ?? Math.random;
+    this.#limits = options.limits;
   }
 
   /** Returns undefined if no path has capacity now. */
@@ -141,7 +146,8 @@
       }
       const noise = 1 + this.#random() * noiseRange;
       const canBeFirst = (demand.allowedFirstTargets?.has(target.id) ?? true) &&
-        target.ownLoad.streams + target.peerLoad.streams < figures.slots;
+        target.ownLoad.streams + target.peerLoad.streams < figures.slots &&
+        (this.#limits?.canSend(target.id) ?? true);
       const backlogMs = target.prefillBacklog.remainingMs /
         AMORTIZATION_TOKENS /
         (span.to - span.from);
@@ -185,6 +191,10 @@
 
   #reserve(found: FoundPath, demand: PathDemand): ReservedPath {
     const { tokens } = demand;
+    // The first target of a path in progress receives no further request.
+    if (demand.current === undefined) {
+      this.#limits?.recordSend(found.stages[0].targetId);
+    }
     this.#addPrefillWork(found, demand);
     this.#links.add({
       stages: found.stages,
--- a/src/paths/stage_checker.ts
+++ b/src/paths/stage_checker.ts
@@ -150,6 +150,8 @@
     const { control, targetTable, clock } = this.#options;
     const startedMs = clock.nowMs();
     const report = await control.report(target, REPORT_TIMEOUT_MS);
+    // The target cannot be judged.
+    if (report === "withheld") return true;
     if (report === undefined) return false;
     const nowMs = clock.nowMs();
     this.#reportedMs.set(target.id, nowMs);
--- a/src/peers/peer_state.ts
+++ b/src/peers/peer_state.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { HostRecord, LossEntry } from "../ports/types.ts";
+import type { HostRecord, LossEntry, SharedLimit } from "../ports/types.ts";
 
 /** Load of one host on one target. */
 export interface PeerUse {
@@ -39,6 +39,8 @@
   readonly losses: readonly LossEntry[];
   /** Contents whose sends broke off, in the same form. */
   readonly breaks: readonly LossEntry[];
+  /** Targets that named a limit, or withdrew one lately. */
+  readonly limits: readonly SharedLimit[];
   /** The highest era of the store that the host has met. */
   readonly era: number | undefined;
   readonly isEraSettled: boolean;
@@ -63,6 +65,9 @@
     r: state.isReader ? 1 : 0,
     c: state.losses.map(encodeLosses),
     b: state.breaks.map(encodeLosses),
+    m: state.limits.map((
+      { targetId, limitPerS, ageMs, recentSends },
+    ) => [targetId, limitPerS ?? null, Math.round(ageMs), recentSends]),
     e: state.era === undefined ? null : [state.era, state.isEraSettled ? 1 : 0],
   }));
 }
@@ -71,7 +76,7 @@
 export function decodePeerState(
   fields: Readonly<Record<string, unknown>>,
 ): ReceivedState | undefined {
-  const { h, n, u, q, w, l, r, c, b, e } = fields;
+  const { h, n, u, q, w, l, r, c, b, m, e } = fields;
   if (!Array.isArray(h) || !Array.isArray(u) || !Array.isArray(q)) {
     return undefined;
   }
@@ -95,6 +100,7 @@
       // Hosts of earlier versions send none.
       losses: Array.isArray(c) ? c.flatMap(decodeLosses) : [],
       breaks: Array.isArray(b) ? b.flatMap(decodeLosses) : [],
+      limits: Array.isArray(m) ? m.flatMap(decodeLimit) : [],
       ...decodeEra(e),
     },
   };
@@ -126,6 +132,17 @@
   return [{ contentId, clearCount, losses, lossEventId, totalLosses }];
 }
 
+function decodeLimit(value: unknown): SharedLimit[] {
+  if (!Array.isArray(value)) return [];
+  const [targetId, limitPerS, ageMs, recentSends] = value;
+  const isLimit = limitPerS === null || (isNumber(limitPerS) && limitPerS >= 0);
+  if (
+    typeof targetId !== "string" || !isLimit || !isCount(ageMs) ||
+    !isCount(recentSends)
+  ) return [];
+  return [{ targetId, limitPerS: limitPerS ?? undefined, ageMs, recentSends }];
+}
+
 function decodeEra(
   value: unknown,
 ): Pick<PeerState, "era" | "isEraSettled"> {
--- a/src/peers/peer_state_test.ts
+++ b/src/peers/peer_state_test.ts
@@ -19,6 +19,10 @@
     lossEventId: -1,
   }],
   breaks: [],
+  limits: [
+    { targetId: "t", limitPerS: 3.5, ageMs: 20, recentSends: 4 },
+    { targetId: "s", limitPerS: undefined, ageMs: 900, recentSends: 0 },
+  ],
   era: 7,
   isEraSettled: true,
 };
--- a/src/placement/placement_controller.ts
+++ b/src/placement/placement_controller.ts
@@ -141,6 +141,7 @@
     const missing: Target[] = [];
     await Promise.all(targets.map(async (target) => {
       const report = await control.report(addressOf(target), REPORT_TIMEOUT_MS);
+      if (report === "withheld") return;
       if (report === undefined) missing.push(target);
       else applyReport(target, report, targetTable);
     }));
--- a/src/ports/services.ts
+++ b/src/ports/services.ts
@@ -15,12 +15,12 @@
   PathStage,
   RawHeaders,
   RegistrySnapshot,
+  ReportOutcome,
   RequestMetadata,
   ResponseMetadata,
   RoutingConfig,
   Span,
   TargetRecord,
-  TargetReport,
 } from "./types.ts";
 
 /** A keyed log of the store. Calls reject when the store does not respond. */
@@ -71,11 +71,7 @@
 
 /** Report queries and orders to targets. Calls never reject. */
 export interface ITargetControl {
-  /** Resolves to undefined if no valid report arrives within `timeoutMs`. */
-  report(
-    target: OrderTarget,
-    timeoutMs: number,
-  ): Promise<TargetReport | undefined>;
+  report(target: OrderTarget, timeoutMs: number): Promise<ReportOutcome>;
   /**
    * Orders a target to hold a span. The order is conditional: the target must
    * have begun `expectedSeq` orders.
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -153,8 +153,16 @@
   readonly totalTokenLayers: number;
   /** Requests that wait for an unresponsive target. */
   readonly stalled: readonly StalledRequest[];
+  /** Requests a second that the target accepts from all hosts together. */
+  readonly requestLimitPerS?: number;
 }
 
+/**
+ * Result of a report query: undefined if no valid report arrived in time;
+ * `withheld` if it was not sent, since the target limits its requests.
+ */
+export type ReportOutcome = TargetReport | "withheld" | undefined;
+
 /** A request that is blocked on a target, with that target's address. */
 export interface StalledRequest {
   readonly requestId: string;
@@ -251,6 +259,17 @@
   readonly lossEventId: number;
 }
 
+/** What a host knows of the limit of a target, and has sent there. */
+export interface SharedLimit {
+  readonly targetId: string;
+  /** Undefined if the target has withdrawn its limit. */
+  readonly limitPerS: number | undefined;
+  /** Time since a response of the target showed it. */
+  readonly ageMs: number;
+  /** Requests of this host to the target in the last seconds. */
+  readonly recentSends: number;
+}
+
 /** The records that the hosts share through the store. */
 export interface RegistrySnapshot {
   readonly hosts: readonly HostRecord[];
