Bound what broken sends and unknown targets add to broadcasts

Cause: each send that broke off went out at once and with 32 entries, beside the losses; on grown deployments, with links of 14 Mbit/s, a mass failure would have doubled the datagrams and sent one for each break. Entries of a limit for a target that this host does not know were kept.

Not measured.

Change: a first break waits for the next periodic broadcast, 16 entries at most; limits of unknown targets are skipped.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -308,7 +308,10 @@
     this.#targetLimits.onChange(() => this.#peers.scheduleBroadcast());
     this.#eras.onAdvance((change) => this.#handleEraChange(change));
     this.#quarantine.losses.onLoss(() => this.#peers.scheduleBroadcast());
-    this.#quarantine.breaks.onLoss(() => this.#peers.scheduleBroadcast());
+    this.#quarantine.breaks.onLoss(({ totalLosses }) => {
+      // A first one, of many, can wait for the next periodic broadcast.
+      if (totalLosses > 1) this.#peers.scheduleBroadcast();
+    });
     registerGauges(this.#metrics, {
       active: () => this.#core.active,
       configAgeMs: () => this.#feeds.config.ageMs,
--- a/src/entry/quarantine_sync.ts
+++ b/src/entry/quarantine_sync.ts
@@ -16,6 +16,8 @@
 const MIN_SAVED_MS = 60_000;
 /** Entries in one broadcast; each takes some 30 bytes of its datagram. */
 const MAX_SHARED_ENTRIES = 32;
+/** The same for sends that broke off, which are many while targets fail. */
+const MAX_SHARED_BREAKS = 16;
 
 export interface QuarantineSyncOptions {
   readonly quarantine: ContentQuarantine;
@@ -40,7 +42,7 @@
   }
 
   breaksToShare(): LossEntry[] {
-    return this.#options.quarantine.breaks.entriesToShare(MAX_SHARED_ENTRIES);
+    return this.#options.quarantine.breaks.entriesToShare(MAX_SHARED_BREAKS);
   }
 
   /** Merges losses that another host or the store knows. */
--- a/src/paths/target_limits.ts
+++ b/src/paths/target_limits.ts
@@ -142,6 +142,7 @@
   merge(entries: readonly SharedLimit[], host: string): void {
     const nowMs = this.#options.clock.nowMs();
     for (const { targetId, limitPerS, ageMs, recentSends } of entries) {
+      if (this.#options.targets.get(targetId) === undefined) continue;
       const peers = this.#peerSends.get(targetId) ?? new Map();
       peers.set(host, { count: recentSends, atMs: nowMs });
       this.#peerSends.set(targetId, peers);
