Soak a server that names a limit for its requests

Checked: no 4 s, from 3 s after it was named, with more than one and a half times the limit and five of any requests, queries and orders. Windows that a fault of a host or an end of the server touches, or the 3 s after it, are excused, as the users' rule says. A test of the limits' pacing is added: taken out by hand, it had turned no test red.

--- a/soak/back_ends.ts
+++ b/soak/back_ends.ts
@@ -25,7 +25,8 @@
   MODEL_SERVER_COUNT,
   PLAIN_SERVER_COUNT,
 } from "./settings.ts";
-import type { Interval } from "./types.ts";
+import type { DrawnLimit } from "./request_limits.ts";
+import type { Interval, LimitedServer } from "./types.ts";
 
 /** Interval at which servers rewrite their target records. */
 const HEARTBEAT_MS = 500;
@@ -47,6 +48,7 @@
   readonly servers: BackEnd[] = [];
   readonly revocations: Interval[] = [];
   readonly absences: (Interval & { readonly serverId: string })[] = [];
+  readonly limits: LimitedServer[] = [];
   /** Ids of servers that were replaced, whose records have lapsed. */
   readonly #lapsedIds = new Set<string>();
   #storeProxy: LoopbackProxy | undefined;
@@ -105,6 +107,19 @@
     );
   }
 
+  /** Lets a server name a limit for its requests until the end of the run. */
+  limitRequests({ index, limitPerS }: DrawnLimit): void {
+    const { server } = this.servers[index];
+    server.limitPerS = limitPerS;
+    this.limits.push({
+      serverId: server.id,
+      limitPerS,
+      startMs: performance.now(),
+      arrivedAtMs: server.arrivedAtMs,
+      endedAtMs: server.life.endedAtMs,
+    });
+  }
+
   /** Writes the configuration with a new version. */
   writeConfig(): void {
     const keys = Object.entries(CUSTOMER_KEYS).filter(([name]) =>
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { checkRequestLimits } from "./request_limits.ts";
 import { CRASHING_TEXT } from "./settings.ts";
 import type { Attempt, Bounds, Execution, History } from "./types.ts";
 
@@ -25,6 +26,7 @@
     ...checkOrders(history, bounds),
     ...checkRetryBudget(history, bounds),
     ...checkCrashingContents(history, bounds),
+    ...checkRequestLimits(history, bounds),
     ...checkRecovery(history, bounds),
     ...history.leakedStreams === 0 ? [] : [
       `${history.leakedStreams} streams still executing after their callers had finished`,
--- a/soak/invariants_test.ts
+++ b/soak/invariants_test.ts
@@ -44,6 +44,7 @@
     absences: [],
     storeFaults: [],
     hostFaults: [],
+    limits: [],
     faultsEndMs: undefined,
     leakedStreams: 0,
     ...overrides,
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -19,6 +19,7 @@
 import { HostProcess } from "./host_process.ts";
 import { findViolations } from "./invariants.ts";
 import { drawEndings, type DrawnEndings } from "./endings.ts";
+import { drawLimit } from "./request_limits.ts";
 import { drawSchedule } from "./schedule.ts";
 import {
   BOUNDS,
@@ -121,9 +122,12 @@
       await this.#waitUntilReady(callers);
       callers.start();
       const startMs = performance.now();
-      await Promise.all(
-        schedule.map((fault) => this.#injectFault(fault, startMs, callers)),
-      );
+      const limit = drawLimit(seed, this.#backEnds.servers.length);
+      await Promise.all([
+        ...schedule.map((fault) => this.#injectFault(fault, startMs, callers)),
+        systemClock.sleep(limit.startMs)
+          .then(() => this.#backEnds.limitRequests(limit)),
+      ]);
       this.#backEnds.restoreKey();
       const faultsEndMs = performance.now();
       await systemClock.sleep(BOUNDS.recoveryMs - CRASH_RESTART_MS);
@@ -356,7 +360,7 @@
     faultsEndMs: number,
     leakedStreams: number,
   ): History {
-    const { servers, revocations, absences } = this.#backEnds;
+    const { servers, revocations, absences, limits } = this.#backEnds;
     return {
       attempts: callers.attempts,
       executions: servers.flatMap(({ server }) =>
@@ -373,6 +377,7 @@
       absences,
       storeFaults: this.#storeFaults,
       hostFaults: this.#hostFaults,
+      limits,
       faultsEndMs,
       leakedStreams,
     };
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -89,6 +89,18 @@
   readonly endMs: number;
 }
 
+/** A server that named a limit for its requests, from `startMs` on. */
+export interface LimitedServer {
+  readonly serverId: string;
+  /** Requests a second from all hosts together. */
+  readonly limitPerS: number;
+  readonly startMs: number;
+  /** Times of all its requests, queries and orders. */
+  readonly arrivedAtMs: readonly number[];
+  /** Times at which its processes ended. */
+  readonly endedAtMs: readonly number[];
+}
+
 /** The observations of one run, against which the invariants are checked. */
 export interface History {
   readonly attempts: readonly Attempt[];
@@ -102,6 +114,7 @@
   readonly storeFaults: readonly Interval[];
   /** When hosts were stopped, killed, paused or had their clocks set. */
   readonly hostFaults: readonly (Interval & { readonly host: string })[];
+  readonly limits: readonly LimitedServer[];
   /** When the last fault ended; undefined if the run ended before that. */
   readonly faultsEndMs: number | undefined;
   /** Streams that servers still executed after all callers had finished. */
--- a/src/paths/target_limits_test.ts
+++ b/src/paths/target_limits_test.ts
@@ -102,6 +102,15 @@
   expect([a, b].every(({ limits }) => limits.canSend("t"))).toBe(true);
 });
 
+test("a host that has its share again does not send it at once", async () => {
+  const { clock, hosts: [a] } = fleet(1);
+  a.limits.observe("t", { limitPerS: 2, sentMs: 0, mayWithdraw: true });
+  expect([1, 2, 3].map(() => a.limits.tryAcquire("t")))
+    .toEqual([true, false, false]);
+  await clock.advance(500);
+  expect(a.limits.tryAcquire("t")).toBe(true);
+});
+
 test("a limit holds until a later request is answered without one, on all hosts", async () => {
   const { clock, hosts: [a, b], share } = fleet(2);
   await clock.advance(1_000);
