Count the end of one process once for a content, over all hosts

Cause: losses were told apart only by whether a send began after the loss before it was known. A target that ended silently stays in the table until its record lapses, so that sends which began after its end was known on another host went to it, broke off there, and counted its end again. Trace: the end of plain-13-1 was counted by hosts 0 and 1 as the first, by host 3, whose feed of the store was 170 ms later, for two of its requests as the second and third.

Ruled out: the threshold (the same target would count on with any); evidence by time (the clocks of hosts differ, and the ends are seen seconds apart).

Change: an entry carries the processes that ended, as short hashes (eight at most, merged to the same set in any order); an end that is in it does not count again. Within one call the order of its own failures still raises the count.

--- a/src/admission/quarantine_ledger.ts
+++ b/src/admission/quarantine_ledger.ts
@@ -14,6 +14,8 @@
 
 /** Contents in memory; the one that changed least recently is evicted. */
 const CAPACITY = 10_000;
+/** Processes kept in one entry. */
+const MAX_PROCESSES = 8;
 /** How long a change is repeated to the other hosts, since datagrams get lost. */
 const SHARED_MS = 5_000;
 
@@ -72,18 +74,23 @@
   }
 
   /**
-   * Records that a send ended its target. `lastEventId` is the last event that
+   * Records that a send failed at a target. `process` names the target's process
+   * if it has ended; its end counts once. `lastEventId` is the last event that
    * the caller has; undefined if none. Returns what a send that begins after
    * this loss knows of it, and whether the loss had not been counted before.
    */
   recordLoss(
     contentId: string,
-    { baseline, lastEventId }: {
+    { baseline, lastEventId, process }: {
       readonly baseline: LossBaseline;
       readonly lastEventId: number | undefined;
+      readonly process?: string;
     },
   ): { readonly after: LossBaseline; readonly isNew: boolean } {
     const known = this.#rows.get(contentId)?.entry;
+    if (process !== undefined && known?.processes.includes(process)) {
+      return { after: known, isNew: false };
+    }
     const clearCount = known?.clearCount ?? 0;
     const lossEventId = lastEventId ?? -1;
     const isSameSequence = baseline.clearCount === clearCount;
@@ -97,6 +104,10 @@
       // A run may have completed since the send began.
       totalLosses: 1 +
         Math.min(baseline.totalLosses, known?.totalLosses ?? 0),
+      processes: mergeProcesses(
+        known?.processes ?? [],
+        process === undefined ? [] : [process],
+      ),
       lossEventId,
     };
     const isNew = this.merge(entry);
@@ -121,6 +132,7 @@
       clearCount: entry.clearCount + 1,
       losses: 0,
       totalLosses: isComplete ? 0 : entry.totalLosses,
+      processes: isComplete ? [] : entry.processes,
       lossEventId: -1,
     });
   }
@@ -179,11 +191,21 @@
     ...a,
     losses: Math.max(a.losses, b.losses),
     totalLosses: Math.max(a.totalLosses, b.totalLosses),
+    processes: mergeProcesses(a.processes, b.processes),
     lossEventId: Math.max(a.lossEventId, b.lossEventId),
   };
 }
 
+/** The same result in any order of merges. */
+function mergeProcesses(
+  a: readonly string[],
+  b: readonly string[],
+): readonly string[] {
+  return [...new Set([...a, ...b])].sort().slice(0, MAX_PROCESSES);
+}
+
 function isSame(a: LossEntry, b: LossEntry): boolean {
   return a.clearCount === b.clearCount && a.losses === b.losses &&
+    a.processes.join() === b.processes.join() &&
     a.totalLosses === b.totalLosses && a.lossEventId === b.lossEventId;
 }
--- a/src/admission/quarantine_ledger_test.ts
+++ b/src/admission/quarantine_ledger_test.ts
@@ -145,6 +145,22 @@
   expect(a.isQuarantined(CONTENT)).toBe(false);
 });
 
+test("the end of one process counts once, also for sends that began after it was known", () => {
+  const { ledgers: [a, b], share } = fleet(2);
+  for (const process of ["p", "q"]) {
+    for (const ledger of [a, b, a, b]) {
+      ledger.recordLoss(CONTENT, {
+        baseline: ledger.baseline(CONTENT),
+        lastEventId: undefined,
+        process,
+      });
+      share();
+    }
+  }
+  expect(a.baseline(CONTENT)).toMatchObject({ losses: 2, totalLosses: 2 });
+  expect(b.baseline(CONTENT)).toMatchObject({ losses: 2, totalLosses: 2 });
+});
+
 test("three sends in sequence that broke off hold a content, each further one four times as long", async () => {
   const { ledgers: [a], clock } = fleet(1, breakHoldMs);
   lose(a);
@@ -203,6 +219,8 @@
     clearCount: fc.nat({ max: 2 }),
     losses: fc.nat({ max: 4 }),
     totalLosses: fc.nat({ max: 4 }),
+    processes: fc.uniqueArray(fc.constantFrom("p", "q", "r", "s"))
+      .map((processes) => processes.sort()),
     lossEventId: fc.integer({ min: -1, max: 3 }),
   });
   const shuffled = fc.array(entry, { maxLength: 6 }).chain((entries) =>
--- a/src/entry/quarantine_sync_test.ts
+++ b/src/entry/quarantine_sync_test.ts
@@ -10,6 +10,7 @@
   clearCount: 0,
   losses: 3,
   totalLosses: 3,
+  processes: ["a"],
   lossEventId: -1,
 };
 
--- a/src/forward/call_losses.ts
+++ b/src/forward/call_losses.ts
@@ -8,6 +8,7 @@
 
 import type { SendBaseline } from "../admission/content_quarantine.ts";
 import type { LossBaseline } from "../admission/quarantine_ledger.ts";
+import { hash32 } from "../common/hash.ts";
 import type { PathStage } from "../ports/types.ts";
 import type { CallContext, CallPlan } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
@@ -219,30 +220,41 @@
    * evidence may come in another order. Returns whether the count has risen.
    */
   #countEnds(): boolean {
-    const { context: { quarantine }, plan: { contentId } } = this.#options;
     let hasRisen = false;
     for (const failure of this.#failures) {
       if (!failure.hasEnded) continue;
-      const { after, isNew } = quarantine.losses.recordLoss(contentId, {
-        baseline: raisedBaseline(failure.send),
-        lastEventId: failure.lastEventId,
-      });
-      failure.after = after;
-      hasRisen ||= isNew;
+      const { baseline, preceding } = failure.send;
+      if (failure.after === undefined) {
+        const process = processKey(failure.process);
+        hasRisen = this.#count(failure, baseline.losses, process) || hasRisen;
+      }
+      for (const { after } of preceding) {
+        const counted = failure.after?.totalLosses ?? 0;
+        if (after === undefined || after.totalLosses < counted) continue;
+        hasRisen = this.#count(failure, after) || hasRisen;
+      }
     }
     return hasRisen;
   }
-}
 
-/** The baseline of a send with the ends before it that were proven since. */
-function raisedBaseline({ baseline, preceding }: MarkedSend): LossBaseline {
-  let { clearCount, losses, totalLosses } = baseline.losses;
-  for (const { after } of preceding) {
-    if (after === undefined) continue;
-    totalLosses = Math.max(totalLosses, after.totalLosses);
-    if (after.clearCount === clearCount) {
-      losses = Math.max(losses, after.losses);
-    }
+  #count(
+    failure: CallFailure,
+    baseline: LossBaseline,
+    process?: string,
+  ): boolean {
+    const { context: { quarantine }, plan: { contentId } } = this.#options;
+    const { lastEventId } = failure;
+    const { after, isNew } = quarantine.losses.recordLoss(contentId, {
+      baseline,
+      lastEventId,
+      process,
+    });
+    failure.after = after;
+    return isNew;
   }
-  return { clearCount, losses, totalLosses };
+}
+
+/** Short, since entries with it are broadcast. */
+function processKey({ targetId, bornMs }: TargetProcess): string {
+  return hash32(`${targetId} ${bornMs}`).toString(36);
 }
--- /dev/null
+++ b/src/forward/call_losses_test.ts
@@ -0,0 +1,91 @@
+import { expect, test } from "vitest";
+import { ManualClock } from "../../test/manual_clock.ts";
+import { ContentQuarantine } from "../admission/content_quarantine.ts";
+import { type Deferred, deferred } from "../common/deferred.ts";
+import { silentLog } from "../common/logging.ts";
+import { TargetTable } from "../paths/target_table.ts";
+import { CallLosses, type CallLossesOptions } from "./call_losses.ts";
+import type { EndEvidence } from "./loss_detector.ts";
+
+function callLosses() {
+  const clock = new ManualClock();
+  const targets = new TargetTable({ clock, log: silentLog });
+  const evidence = new Map<string, Deferred<EndEvidence | undefined>>();
+  for (const id of ["a", "b"]) {
+    targets.put({
+      id,
+      service: "s",
+      address: `10.0.0.1:${id.charCodeAt(0)}`,
+      domain: "d",
+      state: "ready",
+      bornMs: 1,
+      kind: undefined,
+      span: undefined,
+    });
+    evidence.set(id, deferred());
+  }
+  const quarantine = new ContentQuarantine({ clock });
+  const context = {
+    log: silentLog,
+    metrics: { count: () => {} },
+    targets,
+    quarantine,
+    lossDetector: {
+      observe: ({ targetId }: { readonly targetId: string }) => ({
+        firstCheck: Promise.resolve("accepts"),
+        evidence: evidence.get(targetId)?.promise,
+      }),
+    },
+  };
+  const losses = new CallLosses({
+    context: context as unknown as CallLossesOptions["context"],
+    plan: {
+      requestId: "r",
+      contentId: "c",
+      service: { name: "s", engine: undefined },
+    },
+  });
+  const fail = (targetId: string) =>
+    losses.recordFailure(losses.beginSend([{ targetId }]), {
+      targetId,
+      lastEventId: undefined,
+    });
+  const prove = async (targetId: string) => {
+    evidence.get(targetId)?.resolve("restarted");
+    await Promise.resolve();
+    await Promise.resolve();
+  };
+  return { losses, quarantine, fail, prove };
+}
+
+test.each([["a", "b"], ["b", "a"]])(
+  "two targets that ended one after the other count as two if %s is proven before %s",
+  async (first, second) => {
+    const { quarantine, fail, prove } = callLosses();
+    await fail("a");
+    await fail("b");
+    await prove(first);
+    await prove(second);
+    expect(quarantine.baseline("c").losses.totalLosses).toBe(2);
+  },
+);
+
+test("an end that is proven after the call has completed counts nothing", async () => {
+  const { losses, quarantine, fail, prove } = callLosses();
+  await fail("a");
+  losses.recordCompletion();
+  await prove("a");
+  expect(quarantine.isSuspect("c")).toBe(false);
+});
+
+test("a call that its caller left counts no broken send, but an end that is proven", async () => {
+  const { losses, quarantine, prove } = callLosses();
+  await losses.recordFailure(losses.beginSend([{ targetId: "a" }]), {
+    targetId: "a",
+    lastEventId: undefined,
+    isAbandoned: true,
+  });
+  expect(quarantine.isSuspect("c")).toBe(false);
+  await prove("a");
+  expect(quarantine.baseline("c").losses.losses).toBe(1);
+});
--- a/src/peers/peer_state.ts
+++ b/src/peers/peer_state.ts
@@ -116,20 +116,30 @@
 }
 
 function encodeLosses(entry: LossEntry): unknown[] {
-  const { contentId, clearCount, losses, lossEventId, totalLosses } = entry;
-  return [contentId, clearCount, losses, lossEventId, totalLosses];
+  const { contentId, clearCount, losses, lossEventId, totalLosses, processes } =
+    entry;
+  return [contentId, clearCount, losses, lossEventId, totalLosses, processes];
 }
 
 function decodeLosses(value: unknown): LossEntry[] {
   if (!Array.isArray(value)) return [];
-  // Hosts of earlier versions send no total.
-  const [contentId, clearCount, losses, lossEventId, totalLosses = losses] =
-    value;
+  // Hosts of earlier versions send neither total nor processes.
+  const [contentId, clearCount, losses, lossEventId] = value;
+  const [totalLosses = losses, processes = []] = value.slice(4);
   if (
     typeof contentId !== "string" || !isCount(clearCount) || !isCount(losses) ||
-    !isCount(lossEventId, -1) || !isCount(totalLosses)
+    !isCount(lossEventId, -1) || !isCount(totalLosses) ||
+    !Array.isArray(processes) ||
+    !processes.every((one) => typeof one === "string")
   ) return [];
-  return [{ contentId, clearCount, losses, lossEventId, totalLosses }];
+  return [{
+    contentId,
+    clearCount,
+    losses,
+    lossEventId,
+    totalLosses,
+    processes,
+  }];
 }
 
 function decodeLimit(value: unknown): SharedLimit[] {
--- a/src/peers/peer_state_test.ts
+++ b/src/peers/peer_state_test.ts
@@ -16,6 +16,7 @@
     clearCount: 1,
     losses: 2,
     totalLosses: 4,
+    processes: ["a"],
     lossEventId: -1,
   }],
   breaks: [],
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -255,6 +255,11 @@
   readonly losses: number;
   /** Targets lost in sequence since the last complete response. */
   readonly totalLosses: number;
+  /**
+   * Processes of targets among them, sorted; the same process ends only once,
+   * however many copies and hosts it fails.
+   */
+  readonly processes: readonly string[];
   /** Last event that was sent before any of these losses; -1 if none. */
   readonly lossEventId: number;
 }
