Exchange digests of failure domains in place of the states of all hosts

Ruled out: longer intervals (the timeout of a host leaves two and a half states), gossip (sums need an entry a host), and relays by election (the two oldest live hosts are known alike).

Change: above 24 hosts a host sends its state to the two oldest of its failure domain. These relays sum the states up in a digest, send it to the relays of the other domains and pass all digests on to the hosts that ask them to; what cannot wait goes out within some milliseconds, without loads. While no relay answers, hosts tell all others of their domain. The readers of the store form the same two levels: one host of the fleet reads, one a domain asks it.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -16,7 +16,7 @@
 import { LossDetector } from "../forward/loss_detector.ts";
 import { RequestHandler } from "../forward/request_handler.ts";
 import { StreamMonitor } from "../forward/stream_monitor.ts";
-import { UpstreamAgent } from "../forward/upstream_agent.ts";
+import { KeepAliveAgent } from "../common/keep_alive_agent.ts";
 import { PathChooser } from "../paths/path_chooser.ts";
 import { LimitedTargetControl } from "../paths/limited_target_control.ts";
 import { StageChecker } from "../paths/stage_checker.ts";
@@ -87,7 +87,7 @@
   readonly #placement: PlacementController;
   readonly #prober: TargetProber;
   readonly #watch: StreamMonitor;
-  readonly #agent: UpstreamAgent;
+  readonly #agent: KeepAliveAgent;
   readonly #core: RequestHandler;
   readonly #limits: ServiceLimits;
   readonly #listeners: HostListeners;
@@ -114,7 +114,7 @@
       log,
       targets: this.#targets,
       hostId: settings.hostId,
-      otherHosts: () => this.#link.live().map((peer) => peer.host.id),
+      otherHosts: () => this.#peers.otherHostIds(),
     });
     const control = new LimitedTargetControl({
       control: options.control,
@@ -126,7 +126,7 @@
       targetTable: this.#targets,
       clock,
       domain: settings.domain,
-      hosts: () => this.#link.live().length + 1,
+      hosts: () => this.#peers.hostCount,
       random: this.#random,
       limits: this.#targetLimits,
     });
@@ -193,7 +193,7 @@
       clock,
       onTick: () => this.#limits.dispatch(),
     });
-    this.#agent = new UpstreamAgent({
+    this.#agent = new KeepAliveAgent({
       onUnsolicitedData: (address, sizeBytes) =>
         log.warn("unexpected bytes on idle connection to target", {
           address,
@@ -319,7 +319,7 @@
       era: () => this.#eras.current ?? 0,
       targets: this.#targets,
       limits: this.#targetLimits,
-      link: this.#link,
+      hostCount: () => this.#peers.hostCount,
       quarantine: this.#quarantine,
     });
   }
--- a/src/entry/host_gauges.ts
+++ b/src/entry/host_gauges.ts
@@ -8,7 +8,6 @@
 import type { BucketMetrics } from "../common/bucket_metrics.ts";
 import type { TargetLimits } from "../paths/target_limits.ts";
 import type { TargetTable } from "../paths/target_table.ts";
-import type { PeerLink } from "../peers/peer_link.ts";
 
 export interface GaugeSources {
   /** Requests in progress. */
@@ -18,7 +17,8 @@
   readonly era: () => number;
   readonly targets: TargetTable;
   readonly limits: TargetLimits;
-  readonly link: PeerLink;
+  /** Live hosts, this one included. */
+  readonly hostCount: () => number;
   readonly quarantine: ContentQuarantine;
 }
 
@@ -26,7 +26,7 @@
   metrics: BucketMetrics,
   sources: GaugeSources,
 ): void {
-  const { targets, limits, link, quarantine } = sources;
+  const { targets, limits, quarantine } = sources;
   const gauges: [string, () => number][] = [
     ["jackdawshift_requests_active", sources.active],
     ["jackdawshift_config_age_ms", sources.configAgeMs],
@@ -34,7 +34,7 @@
     ["jackdawshift_store_era", sources.era],
     ["jackdawshift_targets_known", () => targets.all().length],
     ["jackdawshift_targets_limited", () => limits.limitedCount],
-    ["jackdawshift_peers_live", () => link.live().length],
+    ["jackdawshift_peers_live", () => sources.hostCount() - 1],
     [
       "jackdawshift_contents_quarantined",
       () => quarantine.losses.quarantinedCount,
--- a/src/entry/peer_exchange.ts
+++ b/src/entry/peer_exchange.ts
@@ -1,7 +1,7 @@
 /**
- * Broadcasts this host's load and unresponsive targets to the other hosts,
- * applies the states received from them, and elects the leader, which places
- * the model, and the host that reads the store.
+ * Sends this host's load and unresponsive targets to the other hosts, applies
+ * the states and digests received from them, and elects the leader, which places
+ * the model, and the hosts that read the store.
  *
  * @module
  */
@@ -9,13 +9,15 @@
 import type { Clock } from "../common/clock.ts";
 import type { ILog } from "../common/logging.ts";
 import type { EraTracker } from "../feeds/era_tracker.ts";
-import type { Target } from "../paths/target.ts";
 import type { TargetLimits } from "../paths/target_limits.ts";
 import type { TargetTable } from "../paths/target_table.ts";
+import type { DomainDigest } from "../peers/domain_digest.ts";
+import { FleetView, isBefore } from "../peers/fleet_view.ts";
 import type { Peer, PeerLink } from "../peers/peer_link.ts";
 import type { PeerState, PeerUse } from "../peers/peer_state.ts";
 import type { IHostRegistry } from "../ports/services.ts";
 import type { HostRecord } from "../ports/types.ts";
+import { DigestRelay, urgentPart } from "./digest_relay.ts";
 import type { QuarantineSync } from "./quarantine_sync.ts";
 
 /** Time between broadcasts, up to `SEND_SCALING_HOSTS` hosts. */
@@ -56,6 +58,8 @@
  * unresponsive; each further report renews this.
  */
 const SUSPICION_TTL_MS = 800;
+/** The same for suspicions in digests, which pass through one or two relays. */
+const RELAYED_SUSPICION_TTL_MS = 1_400;
 /**
  * A host to which a larger share of the targets is unresponsive counts as
  * isolated itself.
@@ -83,6 +87,8 @@
 
 export class PeerExchange {
   readonly #options: PeerExchangeOptions;
+  readonly #view: FleetView;
+  readonly #relay: DigestRelay;
   #sequenceNumber = 0;
   #isAnnounced = false;
   #mustAnnounce = true;
@@ -92,10 +98,19 @@
 
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
+    const { link, clock } = options;
+    this.#view = new FleetView({ link, clock });
+    this.#relay = new DigestRelay({
+      link,
+      clock,
+      view: this.#view,
+      ownState: () => this.#state(),
+    });
     options.targets.onChange((target) => {
       if (target.noResponseSinceMs !== undefined) this.scheduleBroadcast();
     });
-    options.link.onState((peer) => this.#applyState(peer));
+    link.onState(({ peer }) => this.#applyState(peer));
+    link.onDigest((digest) => this.#applyDigest(digest));
     options.eras.onAdvance(({ from }) => {
       if (from === undefined) return;
       // The copy may lack this host's record.
@@ -110,39 +125,55 @@
     return this.#isAnnounced;
   }
 
+  /** Number of live hosts, this one included. */
+  get hostCount(): number {
+    return this.#view.hostCount();
+  }
+
+  /** Number of live hosts of this failure domain, this one included. */
+  get domainHostCount(): number {
+    return this.#view.domainHostCount();
+  }
+
+  /** Ids of the other live hosts. */
+  otherHostIds(): string[] {
+    return this.#view.otherHostIds();
+  }
+
   /** The leader is the oldest live host that can lead; ties are broken by id. */
   isLeader(): boolean {
     const { link, canLead } = this.#options;
     if (!canLead() || !this.#isAnnounced || this.#isIsolated()) return false;
-    return link.live().every((peer) =>
-      peer.state?.canLead !== true || isBefore(link.host, peer.host)
-    );
+    return this.#view.leaders().every((host) => isBefore(link.host, host));
   }
 
   /**
-   * Returns the oldest host of this failure domain that reads the store;
-   * undefined if that is this host or there is none.
+   * Returns the host that reads the store on behalf of this one; undefined if
+   * this host reads it itself. It is the oldest reader of this failure domain,
+   * or that of the fleet for the oldest of the domain and without one there.
    */
   reader(): HostRecord | undefined {
     const { link, canRead } = this.#options;
-    let oldest = canRead() ? link.host : undefined;
-    for (const { host, state } of link.live()) {
-      if (state?.isReader !== true || host.domain !== link.host.domain) {
-        continue;
-      }
-      if (oldest === undefined || isBefore(host, oldest)) oldest = host;
-    }
-    return oldest === link.host ? undefined : oldest;
+    const readers = this.#view.readers();
+    if (canRead()) readers.push(link.host);
+    const ofDomain = oldestOf(
+      readers.filter(({ domain }) => domain === link.host.domain),
+    );
+    const reader = ofDomain === undefined || ofDomain === link.host
+      ? oldestOf(readers)
+      : ofDomain;
+    return reader === link.host ? undefined : reader;
   }
 
-  /** Broadcasts this host's state periodically until aborted. */
+  /** Sends this host's state periodically until aborted. */
   async runSender(signal: AbortSignal): Promise<void> {
-    const { clock, link, onPeerLoad } = this.#options;
+    const { clock, onPeerLoad } = this.#options;
     while (!signal.aborted) {
-      link.broadcast(this.#state());
+      this.#sendState();
+      this.#relay.send();
       this.#updatePeerUse();
       onPeerLoad();
-      const scale = (link.live().length + 1) / SEND_SCALING_HOSTS;
+      const scale = this.hostCount / SEND_SCALING_HOSTS;
       const pauseMs = Math.min(
         MAX_SEND_INTERVAL_MS,
         SEND_INTERVAL_MS * Math.max(1, scale),
@@ -168,7 +199,7 @@
       }
       const isEarly = readCount < INITIAL_REGISTRY_READS;
       const pauseMs = REGISTRY_INTERVAL_MS *
-        Math.max(1, (link.live().length + 1) / REGISTRY_SCALING_HOSTS);
+        Math.max(1, this.hostCount / REGISTRY_SCALING_HOSTS);
       const pause = this.#registryPause = new AbortController();
       await clock.sleep(
         isEarly ? INITIAL_REGISTRY_INTERVAL_MS : pauseMs,
@@ -214,13 +245,37 @@
   scheduleBroadcast(): void {
     if (this.#isBroadcastScheduled) return;
     this.#isBroadcastScheduled = true;
-    const { clock, link } = this.#options;
-    void clock.sleep(BROADCAST_DELAY_MS).then(() => {
+    void this.#options.clock.sleep(BROADCAST_DELAY_MS).then(() => {
       this.#isBroadcastScheduled = false;
-      link.broadcast(this.#state());
+      this.#sendState();
+      this.#relay.scheduleUrgent();
     });
   }
 
+  /** Sends the state to all hosts or, in a large fleet, to the relays of the domain. */
+  #sendState(): void {
+    const { link } = this.#options;
+    const state = this.#state();
+    this.#view.recordSentUses(state.uses);
+    if (!this.#view.usesDigests) {
+      link.sendState(state, link.known());
+      return;
+    }
+    const { hosts, areKnown } = this.#view.relaysOf(link.host.domain);
+    const others = hosts.filter(({ id }) => id !== link.host.id);
+    if (!areKnown || this.#view.isRelay()) {
+      link.sendState({ ...state, wantsDigests: !areKnown }, others);
+      return;
+    }
+    const source = this.#view.digestSource(others);
+    const sources = source === undefined ? others : [source];
+    link.sendState(state, sources);
+    link.sendState(
+      { ...state, wantsDigests: false },
+      others.filter((host) => !sources.includes(host)),
+    );
+  }
+
   #state(): PeerState {
     const uses: PeerUse[] = [];
     const unresponsive: string[] = [];
@@ -241,6 +296,7 @@
       limits: this.#options.limits.entriesToShare(),
       era: this.#options.eras.current,
       isEraSettled: this.#options.eras.isSettled,
+      wantsDigests: true,
     };
   }
 
@@ -254,42 +310,76 @@
 
   #applyState({ host, state }: Peer): void {
     if (state === undefined) return;
-    const { targets, limits, clock, quarantine, eras } = this.#options;
-    if (state.isEraSettled) eras.observeSettled(state.era, host.id);
-    else eras.observe(state.era, host.id);
-    quarantine.mergeLosses(state.losses, host.id);
-    quarantine.mergeBreaks(state.breaks, host.id);
+    const { limits } = this.#options;
+    this.#applyFacts(state, host.id);
     limits.merge(state.limits, host.id);
-    const untilMs = clock.nowMs() + SUSPICION_TTL_MS;
     for (const id of state.unresponsiveTargets) {
-      const target = targets.get(id);
-      if (target === undefined) continue;
-      const wasTrusted = target.isAvailable;
-      target.addSuspicion(host.id, untilMs);
-      if (wasTrusted && !target.isAvailable) targets.notify(target);
+      this.#suspect(id, host.id, SUSPICION_TTL_MS);
     }
-    if (state.slowTargets === undefined) return;
-    const slow = new Map(state.slowTargets);
-    for (const one of targets.all()) one.slowness = slow.get(one.id) ?? 1;
   }
 
-  #updatePeerUse(): void {
-    const { targets, link } = this.#options;
-    const sums = new Map<string, Target["peerLoad"]>();
-    for (const peer of link.live()) {
-      for (const use of peer.state?.uses ?? []) {
-        const sum = sums.get(use.targetId) ?? { streams: 0, tokenLayers: 0 };
-        sum.streams += use.streams;
-        sum.tokenLayers += use.tokenLayers;
-        sums.set(use.targetId, sum);
+  #applyDigest(digest: DomainDigest): void {
+    const { limits, link } = this.#options;
+    const { isNew, previous } = this.#view.receive(digest);
+    if (!isNew) return;
+    this.#applyFacts(digest, digest.relay.id);
+    for (const { hostId, ...limit } of digest.limits) {
+      if (hostId !== link.host.id) limits.merge([limit], hostId);
+    }
+    for (const { targetId, hostIds } of digest.unresponsiveTargets) {
+      for (const hostId of hostIds) {
+        if (hostId === link.host.id) continue;
+        this.#suspect(targetId, hostId, RELAYED_SUSPICION_TTL_MS);
       }
     }
-    for (const target of targets.all()) {
-      target.peerLoad = sums.get(target.id) ?? { streams: 0, tokenLayers: 0 };
+    if (digest.uses !== undefined) this.#updatePeerUse();
+    const isUrgent = urgentPart(digest) !== (previous && urgentPart(previous));
+    if (isUrgent) this.#relay.scheduleUrgent();
+  }
+
+  /** Applies what states and digests tell alike. */
+  #applyFacts(
+    facts: Pick<
+      PeerState,
+      "era" | "isEraSettled" | "losses" | "breaks" | "slowTargets"
+    >,
+    source: string,
+  ): void {
+    const { targets, quarantine, eras } = this.#options;
+    if (facts.isEraSettled) eras.observeSettled(facts.era, source);
+    else eras.observe(facts.era, source);
+    quarantine.mergeLosses(facts.losses, source);
+    quarantine.mergeBreaks(facts.breaks, source);
+    if (facts.slowTargets === undefined) return;
+    const slow = new Map(facts.slowTargets);
+    for (const one of targets.all()) one.slowness = slow.get(one.id) ?? 1;
+  }
+
+  #suspect(targetId: string, hostId: string, forMs: number): void {
+    const { targets, clock } = this.#options;
+    const target = targets.get(targetId);
+    if (target === undefined) return;
+    const wasTrusted = target.isAvailable;
+    target.addSuspicion(hostId, clock.nowMs() + forMs);
+    if (wasTrusted && !target.isAvailable) targets.notify(target);
+  }
+
+  #updatePeerUse(): void {
+    const uses = this.#view.peerUses();
+    for (const target of this.#options.targets.all()) {
+      const use = uses.get(target.id);
+      target.peerLoad = {
+        streams: use?.streams ?? 0,
+        tokenLayers: use?.tokenLayers ?? 0,
+      };
     }
   }
 }
 
-function isBefore(a: HostRecord, b: HostRecord): boolean {
-  return a.bornMs < b.bornMs || (a.bornMs === b.bornMs && a.id < b.id);
+function oldestOf(hosts: readonly HostRecord[]): HostRecord | undefined {
+  return hosts.reduce<HostRecord | undefined>(
+    (oldest, host) =>
+      oldest === undefined || isBefore(host, oldest) ? host : oldest,
+    undefined,
+  );
 }
--- a/src/entry/peer_exchange_test.ts
+++ b/src/entry/peer_exchange_test.ts
@@ -6,7 +6,8 @@
 import { EraTracker } from "../feeds/era_tracker.ts";
 import { TargetLimits } from "../paths/target_limits.ts";
 import { TargetTable } from "../paths/target_table.ts";
-import type { Peer, PeerLink } from "../peers/peer_link.ts";
+import type { DomainDigest } from "../peers/domain_digest.ts";
+import type { Peer, PeerLink, PeerUpdate } from "../peers/peer_link.ts";
 import type { PeerState } from "../peers/peer_state.ts";
 import type { HostRecord } from "../ports/types.ts";
 import { QuarantineSync } from "./quarantine_sync.ts";
@@ -29,8 +30,9 @@
     limits: [],
     era: undefined,
     isEraSettled: false,
+    wantsDigests: false,
   };
-  return { host, state, lastReceivedMs: 0 };
+  return { host, state, lastReceivedMs: 0, lastKnownMs: 0 };
 }
 
 /** An exchange among `peers` with a fake link that records broadcasts. */
@@ -42,8 +44,12 @@
     host: hostOf("self", 50),
     live: () => peers,
     addHosts: () => {},
-    onState: new Emitter<Peer>().event,
-    broadcast: (state: PeerState) => sent.push({ atMs: clock.nowMs(), state }),
+    known: () => peers.map(({ host }) => host),
+    knownCount: peers.length,
+    onState: new Emitter<PeerUpdate>().event,
+    onDigest: new Emitter<DomainDigest>().event,
+    sendState: (state: PeerState) => sent.push({ atMs: clock.nowMs(), state }),
+    sendDigests: () => {},
   } as unknown as PeerLink;
   const targets = new TargetTable({ clock, log: silentLog });
   for (const id of ["t1", "t2", "t3", "t4", "t5"]) {
@@ -126,12 +132,25 @@
 test("there is no reader to query if this host is the oldest or only one that reads the store", () => {
   const younger = peerOf(hostOf("younger", 90), true);
   const idle = peerOf(hostOf("idle", 1), false);
-  const elsewhere = peerOf(hostOf("elsewhere", 1, "b"), true);
+  const elsewhere = peerOf(hostOf("elsewhere", 60, "b"), true);
   expect(exchangeAmong([younger, idle, elsewhere]).exchange.reader())
     .toBeUndefined();
   expect(exchangeAmong([]).exchange.reader()).toBeUndefined();
 });
 
+test("the oldest reader of a failure domain queries the oldest of the fleet", () => {
+  const younger = peerOf(hostOf("younger", 90), true);
+  const elsewhere = peerOf(hostOf("elsewhere", 1, "b"), true);
+  const among = exchangeAmong([younger, elsewhere]);
+  expect(among.exchange.reader()?.id).toBe("elsewhere");
+});
+
+test("a failure domain without a reader queries another domain's", () => {
+  const elsewhere = peerOf(hostOf("elsewhere", 90, "b"), true);
+  const { exchange } = exchangeAmong([elsewhere], { canRead: false });
+  expect(exchange.reader()?.id).toBe("elsewhere");
+});
+
 test("a host whose own reads fail queries a younger host", () => {
   const younger = peerOf(hostOf("younger", 90), true);
   const { exchange } = exchangeAmong([younger], { canRead: false });
--- a/src/peers/datagram.ts
+++ b/src/peers/datagram.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { decodeDigests, type DomainDigest } from "./domain_digest.ts";
 import {
   decodeLogAnswer,
   decodeLogQuery,
@@ -14,6 +15,7 @@
 
 export type Datagram =
   | { readonly kind: "state"; readonly received: ReceivedState }
+  | { readonly kind: "digests"; readonly digests: readonly DomainDigest[] }
   | { readonly kind: "query"; readonly query: LogQuery }
   | { readonly kind: "answer"; readonly answer: LogAnswer };
 
@@ -21,6 +23,10 @@
 export function decodeDatagram(bytes: Buffer): Datagram | undefined {
   const fields = parse(bytes);
   if (fields === undefined) return undefined;
+  if ("dig" in fields) {
+    const digests = decodeDigests(fields.dig);
+    return digests && { kind: "digests", digests };
+  }
   if ("ask" in fields) {
     const query = decodeLogQuery(fields.ask);
     return query && { kind: "query", query };
--- a/src/peers/peer_link.ts
+++ b/src/peers/peer_link.ts
@@ -1,7 +1,7 @@
 /**
- * Datagram exchange between router hosts: liveness, the load that each host
- * puts on targets, and unresponsive targets. Each datagram carries the full
- * state, so a lost one is replaced by the next; a lost query times out.
+ * Datagram exchange between router hosts: the state of each host and the digests
+ * of failure domains. Each state is complete, so a lost one is replaced by the
+ * next; a lost query times out.
  *
  * @module
  */
@@ -12,6 +12,7 @@
 import type { ILog } from "../common/logging.ts";
 import type { HostRecord } from "../ports/types.ts";
 import { decodeDatagram } from "./datagram.ts";
+import { type DomainDigest, packDigests } from "./domain_digest.ts";
 import {
   encodeLogAnswer,
   encodeLogQuery,
@@ -27,14 +28,25 @@
 
 /** A host from which no state arrived for this long counts as down. */
 const PEER_TIMEOUT_MS = 1_500;
-/** A host from which no state arrived for this long is removed. */
+/** A host of which nothing was heard for this long is removed. */
 const PEER_RETENTION_MS = 60_000;
+/** Digests that share a datagram; larger ones go alone. */
+const MAX_DATAGRAM_BYTES = 8_000;
 
 /** Another host with its last received state. */
 export interface Peer {
   readonly host: HostRecord;
   readonly state: PeerState | undefined;
+  /** When that state arrived. */
   readonly lastReceivedMs: number;
+  /** When the host was last heard of, also from others. */
+  readonly lastKnownMs: number;
+}
+
+/** A received state, and the one of the same process before it. */
+export interface PeerUpdate {
+  readonly peer: Peer;
+  readonly previous: PeerState | undefined;
 }
 
 /** A query from another host; `reply` must be called at most once. */
@@ -47,13 +59,15 @@
   readonly host: HostRecord;
   readonly clock: Clock;
   readonly log: ILog;
+  readonly createSocket?: () => Socket;
 }
 
-/** Broadcasts this host's state and keeps the last state of each other host. */
+/** Sends to other hosts and keeps the last state of each. */
 export class PeerLink {
   readonly #options: PeerLinkOptions;
   readonly #peers = new Map<string, Peer>();
-  readonly #onState = new Emitter<Peer>();
+  readonly #onState = new Emitter<PeerUpdate>();
+  readonly #onDigest = new Emitter<DomainDigest>();
   readonly #onQuery = new Emitter<IncomingLogQuery>();
   readonly #pending = new Map<number, (answer: LogAnswer) => void>();
   #lastQueryId = 0;
@@ -61,7 +75,10 @@
   #host: HostRecord;
 
   /** Fires for each received state that is newer than the last one of its host. */
-  readonly onState: Event<Peer> = this.#onState.event;
+  readonly onState: Event<PeerUpdate> = this.#onState.event;
+
+  /** Fires for each received digest, also for outdated and repeated ones. */
+  readonly onDigest: Event<DomainDigest> = this.#onDigest.event;
 
   /** Fires for each received query about a log. */
   readonly onQuery: Event<IncomingLogQuery> = this.#onQuery.event;
@@ -79,7 +96,7 @@
   /** Binds the socket; rejects if the address is in use. */
   open(): Promise<void> {
     const { host, log } = this.#options;
-    const socket = createSocket("udp4");
+    const socket = this.#options.createSocket?.() ?? createSocket("udp4");
     this.#socket = socket;
     socket.on("message", (message, sender) => this.#receive(message, sender));
     return new Promise((resolve, reject) => {
@@ -97,11 +114,11 @@
   }
 
   /**
-   * Adds hosts from the registry. A known host is replaced only by a later
-   * start of its process.
+   * Adds hosts from the registry, which also lists hosts that are down. A known
+   * host is replaced only by a later start of its process.
    */
   addHosts(hosts: readonly HostRecord[]): void {
-    const nowMs = this.#options.clock.nowMs();
+    const lastKnownMs = this.#options.clock.nowMs();
     for (const host of hosts) {
       const known = this.#peers.get(host.id);
       if (host.id === this.#options.host.id) continue;
@@ -109,11 +126,23 @@
       this.#peers.set(host.id, {
         host,
         state: undefined,
-        lastReceivedMs: nowMs - PEER_TIMEOUT_MS,
+        lastReceivedMs: -Infinity,
+        lastKnownMs,
       });
     }
   }
 
+  /** Adds hosts that a digest lists as live, or renews what is known of them. */
+  addLiveHosts(hosts: readonly HostRecord[]): void {
+    this.addHosts(hosts);
+    const lastKnownMs = this.#options.clock.nowMs();
+    for (const { id, bornMs } of hosts) {
+      const known = this.#peers.get(id);
+      if (known?.host.bornMs !== bornMs) continue;
+      this.#peers.set(id, { ...known, lastKnownMs });
+    }
+  }
+
   /** Hosts from which a state arrived within the timeout. */
   live(): Peer[] {
     const sinceMs = this.#options.clock.nowMs() - PEER_TIMEOUT_MS;
@@ -127,16 +156,26 @@
     return this.#peers.size;
   }
 
-  broadcast(state: PeerState): void {
-    const { clock } = this.#options;
-    const datagram = encodePeerState(this.#host, state);
-    const forgetMs = clock.nowMs() - PEER_RETENTION_MS;
+  /** Known hosts, live or not. */
+  known(): HostRecord[] {
+    const forgetMs = this.#options.clock.nowMs() - PEER_RETENTION_MS;
     for (const [id, peer] of this.#peers) {
-      if (peer.lastReceivedMs < forgetMs) {
-        this.#peers.delete(id);
-        continue;
-      }
-      this.#sendTo(peer.host, datagram);
+      if (peer.lastKnownMs < forgetMs) this.#peers.delete(id);
+    }
+    return [...this.#peers.values()].map(({ host }) => host);
+  }
+
+  sendState(state: PeerState, hosts: readonly HostRecord[]): void {
+    const datagram = encodePeerState(this.#host, state);
+    for (const host of hosts) this.#sendTo(host, datagram);
+  }
+
+  sendDigests(
+    digests: readonly DomainDigest[],
+    hosts: readonly HostRecord[],
+  ): void {
+    for (const datagram of packDigests(digests, MAX_DATAGRAM_BYTES)) {
+      for (const host of hosts) this.#sendTo(host, datagram);
     }
   }
 
@@ -189,6 +228,9 @@
       case "state":
         this.#handleState(datagram.received);
         break;
+      case "digests":
+        for (const digest of datagram.digests) this.#onDigest.fire(digest);
+        break;
       case "query":
         this.#onQuery.fire({
           query: datagram.query,
@@ -218,10 +260,12 @@
       known.state.sequenceNumber >= state.sequenceNumber
     ) return;
     const wasLive = known?.state !== undefined;
+    const nowMs = this.#options.clock.nowMs();
     const peer: Peer = {
       host,
       state,
-      lastReceivedMs: this.#options.clock.nowMs(),
+      lastReceivedMs: nowMs,
+      lastKnownMs: nowMs,
     };
     this.#peers.set(host.id, peer);
     if (!wasLive) {
@@ -231,6 +275,10 @@
         bornMs: host.bornMs,
       });
     }
-    this.#onState.fire(peer);
+    const isSameProcess = known?.host.bornMs === host.bornMs;
+    this.#onState.fire({
+      peer,
+      previous: isSameProcess ? known.state : undefined,
+    });
   }
 }
--- a/src/peers/peer_state.ts
+++ b/src/peers/peer_state.ts
@@ -44,6 +44,8 @@
   /** The highest era of the store that the host has met. */
   readonly era: number | undefined;
   readonly isEraSettled: boolean;
+  /** The receiver is to send the digests of all failure domains. */
+  readonly wantsDigests: boolean;
 }
 
 /** A state with the host that sent it. */
@@ -54,7 +56,7 @@
 
 export function encodePeerState(host: HostRecord, state: PeerState): Buffer {
   return Buffer.from(JSON.stringify({
-    h: [host.id, host.domain, host.ip, host.port, host.bornMs],
+    h: encodeHost(host),
     n: state.sequenceNumber,
     u: state.uses.map((
       use,
@@ -65,10 +67,9 @@
     r: state.isReader ? 1 : 0,
     c: state.losses.map(encodeLosses),
     b: state.breaks.map(encodeLosses),
-    m: state.limits.map((
-      { targetId, limitPerS, ageMs, recentSends },
-    ) => [targetId, limitPerS ?? null, Math.round(ageMs), recentSends]),
-    e: state.era === undefined ? null : [state.era, state.isEraSettled ? 1 : 0],
+    m: state.limits.map(encodeLimit),
+    e: encodeEra(state),
+    d: state.wantsDigests ? 1 : 0,
   }));
 }
 
@@ -76,20 +77,14 @@
 export function decodePeerState(
   fields: Readonly<Record<string, unknown>>,
 ): ReceivedState | undefined {
-  const { h, n, u, q, w, l, r, c, b, m, e } = fields;
-  if (!Array.isArray(h) || !Array.isArray(u) || !Array.isArray(q)) {
+  const { h, n, u, q, w, l, r, c, b, m, e, d } = fields;
+  const host = decodeHost(h);
+  if (host === undefined || !Array.isArray(u) || !Array.isArray(q)) {
     return undefined;
   }
-  const [id, domain, ip, port, bornMs] = h;
-  if (
-    typeof id !== "string" || typeof domain !== "string" ||
-    typeof ip !== "string"
-  ) {
-    return undefined;
-  }
-  if (!isPort(port) || !isNumber(bornMs) || !isNumber(n)) return undefined;
+  if (!isNumber(n)) return undefined;
   return {
-    host: { id, domain, ip, port, bornMs },
+    host,
     state: {
       sequenceNumber: n,
       uses: u.flatMap(decodeUse),
@@ -102,10 +97,25 @@
       breaks: Array.isArray(b) ? b.flatMap(decodeLosses) : [],
       limits: Array.isArray(m) ? m.flatMap(decodeLimit) : [],
       ...decodeEra(e),
+      wantsDigests: d === 1,
     },
   };
 }
 
+export function encodeHost({ id, domain, ip, port, bornMs }: HostRecord) {
+  return [id, domain, ip, port, bornMs] as const;
+}
+
+export function decodeHost(value: unknown): HostRecord | undefined {
+  if (!Array.isArray(value)) return undefined;
+  const [id, domain, ip, port, bornMs] = value;
+  if (
+    typeof id !== "string" || typeof domain !== "string" ||
+    typeof ip !== "string" || !isPort(port) || !isNumber(bornMs)
+  ) return undefined;
+  return { id, domain, ip, port, bornMs };
+}
+
 function decodeUse(value: unknown): PeerUse[] {
   if (!Array.isArray(value)) return [];
   const [targetId, streams, tokenLayers] = value;
@@ -115,13 +125,13 @@
   return [{ targetId, streams, tokenLayers }];
 }
 
-function encodeLosses(entry: LossEntry): unknown[] {
+export function encodeLosses(entry: LossEntry): unknown[] {
   const { contentId, clearCount, losses, lossEventId, totalLosses, processes } =
     entry;
   return [contentId, clearCount, losses, lossEventId, totalLosses, processes];
 }
 
-function decodeLosses(value: unknown): LossEntry[] {
+export function decodeLosses(value: unknown): LossEntry[] {
   if (!Array.isArray(value)) return [];
   // Hosts of earlier versions send neither total nor processes.
   const [contentId, clearCount, losses, lossEventId] = value;
@@ -142,7 +152,12 @@
   }];
 }
 
-function decodeLimit(value: unknown): SharedLimit[] {
+export function encodeLimit(limit: SharedLimit): unknown[] {
+  const { targetId, limitPerS, ageMs, recentSends } = limit;
+  return [targetId, limitPerS ?? null, Math.round(ageMs), recentSends];
+}
+
+export function decodeLimit(value: unknown): SharedLimit[] {
   if (!Array.isArray(value)) return [];
   const [targetId, limitPerS, ageMs, recentSends] = value;
   const isLimit = limitPerS === null || (isNumber(limitPerS) && limitPerS >= 0);
@@ -153,7 +168,13 @@
   return [{ targetId, limitPerS: limitPerS ?? undefined, ageMs, recentSends }];
 }
 
-function decodeEra(
+export function encodeEra(
+  { era, isEraSettled }: Pick<PeerState, "era" | "isEraSettled">,
+): unknown[] | null {
+  return era === undefined ? null : [era, isEraSettled ? 1 : 0];
+}
+
+export function decodeEra(
   value: unknown,
 ): Pick<PeerState, "era" | "isEraSettled"> {
   const [era, settled] = Array.isArray(value) ? value : [];
@@ -161,11 +182,11 @@
   return { era, isEraSettled: settled === 1 };
 }
 
-function isCount(value: unknown, min = 0): value is number {
+export function isCount(value: unknown, min = 0): value is number {
   return Number.isSafeInteger(value) && (value as number) >= min;
 }
 
-function isSlowTarget(value: unknown): value is [string, number] {
+export function isSlowTarget(value: unknown): value is [string, number] {
   return Array.isArray(value) && typeof value[0] === "string" &&
     isNumber(value[1]);
 }
@@ -175,6 +196,6 @@
     value < 65_536;
 }
 
-function isNumber(value: unknown): value is number {
+export function isNumber(value: unknown): value is number {
   return typeof value === "number" && Number.isFinite(value);
 }
--- a/src/peers/peer_state_test.ts
+++ b/src/peers/peer_state_test.ts
@@ -26,6 +26,7 @@
   ],
   era: 7,
   isEraSettled: true,
+  wantsDigests: true,
 };
 
 test("a state is decoded as it was encoded", () => {
