Keep paths within one failure domain, and search them in less time

Cause: the noise that keeps hosts apart grows with their number, to 9 times a target's cost at 82 hosts and 21 times at 195, while a hop between domains costs a fixed 2.5 ms a token; so hosts crossed links for it.

Change: a path is sought within the host's own domain and two others, in all of them if these have no capacity, and over links only if no domain has a whole path. The search visits the holders of each layer instead of all targets and looks hops up in a table.

--- a/src/paths/path_chooser.ts
+++ b/src/paths/path_chooser.ts
@@ -9,7 +9,12 @@
 import type { Clock } from "../common/clock.ts";
 import type { EngineProfile, PathStage } from "../ports/types.ts";
 import { DomainLinks, tokenTransferMs } from "./domain_links.ts";
-import { findPath, type FoundPath, type PathCandidate } from "./path_finder.ts";
+import {
+  findPath,
+  type FoundPath,
+  type PathCandidate,
+  type PathSearch,
+} from "./path_finder.ts";
 import type { Target } from "./target.ts";
 import type { TargetLimits } from "./target_limits.ts";
 import type { TargetTable } from "./target_table.ts";
@@ -40,6 +45,8 @@
  * be late.
  */
 const MAX_LINK_WAIT_MS = 1_000;
+/** Failure domains of which the best path is taken. */
+const MAX_COMPARED_DOMAINS = 3;
 /** Tokens over which a one-time delay is amortized, about half an answer. */
 const AMORTIZATION_TOKENS = 100;
 
@@ -93,17 +100,69 @@
   choose(demand: PathDemand): ReservedPath | undefined {
     const { figures, current } = demand;
     const candidates = this.#candidates(demand);
-    const found = findPath({
+    const search = {
       layers: figures.layers,
-      candidates,
       domain: this.#domain,
       firstStage: current?.[0],
       extraLayerMs: current && this.#prefillCost(demand, current),
-      crossDomainHopMs: (from, to) => this.#crossDomainHopMs(from, to, demand),
-    });
+      crossDomainHopMs: (from: string, to: string) =>
+        this.#crossDomainHopMs(from, to, demand),
+    };
+    const found = this.#findWithinOneDomain(candidates, search) ??
+      findPath({ ...search, candidates });
     return found && this.#reserve(found, demand);
   }
 
+  /**
+   * Finds a path whose stages are all in one failure domain: the links between
+   * domains carry every prompt and token of a path that crosses them. Compares
+   * the host's own domain with a few others, and tries the rest if these have
+   * no capacity.
+   */
+  #findWithinOneDomain(
+    candidates: readonly PathCandidate[],
+    search: Omit<PathSearch, "candidates">,
+  ): FoundPath | undefined {
+    const byDomain = new Map<string, PathCandidate[]>();
+    for (const candidate of candidates) {
+      const group = byDomain.get(candidate.domain);
+      if (group === undefined) byDomain.set(candidate.domain, [candidate]);
+      else group.push(candidate);
+    }
+    const { firstStage } = search;
+    const first = candidates.find(({ id }) => id === firstStage?.targetId);
+    // A path that is kept in part stays in the domain of its first stage.
+    const domains = firstStage === undefined
+      ? this.#orderDomains([...byDomain.keys()])
+      : first === undefined
+      ? []
+      : [first.domain];
+    let best: FoundPath | undefined;
+    for (const [index, domain] of domains.entries()) {
+      if (index >= MAX_COMPARED_DOMAINS && best !== undefined) break;
+      const found = findPath({
+        ...search,
+        candidates: byDomain.get(domain) ?? [],
+      });
+      if (found === undefined) continue;
+      if (best === undefined || found.msPerToken < best.msPerToken) {
+        best = found;
+      }
+    }
+    return best;
+  }
+
+  /** The host's own domain first, then the others at random. */
+  #orderDomains(domains: readonly string[]): string[] {
+    return domains
+      .map((domain) => ({
+        domain,
+        rank: domain === this.#domain ? -1 : this.#random(),
+      }))
+      .sort((a, b) => a.rank - b.rank)
+      .map(({ domain }) => domain);
+  }
+
   #crossDomainHopMs(from: string, to: string, demand: PathDemand): number {
     const waitMs = this.#links.waitMs(from, to);
     if (demand.current === undefined && waitMs > MAX_LINK_WAIT_MS) {
--- a/src/paths/path_chooser_test.ts
+++ b/src/paths/path_chooser_test.ts
@@ -177,6 +177,29 @@
   }
 });
 
+test("a path within one failure domain is preferred over a cheaper one that crosses a link", () => {
+  const { chooser } = tableOf([
+    { id: "a1", span: { from: 0, to: 10 } },
+    { id: "a2", span: { from: 10, to: 20 }, kind: "slow" },
+    { id: "b2", span: { from: 10, to: 20 }, domain: "b" },
+  ]);
+  const ids = () => {
+    const path = chooser.choose({ ...demand, tokens: 100 });
+    path?.release();
+    return path?.stages.map(({ targetId }) => targetId);
+  };
+  expect(ids()).toEqual(["a1", "a2"]);
+});
+
+test("without a whole path in any failure domain, a path crosses a link", () => {
+  const { chooser } = tableOf([
+    { id: "a1", span: { from: 0, to: 10 } },
+    { id: "b2", span: { from: 10, to: 20 }, domain: "b" },
+  ]);
+  expect(chooser.choose(demand)?.stages.map(({ targetId }) => targetId))
+    .toEqual(["a1", "b2"]);
+});
+
 test("a link is used up to its bandwidth, counted over all hosts", async () => {
   const split = TWO_DOMAINS.filter(({ id }) => id !== "b1");
   const { chooser, clock } = tableOf(split);
--- a/src/paths/path_finder.ts
+++ b/src/paths/path_finder.ts
@@ -77,119 +77,165 @@
   return undefined;
 }
 
+/** The holders of one layer with the best cost of a path that ends there. */
+interface LayerCosts {
+  /** Indices of the candidates that hold the layer. */
+  readonly holders: readonly number[];
+  readonly costsMs: readonly number[];
+  /** For each holder, the candidate that runs the layer before. */
+  readonly previous: readonly number[];
+}
+
 function searchOnce(search: PathSearch): FoundPath | undefined {
-  const { layers, candidates, firstStage } = search;
-  const count = candidates.length;
-  let costs: number[] = new Array(count).fill(Infinity);
-  const previous: Int16Array[] = [];
+  const { candidates, layers, firstStage } = search;
   const startLayer = firstStage?.to ?? 0;
-  if (firstStage !== undefined) {
-    const first = candidates.findIndex(({ id }) => id === firstStage.targetId);
-    if (first < 0) return undefined;
-    costs[first] = 0;
-  }
+  const first = candidates.findIndex(({ id }) => id === firstStage?.targetId);
+  if (firstStage !== undefined && first < 0) return undefined;
+  const domains = new DomainHops(search);
+  const holdersByLayer = groupByLayer(search);
+  const found: LayerCosts[] = [];
+  let last: LayerCosts | undefined = firstStage &&
+    { holders: [first], costsMs: [0], previous: [-1] };
   for (let layer = startLayer; layer < layers; layer++) {
-    const isStart = layer === 0;
-    const cheapest = isStart ? undefined : cheapestByDomain(candidates, costs);
-    const next: number[] = new Array(count).fill(Infinity);
-    const from = new Int16Array(count).fill(-1);
-    for (let k = 0; k < count; k++) {
-      const candidate = candidates[k];
-      if (layer < candidate.span.from || layer >= candidate.span.to) continue;
-      const ownMs = candidate.msPerLayer +
-        (search.extraLayerMs?.(candidate.id, layer) ?? 0);
-      if (cheapest === undefined) {
-        if (candidate.canBeFirst) {
-          const isCrossDomain = candidate.domain !== search.domain;
-          next[k] = ownMs + (isCrossDomain ? CROSS_DOMAIN_FIRST_STAGE_MS : 0);
-        }
-        continue;
-      }
-      const canSwitchTarget = firstStage === undefined ||
-        candidate.id !== firstStage.targetId;
-      let bestMs = costs[k];
-      from[k] = k;
-      if (canSwitchTarget) {
-        for (const [domain, cheap] of cheapest) {
-          const costMs = cheap.costMs + hopMs(search, domain, candidate.domain);
-          if (costMs < bestMs) {
-            bestMs = costMs;
-            from[k] = cheap.index;
-          }
-        }
-      } else if (layer >= startLayer) {
-        // The first stage must not extend beyond its span.
-        bestMs = Infinity;
-      }
-      next[k] = bestMs + ownMs;
-    }
-    previous.push(from);
-    costs = next;
+    const holders = holdersByLayer[layer];
+    last = last === undefined
+      ? startPaths(search, holders)
+      : extendPaths(search, { layer, holders, last, domains });
+    if (last.holders.length === 0) return undefined;
+    found.push(last);
   }
-  return tracePath(search, costs, previous);
+  return tracePath(search, found);
 }
 
-function tracePath(
+/** Candidates that hold each layer. */
+function groupByLayer({ layers, candidates }: PathSearch): number[][] {
+  const groups: number[][] = Array.from({ length: layers }, () => []);
+  candidates.forEach(({ span }, index) => {
+    const to = Math.min(span.to, layers);
+    for (let layer = span.from; layer < to; layer++) groups[layer].push(index);
+  });
+  return groups;
+}
+
+function startPaths(
   search: PathSearch,
-  costs: readonly number[],
-  previous: readonly Int16Array[],
-): FoundPath | undefined {
-  const { candidates, layers, firstStage } = search;
-  let k = indexOfLeast(costs);
-  if (k < 0) return undefined;
-  const msPerToken = costs[k];
-  const startLayer = firstStage?.to ?? 0;
-  const stages: PathStage[] = [];
-  let to = layers;
-  for (let layer = layers - 1; layer >= startLayer; layer--) {
-    const from = previous[layer - startLayer][k];
-    if (from === k && layer > startLayer) continue;
-    const { id, address } = candidates[k];
-    stages.push({ targetId: id, address, from: layer, to });
-    to = layer;
-    k = from;
+  holders: readonly number[],
+): LayerCosts {
+  const eligible = holders.filter((index) =>
+    search.candidates[index].canBeFirst
+  );
+  const costsMs = eligible.map((index) => {
+    const { domain, msPerLayer, id } = search.candidates[index];
+    const hopMs = domain === search.domain ? 0 : CROSS_DOMAIN_FIRST_STAGE_MS;
+    return msPerLayer + hopMs + (search.extraLayerMs?.(id, 0) ?? 0);
+  });
+  return { holders: eligible, costsMs, previous: eligible.map(() => -1) };
+}
+
+function extendPaths(
+  search: PathSearch,
+  { layer, holders, last, domains }: {
+    readonly layer: number;
+    readonly holders: readonly number[];
+    readonly last: LayerCosts;
+    readonly domains: DomainHops;
+  },
+): LayerCosts {
+  const { candidates, firstStage, extraLayerMs } = search;
+  const cheapest = domains.cheapest(last);
+  const reached: number[] = [];
+  const costsMs: number[] = [];
+  const previous: number[] = [];
+  let position = 0;
+  for (const index of holders) {
+    const { id, msPerLayer } = candidates[index];
+    // Its span was fixed when the request was sent.
+    if (id === firstStage?.targetId) continue;
+    // Both lists are in ascending order.
+    while (position < last.holders.length && last.holders[position] < index) {
+      position++;
+    }
+    const isSame = last.holders[position] === index;
+    let bestMs = isSame ? last.costsMs[position] : Infinity;
+    let from = index;
+    for (const { domain, holder, costMs } of cheapest) {
+      const hopMs = costMs + domains.hopMs(domain, index);
+      if (hopMs >= bestMs) continue;
+      bestMs = hopMs;
+      from = holder;
+    }
+    if (bestMs === Infinity) continue;
+    reached.push(index);
+    costsMs.push(bestMs + msPerLayer + (extraLayerMs?.(id, layer) ?? 0));
+    previous.push(from);
   }
-  if (firstStage !== undefined) stages.push(firstStage);
-  return { stages: stages.reverse(), msPerToken };
+  return { holders: reached, costsMs, previous };
 }
 
+/** The cheapest path that ends in a failure domain. */
 interface Cheapest {
-  readonly index: number;
+  readonly domain: number;
+  readonly holder: number;
   readonly costMs: number;
 }
 
-function cheapestByDomain(
-  candidates: readonly PathCandidate[],
-  costs: readonly number[],
-): Map<string, Cheapest> {
-  const cheapest = new Map<string, Cheapest>();
-  for (let index = 0; index < costs.length; index++) {
-    const costMs = costs[index];
-    if (costMs === Infinity) continue;
-    const { domain } = candidates[index];
-    const best = cheapest.get(domain);
-    if (best === undefined || costMs < best.costMs) {
-      cheapest.set(domain, { index, costMs });
-    }
+/** Costs of hops between the failure domains of the candidates, by their indices. */
+class DomainHops {
+  readonly #domainOf: number[];
+  readonly #hopsMs: number[][];
+
+  constructor({ candidates, crossDomainHopMs }: PathSearch) {
+    const names = [...new Set(candidates.map(({ domain }) => domain))];
+    const indices = new Map(names.map((name, index) => [name, index]));
+    this.#domainOf = candidates.map(({ domain }) => indices.get(domain) ?? 0);
+    this.#hopsMs = names.map((from) =>
+      names.map((to) =>
+        from === to
+          ? SAME_DOMAIN_HOP_MS
+          : crossDomainHopMs?.(from, to) ?? DEFAULT_CROSS_DOMAIN_HOP_MS
+      )
+    );
   }
-  return cheapest;
-}
 
-function hopMs(
-  { crossDomainHopMs }: PathSearch,
-  from: string,
-  to: string,
-): number {
-  if (from === to) return SAME_DOMAIN_HOP_MS;
-  return crossDomainHopMs?.(from, to) ?? DEFAULT_CROSS_DOMAIN_HOP_MS;
+  hopMs(domain: number, candidate: number): number {
+    return this.#hopsMs[domain][this.#domainOf[candidate]];
+  }
+
+  cheapest({ holders, costsMs }: LayerCosts): Cheapest[] {
+    const best: Cheapest[] = [];
+    holders.forEach((holder, position) => {
+      const domain = this.#domainOf[holder];
+      const costMs = costsMs[position];
+      if (best[domain] === undefined || costMs < best[domain].costMs) {
+        best[domain] = { domain, holder, costMs };
+      }
+    });
+    return best.filter((one) => one !== undefined);
+  }
 }
 
-function indexOfLeast(costs: readonly number[]): number {
-  let least = -1;
-  for (let i = 0; i < costs.length; i++) {
-    if (costs[i] < (least < 0 ? Infinity : costs[least])) least = i;
+function tracePath(
+  { candidates, layers, firstStage }: PathSearch,
+  found: readonly LayerCosts[],
+): FoundPath | undefined {
+  const last = found.at(-1);
+  if (last === undefined) return undefined;
+  const msPerToken = last.costsMs.reduce((a, b) => Math.min(a, b));
+  const startLayer = firstStage?.to ?? 0;
+  const stages: PathStage[] = [];
+  let holder = last.holders[last.costsMs.indexOf(msPerToken)];
+  let to = layers;
+  for (let layer = layers - 1; layer >= startLayer; layer--) {
+    const { holders, previous } = found[layer - startLayer];
+    const from = previous[holders.indexOf(holder)];
+    if (from === holder && layer > startLayer) continue;
+    const { id, address } = candidates[holder];
+    stages.push({ targetId: id, address, from: layer, to });
+    to = layer;
+    holder = from;
   }
-  return least;
+  if (firstStage !== undefined) stages.push(firstStage);
+  return { stages: stages.reverse(), msPerToken };
 }
 
 function repeatedTarget(stages: readonly PathStage[]): string | undefined {
