Check fewer paths while checks find nothing

Asking cost the hosts the time that the events waited for.

Change: a check that finds nothing makes the next ones of the host later, up to four times, halved again by a finding and each 10 s of calm; a suspect stage is checked as soon as before. A target over which another stream made progress since the stall, within 100 ms, is not asked.

--- a/src/forward/event_pace.ts
+++ b/src/forward/event_pace.ts
@@ -6,6 +6,8 @@
 
 /** Wait for the first event before the path is checked; prompts take some 100 ms. */
 const FIRST_EVENT_OVERDUE_MS = 250;
+/** The longest such wait while checks find nothing. */
+const MAX_FIRST_EVENT_OVERDUE_MS = 500;
 /** Least gap before a check of a fast stream; events arrive every 20 to 60 ms. */
 const EVENT_OVERDUE_MS = 95;
 /** For slower streams, the gap before a check as a multiple of the mean gap. */
@@ -44,14 +46,25 @@
     return nowMs - this.#progressMs;
   }
 
-  /** Gap from which the next event is overdue. */
-  overdueMs(hasSuspect: boolean): number {
-    if (!this.#hasEvents) return FIRST_EVENT_OVERDUE_MS;
+  /** Time of the last event, or of the start or resumption of the stream. */
+  get progressMs(): number {
+    return this.#progressMs;
+  }
+
+  /** Gap from which the next event is overdue; `patience` of 1 is usual. */
+  overdueMs(hasSuspect: boolean, patience: number): number {
+    if (!this.#hasEvents) {
+      return Math.min(
+        MAX_FIRST_EVENT_OVERDUE_MS,
+        FIRST_EVENT_OVERDUE_MS * patience,
+      );
+    }
     if (hasSuspect) return SUSPECT_OVERDUE_MS;
-    return Math.min(
-      MAX_EVENT_OVERDUE_MS,
-      Math.max(EVENT_OVERDUE_MS, this.#meanGapMs * OVERDUE_GAP_FACTOR),
+    const usualMs = Math.max(
+      EVENT_OVERDUE_MS,
+      this.#meanGapMs * OVERDUE_GAP_FACTOR,
     );
+    return Math.min(MAX_EVENT_OVERDUE_MS, usualMs * patience);
   }
 
   recordEvent(nowMs: number): void {
--- a/src/forward/stream_monitor.ts
+++ b/src/forward/stream_monitor.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Clock } from "../common/clock.ts";
+import { CheckBackoff } from "./check_backoff.ts";
 
 /** A stalled stream is detected at most this much later. */
 const CHECK_INTERVAL_MS = 25;
@@ -24,9 +25,12 @@
 export class StreamMonitor {
   readonly #options: StreamMonitorOptions;
   readonly #streams = new Set<MonitoredStream>();
+  /** Shared by the streams, which wait longer while checks find nothing. */
+  readonly backoff: CheckBackoff;
 
   constructor(options: StreamMonitorOptions) {
     this.#options = options;
+    this.backoff = new CheckBackoff({ clock: options.clock });
   }
 
   get size(): number {
--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -144,7 +144,12 @@
   }
 
   #recordProgress(): void {
-    this.#pace.recordEvent(this.#options.context.clock.nowMs());
+    const { clock, targets } = this.#options.context;
+    const nowMs = clock.nowMs();
+    this.#pace.recordEvent(nowMs);
+    for (const { targetId } of this.#path.stages) {
+      targets.get(targetId)?.recordActivity(nowMs);
+    }
     this.#hasTriedUrgent = false;
     this.#fruitlessChecks = 0;
   }
@@ -160,7 +165,8 @@
     if (this.#isDone || this.#isRepairing || this.#isPaused) return;
     const gapMs = this.#pace.gapMs(nowMs);
     const found = this.#knownFault(gapMs);
-    const overdueMs = this.#pace.overdueMs(this.#hasSuspect);
+    const { backoff } = this.#options.context.monitor;
+    const overdueMs = this.#pace.overdueMs(this.#hasSuspect, backoff.factor);
     if (found === undefined && gapMs < overdueMs) return;
     const isUrgent = found !== undefined && found.fault === "silent";
     if (nowMs < this.#nextCheckMs && !(isUrgent && !this.#hasTriedUrgent)) {
@@ -225,6 +231,9 @@
     const { context, requestId } = this.#options;
     const found = known ?? await this.#findFault(gapMs);
     if (this.#isDone) return;
+    if (known === undefined) {
+      context.monitor.backoff.recordCheck(found !== undefined);
+    }
     if (found !== undefined) {
       await this.#repath(found.stage, found.fault, gapMs);
       return;
@@ -247,7 +256,7 @@
     gapMs: number,
   ): Promise<{ readonly stage: PathStage; readonly fault: Fault } | undefined> {
     const { stages } = this.#path;
-    await this.#options.context.checker.check(stages);
+    await this.#options.context.checker.check(stages, this.#pace.progressMs);
     if (this.#isDone) return undefined;
     const newGapMs = this.#pace.gapMs(this.#options.context.clock.nowMs());
     // An event arrived during the check.
--- a/src/paths/stage_checker.ts
+++ b/src/paths/stage_checker.ts
@@ -67,19 +67,27 @@
 
   /**
    * Resolves when the target of each stage has reported, is marked as
-   * unresponsive, or could not be judged.
+   * unresponsive, or could not be judged. A target over which another stream
+   * has made progress after `stalledSinceMs`, and a moment ago, is not asked.
    */
-  async check(stages: readonly PathStage[]): Promise<void> {
-    await Promise.all(stages.map((stage) => this.#checkStage(stage)));
+  async check(
+    stages: readonly PathStage[],
+    stalledSinceMs = Infinity,
+  ): Promise<void> {
+    await Promise.all(
+      stages.map((stage) => this.#checkStage(stage, stalledSinceMs)),
+    );
   }
 
-  #checkStage(stage: PathStage): Promise<void> {
+  #checkStage(stage: PathStage, stalledSinceMs: number): Promise<void> {
     const { targetTable, clock } = this.#options;
     const target = targetTable.get(stage.targetId);
     if (target === undefined || target.noResponseSinceMs !== undefined) {
       return Promise.resolve();
     }
-    if (clock.nowMs() - target.reportedMs < REUSE_MS) return Promise.resolve();
+    const recentMs = clock.nowMs() - REUSE_MS;
+    const isActive = target.activeMs > Math.max(recentMs, stalledSinceMs);
+    if (isActive || target.reportedMs > recentMs) return Promise.resolve();
     let pending = this.#pending.get(stage.targetId);
     if (pending === undefined) {
       pending = this.#probe(stage).finally(() =>
--- a/src/paths/stage_checker_test.ts
+++ b/src/paths/stage_checker_test.ts
@@ -75,6 +75,16 @@
   expect(requests()).toBe(1);
 });
 
+test("a target over which another stream made progress since the stall is not asked", async () => {
+  const { targetTable, checker, requests } = checkerWith([2]);
+  const nowMs = systemClock.nowMs();
+  targetTable.get("t")?.recordActivity(nowMs - 5);
+  await checker.check([STAGE], nowMs - 50);
+  expect(requests()).toBe(0);
+  await checker.check([STAGE], nowMs);
+  expect(requests()).toBe(1);
+});
+
 test("a second request makes up for a lost answer", async () => {
   const { targetTable, checker } = checkerWith([undefined, 2]);
   await checker.check([STAGE]);
--- a/src/paths/target.ts
+++ b/src/paths/target.ts
@@ -36,6 +36,8 @@
   span: Span | undefined;
   report: TargetReport | undefined;
   reportedMs = -Infinity;
+  /** When a stream over the target last made progress. */
+  activeMs = -Infinity;
   /** Load of this host's own requests in progress. */
   readonly ownLoad: TargetLoad = { streams: 0, tokenLayers: 0 };
   /** Load of the other hosts, summed over their last updates. */
@@ -141,6 +143,11 @@
     this.noResponseSinceMs = undefined;
   }
 
+  /** Records that a stream over the target made progress. */
+  recordActivity(nowMs: number): void {
+    this.activeMs = nowMs;
+  }
+
   recordOutcome(isSuccess: boolean, durationMs: number): void {
     const rate = this.failureRate;
     this.#failureRate = rate +
