Survive events without end, and see through streams that only drip

Cause: the parser of events threw inside the listener of the connection's data when an event passed 1 MiB, which ended the whole process; and a blank line or a comment counted as an event, so that a stalled stream that sent one now and then was never checked.

Change: an event of more than 256 KiB breaks its send and closes the connection; blank lines and comments pass unchanged but are no progress.

--- a/src/forward/event_reader.ts
+++ b/src/forward/event_reader.ts
@@ -8,14 +8,17 @@
 
 const NEWLINE = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const COLON = 0x3a;
 /** Events are some hundred bytes; larger input is not an event stream. */
-const MAX_EVENT_BYTES = 1_024 * 1_024;
+const MAX_EVENT_BYTES = 256 * 1_024;
 
 /** Complete events, with their bytes as received. */
 export interface EventBatch {
   readonly bytes: Buffer;
   /** Ids of the events in order; undefined for an event without an id. */
   readonly ids: readonly (number | undefined)[];
+  /** False if the bytes are blank lines and comments only. */
+  readonly hasFields: boolean;
 }
 
 /** Incremental parser of one event stream. */
@@ -27,10 +30,12 @@
     return this.#incomplete?.length ?? 0;
   }
 
-  /**
-   * Parses a chunk. Returns undefined if no event ends in it, and throws if an
-   * incomplete event exceeds the maximum size.
-   */
+  /** Whether the incomplete event exceeds the maximum size. */
+  get isOversized(): boolean {
+    return this.pendingBytes > MAX_EVENT_BYTES;
+  }
+
+  /** Parses a chunk. Returns undefined if no event ends in it. */
   push(chunk: Buffer): EventBatch | undefined {
     const bytes = this.#incomplete === undefined
       ? chunk
@@ -39,6 +44,8 @@
     let eventStart = 0;
     let lineStart = 0;
     let id: number | undefined;
+    let hasFields = false;
+    let isComment = true;
     for (;;) {
       const newline = bytes.indexOf(NEWLINE, lineStart);
       if (newline < 0) break;
@@ -47,10 +54,14 @@
           ? newline - 1
           : newline;
       if (lineEnd === lineStart) {
-        ids.push(id);
+        // Blank lines and comments alone are no event.
+        if (!isComment) ids.push(id);
+        hasFields ||= !isComment;
+        isComment = true;
         id = undefined;
         eventStart = newline + 1;
       } else {
+        isComment &&= bytes[lineStart] === COLON;
         id = readId(bytes, lineStart, lineEnd) ?? id;
       }
       lineStart = newline + 1;
@@ -58,12 +69,9 @@
     this.#incomplete = eventStart === bytes.length
       ? undefined
       : bytes.subarray(eventStart);
-    if (this.pendingBytes > MAX_EVENT_BYTES) {
-      throw new Error("event exceeds the maximum size of 1 MiB");
-    }
-    return ids.length === 0
+    return eventStart === 0
       ? undefined
-      : { bytes: bytes.subarray(0, eventStart), ids };
+      : { bytes: bytes.subarray(0, eventStart), ids, hasFields };
   }
 }
 
--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -114,6 +114,10 @@
       answer.on("data", (chunk: Buffer) => {
         if (this.#isDone) return;
         const batch = reader.push(chunk);
+        if (reader.isOversized) {
+          fail("event exceeds the maximum size");
+          return;
+        }
         if (batch === undefined) return;
         for (const id of batch.ids) {
           if (id === undefined) continue;
@@ -123,7 +127,7 @@
           }
           lastId = id;
         }
-        this.#recordProgress();
+        if (batch.hasFields) this.#recordProgress();
         if (!sink.onEvents(batch.bytes, lastId)) {
           answer.pause();
           this.#isPaused = true;
