Bound the memory and the time that bodies without end take

Cause: each body that was read could take 16 MiB, so a hundred took 1.6 GB of a process that has 250 MB; and the body of a refusal was read on after its request had gone elsewhere, until the server ended it.

Change: beyond 24 MiB in all, bodies over 128 KiB fail; the rest of an unwanted answer is read for at most 500 ms and 64 KiB, then its connection is closed.

Result: a hundred endless bodies at once fail within the bound of the test and a sound one beside them is read whole.

--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -7,7 +7,12 @@
  */
 
 import type { Target } from "../paths/target.ts";
-import { isUnframed, readResponseBody, responseHeaders } from "./response.ts";
+import {
+  discardBody,
+  isUnframed,
+  readResponseBody,
+  responseHeaders,
+} from "./response.ts";
 import { CallLosses, type MarkedSend } from "./call_losses.ts";
 import {
   type CallContext,
@@ -233,7 +238,7 @@
     const metadata = codec.answer(answer.rawHeaders);
     const status = answer.statusCode ?? 0;
     if (metadata.isNotExecuted || status === 421) {
-      answer.resume();
+      discardBody(answer);
       if (status === 421) this.#losses.recordReplaced(send, target.id);
       return {
         kind: "not-run",
--- a/src/forward/response.ts
+++ b/src/forward/response.ts
@@ -9,6 +9,15 @@
 type UpstreamResponse = Extract<SendOutcome, { readonly kind: "answer" }>;
 
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
+/** All bodies that are being read; beyond it, those that are not small fail. */
+const MAX_BUFFERED_BYTES = 24 * 1024 * 1024;
+const SMALL_BODY_BYTES = 128 * 1024;
+/** Unwanted bytes that are read to keep the connection. */
+const MAX_DISCARDED_BYTES = 64 * 1024;
+/** Longest wait for the end of an unwanted body. */
+const DISCARD_TIMEOUT_MS = 500;
+
+let bufferedBytes = 0;
 
 /** Resolves with undefined if the response is truncated or too large. */
 export function readResponseBody(
@@ -20,7 +29,10 @@
     answer.on("data", (chunk: Buffer) => {
       chunks.push(chunk);
       sizeBytes += chunk.length;
-      if (sizeBytes > MAX_BODY_BYTES) answer.destroy();
+      bufferedBytes += chunk.length;
+      const exceedsBudget = bufferedBytes > MAX_BUFFERED_BYTES &&
+        sizeBytes > SMALL_BODY_BYTES;
+      if (exceedsBudget || sizeBytes > MAX_BODY_BYTES) answer.destroy();
     });
     answer.on("end", () => {
       resolve(
@@ -29,7 +41,22 @@
           : undefined,
       );
     });
-    answer.on("close", () => resolve(undefined));
+    answer.on("close", () => {
+      bufferedBytes -= sizeBytes;
+      chunks.length = 0;
+      resolve(undefined);
+    });
+  });
+}
+
+/** Reads the rest of an unwanted response, or closes its connection if it has no end. */
+export function discardBody(answer: UpstreamResponse["answer"]): void {
+  let sizeBytes = 0;
+  const timer = setTimeout(() => answer.destroy(), DISCARD_TIMEOUT_MS);
+  answer.on("close", () => clearTimeout(timer));
+  answer.on("data", (chunk: Buffer) => {
+    sizeBytes += chunk.length;
+    if (sizeBytes > MAX_DISCARDED_BYTES) answer.destroy();
   });
 }
 
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -18,6 +18,7 @@
 import { type CallContext, type CallPlan, jitterRetryMs } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
 import { waitForPath } from "./path_wait.ts";
+import { discardBody } from "./response.ts";
 import { type SendResult, toSendResult } from "./send_result.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import { StreamResponse } from "./stream_response.ts";
@@ -255,7 +256,7 @@
     const metadata = codec.answer(answer.rawHeaders);
     const status = answer.statusCode ?? 0;
     if (metadata.isNotExecuted || status === 421) {
-      answer.resume();
+      discardBody(answer);
       const at = metadata.failedStageAddress ?? this.#path?.stages[0].address;
       const target = at === undefined ? undefined : targets.byAddress(at);
       if (target !== undefined) {
