Never reuse a control connection that carried an unexpected answer

Cause: the pools for the store's reads and for the targets' reports and orders kept a connection on which a second copy of an answer had come while it was idle, and orders, whose answers carry no id, shared connections with reports.

Change: both pools are the one that requests use, which closes a connection that receives anything while idle; an order has a connection of its own.

Two of the five tests failed before: the read and the order went out on the connection that had carried the copy. Copies of reports were dropped before as well; the test keeps it so. A copy that arrives after the next report was written can't be told from its answer: open, docs/incidents/reports.md.

--- a/src/common/http_call.ts
+++ b/src/common/http_call.ts
@@ -24,7 +24,8 @@
   readonly body?: Buffer | string;
   /** The call fails, and its connection is closed, after this time. */
   readonly timeoutMs: number;
-  readonly agent: Agent;
+  /** `false` for a connection of its own. */
+  readonly agent: Agent | false;
 }
 
 export interface HttpResponse {
--- a/src/common/keep_alive_agent.ts
+++ b/src/common/keep_alive_agent.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps connections to targets alive for a short time. A connection that receives
+ * Keeps connections alive for a short time. A connection that receives
  * data while idle, or that its target may be about to close, is not reused.
  *
  * @module
@@ -12,9 +12,11 @@
 const MAX_IDLE_MS = 2_000;
 /** Share of the announced time-out that is used, to allow for transit time. */
 const KEEP_ALIVE_FRACTION = 0.5;
-const MAX_IDLE_SOCKETS = 8;
+const DEFAULT_MAX_IDLE_SOCKETS = 8;
 
-export interface UpstreamAgentOptions {
+export interface KeepAliveAgentOptions {
+  /** Idle connections that are kept to each address. */
+  readonly maxIdleSockets?: number;
   /** Called when an idle connection receives data that belongs to no request. */
   readonly onUnsolicitedData?: (address: string, sizeBytes: number) => void;
 }
@@ -23,15 +25,15 @@
   readonly onData: (chunk: Buffer) => void;
 }
 
-/** Connection pool for all targets. */
-export class UpstreamAgent extends Agent {
+/** Connection pool. */
+export class KeepAliveAgent extends Agent {
   readonly #idleListeners = new WeakMap<object, IdleListeners>();
   readonly #onUnsolicitedData: (address: string, sizeBytes: number) => void;
 
-  constructor(options: UpstreamAgentOptions = {}) {
+  constructor(options: KeepAliveAgentOptions = {}) {
     super({
       keepAlive: true,
-      maxFreeSockets: MAX_IDLE_SOCKETS,
+      maxFreeSockets: options.maxIdleSockets ?? DEFAULT_MAX_IDLE_SOCKETS,
       scheduling: "lifo",
     });
     this.#onUnsolicitedData = options.onUnsolicitedData ?? (() => {});
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -18,7 +18,7 @@
 import type { Customer, Route, Service } from "../ports/types.ts";
 import type { LossDetector } from "./loss_detector.ts";
 import type { StreamMonitor } from "./stream_monitor.ts";
-import type { UpstreamAgent } from "./upstream_agent.ts";
+import type { KeepAliveAgent } from "../common/keep_alive_agent.ts";
 
 /** Dependencies that all calls of a host share. */
 export interface CallContext {
@@ -31,7 +31,7 @@
   readonly control: ITargetControl;
   readonly checker: StageChecker;
   readonly codec: IHeaderCodec;
-  readonly agent: UpstreamAgent;
+  readonly agent: KeepAliveAgent;
   readonly lossDetector: LossDetector;
   readonly quarantine: ContentQuarantine;
   readonly monitor: StreamMonitor;
--- a/src/forward/upstream.ts
+++ b/src/forward/upstream.ts
@@ -7,7 +7,7 @@
 
 import { type IncomingMessage, request } from "node:http";
 import type { Endpoint, RawHeaders } from "../ports/types.ts";
-import type { UpstreamAgent } from "./upstream_agent.ts";
+import type { KeepAliveAgent } from "../common/keep_alive_agent.ts";
 
 /** Connections open within a millisecond or two; to a dead target, never. */
 const CONNECT_TIMEOUT_MS = 300;
@@ -22,7 +22,7 @@
   readonly mayReuse: boolean;
   /** Closes the connection when it aborts. */
   readonly signal: AbortSignal;
-  readonly agent: UpstreamAgent;
+  readonly agent: KeepAliveAgent;
 }
 
 /** Outcome of a send: the head of a response, or a failure. */
