Let a second SIGTERM wait for the drain that the first one began

Cause: stop() returned at once while a stop was under way, and the program exits when it returns, so a second SIGTERM cut every request in progress.

Change: every call of stop() resolves when the host may exit. The first test failed before. The second, 100 kept connections that call until the host is gone, cut nothing before either; it keeps it so.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -92,6 +92,7 @@
   readonly #limits: ServiceLimits;
   readonly #listeners: HostListeners;
   #isStopping = false;
+  #stopped: Promise<void> | undefined;
   #isClosed = false;
   #wasReady = false;
 
@@ -252,9 +253,16 @@
     return this.#listeners.ports;
   }
 
-  /** Drains within the grace period: accepts no new requests and lets active ones end. */
-  async stop(): Promise<void> {
-    if (this.#isStopping) return;
+  /**
+   * Drains within the grace period: accepts no new requests and lets active ones
+   * end. Resolves when the host may exit, also if called again meanwhile.
+   */
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     this.#isStopping = true;
     const { clock, log, settings } = this.#options;
     await drainHost({
