Take a late refusal of another request for none of this one

Cause: the sign that a request was not executed was read before the id of the request that the response names, so a late copy of another request's refusal on a kept connection made the caller be told that this one had not run.

Change: a response that names another request says nothing of this one, which may have run.

--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -9,6 +9,7 @@
 import type { Target } from "../paths/target.ts";
 import {
   discardBody,
+  isOfOtherRequest,
   isUnframed,
   readResponseBody,
   responseHeaders,
@@ -237,6 +238,10 @@
     const { answer } = outcome;
     const metadata = codec.answer(answer.rawHeaders);
     const status = answer.statusCode ?? 0;
+    if (isOfOtherRequest(metadata, requestId)) {
+      answer.destroy();
+      return { kind: "may-have-run", reason: "response of another request" };
+    }
     if (metadata.isNotExecuted || status === 421) {
       discardBody(answer);
       if (status === 421) this.#losses.recordReplaced(send, target.id);
--- a/src/forward/response.ts
+++ b/src/forward/response.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { ResponseMetadata } from "../ports/types.ts";
 import type { SendOutcome } from "./upstream.ts";
 
 type UpstreamResponse = Extract<SendOutcome, { readonly kind: "answer" }>;
@@ -60,6 +61,14 @@
   });
 }
 
+/** A late copy of another request's response says nothing about this request. */
+export function isOfOtherRequest(
+  { requestId }: Pick<ResponseMetadata, "requestId">,
+  expectedId: string,
+): boolean {
+  return requestId !== undefined && requestId !== expectedId;
+}
+
 const UNFORWARDED_HEADERS = new Set([
   "connection",
   "content-length",
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -18,7 +18,7 @@
 import { type CallContext, type CallPlan, jitterRetryMs } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
 import { waitForPath } from "./path_wait.ts";
-import { discardBody } from "./response.ts";
+import { discardBody, isOfOtherRequest } from "./response.ts";
 import { type SendResult, toSendResult } from "./send_result.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import { StreamResponse } from "./stream_response.ts";
@@ -255,6 +255,10 @@
     const { codec, targets, clock } = this.#context;
     const metadata = codec.answer(answer.rawHeaders);
     const status = answer.statusCode ?? 0;
+    if (isOfOtherRequest(metadata, this.#plan.requestId)) {
+      answer.destroy();
+      return { kind: "broken", reason: "response of another request" };
+    }
     if (metadata.isNotExecuted || status === 421) {
       discardBody(answer);
       const at = metadata.failedStageAddress ?? this.#path?.stages[0].address;
