Let waiting requests search for a path once a tick, not at each change

Cause: every change of a target, and every state of another host, made each of up to seven waiting requests search for a path. When a group of targets is lost these changes come by the dozen, on hosts that have a third of a core.

Change: changes mark the queues as due, and the 25 ms tick tries them once; without a change every fourth tick does. A release still tries at once.

Result: 50 changes make one search in place of 50.

--- a/src/admission/wait_queue.ts
+++ b/src/admission/wait_queue.ts
@@ -74,23 +74,30 @@
 
   /** Starts waiters that have capacity and refuses those whose wait has expired. */
   dispatch(): void {
+    this.expire();
     const nowMs = this.#clock.nowMs();
     const kept: QueueEntry[] = [];
-    const expired: Waiter[] = [];
-    let waitingBefore = 0;
     let isBlocked = false;
     for (const entry of this.#entries) {
-      if (entry.waiter.untilMs <= nowMs) {
-        expired.push(entry.waiter);
-      } else if (isBlocked || !entry.waiter.tryStart()) {
-        kept.push(entry);
-        waitingBefore++;
-        isBlocked ||= waitingBefore > MAX_OVERTAKEN ||
-          nowMs - entry.sinceMs > OVERTAKABLE_FOR_MS;
-      }
+      if (!isBlocked && entry.waiter.tryStart()) continue;
+      kept.push(entry);
+      isBlocked ||= kept.length > MAX_OVERTAKEN ||
+        nowMs - entry.sinceMs > OVERTAKABLE_FOR_MS;
     }
     this.#entries = kept;
-    for (const waiter of expired) waiter.refuse();
+  }
+
+  /** Refuses waiters whose wait has expired. */
+  expire(): void {
+    const nowMs = this.#clock.nowMs();
+    if (!this.#entries.some(({ waiter }) => waiter.untilMs <= nowMs)) return;
+    const expired = this.#entries.filter(({ waiter }) =>
+      waiter.untilMs <= nowMs
+    );
+    this.#entries = this.#entries.filter(({ waiter }) =>
+      waiter.untilMs > nowMs
+    );
+    for (const { waiter } of expired) waiter.refuse();
   }
 
   /** Removes a waiter whose caller has disconnected. */
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -181,7 +181,7 @@
       canLead: () => !this.#isStopping && this.#isFresh(),
       canRead: () => !this.#isStopping && this.#feeds.isStoreReachable,
       slowTargets: () => this.#placement.slowTargets(),
-      onPeerLoad: () => this.#limits.dispatch(),
+      onPeerLoad: () => this.#limits.scheduleDispatch(),
     });
     this.#prober = new TargetProber({
       targets: this.#targets,
@@ -192,7 +192,7 @@
     });
     this.#watch = new StreamMonitor({
       clock,
-      onTick: () => this.#limits.dispatch(),
+      onTick: () => this.#limits.tick(),
     });
     this.#agent = new KeepAliveAgent({
       onUnsolicitedData: (address, sizeBytes) =>
@@ -312,7 +312,7 @@
     );
     this.#feeds.config.onBatch((batch) => this.#config.apply(batch));
     this.#feeds.targets.onBatch((batch) => feed.apply(batch));
-    this.#targets.onChange(() => this.#limits.dispatch());
+    this.#targets.onChange(() => this.#limits.scheduleDispatch());
     this.#targetLimits.onChange(() => this.#peers.scheduleBroadcast());
     this.#eras.onAdvance((change) => this.#handleEraChange(change));
     this.#quarantine.losses.onLoss(() => this.#peers.scheduleBroadcast());
--- a/src/entry/service_limits.ts
+++ b/src/entry/service_limits.ts
@@ -14,6 +14,8 @@
 const MAX_QUEUED_REQUESTS = 400;
 /** Allowance for unknown hosts, which may be starting or partitioned. */
 const UNDISCOVERED_HOSTS = 4;
+/** Ticks after which waiting requests are tried although nothing has changed. */
+const IDLE_DISPATCH_TICKS = 4;
 /** Minimum number of hosts among which the retry slack is divided. */
 const MIN_HOSTS = 12;
 
@@ -29,6 +31,8 @@
   readonly #budgets = new Map<string, ServiceRetryBudget>();
   readonly #queues = new Map<string, WaitQueue>();
   readonly #slackFromMs: number;
+  #ticksSinceDispatch = 0;
+  #isDispatchDue = false;
 
   constructor(options: ServiceLimitsOptions) {
     this.#options = options;
@@ -68,8 +72,25 @@
     return queue;
   }
 
-  /** Lets waiting requests start whose path has capacity now. */
-  dispatch(): void {
-    for (const queue of this.#queues.values()) queue.dispatch();
+  /** Called when a waiting request may have a path with capacity. */
+  scheduleDispatch(): void {
+    this.#isDispatchDue = true;
+  }
+
+  /**
+   * Lets waiting requests start after changes since the last tick. Many changes
+   * come at once when targets are lost, and each try searches for a path.
+   */
+  tick(): void {
+    this.#ticksSinceDispatch++;
+    const isDue = this.#isDispatchDue ||
+      this.#ticksSinceDispatch >= IDLE_DISPATCH_TICKS;
+    for (const queue of this.#queues.values()) {
+      if (isDue) queue.dispatch();
+      else queue.expire();
+    }
+    if (!isDue) return;
+    this.#isDispatchDue = false;
+    this.#ticksSinceDispatch = 0;
   }
 }
