Pass on loads of other domains half as often, and tell them from news

Cause: a relay passed the loads of all domains on to every host of its own each 600 ms, 608 KB a second sent by a relay at 195 hosts. And a digest that had come without its loads was dropped when the same one came with them, so that hosts saw loads up to 2.4 s late in a fleet of 60.

Change: loads of other domains go with every second digest; the same digest counts again if it brings its loads.

--- a/src/entry/digest_relay.ts
+++ b/src/entry/digest_relay.ts
@@ -23,6 +23,8 @@
 const URGENT_INTERVAL_MS = 50;
 /** Every so many digests the live hosts are listed, and whenever they change. */
 const MEMBERS_EVERY = 5;
+/** Every so many digests, the loads of the other domains are passed on. */
+const FOREIGN_LOADS_EVERY = 2;
 /** Hosts named for each unresponsive target; two convince any host. */
 const MAX_NAMED_HOSTS = 3;
 
@@ -39,6 +41,7 @@
   #sequenceNumber = 0;
   #listedMembers = "";
   #sinceListed = 0;
+  #sinceForeignLoads = 0;
   #urgentMs = -Infinity;
   #isUrgentScheduled = false;
 
@@ -55,7 +58,9 @@
   send(): void {
     if (!this.#isRelay()) return;
     const members = this.#membersToList();
-    this.#send({ ...this.#digest(), members });
+    const passesLoads = ++this.#sinceForeignLoads >= FOREIGN_LOADS_EVERY;
+    if (passesLoads) this.#sinceForeignLoads = 0;
+    this.#send({ ...this.#digest(), members }, passesLoads);
   }
 
   /** Sends what has changed within some milliseconds, if this host is a relay. */
@@ -70,7 +75,7 @@
     void clock.sleep(waitMs).then(() => {
       this.#isUrgentScheduled = false;
       this.#urgentMs = clock.nowMs();
-      this.#send({ ...this.#digest(), uses: undefined });
+      this.#send({ ...this.#digest(), uses: undefined }, false);
     });
   }
 
@@ -79,9 +84,8 @@
     return view.usesDigests && view.isRelay();
   }
 
-  #send(own: DomainDigest): void {
+  #send(own: DomainDigest, passesLoads: boolean): void {
     const { link, view } = this.#options;
-    const isUrgent = own.uses === undefined;
     const { domain, id } = link.host;
     const domains = new Set(link.known().map((host) => host.domain));
     domains.delete(domain);
@@ -93,7 +97,7 @@
       host.domain === domain && state?.wantsDigests === true
     ).map(({ host }) => host);
     const foreign = view.foreignDigests().map((digest) =>
-      isUrgent ? { ...digest, uses: undefined, members: undefined } : digest
+      passesLoads ? digest : { ...digest, uses: undefined, members: undefined }
     );
     link.sendDigests([own, ...foreign], receivers);
   }
--- a/src/peers/fleet_view.ts
+++ b/src/peers/fleet_view.ts
@@ -48,6 +48,8 @@
   readonly uses: readonly PeerUse[];
   /** When a digest with them arrived. */
   readonly usesReceivedMs: number;
+  /** Sequence number of that digest. */
+  readonly usesSequenceNumber: number;
 }
 
 /** The live hosts of a failure domain, and the digest if it describes more of them. */
@@ -82,11 +84,9 @@
     const { relay } = digest;
     const known = this.#received.get(relay.id);
     const previous = known?.digest;
-    const isOutdated = relay.id === link.host.id ||
-      (previous !== undefined && (previous.relay.bornMs > relay.bornMs ||
-        (previous.relay.bornMs === relay.bornMs &&
-          previous.sequenceNumber >= digest.sequenceNumber)));
-    if (isOutdated) return { isNew: false, previous };
+    if (relay.id === link.host.id || !isNewer(digest, known)) {
+      return { isNew: false, previous };
+    }
     const nowMs = clock.nowMs();
     const hasUses = digest.uses !== undefined;
     this.#received.set(relay.id, {
@@ -95,6 +95,9 @@
       members: digest.members ?? known?.members ?? [relay],
       uses: digest.uses ?? known?.uses ?? [],
       usesReceivedMs: hasUses ? nowMs : known?.usesReceivedMs ?? -Infinity,
+      usesSequenceNumber: hasUses
+        ? digest.sequenceNumber
+        : known?.usesSequenceNumber ?? -1,
     });
     this.#groupedMs = -Infinity;
     link.addLiveHosts(digest.members ?? [relay]);
@@ -309,6 +312,22 @@
   }
 }
 
+/** Whether a digest tells more than what is known of its relay. */
+function isNewer(
+  { relay, sequenceNumber, uses }: DomainDigest,
+  known: ReceivedDigest | undefined,
+): boolean {
+  if (known === undefined) return true;
+  const { digest, usesSequenceNumber } = known;
+  if (relay.bornMs !== digest.relay.bornMs) {
+    return relay.bornMs > digest.relay.bornMs;
+  }
+  // It may have come without its loads before.
+  return sequenceNumber > digest.sequenceNumber ||
+    (sequenceNumber === digest.sequenceNumber && uses !== undefined &&
+      usesSequenceNumber < sequenceNumber);
+}
+
 /** Whether a host started before another; ties are broken by id. */
 export function isBefore(a: HostRecord, b: HostRecord): boolean {
   return a.bornMs < b.bornMs || (a.bornMs === b.bornMs && a.id < b.id);
