--- a/src/entry/peer_fleet_test.ts
+++ b/src/entry/peer_fleet_test.ts
@@ -21,7 +21,7 @@
   };
 }
 
-test.each([9, 60, 195])(
+test.each([9, 23, 60, 195])(
   "%i hosts agree on their number, one leader and one reader",
   async (count) => {
     const fleet = new PeerFleet(count);
--- a/src/peers/fleet_view.ts
+++ b/src/peers/fleet_view.ts
@@ -15,7 +15,7 @@
 /** Relays of a failure domain: its oldest live hosts. */
 const RELAYS_PER_DOMAIN = 2;
 /** Larger fleets exchange digests instead of the states of all hosts. */
-const MAX_DIRECT_HOSTS = 24;
+const MAX_DIRECT_HOSTS = 12;
 /** A digest that is older no longer counts. */
 const DIGEST_TIMEOUT_MS = 2_000;
 /** Age of the newest digest at which all relays are asked, as one may be down. */
