--- a/src/entry/peer_exchange.ts
+++ b/src/entry/peer_exchange.ts
@@ -48,6 +48,8 @@
  * is unavailable at the start.
  */
 const INITIAL_REGISTRY_INTERVAL_MS = 400;
+/** Longest time between retries; a longer outage is met by all hosts that start in it. */
+const MAX_REGISTRY_RETRY_MS = 3_200;
 /**
  * Number of registry reads at the shorter interval, while hosts that start
  * together announce themselves.
@@ -186,6 +188,7 @@
   async runRegistry(signal: AbortSignal): Promise<void> {
     const { clock, registry, link, log } = this.#options;
     let readCount = 0;
+    let failures = 0;
     while (!signal.aborted) {
       try {
         await this.#announce();
@@ -194,15 +197,21 @@
         await this.#shareSettledEra(snapshot.settledEra);
         await this.#options.quarantine.synchronize(snapshot.quarantined);
         readCount++;
+        failures = 0;
       } catch (error) {
+        failures++;
         log.info("host registry unavailable", { reason: String(error) });
       }
       const isEarly = readCount < INITIAL_REGISTRY_READS;
       const pauseMs = REGISTRY_INTERVAL_MS *
         Math.max(1, this.hostCount / REGISTRY_SCALING_HOSTS);
+      const earlyPauseMs = Math.min(
+        MAX_REGISTRY_RETRY_MS,
+        INITIAL_REGISTRY_INTERVAL_MS * 2 ** failures,
+      );
       const pause = this.#registryPause = new AbortController();
       await clock.sleep(
-        isEarly ? INITIAL_REGISTRY_INTERVAL_MS : pauseMs,
+        isEarly ? earlyPauseMs : pauseMs,
         AbortSignal.any([signal, pause.signal]),
       );
       if (pause.signal.aborted) {
--- a/src/entry/peer_exchange_test.ts
+++ b/src/entry/peer_exchange_test.ts
@@ -36,7 +36,11 @@
 }
 
 /** An exchange among `peers` with a fake link that records broadcasts. */
-function exchangeAmong(peers: Peer[], options: { canRead?: boolean } = {}) {
+function exchangeAmong(
+  peers: Peer[],
+  options: { canRead?: boolean; isStoreDown?: () => boolean } = {},
+) {
+  const { isStoreDown = () => false } = options;
   const clock = new ManualClock();
   const sent: { atMs: number; state: PeerState }[] = [];
   let listings = 0;
@@ -73,6 +77,7 @@
     },
     list: () => {
       listings++;
+      if (isStoreDown()) return Promise.reject(new Error("down"));
       return Promise.resolve({
         hosts: [],
         quarantined: [],
@@ -232,3 +237,19 @@
   expect(registered.settledEras[0]).toBe(3);
   stop.abort();
 });
+
+test("a host that starts in an outage of the store asks it less and less often", async () => {
+  let isDown = true;
+  const { exchange, clock, listings } = exchangeAmong([], {
+    isStoreDown: () => isDown,
+  });
+  const stop = new AbortController();
+  void exchange.runRegistry(stop.signal);
+  await clock.advance(20_000);
+  const failed = listings();
+  expect(failed).toBeLessThanOrEqual(10);
+  isDown = false;
+  await clock.advance(5_000);
+  expect(listings() - failed).toBeGreaterThanOrEqual(3);
+  stop.abort();
+});
