--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -11,7 +11,7 @@
 import { BucketMetrics } from "../common/bucket_metrics.ts";
 import type { ILog } from "../common/logging.ts";
 import { Supervisor } from "../common/supervisor.ts";
-import { type EraChange, EraTracker } from "../feeds/era_tracker.ts";
+import { EraTracker } from "../feeds/era_tracker.ts";
 import type { CallContext } from "../forward/context.ts";
 import { LossDetector } from "../forward/loss_detector.ts";
 import { RequestHandler } from "../forward/request_handler.ts";
@@ -35,6 +35,7 @@
 import { ConfigTracker } from "./config_tracker.ts";
 import { drainHost } from "./host_drain.ts";
 import { registerGauges } from "./host_gauges.ts";
+import { reportEraChanges } from "./era_report.ts";
 import { HostListeners, type HostPorts } from "./host_listeners.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { TargetProber } from "./target_prober.ts";
@@ -314,7 +315,13 @@
     this.#feeds.targets.onBatch((batch) => feed.apply(batch));
     this.#targets.onChange(() => this.#limits.scheduleDispatch());
     this.#targetLimits.onChange(() => this.#peers.scheduleBroadcast());
-    this.#eras.onAdvance((change) => this.#handleEraChange(change));
+    reportEraChanges({
+      eras: this.#eras,
+      metrics: this.#metrics,
+      log,
+      configVersion: () => this.#config.table?.config.version,
+      configAgeMs: () => this.#feeds.config.ageMs,
+    });
     this.#quarantine.losses.onLoss(() => this.#peers.scheduleBroadcast());
     this.#quarantine.breaks.onLoss(({ totalLosses }) => {
       // A first one, of many, can wait for the next periodic broadcast.
@@ -332,21 +339,6 @@
     });
   }
 
-  #handleEraChange({ from, to, source }: EraChange): void {
-    if (from === undefined) {
-      this.#options.log.info("store era known", { era: to, source });
-      return;
-    }
-    this.#metrics.count("jackdawshift_store_era_changes_total");
-    this.#options.log.warn("store era changed", {
-      from,
-      to,
-      source,
-      configVersion: this.#config.table?.config.version,
-      configAgeMs: Math.round(this.#feeds.config.ageMs),
-    });
-  }
-
   #context(): CallContext {
     const { clock, log, codec, settings } = this.#options;
     const control = this.#control;
--- a/src/entry/peer_exchange.ts
+++ b/src/entry/peer_exchange.ts
@@ -132,11 +132,6 @@
     return this.#view.hostCount();
   }
 
-  /** Number of live hosts of this failure domain, this one included. */
-  get domainHostCount(): number {
-    return this.#view.domainHostCount();
-  }
-
   /** Ids of the other live hosts. */
   otherHostIds(): string[] {
     return this.#view.otherHostIds();
--- a/src/peers/fleet_view.ts
+++ b/src/peers/fleet_view.ts
@@ -121,13 +121,6 @@
     return this.#hasDigestOf(link.host.domain) ? count : count + 1;
   }
 
-  /** Number of live hosts of this host's failure domain, this one included. */
-  domainHostCount(): number {
-    const { domain } = this.#options.link.host;
-    const known = this.#domains().get(domain);
-    return known?.digest?.digest.hostCount ?? (known?.direct.length ?? 0) + 1;
-  }
-
   /** Ids of the other live hosts. */
   otherHostIds(): string[] {
     const { link } = this.#options;
