--- a/src/entry/peer_fleet_test.ts
+++ b/src/entry/peer_fleet_test.ts
@@ -73,6 +73,21 @@
   fleet.close();
 });
 
+test("with one relay of every domain killed, no host loses sight of the others", async () => {
+  const fleet = new PeerFleet(60);
+  await fleet.start();
+  for (const host of fleet.hosts.slice(0, DOMAINS)) fleet.kill(host);
+  let least = Infinity;
+  for (let i = 0; i < 50; i++) {
+    await fleet.clock.advance(100);
+    for (const { exchange } of fleet.live()) {
+      least = Math.min(least, exchange.hostCount);
+    }
+  }
+  expect(least).toBeGreaterThanOrEqual(54);
+  fleet.close();
+});
+
 test("both relays of every domain killed at once: all others agree again within five seconds", async () => {
   const fleet = new PeerFleet(60);
   await fleet.start();
