--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -83,6 +83,8 @@
    * if it ends the server before the response.
    */
   crashAfterEvents: readonly number[] = [];
+  /** Time from the receipt of such a request to the end of the server. */
+  crashDelayMs = 0;
   /** Number of requests to reject before `mode` applies again. */
   rejectNextCount = 0;
   /** Pause after the third event of a stream. */
@@ -272,7 +274,8 @@
       body.includes(this.crashingText);
     const crashAfter = isCrashing ? this.#nextCrash() : Infinity;
     if (crashAfter === 0) {
-      this.crash();
+      if (this.crashDelayMs === 0) this.crash();
+      else setTimeout(() => this.crash(), this.crashDelayMs);
       return;
     }
     if (mode === "error") {
