Let one host at a time try a content again after its hold

Cause: two losses in sequence hold a content for 2 to 6 s, and all its callers are told the same time to retry. When it had passed, every host sent every copy until the first failure was known: a half-open breaker that admits everyone. Evidence: in the users' record three ends within 0.3 s, a pause of 3.2 s, then six sends; with our stand-ins 12 of 12 copies at three hosts were sent after the hold (3 allowed), as plain calls and as streams. Ruled out: a failure that clears the content (a fault as well, but without a pause between the ends), ends that are not seen (no hold, no pause either). Change: a content that was withheld needs a trial. A host claims it among all hosts, waits 120 ms for other claims, and the first by name of those that claim the same number sends; the others refuse with a short time to retry until the trial has cleared the content, ended its target, or is 6 s old. Times to retry of held content are spread over half a second.

--- a/src/admission/content_quarantine.ts
+++ b/src/admission/content_quarantine.ts
@@ -9,6 +9,7 @@
  */
 
 import type { Clock } from "../common/clock.ts";
+import { Emitter, type Event } from "../common/emitter.ts";
 import type { LossEntry } from "../ports/types.ts";
 import { type LossBaseline, QuarantineLedger } from "./quarantine_ledger.ts";
 
@@ -35,6 +36,10 @@
 const BREAK_HOLD_MS = 8_000;
 const BREAK_HOLD_FACTOR = 4;
 const MAX_BREAK_HOLD_MS = 600_000;
+/** Time in which the hosts that claim the same trial learn of one another. */
+const CLAIM_MS = 120;
+/** Time after which a caller that met a trial may come back. */
+const TRIAL_RETRY_MS = 500;
 
 /** What was known of a content when a send of it began. */
 export interface SendBaseline {
@@ -42,8 +47,18 @@
   readonly breaks: LossBaseline;
 }
 
+/** Permission to send a content. */
+export interface SendPermit {
+  /** Called when the send had no result that tells anything of the content. */
+  readonly release: () => void;
+}
+
+const FREE_PERMIT: SendPermit = { release: () => {} };
+
 export interface ContentQuarantineOptions {
   readonly clock: Clock;
+  /** Names this host to the others. */
+  readonly hostId?: string;
 }
 
 export class ContentQuarantine {
@@ -51,13 +66,31 @@
   readonly losses: QuarantineLedger;
   /** Sends that broke off. */
   readonly breaks: QuarantineLedger;
+  readonly #clock: Clock;
+  readonly #onTrial = new Emitter<LossEntry>();
 
-  constructor({ clock }: ContentQuarantineOptions) {
+  /** Fires when a trial of this host begins, or ends without a result. */
+  readonly onTrial: Event<LossEntry> = this.#onTrial.event;
+
+  constructor({ clock, hostId }: ContentQuarantineOptions) {
+    this.#clock = clock;
     this.losses = new QuarantineLedger({
       clock,
+      hostId,
       quarantineMs: lossQuarantineMs,
     });
-    this.breaks = new QuarantineLedger({ clock, quarantineMs: breakHoldMs });
+    this.breaks = new QuarantineLedger({
+      clock,
+      hostId,
+      quarantineMs: breakHoldMs,
+    });
+    for (const ledger of this.#ledgers) {
+      ledger.onTrial((entry) => this.#onTrial.fire(entry));
+    }
+  }
+
+  get #ledgers(): QuarantineLedger[] {
+    return [this.losses, this.breaks];
   }
 
   baseline(contentId: string): SendBaseline {
@@ -81,6 +114,40 @@
     );
   }
 
+  /** Time after which a caller may come back; 0 if the content may be sent now. */
+  retryAfterMs(contentId: string): number {
+    const isOnTrial = this.#ledgers.some((one) => one.isOnTrial(contentId));
+    return Math.max(
+      this.heldForMs(contentId),
+      isOnTrial ? TRIAL_RETRY_MS : 0,
+    );
+  }
+
+  /**
+   * Asks for permission to send a content; resolves to undefined without it.
+   * Content that was withheld runs on one target of the fleet at a time, since
+   * its callers all come back when it is no longer held.
+   */
+  async acquire(contentId: string): Promise<SendPermit | undefined> {
+    if (this.retryAfterMs(contentId) > 0) return undefined;
+    const suspecting = this.#ledgers.filter((one) => one.needsTrial(contentId));
+    if (suspecting.length === 0) return FREE_PERMIT;
+    const claims = suspecting.map((ledger) => ({
+      ledger,
+      trial: ledger.claimTrial(contentId),
+    }));
+    const release = (): void => {
+      for (const { ledger, trial } of claims) ledger.endTrial(contentId, trial);
+    };
+    await this.#clock.sleep(CLAIM_MS);
+    const isGranted = this.heldForMs(contentId) === 0 &&
+      claims.every(({ ledger, trial }) =>
+        ledger.holdsTrial(contentId, trial) || !ledger.needsTrial(contentId)
+      );
+    if (!isGranted) release();
+    return isGranted ? { release } : undefined;
+  }
+
   /**
    * Records that a target ran the content up to an event; `Infinity` for its
    * end.
--- a/src/admission/quarantine_ledger.ts
+++ b/src/admission/quarantine_ledger.ts
@@ -10,7 +10,7 @@
 
 import type { Clock } from "../common/clock.ts";
 import { Emitter, type Event } from "../common/emitter.ts";
-import type { LossEntry } from "../ports/types.ts";
+import type { ContentTrial, LossEntry } from "../ports/types.ts";
 
 /** Contents in memory; the one that changed least recently is evicted. */
 const CAPACITY = 10_000;
@@ -18,11 +18,15 @@
 const MAX_PROCESSES = 8;
 /** How long a change is repeated to the other hosts, since datagrams get lost. */
 const SHARED_MS = 5_000;
+/** Longest wait for the result of a trial, whose host may have died. */
+const TRIAL_MS = 6_000;
 
 export interface QuarantineLedgerOptions {
   readonly clock: Clock;
   /** Time for which an entry withholds its content, from its last loss. */
   readonly quarantineMs: (entry: LossEntry) => number;
+  /** Names this host in trials. */
+  readonly hostId?: string;
 }
 
 /** What was known of a content when a send of it began. */
@@ -37,21 +41,27 @@
   readonly entry: LossEntry;
   readonly changedMs: number;
   readonly quarantinedUntilMs: number;
+  readonly trialUntilMs: number;
 }
 
 /** Losses by content id. */
 export class QuarantineLedger {
   readonly #clock: Clock;
   readonly #quarantineMs: (entry: LossEntry) => number;
+  readonly #hostId: string;
   readonly #rows = new Map<string, Row>();
   readonly #onLoss = new Emitter<LossEntry>();
+  readonly #onTrial = new Emitter<LossEntry>();
 
   /** Fires for each loss that this host records, not for those of other hosts. */
   readonly onLoss: Event<LossEntry> = this.#onLoss.event;
+  /** Fires when a trial of this host begins, or ends without a result. */
+  readonly onTrial: Event<LossEntry> = this.#onTrial.event;
 
   constructor(options: QuarantineLedgerOptions) {
     this.#clock = options.clock;
     this.#quarantineMs = options.quarantineMs;
+    this.#hostId = options.hostId ?? "";
   }
 
   /** Number of contents that are held or quarantined now. */
@@ -73,6 +83,47 @@
     return Math.max(0, untilMs - this.#clock.nowMs());
   }
 
+  /** Whether the content was withheld, and has not been cleared since. */
+  needsTrial(contentId: string): boolean {
+    const entry = this.#rows.get(contentId)?.entry;
+    return entry !== undefined && this.#quarantineMs(entry) > 0;
+  }
+
+  /** Whether the result of a trial, here or on another host, is awaited. */
+  isOnTrial(contentId: string): boolean {
+    const row = this.#rows.get(contentId);
+    return row?.entry.trial !== undefined && row.entry.trial.hostId !== "" &&
+      this.#clock.nowMs() < row.trialUntilMs;
+  }
+
+  /**
+   * Claims the next trial of a content for this host. Of several claims to the
+   * same one, the host that comes first by name holds it, see `holdsTrial`.
+   */
+  claimTrial(contentId: string): ContentTrial {
+    return this.#setTrial(contentId, this.#hostId);
+  }
+
+  holdsTrial(contentId: string, { number, hostId }: ContentTrial): boolean {
+    const trial = this.#rows.get(contentId)?.entry.trial;
+    return trial?.number === number && trial.hostId === hostId;
+  }
+
+  /** Lets other sends begin, since this one had no result. */
+  endTrial(contentId: string, trial: ContentTrial): void {
+    if (this.holdsTrial(contentId, trial)) this.#setTrial(contentId, "");
+  }
+
+  #setTrial(contentId: string, hostId: string): ContentTrial {
+    const entry = this.#rows.get(contentId)?.entry;
+    const trial = { number: (entry?.trial?.number ?? 0) + 1, hostId };
+    if (entry !== undefined) {
+      this.merge({ ...entry, trial });
+      this.#onTrial.fire({ ...entry, trial });
+    }
+    return trial;
+  }
+
   /**
    * Records that a send failed at a target. `process` names the target's process
    * if it has ended; its end counts once. `lastEventId` is the last event that
@@ -149,10 +200,15 @@
     const hasMoreLosses = entry.clearCount !== known?.entry.clearCount ||
       entry.losses > known.entry.losses ||
       entry.totalLosses > known.entry.totalLosses;
+    const isNewTrial = entry.trial !== undefined &&
+      !isSameTrial(entry, known?.entry);
     this.#rows.delete(contentId);
     this.#rows.set(contentId, {
       entry,
       changedMs: nowMs,
+      trialUntilMs: isNewTrial
+        ? nowMs + TRIAL_MS
+        : known?.trialUntilMs ?? -Infinity,
       quarantinedUntilMs: hasMoreLosses
         ? nowMs + this.#quarantineMs(entry)
         : known.quarantinedUntilMs,
@@ -187,15 +243,32 @@
 
 function mergeEntries(a: LossEntry, b: LossEntry): LossEntry {
   if (a.clearCount !== b.clearCount) return a.clearCount > b.clearCount ? a : b;
+  const trial = laterTrial(a.trial, b.trial);
   return {
     ...a,
     losses: Math.max(a.losses, b.losses),
     totalLosses: Math.max(a.totalLosses, b.totalLosses),
     processes: mergeProcesses(a.processes, b.processes),
     lossEventId: Math.max(a.lossEventId, b.lossEventId),
+    ...(trial === undefined ? {} : { trial }),
   };
 }
 
+/** Of trials with the same number, that of the host that comes first by name. */
+function laterTrial(
+  a: ContentTrial | undefined,
+  b: ContentTrial | undefined,
+): ContentTrial | undefined {
+  if (a === undefined || b === undefined) return a ?? b;
+  if (a.number !== b.number) return a.number > b.number ? a : b;
+  return a.hostId <= b.hostId ? a : b;
+}
+
+function isSameTrial(a: LossEntry, b: LossEntry | undefined): boolean {
+  return a.trial?.number === b?.trial?.number &&
+    a.trial?.hostId === b?.trial?.hostId;
+}
+
 /** The same result in any order of merges. */
 function mergeProcesses(
   a: readonly string[],
@@ -207,5 +280,6 @@
 function isSame(a: LossEntry, b: LossEntry): boolean {
   return a.clearCount === b.clearCount && a.losses === b.losses &&
     a.processes.join() === b.processes.join() &&
-    a.totalLosses === b.totalLosses && a.lossEventId === b.lossEventId;
+    a.totalLosses === b.totalLosses && a.lossEventId === b.lossEventId &&
+    isSameTrial(a, b);
 }
--- a/src/admission/quarantine_ledger_test.ts
+++ b/src/admission/quarantine_ledger_test.ts
@@ -7,6 +7,14 @@
 
 const SEED = 20261204;
 const CONTENT = "c";
+const REQUIRED_KEYS: Exclude<keyof LossEntry, "trial">[] = [
+  "contentId",
+  "clearCount",
+  "losses",
+  "totalLosses",
+  "processes",
+  "lossEventId",
+];
 
 function fleet(hosts: number, quarantineMs = lossQuarantineMs) {
   const clock = new ManualClock();
@@ -222,7 +230,11 @@
     processes: fc.uniqueArray(fc.constantFrom("p", "q", "r", "s"))
       .map((processes) => processes.sort()),
     lossEventId: fc.integer({ min: -1, max: 3 }),
-  });
+    trial: fc.record({
+      number: fc.nat({ max: 2 }),
+      hostId: fc.constantFrom("", "a", "b"),
+    }),
+  }, { requiredKeys: REQUIRED_KEYS });
   const shuffled = fc.array(entry, { maxLength: 6 }).chain((entries) =>
     fc.tuple(
       fc.constant(entries),
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -140,7 +140,8 @@
       settings,
       knownHosts: () => this.#link.knownCount,
     });
-    this.#quarantine = new ContentQuarantine({ clock });
+    const { hostId } = settings;
+    this.#quarantine = new ContentQuarantine({ clock, hostId });
     this.#eras = options.eras ?? new EraTracker({ clock, log });
     this.#feeds = new StoreFeeds({
       eras: this.#eras,
@@ -323,6 +324,7 @@
       configAgeMs: () => this.#feeds.config.ageMs,
     });
     this.#quarantine.losses.onLoss(() => this.#peers.scheduleBroadcast());
+    this.#quarantine.onTrial(() => this.#peers.scheduleBroadcast());
     this.#quarantine.breaks.onLoss(({ totalLosses }) => {
       // A first one, of many, can wait for the next periodic broadcast.
       if (totalLosses > 1) this.#peers.scheduleBroadcast();
--- a/src/forward/call_losses.ts
+++ b/src/forward/call_losses.ts
@@ -6,18 +6,21 @@
  * @module
  */
 
-import type { SendBaseline } from "../admission/content_quarantine.ts";
+import type {
+  SendBaseline,
+  SendPermit,
+} from "../admission/content_quarantine.ts";
 import type { LossBaseline } from "../admission/quarantine_ledger.ts";
 import { hash32 } from "../common/hash.ts";
 import type { PathStage } from "../ports/types.ts";
-import type { CallContext, CallPlan } from "./context.ts";
+import { type CallContext, type CallPlan, jitterHoldMs } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
 import type { EndEvidence, TargetProcess } from "./loss_detector.ts";
 
 export interface CallLossesOptions {
   readonly context: Pick<
     CallContext,
-    "log" | "metrics" | "lossDetector" | "quarantine" | "targets"
+    "log" | "metrics" | "lossDetector" | "quarantine" | "random" | "targets"
   >;
   readonly plan: Pick<CallPlan, "requestId" | "contentId" | "service">;
 }
@@ -60,6 +63,7 @@
   readonly #options: CallLossesOptions;
   readonly #failures: CallFailure[] = [];
   #isComplete = false;
+  #permit: SendPermit | undefined;
 
   constructor(options: CallLossesOptions) {
     this.#options = options;
@@ -91,12 +95,33 @@
       readonly retryAfterMs: number;
     },
   ): void {
-    const forMs = this.heldForMs;
+    const { context, plan } = this.#options;
+    const forMs = context.quarantine.retryAfterMs(plan.contentId);
     if (forMs > 0) {
-      exchange.refuse(503, "content quarantined: it ended targets", forMs);
+      exchange.refuse(
+        503,
+        "content quarantined: it ended targets",
+        jitterHoldMs(forMs, context.random),
+      );
     } else exchange.refuse(503, reason, retryAfterMs);
   }
 
+  /**
+   * Asks for permission to send the content, once for all sends of the call;
+   * resolves to false without it.
+   */
+  async acquire(): Promise<boolean> {
+    const { context, plan } = this.#options;
+    this.#permit ??= await context.quarantine.acquire(plan.contentId);
+    return this.#permit !== undefined;
+  }
+
+  /** Called when the call has ended. */
+  release(): void {
+    // A send that broke off may still turn out to have ended its target.
+    if (this.#failures.length === 0) this.#permit?.release();
+  }
+
   /** Called before each send and after each change of a path. */
   beginSend(targets: readonly Pick<PathStage, "targetId">[]): MarkedSend {
     const { context, plan } = this.#options;
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -71,6 +71,14 @@
 /** Width of the jitter on retry times, so that refused callers don't retry at once. */
 const RETRY_JITTER_FRACTION = 0.5;
 
+/** Spreads the callers of a held content, which all come back after its hold. */
+const HOLD_JITTER_MS = 500;
+
+/** Adds jitter to the time for which a content is held. */
+export function jitterHoldMs(forMs: number, random: () => number): number {
+  return forMs + random() * HOLD_JITTER_MS;
+}
+
 /** Adds jitter to an estimated retry time. */
 export function jitterRetryMs(
   estimateMs: number,
--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -83,11 +83,14 @@
     );
     this.#context.budgetOf(this.#plan.service.name).recordRequest();
     try {
-      const answer = await this.#serve();
+      const answer = await this.#losses.acquire()
+        ? await this.#serve()
+        : undefined;
       this.#isDecided = answer?.kind === "answer";
       if (!this.#exchange.isDisconnected) this.#finish(answer);
     } finally {
       clearTimeout(timer);
+      this.#losses.release();
       this.#abort.abort();
     }
   }
--- a/src/forward/request_handler.ts
+++ b/src/forward/request_handler.ts
@@ -8,7 +8,12 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Customer } from "../ports/types.ts";
 import { contentId } from "./content_id.ts";
-import { type CallContext, type CallPlan, jitterRetryMs } from "./context.ts";
+import {
+  type CallContext,
+  type CallPlan,
+  jitterHoldMs,
+  jitterRetryMs,
+} from "./context.ts";
 import { Exchange } from "./exchange.ts";
 import { PlainCall } from "./plain_call.ts";
 import type { RouteTable } from "./route_table.ts";
@@ -117,13 +122,13 @@
         body: outcome.body,
       }),
     };
-    const heldForMs = context.quarantine.heldForMs(plan.contentId);
+    const heldForMs = context.quarantine.retryAfterMs(plan.contentId);
     if (heldForMs > 0) {
       this.#refuse(exchange, {
         kind: "refuse",
         status: 503,
         reason: `content ${plan.contentId} quarantined: it ended targets`,
-        retryAfterMs: heldForMs,
+        retryAfterMs: jitterHoldMs(heldForMs, context.random),
       });
       return;
     }
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -96,6 +96,7 @@
         if (this.#path === undefined) break;
         // The content may have been quarantined while the request waited.
         if (this.#losses.heldForMs > 0) break;
+        if (!(await this.#losses.acquire())) break;
         if (!this.#budgetedRetries.tryBeginSend()) break;
         result = await this.#send(this.#path);
         this.#release();
@@ -104,6 +105,7 @@
     } finally {
       clearTimeout(timer);
       this.#release();
+      this.#losses.release();
       this.#abort.abort();
     }
     this.#finish(result);
--- a/src/peers/peer_state.ts
+++ b/src/peers/peer_state.ts
@@ -128,14 +128,26 @@
 export function encodeLosses(entry: LossEntry): unknown[] {
   const { contentId, clearCount, losses, lossEventId, totalLosses, processes } =
     entry;
-  return [contentId, clearCount, losses, lossEventId, totalLosses, processes];
+  const fields = [
+    contentId,
+    clearCount,
+    losses,
+    lossEventId,
+    totalLosses,
+    processes,
+  ];
+  const { trial } = entry;
+  return trial === undefined ? fields : [...fields, trial.number, trial.hostId];
 }
 
 export function decodeLosses(value: unknown): LossEntry[] {
   if (!Array.isArray(value)) return [];
-  // Hosts of earlier versions send neither total nor processes.
+  // Hosts of earlier versions send neither total nor processes, nor trials.
   const [contentId, clearCount, losses, lossEventId] = value;
-  const [totalLosses = losses, processes = []] = value.slice(4);
+  const [totalLosses = losses, processes = [], number, hostId] = value.slice(4);
+  const trial = isCount(number) && typeof hostId === "string"
+    ? { number, hostId }
+    : undefined;
   if (
     typeof contentId !== "string" || !isCount(clearCount) || !isCount(losses) ||
     !isCount(lossEventId, -1) || !isCount(totalLosses) ||
@@ -149,6 +161,7 @@
     lossEventId,
     totalLosses,
     processes,
+    ...(trial === undefined ? {} : { trial }),
   }];
 }
 
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -262,6 +262,16 @@
   readonly processes: readonly string[];
   /** Last event that was sent before any of these losses; -1 if none. */
   readonly lossEventId: number;
+  /** The latest send after the content was withheld; undefined if none. */
+  readonly trial?: ContentTrial;
+}
+
+/** A send of a content that was withheld, on which the other sends wait. */
+export interface ContentTrial {
+  /** Rises with each trial of an entry. */
+  readonly number: number;
+  /** The host that sends; empty if the trial ended without a result. */
+  readonly hostId: string;
 }
 
 /** What a host knows of the limit of a target, and has sent there. */
