Count a target's failure for no run of a content that ends targets

Cause: any complete response cleared a content, a 500 of a target that fails part of its requests and a 504 at the time limit too, so the count of ended targets began anew. Evidence: with stand-ins of which every other one answers 500, a content ended 8 targets in 12 attempts, 6 allowed. Change: only a response that is no failure of the target (below 500) clears. Result: crashing_content_test "not cleared" 8 ends before, at most 6 now. Not shown to be the cause of the users' record, whose ends pause as in a hold.

--- a/src/forward/call_losses.ts
+++ b/src/forward/call_losses.ts
@@ -215,7 +215,7 @@
     context.quarantine.recordProgress(plan.contentId, eventId);
   }
 
-  /** Records a complete response, whatever its status. */
+  /** Records a complete response that is no failure of the target. */
   recordCompletion(): void {
     this.#isComplete = true;
     this.recordProgress(Infinity);
--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -211,7 +211,7 @@
         isCancelled: this.#abort.signal.aborted,
       });
     }
-    if (attempt.kind === "answer") this.#losses.recordCompletion();
+    if (isSuccess) this.#losses.recordCompletion();
     if (attempt.kind === "may-have-run" && !this.#isDecided) {
       const check = this.#losses.recordFailure(send, {
         ...failure,
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -196,9 +196,6 @@
           await check;
         }
       }
-      if (result.kind === "done" && !this.#exchange.isDisconnected) {
-        this.#losses.recordCompletion();
-      }
       return result;
     } finally {
       relay.dispose();
@@ -285,7 +282,9 @@
     }
     const response = this.#response;
     if (status !== 200) {
-      return toSendResult(await response.forwardWhole(outcome, status));
+      const failure = await response.forwardWhole(outcome, status);
+      this.#recordCompletion({ failure, status });
+      return toSendResult(failure);
     }
     const onDrain = (): void => relay.handleDrain();
     this.#exchange.response.on("drain", onDrain);
@@ -297,9 +296,22 @@
       },
     });
     this.#exchange.response.off("drain", onDrain);
-    return toSendResult(
-      result.kind === "complete" ? response.end(answer) : result.reason,
-    );
+    const failure = result.kind === "complete"
+      ? response.end(answer)
+      : result.reason;
+    this.#recordCompletion({ failure, status });
+    return toSendResult(failure);
+  }
+
+  #recordCompletion(
+    { failure, status }: {
+      readonly failure: string | undefined;
+      readonly status: number;
+    },
+  ): void {
+    // A faulty target fails requests that it has not run.
+    if (failure !== undefined || status >= 500) return;
+    if (!this.#exchange.isDisconnected) this.#losses.recordCompletion();
   }
 
   /** Whether another send is allowed after a failed one. */
