--- a/src/forward/call_losses.ts
+++ b/src/forward/call_losses.ts
@@ -22,7 +22,10 @@
     CallContext,
     "log" | "metrics" | "lossDetector" | "quarantine" | "random" | "targets"
   >;
-  readonly plan: Pick<CallPlan, "requestId" | "contentId" | "service">;
+  readonly plan: Pick<
+    CallPlan,
+    "requestId" | "contentId" | "sharedPromptParts" | "service"
+  >;
 }
 
 /** A send, or the part of one after its path was changed. */
@@ -236,6 +239,7 @@
       address: failure.process.address,
       evidence,
       lastEventId: failure.lastEventId,
+      promptParts: plan.sharedPromptParts.join(),
       ...context.quarantine.losses.baseline(plan.contentId),
     });
   }
--- a/src/forward/call_losses_test.ts
+++ b/src/forward/call_losses_test.ts
@@ -42,6 +42,7 @@
     plan: {
       requestId: "r",
       contentId: "c",
+      sharedPromptParts: [],
       service: { name: "s", engine: undefined },
     },
   });
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -49,6 +49,8 @@
   readonly requestId: string;
   /** Equal for requests with the same content, see `content_id.ts`. */
   readonly contentId: string;
+  /** Parts of the prompt that other requests may share. */
+  readonly sharedPromptParts: readonly string[];
   /** Time on the host's clock at which the request times out. */
   readonly deadlineMs: number;
   /** Position in the wait queue; lower ranks are served first. */
--- a/src/forward/request_handler.ts
+++ b/src/forward/request_handler.ts
@@ -42,7 +42,10 @@
 }
 
 type Admission =
-  | { readonly kind: "admit"; readonly plan: Omit<CallPlan, "contentId"> }
+  | {
+    readonly kind: "admit";
+    readonly plan: Omit<CallPlan, "contentId" | "sharedPromptParts">;
+  }
   | {
     readonly kind: "refuse";
     readonly status: number;
@@ -121,6 +124,7 @@
         customer: customer?.name,
         body: outcome.body,
       }),
+      sharedPromptParts: exchange.metadata.sharedPromptParts,
     };
     const heldForMs = context.quarantine.retryAfterMs(plan.contentId);
     if (heldForMs > 0) {
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -185,6 +185,11 @@
   readonly maxAnswerTokens: number;
   /** The caller's estimate of the output length. */
   readonly likelyAnswerTokens: number | undefined;
+  /**
+   * Ids of the parts of the prompt that other requests may share, in order;
+   * without the last part, which is the request's or its session's own.
+   */
+  readonly sharedPromptParts: readonly string[];
   readonly lastEventId: number | undefined;
 }
 
