--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -78,6 +78,8 @@
   readonly life: ServerLife;
   /** A request whose body contains this ends the server that executes it. */
   crashingText: string | undefined;
+  /** The same for a request with this part in its prompt. */
+  crashingPromptPart: string | undefined;
   /**
    * Numbers of events after which such a stream ends the server, in turn; empty
    * if it ends the server before the response.
@@ -270,8 +272,7 @@
       return;
     }
     this.#recordExecution(requestId);
-    const isCrashing = this.crashingText !== undefined &&
-      body.includes(this.crashingText);
+    const isCrashing = this.#isCrashing(request, body);
     const crashAfter = isCrashing ? this.#nextCrash() : Infinity;
     if (crashAfter === 0) {
       if (this.crashDelayMs === 0) this.crash();
@@ -310,6 +311,14 @@
     response.writeHead(200, headers).end(`answer of ${this.id}`);
   }
 
+  #isCrashing(request: IncomingMessage, body: string): boolean {
+    const { crashingText, crashingPromptPart } = this;
+    const parts = String(request.headers["jackdawshift-prefix-hash"] ?? "");
+    return (crashingText !== undefined && body.includes(crashingText)) ||
+      (crashingPromptPart !== undefined &&
+        parts.includes(`${crashingPromptPart}:`));
+  }
+
   #recordExecution(requestId: string): void {
     this.executions.push({
       requestId,
