Count failures by the shared parts of a prompt, beside its content

Cause: failures were counted by content only, and no two of these requests have the same. Class: a cause that is narrower or wider than the unit by which its effects are counted. Ruled out: that sound requests were refused as held contents only; most refusals name missing capacity. Change: the ledgers count a failed send before its first event for each shared part of the prompt as well, once a content; the first event of any prompt with a part clears it. Holds, trials and quarantine are those of contents. Parts that were lost together withhold only prompts with all of them, until a prompt with some shows which is the cause; so the caller and the other parts go on.

--- a/src/admission/content_quarantine.ts
+++ b/src/admission/content_quarantine.ts
@@ -1,6 +1,7 @@
 /**
- * Decides whether a content may be sent to targets. Two ledgers count its
- * failures over all hosts: one the targets that ended while they ran it, one the
+ * Decides whether a request may be sent to targets, by its content and by the
+ * parts of its prompt that other requests share. Two ledgers count the failures
+ * of each over all hosts: one the targets that ended while they ran it, one the
  * sends that broke off, whose targets may have ended unseen. The former
  * quarantines a content; the latter holds it back for a time that grows with
  * each further failure.
@@ -106,48 +107,62 @@
     return losses.totalLosses > 0 || breaks.totalLosses > 0;
   }
 
-  /** Time until the content may be sent again; 0 if it may be sent now. */
-  heldForMs(contentId: string): number {
+  /**
+   * Time until a request with all of these ids may be sent again; 0 if it may be
+   * sent now.
+   */
+  heldForMs(ids: readonly string[]): number {
     return Math.max(
-      this.losses.quarantinedForMs(contentId),
-      this.breaks.quarantinedForMs(contentId),
+      0,
+      ...this.#withholding(ids).map(({ ledger, id }) =>
+        ledger.quarantinedForMs(id)
+      ),
     );
   }
 
-  /** Time after which a caller may come back; 0 if the content may be sent now. */
-  retryAfterMs(contentId: string): number {
-    const isOnTrial = this.#ledgers.some((one) => one.isOnTrial(contentId));
-    return Math.max(
-      this.heldForMs(contentId),
-      isOnTrial ? TRIAL_RETRY_MS : 0,
+  /** Time after which a caller may come back; 0 if the request may be sent now. */
+  retryAfterMs(ids: readonly string[]): number {
+    const isOnTrial = this.#withholding(ids).some(({ ledger, id }) =>
+      ledger.isOnTrial(id)
     );
+    return Math.max(this.heldForMs(ids), isOnTrial ? TRIAL_RETRY_MS : 0);
   }
 
   /**
-   * Asks for permission to send a content; resolves to undefined without it.
-   * Content that was withheld runs on one target of the fleet at a time, since
-   * its callers all come back when it is no longer held.
+   * Asks for permission to send a request; resolves to undefined without it.
+   * What was withheld runs on one target of the fleet at a time, since its
+   * callers all come back when it is no longer held.
    */
-  async acquire(contentId: string): Promise<SendPermit | undefined> {
-    if (this.retryAfterMs(contentId) > 0) return undefined;
-    const suspecting = this.#ledgers.filter((one) => one.needsTrial(contentId));
-    if (suspecting.length === 0) return FREE_PERMIT;
-    const claims = suspecting.map((ledger) => ({
+  async acquire(ids: readonly string[]): Promise<SendPermit | undefined> {
+    if (this.retryAfterMs(ids) > 0) return undefined;
+    const claims = this.#withholding(ids).map(({ ledger, id }) => ({
       ledger,
-      trial: ledger.claimTrial(contentId),
+      id,
+      trial: ledger.claimTrial(id),
     }));
+    if (claims.length === 0) return FREE_PERMIT;
     const release = (): void => {
-      for (const { ledger, trial } of claims) ledger.endTrial(contentId, trial);
+      for (const { ledger, id, trial } of claims) ledger.endTrial(id, trial);
     };
     await this.#clock.sleep(CLAIM_MS);
-    const isGranted = this.heldForMs(contentId) === 0 &&
-      claims.every(({ ledger, trial }) =>
-        ledger.holdsTrial(contentId, trial) || !ledger.needsTrial(contentId)
+    const isGranted = this.heldForMs(ids) === 0 &&
+      claims.every(({ ledger, id, trial }) =>
+        ledger.holdsTrial(id, trial) || !ledger.needsTrial(id)
       );
     if (!isGranted) release();
     return isGranted ? { release } : undefined;
   }
 
+  /** The entries for whose sake a request with these ids is withheld. */
+  #withholding(
+    ids: readonly string[],
+  ): { readonly ledger: QuarantineLedger; readonly id: string }[] {
+    return this.#ledgers.flatMap((ledger) =>
+      ids.filter((id) => ledger.withholds(id, ids))
+        .map((id) => ({ ledger, id }))
+    );
+  }
+
   /**
    * Records that a target ran the content up to an event; `Infinity` for its
    * end.
--- a/src/admission/content_quarantine_test.ts
+++ b/src/admission/content_quarantine_test.ts
@@ -33,7 +33,7 @@
   { clock, quarantines }: ReturnType<typeof fleet>,
 ) {
   const permits = Promise.all(
-    quarantines.map((one) => one.acquire(CONTENT)),
+    quarantines.map((one) => one.acquire([CONTENT])),
   );
   await clock.advance(200);
   return (await permits).filter((permit) => permit !== undefined);
@@ -92,7 +92,7 @@
   expect(await acquireAll(all)).toHaveLength(1);
   lose(all.quarantines[0]);
   await all.clock.advance(100);
-  expect(all.quarantines.map((one) => one.retryAfterMs(CONTENT) > 60_000))
+  expect(all.quarantines.map((one) => one.retryAfterMs([CONTENT]) > 60_000))
     .toEqual([true, true, true]);
 });
 
--- a/src/admission/quarantine_ledger.ts
+++ b/src/admission/quarantine_ledger.ts
@@ -89,6 +89,17 @@
     return entry !== undefined && this.#quarantineMs(entry) > 0;
   }
 
+  /**
+   * Whether a request with all of `ids` is withheld for the sake of this one. A
+   * request without a companion that may be the cause as well is not: it shows
+   * which of them is.
+   */
+  withholds(contentId: string, ids: readonly string[]): boolean {
+    if (!this.needsTrial(contentId)) return false;
+    const { companions = [] } = this.#rows.get(contentId)?.entry ?? {};
+    return companions.every((id) => ids.includes(id) || !this.needsTrial(id));
+  }
+
   /** Whether the result of a trial, here or on another host, is awaited. */
   isOnTrial(contentId: string): boolean {
     const row = this.#rows.get(contentId);
@@ -126,16 +137,18 @@
 
   /**
    * Records that a send failed at a target. `process` names the target's process
-   * if it has ended; its end counts once. `lastEventId` is the last event that
+   * if it has ended, or the content of the request in the entry of a part; its
+   * loss counts once. `lastEventId` is the last event that
    * the caller has; undefined if none. Returns what a send that begins after
    * this loss knows of it, and whether the loss had not been counted before.
    */
   recordLoss(
     contentId: string,
-    { baseline, lastEventId, process }: {
+    { baseline, lastEventId, process, companions }: {
       readonly baseline: LossBaseline;
       readonly lastEventId: number | undefined;
       readonly process?: string;
+      readonly companions?: readonly string[];
     },
   ): { readonly after: LossBaseline; readonly isNew: boolean } {
     const known = this.#rows.get(contentId)?.entry;
@@ -160,6 +173,7 @@
         process === undefined ? [] : [process],
       ),
       lossEventId,
+      ...(companions === undefined ? {} : { companions }),
     };
     const isNew = this.merge(entry);
     if (isNew) {
@@ -244,16 +258,30 @@
 function mergeEntries(a: LossEntry, b: LossEntry): LossEntry {
   if (a.clearCount !== b.clearCount) return a.clearCount > b.clearCount ? a : b;
   const trial = laterTrial(a.trial, b.trial);
+  const companions = commonCompanions(a, b);
   return {
     ...a,
     losses: Math.max(a.losses, b.losses),
     totalLosses: Math.max(a.totalLosses, b.totalLosses),
     processes: mergeProcesses(a.processes, b.processes),
     lossEventId: Math.max(a.lossEventId, b.lossEventId),
+    ...(companions === undefined ? {} : { companions }),
     ...(trial === undefined ? {} : { trial }),
   };
 }
 
+/** Entries without losses say nothing of companions. */
+function commonCompanions(
+  a: LossEntry,
+  b: LossEntry,
+): readonly string[] | undefined {
+  if (a.companions === undefined || b.companions === undefined) {
+    return a.companions ?? b.companions;
+  }
+  const others = new Set(b.companions);
+  return a.companions.filter((id) => others.has(id)).sort();
+}
+
 /** Of trials with the same number, that of the host that comes first by name. */
 function laterTrial(
   a: ContentTrial | undefined,
@@ -281,5 +309,5 @@
   return a.clearCount === b.clearCount && a.losses === b.losses &&
     a.processes.join() === b.processes.join() &&
     a.totalLosses === b.totalLosses && a.lossEventId === b.lossEventId &&
-    isSameTrial(a, b);
+    a.companions?.join() === b.companions?.join() && isSameTrial(a, b);
 }
--- a/src/admission/quarantine_ledger_test.ts
+++ b/src/admission/quarantine_ledger_test.ts
@@ -7,7 +7,10 @@
 
 const SEED = 20261204;
 const CONTENT = "c";
-const REQUIRED_KEYS: Exclude<keyof LossEntry, "trial">[] = [
+const REQUIRED_KEYS: Exclude<
+  keyof LossEntry,
+  "trial" | "companions"
+>[] = [
   "contentId",
   "clearCount",
   "losses",
@@ -230,6 +233,8 @@
     processes: fc.uniqueArray(fc.constantFrom("p", "q", "r", "s"))
       .map((processes) => processes.sort()),
     lossEventId: fc.integer({ min: -1, max: 3 }),
+    companions: fc.uniqueArray(fc.constantFrom("x", "y", "z"))
+      .map((companions) => companions.sort()),
     trial: fc.record({
       number: fc.nat({ max: 2 }),
       hostId: fc.constantFrom("", "a", "b"),
--- a/src/forward/call_losses.ts
+++ b/src/forward/call_losses.ts
@@ -11,11 +11,13 @@
   SendPermit,
 } from "../admission/content_quarantine.ts";
 import type { LossBaseline } from "../admission/quarantine_ledger.ts";
+import { quarantineIds } from "../admission/quarantine_ids.ts";
 import { hash32 } from "../common/hash.ts";
 import type { PathStage } from "../ports/types.ts";
 import { type CallContext, type CallPlan, jitterHoldMs } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
 import type { EndEvidence, TargetProcess } from "./loss_detector.ts";
+import { PartLosses } from "./part_losses.ts";
 
 export interface CallLossesOptions {
   readonly context: Pick<
@@ -37,6 +39,8 @@
   readonly preceding: readonly CallFailure[];
   /** Whether it counts as broken off. */
   isBroken: boolean;
+  /** Whether the target has sent an event. */
+  hasEvents: boolean;
 }
 
 /** A failure at one target. */
@@ -44,6 +48,8 @@
   readonly send: MarkedSend;
   readonly process: TargetProcess;
   readonly lastEventId: number | undefined;
+  /** Whether the send had an event before it failed. */
+  readonly hadEvents: boolean;
   hasEnded: boolean;
   /** What a send after it knows of the content; undefined until it has ended. */
   after: LossBaseline | undefined;
@@ -67,15 +73,20 @@
   readonly #failures: CallFailure[] = [];
   #isComplete = false;
   #permit: SendPermit | undefined;
+  readonly #parts: PartLosses;
+  readonly #quarantineIds: readonly string[];
+  #send: MarkedSend | undefined;
 
   constructor(options: CallLossesOptions) {
     this.#options = options;
+    const { context: { quarantine }, plan } = options;
+    this.#parts = new PartLosses({ quarantine, content: plan });
+    this.#quarantineIds = quarantineIds(plan);
   }
 
-  /** Time until the content may be sent again; 0 if it may be sent now. */
+  /** Time until the request may be sent again; 0 if it may be sent now. */
   get heldForMs(): number {
-    const { context, plan } = this.#options;
-    return context.quarantine.heldForMs(plan.contentId);
+    return this.#options.context.quarantine.heldForMs(this.#quarantineIds);
   }
 
   /** Whether targets that ended withhold the content, also from its present run. */
@@ -98,8 +109,8 @@
       readonly retryAfterMs: number;
     },
   ): void {
-    const { context, plan } = this.#options;
-    const forMs = context.quarantine.retryAfterMs(plan.contentId);
+    const { context } = this.#options;
+    const forMs = context.quarantine.retryAfterMs(this.#quarantineIds);
     if (forMs > 0) {
       exchange.refuse(
         503,
@@ -110,12 +121,12 @@
   }
 
   /**
-   * Asks for permission to send the content, once for all sends of the call;
+   * Asks for permission to send the request, once for all sends of the call;
    * resolves to false without it.
    */
   async acquire(): Promise<boolean> {
-    const { context, plan } = this.#options;
-    this.#permit ??= await context.quarantine.acquire(plan.contentId);
+    const { quarantine } = this.#options.context;
+    this.#permit ??= await quarantine.acquire(this.#quarantineIds);
     return this.#permit !== undefined;
   }
 
@@ -125,20 +136,31 @@
     if (this.#failures.length === 0) this.#permit?.release();
   }
 
-  /** Called before each send and after each change of a path. */
+  /** Called when the path of a send was changed. */
+  continueSend(targets: readonly Pick<PathStage, "targetId">[]): MarkedSend {
+    const hasEvents = this.#send?.hasEvents ?? false;
+    const send = this.beginSend(targets);
+    send.hasEvents = hasEvents;
+    return send;
+  }
+
+  /** Called before each send. */
   beginSend(targets: readonly Pick<PathStage, "targetId">[]): MarkedSend {
+    this.#parts.beginSend();
     const { context, plan } = this.#options;
     const processes = targets.flatMap(({ targetId }) => {
       const record = context.targets.get(targetId)?.record;
       if (record === undefined) return [];
       return [{ targetId, address: record.address, bornMs: record.bornMs }];
     });
-    return {
+    this.#send = {
       baseline: context.quarantine.baseline(plan.contentId),
       processes,
       preceding: [...this.#failures],
       isBroken: false,
+      hasEvents: false,
     };
+    return this.#send;
   }
 
   /** Records a send whose response is long overdue, before it has ended. */
@@ -160,6 +182,7 @@
         baseline: send.baseline.breaks,
         lastEventId,
       });
+      if (!send.hasEvents) this.#parts.recordBreak();
     }
     return this.observe(send, { checksPort: !isAbandoned, ...failure });
   }
@@ -181,6 +204,7 @@
       send,
       process,
       lastEventId,
+      hadEvents: send.hasEvents,
       hasEnded: false,
       after: undefined,
     };
@@ -216,6 +240,9 @@
   recordProgress(eventId: number): void {
     const { context, plan } = this.#options;
     context.quarantine.recordProgress(plan.contentId, eventId);
+    if (this.#send === undefined || this.#send.hasEvents) return;
+    this.#send.hasEvents = true;
+    this.#parts.recordFirstEvent();
   }
 
   /** Records a complete response that is no failure of the target. */
@@ -227,6 +254,7 @@
   #recordEnd(failure: CallFailure, evidence: EndEvidence): void {
     const { context, plan } = this.#options;
     failure.hasEnded = true;
+    if (!failure.hadEvents) this.#parts.recordEnd();
     // A content that ran to its end is not the cause of an end before.
     if (!this.#isComplete && !this.#countEnds()) return;
     context.metrics.count("jackdawshift_targets_lost_total", {
--- a/src/forward/request_handler.ts
+++ b/src/forward/request_handler.ts
@@ -7,6 +7,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Customer } from "../ports/types.ts";
+import { quarantineIds } from "../admission/quarantine_ids.ts";
 import { contentId } from "./content_id.ts";
 import {
   type CallContext,
@@ -126,7 +127,7 @@
       }),
       sharedPromptParts: exchange.metadata.sharedPromptParts,
     };
-    const heldForMs = context.quarantine.retryAfterMs(plan.contentId);
+    const heldForMs = context.quarantine.retryAfterMs(quarantineIds(plan));
     if (heldForMs > 0) {
       this.#refuse(exchange, {
         kind: "refuse",
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -170,7 +170,7 @@
       onOverdue: () =>
         this.#losses.recordOverdue(marked, this.#failureAt(first)),
       onPathChange: (next) => {
-        marked = this.#losses.beginSend(next.stages);
+        marked = this.#losses.continueSend(next.stages);
         this.#path = next;
         this.#repaths++;
       },
--- a/src/peers/peer_state.ts
+++ b/src/peers/peer_state.ts
@@ -6,6 +6,9 @@
 
 import type { HostRecord, LossEntry, SharedLimit } from "../ports/types.ts";
 
+/** A longer list is malformed. */
+const MAX_COMPANIONS = 16;
+
 /** Load of one host on one target. */
 export interface PeerUse {
   readonly targetId: string;
@@ -136,15 +139,17 @@
     totalLosses,
     processes,
   ];
-  const { trial } = entry;
-  return trial === undefined ? fields : [...fields, trial.number, trial.hostId];
+  const { trial, companions } = entry;
+  if (trial === undefined && companions === undefined) return fields;
+  return [...fields, trial?.number, trial?.hostId, companions];
 }
 
 export function decodeLosses(value: unknown): LossEntry[] {
   if (!Array.isArray(value)) return [];
-  // Hosts of earlier versions send neither total nor processes, nor trials.
+  // Hosts of earlier versions send none of the later fields.
   const [contentId, clearCount, losses, lossEventId] = value;
-  const [totalLosses = losses, processes = [], number, hostId] = value.slice(4);
+  const [totalLosses = losses, processes = [], ...rest] = value.slice(4);
+  const [number, hostId, companions] = rest;
   const trial = isCount(number) && typeof hostId === "string"
     ? { number, hostId }
     : undefined;
@@ -161,10 +166,16 @@
     lossEventId,
     totalLosses,
     processes,
+    ...(isStringList(companions) ? { companions } : {}),
     ...(trial === undefined ? {} : { trial }),
   }];
 }
 
+function isStringList(value: unknown): value is string[] {
+  return Array.isArray(value) && value.length <= MAX_COMPANIONS &&
+    value.every((one) => typeof one === "string");
+}
+
 export function encodeLimit(limit: SharedLimit): unknown[] {
   const { targetId, limitPerS, ageMs, recentSends } = limit;
   return [targetId, limitPerS ?? null, Math.round(ageMs), recentSends];
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -253,6 +253,7 @@
 
 /** What a host knows of the targets that ended while they ran one content. */
 export interface LossEntry {
+  /** A content, or a part of a prompt, see `quarantine_ids.ts`. */
   readonly contentId: string;
   /** How often the content was cleared; losses before that no longer count. */
   readonly clearCount: number;
@@ -267,6 +268,11 @@
   readonly processes: readonly string[];
   /** Last event that was sent before any of these losses; -1 if none. */
   readonly lossEventId: number;
+  /**
+   * Ids that all lost requests had beside this one, so that each of them may be
+   * the cause; undefined if they are not recorded.
+   */
+  readonly companions?: readonly string[];
   /** The latest send after the content was withheld; undefined if none. */
   readonly trial?: ContentTrial;
 }
