Send nothing more to a target that says that it leaves

Cause: nothing read the header; a host used the target until its record said draining, and used it again when a record that had lapsed came back. Change: a process that said so, in any response or report, is no longer ready for new work. It is remembered over a lapse of its record, and forgotten when a later process takes its id; when it vanishes, no content counts as its cause.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -121,6 +121,7 @@
     const control = new LimitedTargetControl({
       control: options.control,
       limits: this.#targetLimits,
+      targets: this.#targets,
       clock,
     });
     this.#control = control;
--- a/src/forward/target_send.ts
+++ b/src/forward/target_send.ts
@@ -1,6 +1,6 @@
 /**
- * Sends a call to a target with the headers that targets expect, and learns the
- * limit that the target names in its response.
+ * Sends a call to a target with the headers that targets expect, and learns from
+ * its response whether it names a limit or leaves.
  *
  * @module
  */
@@ -12,7 +12,10 @@
 import { type SendOutcome, sendUpstream } from "./upstream.ts";
 
 export interface TargetSendOptions {
-  readonly context: Pick<CallContext, "codec" | "agent" | "clock" | "limits">;
+  readonly context: Pick<
+    CallContext,
+    "codec" | "agent" | "clock" | "limits" | "targets"
+  >;
   readonly exchange: Pick<Exchange, "request" | "body">;
   readonly plan: Pick<CallPlan, "customer" | "deadlineMs">;
   readonly target: Pick<PathStage, "targetId" | "address">;
@@ -29,7 +32,7 @@
   options: TargetSendOptions,
 ): Promise<SendOutcome> {
   const { context, exchange: { request, body }, plan, target } = options;
-  const { codec, agent, clock, limits } = context;
+  const { codec, agent, clock, limits, targets } = context;
   const sentMs = clock.nowMs();
   const outcome = await sendUpstream({
     endpoint: parseAddress(target.address),
@@ -52,7 +55,9 @@
   const { statusCode = 0, rawHeaders } = outcome.answer;
   // Another process than the target responded.
   if (statusCode === 421) return outcome;
-  const { requestLimitPerS, isSigned } = codec.answer(rawHeaders);
+  const metadata = codec.answer(rawHeaders);
+  const { requestLimitPerS, isSigned } = metadata;
+  if (metadata.isLeaving) targets.markLeaving(target.targetId);
   limits.observe(target.targetId, {
     limitPerS: requestLimitPerS,
     sentMs,
--- a/src/paths/limited_target_control.ts
+++ b/src/paths/limited_target_control.ts
@@ -14,10 +14,12 @@
   Span,
 } from "../ports/types.ts";
 import type { TargetLimits } from "./target_limits.ts";
+import type { TargetTable } from "./target_table.ts";
 
 export interface LimitedTargetControlOptions {
   readonly control: ITargetControl;
   readonly limits: TargetLimits;
+  readonly targets: Pick<TargetTable, "markLeaving">;
   readonly clock: Clock;
 }
 
@@ -29,7 +31,7 @@
   }
 
   async report(target: OrderTarget, timeoutMs: number): Promise<ReportOutcome> {
-    const { control, limits, clock } = this.#options;
+    const { control, limits, clock, targets } = this.#options;
     if (!limits.tryAcquire(target.id)) return "withheld";
     const sentMs = clock.nowMs();
     const report = await control.report(target, timeoutMs);
@@ -37,6 +39,7 @@
       const limitPerS = report.requestLimitPerS;
       // Not every report may name the limit that responses to requests name.
       limits.observe(target.id, { limitPerS, sentMs, mayWithdraw: false });
+      if (report.isLeaving) targets.markLeaving(target.id);
     }
     return report;
   }
@@ -46,8 +49,9 @@
     span: Span,
     expectedSeq: number,
   ): Promise<OrderOutcome> {
-    this.#options.limits.recordSend(target.id);
-    return this.#options.control.place(target, span, expectedSeq);
+    const { limits, control } = this.#options;
+    limits.recordSend(target.id);
+    return control.place(target, span, expectedSeq);
   }
 
   repath(
@@ -55,7 +59,8 @@
     requestId: string,
     path: readonly PathStage[],
   ): Promise<OrderOutcome> {
-    this.#options.limits.recordSend(first.id);
-    return this.#options.control.repath(first, requestId, path);
+    const { limits, control } = this.#options;
+    limits.recordSend(first.id);
+    return control.repath(first, requestId, path);
   }
 }
--- a/src/paths/target.ts
+++ b/src/paths/target.ts
@@ -53,6 +53,8 @@
   /** Slowdown relative to the target's kind; 1 is nominal. */
   slowness = 1;
   isRemoved = false;
+  /** Whether the process has said that it leaves, also if its record does not. */
+  isLeaving = false;
   readonly #clock: Clock;
   #failureRate = 0;
   #failureAtMs = -Infinity;
@@ -71,7 +73,7 @@
 
   /** Whether the target's state permits new work. */
   get isReady(): boolean {
-    return !this.isRemoved && this.record.state === "ready";
+    return !this.isRemoved && !this.isLeaving && this.record.state === "ready";
   }
 
   /** Whether the target responds, as far as this host and the others know. */
@@ -168,6 +170,7 @@
     this.span = record.span;
     this.report = undefined;
     this.noResponseSinceMs = undefined;
+    this.isLeaving = false;
     this.#failureRate = 0;
   }
 }
--- a/src/paths/target_table.ts
+++ b/src/paths/target_table.ts
@@ -19,6 +19,14 @@
 const RECOVERY_GRACE_MS = 2_000;
 /** How long a removed target is remembered; older than any copy of the store. */
 const REMOVED_RETENTION_MS = 120_000;
+/** How long a target that leaves is remembered after its last record. */
+const LEAVING_RETENTION_MS = 600_000;
+
+/** The process of a target that said that it leaves. */
+interface LeavingProcess {
+  readonly bornMs: number;
+  readonly untilMs: number;
+}
 
 interface RemovedTarget {
   readonly bornMs: number;
@@ -39,6 +47,7 @@
   readonly #targets = new Map<string, Target>();
   readonly #removeAtMs = new Map<string, number>();
   readonly #removed = new Map<string, RemovedTarget>();
+  readonly #leaving = new Map<string, LeavingProcess>();
   readonly #onChange = new Emitter<Target>();
 
   /** Fires when a target is added, changed or removed, or when its health changes. */
@@ -78,6 +87,8 @@
     const known = this.#targets.get(record.id);
     if (known === undefined) {
       const target = new Target({ record, clock: this.#clock });
+      const { bornMs } = this.#leaving.get(record.id) ?? {};
+      target.isLeaving = bornMs === record.bornMs;
       this.#targets.set(record.id, target);
       this.#log.info("target added", describe(record));
       this.#onChange.fire(target);
@@ -131,6 +142,9 @@
     for (const [id, { atMs }] of this.#removed) {
       if (nowMs - atMs > REMOVED_RETENTION_MS) this.#removed.delete(id);
     }
+    for (const [id, { untilMs }] of this.#leaving) {
+      if (nowMs > untilMs) this.#leaving.delete(id);
+    }
     for (const [id, untilMs] of this.#removeAtMs) {
       if (nowMs < untilMs) continue;
       this.#removeAtMs.delete(id);
@@ -139,7 +153,8 @@
       this.#targets.delete(id);
       target.isRemoved = true;
       const { bornMs, state } = target.record;
-      const wasDraining = state === "draining";
+      const wasDraining = state === "draining" || target.isLeaving;
+      if (target.isLeaving) this.#rememberLeaving(target);
       this.#removed.set(id, { bornMs, atMs: nowMs, wasDraining });
       this.#log.info("target removed", {
         target: id,
@@ -165,6 +180,25 @@
     this.#onChange.fire(target);
   }
 
+  /** Records that the process of a target said that it leaves. */
+  markLeaving(id: string): void {
+    const target = this.#targets.get(id);
+    if (target === undefined || target.isLeaving) return;
+    target.isLeaving = true;
+    this.#log.info("target leaving", {
+      target: id,
+      address: target.record.address,
+      state: target.record.state,
+    });
+    this.#onChange.fire(target);
+  }
+
+  /** A record that lapses and comes back does not say that the target leaves. */
+  #rememberLeaving({ id, record }: Target): void {
+    const untilMs = this.#clock.nowMs() + LEAVING_RETENTION_MS;
+    this.#leaving.set(id, { bornMs: record.bornMs, untilMs });
+  }
+
   /** Fires `onChange` for a target whose health changed. */
   notify(target: Target): void {
     this.#onChange.fire(target);
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -155,6 +155,7 @@
   readonly stalled: readonly StalledRequest[];
   /** Requests a second that the target accepts from all hosts together. */
   readonly requestLimitPerS?: number;
+  readonly isLeaving?: boolean;
 }
 
 /**
@@ -217,6 +218,8 @@
   readonly load: TargetLoad | undefined;
   /** Requests a second that the target accepts from all hosts together. */
   readonly requestLimitPerS: number | undefined;
+  /** The target says that it leaves. */
+  readonly isLeaving: boolean;
 }
 
 /** Request counts as reported by a target. */
--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -95,6 +95,8 @@
   rejectingAddress = "";
   /** Requests a second that its responses name as its limit; undefined for none. */
   limitPerS: number | undefined;
+  /** Whether all its responses say that it leaves. */
+  isLeaving = false;
   span: { from: number; to: number } | undefined;
   seq = 0;
   /** Times of all requests, queries and orders on the process's clock. */
@@ -167,6 +169,7 @@
     if (this.limitPerS !== undefined) {
       response.setHeader("Server-Limit", this.limitPerS);
     }
+    if (this.isLeaving) response.setHeader("Server-Leaving", "1");
     const chunks: Buffer[] = [];
     request.on("data", (chunk: Buffer) => chunks.push(chunk));
     request.on("end", () => {
