Keep the pause that a target asks for when it rejects a request

Cause: nothing read the header; a host tried such a target again after 600 ms (streams) or at once (plain calls, as the only target). Change: the host keeps the target out of new calls and paths until the pause ends, withholds queries and orders to it, and keeps the pause over a lapse of the record, but not for a later process. A refusal names both the server that answered and the one at fault. Where all targets of a service want a pause, callers are refused at once with the time until the first one ends.

--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -283,6 +283,15 @@
     };
   }
 
+  /** Time until the first target wants requests again; 0 if one does now. */
+  #pausedForMs(): number {
+    const { targets, limits } = this.#context;
+    const ready = targets.ofService(this.#plan.service.name)
+      .filter(({ isReady }) => isReady);
+    if (ready.length === 0) return 0;
+    return Math.min(...ready.map(({ id }) => limits.pausedForMs(id)));
+  }
+
   #finish(attempt: Attempt | undefined): void {
     const { log, metrics, random, clock } = this.#context;
     const exchange = this.#exchange;
@@ -298,7 +307,8 @@
       status = 503;
       this.#losses.refuse(exchange, {
         reason: "no target available for the request",
-        retryAfterMs: jitterRetryMs(RETRY_AFTER_MS, random),
+        retryAfterMs: this.#pausedForMs() +
+          jitterRetryMs(RETRY_AFTER_MS, random),
       });
     }
     metrics.count("jackdawshift_answers_total", { status: String(status) });
--- a/src/forward/target_send.ts
+++ b/src/forward/target_send.ts
@@ -1,6 +1,6 @@
 /**
  * Sends a call to a target with the headers that targets expect, and learns from
- * its response whether it names a limit or leaves.
+ * its response whether it names a limit, asks for a pause, or leaves.
  *
  * @module
  */
@@ -56,8 +56,14 @@
   // Another process than the target responded.
   if (statusCode === 421) return outcome;
   const metadata = codec.answer(rawHeaders);
-  const { requestLimitPerS, isSigned } = metadata;
+  const { requestLimitPerS, isSigned, retryAfterMs } = metadata;
   if (metadata.isLeaving) targets.markLeaving(target.targetId);
+  if (statusCode === 503 && retryAfterMs !== undefined) {
+    limits.pause(target.targetId, retryAfterMs);
+    const at = metadata.failedStageAddress;
+    const failed = at === undefined ? undefined : targets.byAddress(at);
+    if (failed !== undefined) limits.pause(failed.id, retryAfterMs);
+  }
   limits.observe(target.targetId, {
     limitPerS: requestLimitPerS,
     sentMs,
--- a/src/paths/limited_target_control.ts
+++ b/src/paths/limited_target_control.ts
@@ -16,6 +16,12 @@
 import type { TargetLimits } from "./target_limits.ts";
 import type { TargetTable } from "./target_table.ts";
 
+/** The outcome of an order that is withheld while its target wants none. */
+const PAUSED: OrderOutcome = {
+  kind: "refused",
+  status: 503,
+};
+
 export interface LimitedTargetControlOptions {
   readonly control: ITargetControl;
   readonly limits: TargetLimits;
@@ -50,6 +56,7 @@
     expectedSeq: number,
   ): Promise<OrderOutcome> {
     const { limits, control } = this.#options;
+    if (limits.pausedForMs(target.id) > 0) return Promise.resolve(PAUSED);
     limits.recordSend(target.id);
     return control.place(target, span, expectedSeq);
   }
@@ -60,6 +67,7 @@
     path: readonly PathStage[],
   ): Promise<OrderOutcome> {
     const { limits, control } = this.#options;
+    if (limits.pausedForMs(first.id) > 0) return Promise.resolve(PAUSED);
     limits.recordSend(first.id);
     return control.repath(first, requestId, path);
   }
--- a/src/paths/path_chooser.ts
+++ b/src/paths/path_chooser.ts
@@ -58,7 +58,10 @@
   readonly hosts?: () => number;
   readonly random?: () => number;
   /** Limits that targets name for their requests; none by default. */
-  readonly limits?: Pick<TargetLimits, "canSend" | "recordSend">;
+  readonly limits?: Pick<
+    TargetLimits,
+    "canSend" | "pausedForMs" | "recordSend"
+  >;
 }
 
 /** Requirements of a request on its path. */
@@ -200,6 +203,7 @@
       }
       if (!onPath.has(target.id)) {
         if (!target.isReady || !target.isAvailable) continue;
+        if ((this.#limits?.pausedForMs(target.id) ?? 0) > 0) continue;
         const needed = tokens * (span.to - span.from);
         if (freeTokenLayers(target, figures) < needed) continue;
       }
--- a/src/paths/target_limits.ts
+++ b/src/paths/target_limits.ts
@@ -1,7 +1,8 @@
 /**
  * Keeps the requests of all hosts to a target within the limit that the target
  * names. A few hosts, chosen alike by every host, share the limit; what each host
- * sent lately is known to the others, also from before the limit was named.
+ * sent lately is known to the others, also from before the limit was named. A
+ * target that asks this host for a pause gets nothing from it until then.
  *
  * @module
  */
@@ -50,6 +51,12 @@
   readonly bornMs: number;
 }
 
+interface Pause {
+  readonly untilMs: number;
+  /** Start time of the process that asked for it. */
+  readonly bornMs: number;
+}
+
 interface PeerSends {
   readonly count: number;
   readonly atMs: number;
@@ -62,6 +69,8 @@
   readonly #sentAtMs = new Map<string, number[]>();
   /** Sends of the other hosts to limited targets, by target and host. */
   readonly #peerSends = new Map<string, Map<string, PeerSends>>();
+  /** Pauses that targets asked for; they outlast a lapse of the record. */
+  readonly #pauses = new Map<string, Pause>();
   readonly #onChange = new Emitter<string>();
 
   /** Fires with the id of a target whose limit was named, changed or withdrawn. */
@@ -72,6 +81,7 @@
     options.targets.onChange(({ id, isRemoved, record }) => {
       const isRestarted = this.#limits.get(id)?.bornMs !== record.bornMs;
       if (isRemoved || isRestarted) this.#forget(id);
+      if (this.#isLaterProcess(id, record.bornMs)) this.#pauses.delete(id);
       if (isRemoved) this.#sentAtMs.delete(id);
     });
   }
@@ -83,8 +93,33 @@
     ).length;
   }
 
+  /** Time until the end of the pause that the target asked for; 0 if none. */
+  pausedForMs(targetId: string): number {
+    const untilMs = this.#pauses.get(targetId)?.untilMs ?? -Infinity;
+    return Math.max(0, untilMs - this.#options.clock.nowMs());
+  }
+
+  /** Records that a target asked for a pause when it rejected a request. */
+  pause(targetId: string, forMs: number): void {
+    const { clock, targets, log } = this.#options;
+    const nowMs = clock.nowMs();
+    for (const [id, { untilMs }] of this.#pauses) {
+      if (untilMs <= nowMs) this.#pauses.delete(id);
+    }
+    const bornMs = targets.get(targetId)?.record.bornMs ?? 0;
+    const untilMs = nowMs + forMs;
+    if (untilMs <= (this.#pauses.get(targetId)?.untilMs ?? nowMs)) return;
+    this.#pauses.set(targetId, { untilMs, bornMs });
+    log.info("target paused", { target: targetId, forMs: Math.round(forMs) });
+  }
+
+  #isLaterProcess(targetId: string, bornMs: number): boolean {
+    return bornMs > (this.#pauses.get(targetId)?.bornMs ?? Infinity);
+  }
+
   /** Whether a request may be sent now. */
   canSend(targetId: string): boolean {
+    if (this.pausedForMs(targetId) > 0) return false;
     const limitPerS = this.#limitPerS(targetId);
     if (limitPerS === undefined) return true;
     if (limitPerS === 0) return false;
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -220,6 +220,8 @@
   readonly requestLimitPerS: number | undefined;
   /** The target says that it leaves. */
   readonly isLeaving: boolean;
+  /** Time for which a target that rejects a request wants no other. */
+  readonly retryAfterMs: number | undefined;
 }
 
 /** Request counts as reported by a target. */
--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -97,6 +97,8 @@
   limitPerS: number | undefined;
   /** Whether all its responses say that it leaves. */
   isLeaving = false;
+  /** Time to retry that its rejections name; undefined for none. */
+  retryAfterS: number | undefined;
   span: { from: number; to: number } | undefined;
   seq = 0;
   /** Times of all requests, queries and orders on the process's clock. */
@@ -271,6 +273,9 @@
       response.writeHead(503, {
         "jackdawshift-not-executed": "1",
         "at-server": this.rejectingAddress || this.address,
+        ...(this.retryAfterS === undefined
+          ? {}
+          : { "retry-after": String(this.retryAfterS) }),
       }).end();
       return;
     }
