Tell other hosts at once when withheld content is cleared

Found by crashing_prompt_part_test beside load (1 of 1 runs of the whole suite): a host that had not heard yet that the companions of a part were cleared sent one more prompt with it. A clear of what was withheld now goes out as a trial does, not with the next periodic broadcast; content_quarantine_test no longer passes it on by hand.

--- a/src/admission/content_quarantine.ts
+++ b/src/admission/content_quarantine.ts
@@ -70,7 +70,7 @@
   readonly #clock: Clock;
   readonly #onTrial = new Emitter<LossEntry>();
 
-  /** Fires when a trial of this host begins, or ends without a result. */
+  /** Fires with the changes of both ledgers that other hosts wait for. */
   readonly onTrial: Event<LossEntry> = this.#onTrial.event;
 
   constructor({ clock, hostId }: ContentQuarantineOptions) {
--- a/src/admission/content_quarantine_test.ts
+++ b/src/admission/content_quarantine_test.ts
@@ -61,11 +61,7 @@
     expect(await acquireAll(all)).toHaveLength(1);
     expect(await acquireAll(all)).toHaveLength(0);
     quarantines[0].recordProgress(CONTENT, Infinity);
-    for (const { losses } of quarantines) {
-      for (const entry of quarantines[0].losses.entriesToShare(9)) {
-        losses.merge(entry);
-      }
-    }
+    await clock.advance(100);
     expect(await acquireAll(all)).toHaveLength(hosts);
   },
 );
--- a/src/admission/quarantine_ledger.ts
+++ b/src/admission/quarantine_ledger.ts
@@ -55,7 +55,10 @@
 
   /** Fires for each loss that this host records, not for those of other hosts. */
   readonly onLoss: Event<LossEntry> = this.#onLoss.event;
-  /** Fires when a trial of this host begins, or ends without a result. */
+  /**
+   * Fires when a trial of this host begins or ends without a result, and when
+   * this host clears a content that was withheld.
+   */
   readonly onTrial: Event<LossEntry> = this.#onTrial.event;
 
   constructor(options: QuarantineLedgerOptions) {
@@ -192,14 +195,17 @@
     const isComplete = eventId === Infinity;
     const hasPassed = entry.losses > 0 && eventId > entry.lossEventId;
     if (!hasPassed && !(isComplete && entry.totalLosses > 0)) return;
-    this.merge({
+    const wasWithheld = this.needsTrial(contentId);
+    const cleared: LossEntry = {
       contentId,
       clearCount: entry.clearCount + 1,
       losses: 0,
       totalLosses: isComplete ? 0 : entry.totalLosses,
       processes: isComplete ? [] : entry.processes,
       lossEventId: -1,
-    });
+    };
+    this.merge(cleared);
+    if (wasWithheld) this.#onTrial.fire(cleared);
   }
 
   /** Merges an entry of this or another host; returns whether it added anything. */
--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -12,6 +12,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import type { ReceivedRequest, StartedExecution } from "./received_request.ts";
 import { ServerLife } from "./server_life.ts";
 
 /** How requests are answered; all modes except `good` are faults. */
@@ -38,22 +39,6 @@
   readonly eventGapMs?: number;
 }
 
-export interface ReceivedRequest {
-  readonly method: string;
-  readonly url: string;
-  readonly headers: IncomingMessage["headers"];
-  readonly body: string;
-}
-
-/** A request that the server started to execute. */
-export interface StartedExecution {
-  readonly requestId: string;
-  /** Id of the server at that time. */
-  readonly serverId: string;
-  /** Time on the monotonic clock of the process. */
-  readonly atMs: number;
-}
-
 interface RunningStream {
   readonly response: ServerResponse;
   readonly requestId: string;
