--- a/src/paths/path_chooser.ts
+++ b/src/paths/path_chooser.ts
@@ -16,16 +16,14 @@
   type PathSearch,
 } from "./path_finder.ts";
 import type { Target } from "./target.ts";
+import {
+  expectedLayerMs,
+  freeTokenLayers,
+  prefillLayerMs,
+} from "./target_cost.ts";
 import type { TargetLimits } from "./target_limits.ts";
 import type { TargetTable } from "./target_table.ts";
 
-/**
- * Share of a target's memory that is kept free, since answers may exceed their
- * estimated length.
- */
-const MEMORY_HEADROOM_SHARE = 0.06;
-/** Additional relative cost of a full target compared with an empty one. */
-const FULLNESS_WEIGHT = 1.0;
 /**
  * Relative random noise on costs, so that hosts don't all choose the same path
  * at once. Above `COST_NOISE_BASE_HOSTS` it grows with the number of hosts,
@@ -33,11 +31,6 @@
  */
 const COST_NOISE_SHARE = 1;
 const COST_NOISE_BASE_HOSTS = 9;
-/**
- * Share of a target's streams that are in its batch at a time; the others are
- * at another stage.
- */
-const ACTIVE_STREAM_SHARE = 0.3;
 /** Time per token for a hop between failure domains, without the link's own load. */
 const CROSS_DOMAIN_DELAY_MS = 2;
 /**
@@ -288,62 +281,6 @@
   }
 }
 
-/** Memory available for requests beside the weights, in tokens x layers. */
-export function totalTokenLayers(
-  target: Target,
-  figures: EngineProfile,
-): number {
-  const kind = figures.kinds.get(
-    target.record.kind ?? target.report?.kind ?? "",
-  );
-  if (kind === undefined || target.span === undefined) return 0;
-  const weightsMb = (target.span.to - target.span.from) * figures.layerMb;
-  const bytesPerTokenLayer = figures.kvBytesPerToken / figures.layers;
-  return Math.max(
-    0,
-    (kind.memoryMb - weightsMb) * 1_000_000 / bytesPerTokenLayer,
-  );
-}
-
-/** Memory without the headroom that no request has reserved, in tokens x layers. */
-export function freeTokenLayers(
-  target: Target,
-  figures: EngineProfile,
-): number {
-  const usable = totalTokenLayers(target, figures) *
-    (1 - MEMORY_HEADROOM_SHARE);
-  return usable - target.ownLoad.tokenLayers - target.peerLoad.tokenLayers;
-}
-
-/** Expected time per token and layer under the target's current load. */
-function expectedLayerMs(target: Target, figures: EngineProfile): number {
-  const kind = figures.kinds.get(
-    target.record.kind ?? target.report?.kind ?? "",
-  );
-  // Squared, since the queue of a slow target grows as well.
-  const slowness = target.slowness ** 2;
-  const pace = (kind?.decodeTimeFactor ?? 1) * slowness;
-  const read = (kind?.prefillTimeFactor ?? 1) * slowness;
-  const batch = (target.ownLoad.streams + target.peerLoad.streams) *
-    ACTIVE_STREAM_SHARE;
-  const contextK =
-    (figures.typicalPromptTokens + figures.typicalAnswerTokens / 2) /
-    1_000;
-  const sequenceMs = figures.perSequenceMs +
-    figures.contextPerKiloTokenMs * contextK;
-  const stepMs = pace * (figures.stepMs + batch * sequenceMs);
-  const readMs = read * figures.typicalPromptTokens /
-    figures.prefillTokensPerMs /
-    Math.max(1, figures.typicalAnswerTokens);
-  const total = totalTokenLayers(target, figures);
-  const fullness = total === 0
-    ? 1
-    : 1 - freeTokenLayers(target, figures) / total;
-  return (stepMs + readMs) / figures.layers *
-    (1 + FULLNESS_WEIGHT * Math.max(0, fullness) ** 2) *
-    (1 + target.failureRate * 4);
-}
-
 function toCandidate(
   target: Target,
   msPerLayer: number,
@@ -369,15 +306,3 @@
     stage.targetId === targetId && layer >= stage.from && layer < stage.to
   ) ?? false;
 }
-
-/** Time to prefill one layer with the context of a request. */
-function prefillLayerMs(
-  target: Target,
-  { figures, tokens }: PathDemand,
-): number {
-  const kind = figures.kinds.get(
-    target.record.kind ?? target.report?.kind ?? "",
-  );
-  const factor = (kind?.prefillTimeFactor ?? 1) * target.slowness;
-  return factor * tokens / figures.prefillTokensPerMs / figures.layers;
-}
--- a/src/paths/path_chooser_test.ts
+++ b/src/paths/path_chooser_test.ts
@@ -3,7 +3,8 @@
 import { silentLog } from "../common/logging.ts";
 import { seededRandom } from "../common/random.ts";
 import type { EngineProfile, Span } from "../ports/types.ts";
-import { freeTokenLayers, PathChooser } from "./path_chooser.ts";
+import { PathChooser } from "./path_chooser.ts";
+import { freeTokenLayers } from "./target_cost.ts";
 import { TargetTable } from "./target_table.ts";
 
 const KINDS = [
