Let clears through beside many quarantined contents

Cause: a broadcast carries the 32 entries with most losses, and a cleared entry has none, so that with 32 contents held or quarantined no host heard of a clear, and a content stayed withheld or suspected elsewhere. Change: the second half of a broadcast takes turns through all other entries. Result: quarantine_ledger_test, beside 100 quarantined contents the clear never arrived before; within eight broadcasts now.

--- a/src/admission/quarantine_ledger.ts
+++ b/src/admission/quarantine_ledger.ts
@@ -49,6 +49,8 @@
   readonly #clock: Clock;
   readonly #quarantineMs: (entry: LossEntry) => number;
   readonly #hostId: string;
+  /** Entries that took a turn to be shared. */
+  #sharedCount = 0;
   readonly #rows = new Map<string, Row>();
   readonly #onLoss = new Emitter<LossEntry>();
   readonly #onTrial = new Emitter<LossEntry>();
@@ -248,16 +250,26 @@
       .map(({ entry }) => entry);
   }
 
-  /** Recent changes and quarantined contents, those with most losses first. */
+  /**
+   * Recent changes and quarantined contents, those with most losses first. Of
+   * more than `limit`, the second half takes turns, so that a clear gets through
+   * beside many quarantined contents.
+   */
   entriesToShare(limit: number): LossEntry[] {
     const nowMs = this.#clock.nowMs();
-    return [...this.#rows.values()].reverse()
+    const entries = [...this.#rows.values()].reverse()
       .filter((row) =>
         nowMs - row.changedMs < SHARED_MS || nowMs < row.quarantinedUntilMs
       )
       .map(({ entry }) => entry)
-      .sort((a, b) => b.losses - a.losses)
-      .slice(0, limit);
+      .sort((a, b) => b.losses - a.losses);
+    if (entries.length <= limit) return entries;
+    const first = entries.slice(0, limit / 2);
+    const others = entries.slice(limit / 2);
+    const start = this.#sharedCount % others.length;
+    const turn = [...others, ...others].slice(start, start + limit / 2);
+    this.#sharedCount += turn.length;
+    return [...first, ...turn];
   }
 }
 
--- a/src/admission/quarantine_ledger_test.ts
+++ b/src/admission/quarantine_ledger_test.ts
@@ -214,6 +214,23 @@
   expect(shared[1].contentId).toBe("neighbour-499");
 });
 
+test("a clear is shared within two seconds beside hundreds of quarantined contents", () => {
+  const { ledgers: [a, b] } = fleet(2);
+  lose(a);
+  b.merge(a.baseline(CONTENT) as LossEntry);
+  for (let i = 0; i < 100; i++) {
+    for (let loss = 0; loss < 3; loss++) {
+      const baseline = a.baseline(`other-${i}`);
+      a.recordLoss(`other-${i}`, { baseline, lastEventId: undefined });
+    }
+  }
+  a.recordProgress(CONTENT, Infinity);
+  for (let broadcast = 0; broadcast < 8; broadcast++) {
+    for (const entry of a.entriesToShare(32)) b.merge(entry);
+  }
+  expect(b.baseline(CONTENT)).toMatchObject({ losses: 0, clearCount: 1 });
+});
+
 test("memory is bounded, whatever callers send", () => {
   const { ledgers: [a] } = fleet(1);
   for (let i = 0; i < 12_000; i++) {
