Clear a prompt part wherever it runs, and try it again soon

Cause: a host none of whose sends succeeded for a second counted four losses of the part, and the others, on which it ran, had no entry to contradict it with. A part that everything shares cannot bear the quarantine of a single content. Change: a host that saw a prompt with the part run within two seconds neither counts its losses nor believes those of others, and clears them for all.

--- a/soak/back_ends.ts
+++ b/soak/back_ends.ts
@@ -19,6 +19,7 @@
 import {
   BOUNDS,
   CRASH_RESTART_MS,
+  CRASHING_PART,
   CRASHING_TEXT,
   CUSTOMER_KEYS,
   DOMAINS,
@@ -76,6 +77,7 @@
       const proxy = new LoopbackProxy(server.address);
       await proxy.listen();
       server.crashingText = CRASHING_TEXT;
+      server.crashingPromptPart = CRASHING_PART;
       server.crashAfterEvents = endings.crashAfterEvents;
       server.life.ending = endings.ending;
       server.life.restartMs = CRASH_RESTART_MS;
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -9,10 +9,12 @@
 import { Agent, get, type IncomingMessage, request } from "node:http";
 import type { Random } from "../src/common/random.ts";
 import {
+  CRASHING_PART,
   CRASHING_TEXT,
   CUSTOMER_KEYS,
   DEADLINE_MS,
   HOST_NAME,
+  SHARED_PART,
   UNKNOWN_KEY,
 } from "./settings.ts";
 import type { HostProcess } from "./host_process.ts";
@@ -43,6 +45,7 @@
   readonly host: HostProcess;
   readonly route: RouteName;
   readonly content: string;
+  readonly crashingPart?: string;
   readonly key?: string;
   readonly hasDisconnected?: boolean;
 }
@@ -50,6 +53,8 @@
 export interface CallersOptions {
   readonly hosts: readonly HostProcess[];
   readonly random: Random;
+  /** Whether requests name the parts of their prompts. */
+  readonly sendsPromptParts?: boolean;
 }
 
 /** Sends requests until `stop` is called and records their outcome. */
@@ -92,6 +97,24 @@
     }, CRASHING_INTERVAL_MS));
   }
 
+  /**
+   * Sends prompts with a part that ends their servers, no two alike, until
+   * `stopCrashing` or `stop`.
+   */
+  startCrashingPart(random: Random): void {
+    let prompts = 0;
+    this.#crashing.push(setInterval(() => {
+      const host = this.#pickHost(random);
+      if (host === undefined) return;
+      this.#startAttempt({
+        host,
+        route: "briefs",
+        content: `prompt ${++prompts}`,
+        crashingPart: CRASHING_PART,
+      });
+    }, CRASHING_INTERVAL_MS));
+  }
+
   stopCrashing(): void {
     for (const timer of this.#crashing) clearInterval(timer);
     this.#crashing = [];
@@ -138,8 +161,7 @@
     });
   }
 
-  #pickHost(): HostProcess | undefined {
-    const { random } = this.#options;
+  #pickHost(random = this.#options.random): HostProcess | undefined {
     const ready = [...this.#ready];
     // Callers with open connections may use them although the host is not ready.
     const candidates = random() < 1 / REQUESTS_PER_UNPROBED
@@ -149,8 +171,8 @@
   }
 
   #startAttempt(options: AttemptOptions): void {
-    const { host, route, content, key = "first", hasDisconnected = false } =
-      options;
+    const { host, route, content, crashingPart } = options;
+    const { key = "first", hasDisconnected = false } = options;
     const { random } = this.#options;
     const attempt: Attempt = {
       id: `soak-${this.attempts.length}`,
@@ -158,6 +180,7 @@
       key,
       host: host.name,
       content,
+      crashingPart,
       startMs: performance.now(),
       endMs: undefined,
       status: undefined,
@@ -197,6 +220,9 @@
           "jackdawshift-attempt-id": attempt.id,
           "jackdawshift-deadline-ms": String(DEADLINE_MS),
           "jackdawshift-token-usage": "100,20",
+          ...(this.#options.sendsPromptParts === true
+            ? { "jackdawshift-prefix-hash": promptParts(attempt) }
+            : {}),
         },
       }, (answer) => recordAnswer(answer, attempt, resolve));
       // Like real callers, time out on a host that is paused well past the deadline.
@@ -215,6 +241,12 @@
   }
 }
 
+function promptParts({ id, crashingPart }: Attempt): string {
+  const parts = [SHARED_PART, crashingPart, id.replace(/\D/g, "")];
+  return parts.filter((part) => part !== undefined)
+    .map((part) => `${part}:40`).join();
+}
+
 function recordAnswer(
   answer: IncomingMessage,
   attempt: Attempt,
--- a/soak/invariants_test.ts
+++ b/soak/invariants_test.ts
@@ -194,3 +194,19 @@
   expect(sentAfterMs(lateMs, 4)).toHaveLength(1);
   expect(sentAfterMs(lateMs - 2, 4)).toEqual([]);
 });
+
+test("a prompt part gets three sends more after it ended five servers", () => {
+  const atMs = [0, 100, 200, 300, 400, 3_500, 3_600, 3_700, 3_800];
+  const attempts = atMs.map((_, index) =>
+    attempt({ id: `x${index}`, crashingPart: "dead", status: 502 })
+  );
+  const executions = atMs.map((time, index) =>
+    execution({ attemptId: `x${index}`, atMs: time })
+  );
+  const isLate = (line: string) => line.includes('"dead": ');
+  expect(violations({ attempts, executions }).filter(isLate)).toHaveLength(1);
+  expect(
+    violations({ attempts, executions: executions.slice(0, 8) })
+      .filter(isLate),
+  ).toEqual([]);
+});
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -4,6 +4,7 @@
  *   npm run soak -- --seed 7             one seed; prints its schedule too
  *   npm run soak -- --seed 1 --seeds 50  consecutive seeds
  *   npm run soak -- --minutes 10         seeds from a random one on, for this time
+ *   npm run soak -- --prompt-part        a part of some prompts ends servers, too
  *
  * @module
  */
@@ -21,6 +22,7 @@
     seeds: { type: "string" },
     minutes: { type: "string" },
     "trouble-s": { type: "string" },
+    "prompt-part": { type: "boolean", default: false },
   },
 });
 const firstSeed = readCount("seed") ?? Math.floor(Math.random() * MAX_SEED);
@@ -40,7 +42,11 @@
 let failedSeeds = 0;
 let completedSeeds = 0;
 for (let i = 0; i < seeds && performance.now() < endMs; i++) {
-  run = new SoakRun({ seed: firstSeed + i, faultPhaseMs });
+  run = new SoakRun({
+    seed: firstSeed + i,
+    faultPhaseMs,
+    hasCrashingPart: values["prompt-part"],
+  });
   const outcome = await run.run();
   completedSeeds++;
   if (outcome.violations.length > 0) failedSeeds++;
@@ -67,7 +73,9 @@
   if (violations.length > 0) console.log(`  logs in ${folder}`);
 }
 
-function readCount(name: keyof typeof values): number | undefined {
+function readCount(
+  name: Exclude<keyof typeof values, "prompt-part">,
+): number | undefined {
   const text = values[name];
   if (text === undefined) return undefined;
   const count = Number(text);
--- a/soak/settings.ts
+++ b/soak/settings.ts
@@ -20,6 +20,10 @@
 /** A request whose body contains this ends the server that executes it. */
 export const CRASHING_TEXT = "ends its server";
 export const CRASH_RESTART_MS = 1_000;
+/** The same for a request whose prompt has this part. */
+export const CRASHING_PART = "dead";
+/** A part that prompts have beside it, and all other prompts too. */
+export const SHARED_PART = "beef";
 
 export const HOST_COUNT = 4;
 export const MODEL_SERVER_COUNT = 12;
@@ -42,6 +46,7 @@
   maxCrashes: 3,
   maxSendsAfterCrashes: 3,
   crashReactionMs: 3_000,
+  maxPartCrashes: 5,
 };
 
 /** How long requests continue after the recovery time. */
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -12,10 +12,9 @@
 import process from "node:process";
 import { systemClock } from "../src/common/clock.ts";
 import { seededRandom } from "../src/common/random.ts";
-import type { ServerMode } from "../standins/users_platform/model_server.ts";
-import type { StoreFault } from "../standins/users_platform/store_standin.ts";
 import { type BackEnd, BackEnds } from "./back_ends.ts";
 import { Callers } from "./callers.ts";
+import { SERVER_MODES, STORE_FAULTS } from "./fault_modes.ts";
 import { HostProcess } from "./host_process.ts";
 import { findViolations } from "./invariants.ts";
 import { drawEndings, type DrawnEndings } from "./endings.ts";
@@ -31,13 +30,7 @@
   PLAIN_SERVER_COUNT,
   STARTUP_TIMEOUT_MS,
 } from "./settings.ts";
-import type {
-  Fault,
-  FaultKind,
-  History,
-  Interval,
-  RouteName,
-} from "./types.ts";
+import type { Fault, History, Interval, RouteName } from "./types.ts";
 
 /** Delay of a slow connection in each direction. */
 const SLOW_DELAY_MS = 40;
@@ -51,20 +44,14 @@
 
 const CRASHING_ROUTES: readonly RouteName[] = ["briefs", "slips", "acks"];
 
-const SERVER_MODES: Partial<Record<FaultKind, ServerMode>> = {
-  "server-errors": "error",
-  "server-refuses": "shed",
-  "server-cuts": "cut",
-};
-const STORE_FAULTS: Partial<Record<FaultKind, StoreFault>> = {
-  "store-silent": "silent",
-  "store-busy": "busy",
-  "store-reset": "reset",
-};
+/** Offset of the seed, so that a seed draws the same faults as without it. */
+const PART_SEED_OFFSET = 4_000_037;
 
 export interface SoakOptions {
   readonly seed: number;
   readonly faultPhaseMs: number;
+  /** Whether a part of some prompts ends servers. */
+  readonly hasCrashingPart?: boolean;
 }
 
 export interface SoakOutcome {
@@ -116,6 +103,7 @@
     const callers = new Callers({
       hosts: this.#hosts,
       random: seededRandom(seed),
+      sendsPromptParts: this.#options.hasCrashingPart,
     });
     try {
       callers.startProbing();
@@ -127,6 +115,7 @@
         ...schedule.map((fault) => this.#injectFault(fault, startMs, callers)),
         systemClock.sleep(limit.startMs)
           .then(() => this.#backEnds.limitRequests(limit)),
+        this.#sendCrashingPart(callers),
       ]);
       this.#backEnds.restoreKey();
       const faultsEndMs = performance.now();
@@ -156,6 +145,14 @@
     }
   }
 
+  async #sendCrashingPart(callers: Callers): Promise<void> {
+    const { seed, faultPhaseMs, hasCrashingPart = false } = this.#options;
+    if (!hasCrashingPart) return;
+    const random = seededRandom(seed + PART_SEED_OFFSET);
+    await systemClock.sleep(random() * faultPhaseMs / 2);
+    callers.startCrashingPart(random);
+  }
+
   #startHosts(): void {
     // Derived from the process id, so that concurrent runs do not share addresses.
     const [high, low] = [process.pid >> 8 & 0xff, process.pid & 0xff];
--- a/soak/soak_run_test.ts
+++ b/soak/soak_run_test.ts
@@ -17,6 +17,11 @@
   ["a run with contents that end their servers", ["--seed", "5000"]],
   // Streams ended servers whose ports closed late, at another event each time.
   ["a run with streams that end their servers unseen", ["--seed", "8306"]],
+  ["a run with a prompt part that ends its servers", [
+    "--seed",
+    "9200",
+    "--prompt-part",
+  ]],
   // A content of all callers was quarantined with those that ended all servers.
   ["a run with servers that end silently at once", ["--seed", "8609"]],
 ])("%s violates no invariant", async (_name, options) => {
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -59,6 +59,8 @@
   readonly host: string;
   /** Sent as the body. */
   readonly content: string;
+  /** The part of its prompt that ends servers; absent for other requests. */
+  readonly crashingPart?: string;
   readonly startMs: number;
   endMs: number | undefined;
   status: number | undefined;
@@ -139,4 +141,6 @@
   /** Sends of such a content that may follow later than `crashReactionMs`. */
   readonly maxSendsAfterCrashes: number;
   readonly crashReactionMs: number;
+  /** The same as `maxCrashes` for a part of a prompt. */
+  readonly maxPartCrashes: number;
 }
--- a/src/admission/content_quarantine.ts
+++ b/src/admission/content_quarantine.ts
@@ -12,6 +12,7 @@
 import type { Clock } from "../common/clock.ts";
 import { Emitter, type Event } from "../common/emitter.ts";
 import type { LossEntry } from "../ports/types.ts";
+import { isPromptPartId } from "./quarantine_ids.ts";
 import { type LossBaseline, QuarantineLedger } from "./quarantine_ledger.ts";
 
 /** Losses in sequence after which a content is held back for a short time. */
@@ -23,12 +24,22 @@
 const MIN_HOLD_MS = 2_000;
 const MAX_HOLD_MS = 6_000;
 /** Losses in sequence after which a content is quarantined. */
-const QUARANTINE_LOSSES = 3;
+export const QUARANTINE_LOSSES = 3;
 /** The same for losses between which it ran on, but never to its end. */
 const QUARANTINE_TOTAL_LOSSES = 4;
 /** Duration of the first quarantine; each further loss doubles it. */
 const QUARANTINE_MS = 600_000;
 const MAX_QUARANTINE_MS = 86_400_000;
+/**
+ * Holds of a prompt part after each further loss from `QUARANTINE_LOSSES` on.
+ * Short at first, since a part that all prompts share must not stay withheld
+ * when targets ended for another reason.
+ */
+const PART_HOLDS_MS = [10_000, 40_000, 160_000, 640_000];
+/** Prompt parts that ran within this time are not the cause of a failure. */
+const RECENT_PROGRESS_MS = 2_000;
+/** Prompt parts whose last progress is remembered. */
+const PROGRESS_CAPACITY = 10_000;
 /** Sends in sequence that broke off, after which a content is held back. */
 const HOLD_BREAKS = 3;
 /** The same for sends between which it ran on, but never to its end. */
@@ -68,6 +79,8 @@
   /** Sends that broke off. */
   readonly breaks: QuarantineLedger;
   readonly #clock: Clock;
+  /** Times of the last progress of prompt parts, least recent first. */
+  readonly #progressAtMs = new Map<string, number>();
   readonly #onTrial = new Emitter<LossEntry>();
 
   /** Fires with the changes of both ledgers that other hosts wait for. */
@@ -163,6 +176,23 @@
     );
   }
 
+  /** Records that a prompt with a part had its first event. */
+  recordPartProgress(id: string): void {
+    this.#progressAtMs.delete(id);
+    this.#progressAtMs.set(id, this.#clock.nowMs());
+    if (this.#progressAtMs.size > PROGRESS_CAPACITY) {
+      const [oldest] = this.#progressAtMs.keys();
+      this.#progressAtMs.delete(oldest);
+    }
+    this.recordProgress(id, Infinity);
+  }
+
+  /** Whether this host lately saw prompts with the part run. */
+  hasRecentProgress(id: string): boolean {
+    const atMs = this.#progressAtMs.get(id) ?? -Infinity;
+    return this.#clock.nowMs() - atMs < RECENT_PROGRESS_MS;
+  }
+
   /**
    * Records that a target ran the content up to an event; `Infinity` for its
    * end.
@@ -173,9 +203,15 @@
   }
 }
 
-/** Time for which losses withhold a content; used by its ledger. */
+/** Time for which losses withhold a content or a part; used by their ledger. */
 export function lossQuarantineMs(entry: LossEntry): number {
   const { contentId, losses, totalLosses } = entry;
+  if (isPromptPartId(contentId) && losses >= QUARANTINE_LOSSES) {
+    return PART_HOLDS_MS[losses - QUARANTINE_LOSSES] ?? MAX_QUARANTINE_MS;
+  }
+  if (isPromptPartId(contentId)) {
+    return losses < HOLD_LOSSES ? 0 : holdMs(contentId);
+  }
   const excess = Math.max(
     losses - QUARANTINE_LOSSES,
     totalLosses - QUARANTINE_TOTAL_LOSSES,
--- a/src/admission/quarantine_ids.ts
+++ b/src/admission/quarantine_ids.ts
@@ -16,6 +16,10 @@
   return parts.map((part) => `${part}${PART_SUFFIX}`);
 }
 
+export function isPromptPartId(id: string): boolean {
+  return id.endsWith(PART_SUFFIX);
+}
+
 /** The content's id is the first. */
 export function quarantineIds(content: SuspectContent): readonly string[] {
   return [content.contentId, ...promptPartIds(content.sharedPromptParts)];
--- a/src/admission/quarantine_ledger.ts
+++ b/src/admission/quarantine_ledger.ts
@@ -242,6 +242,18 @@
     return true;
   }
 
+  /** Time since the last hold of a content ended; 0 while it is held. */
+  sinceHeldMs(contentId: string): number {
+    const untilMs = this.#rows.get(contentId)?.quarantinedUntilMs ?? -Infinity;
+    return Math.max(0, this.#clock.nowMs() - untilMs);
+  }
+
+  /** Entries of contents that are held, or were and have not been cleared. */
+  withheldEntries(): LossEntry[] {
+    return [...this.#rows.values()].map(({ entry }) => entry)
+      .filter((entry) => this.#quarantineMs(entry) > 0);
+  }
+
   /** Contents that are quarantined for at least this long from now. */
   entriesQuarantinedFor(durationMs: number): LossEntry[] {
     const fromMs = this.#clock.nowMs() + durationMs;
--- a/src/entry/quarantine_sync.ts
+++ b/src/entry/quarantine_sync.ts
@@ -6,7 +6,11 @@
  * @module
  */
 
-import type { ContentQuarantine } from "../admission/content_quarantine.ts";
+import {
+  type ContentQuarantine,
+  QUARANTINE_LOSSES,
+} from "../admission/content_quarantine.ts";
+import { isPromptPartId } from "../admission/quarantine_ids.ts";
 import type { QuarantineLedger } from "../admission/quarantine_ledger.ts";
 import type { ILog } from "../common/logging.ts";
 import type { IHostRegistry } from "../ports/services.ts";
@@ -14,6 +18,8 @@
 
 /** A shorter quarantine ends before a host that starts could need it. */
 const MIN_SAVED_MS = 60_000;
+/** How long a prompt part that may be tried again is kept in the store. */
+const PART_RETENTION_MS = 600_000;
 /** Entries in one broadcast; each takes some 30 bytes of its datagram. */
 const MAX_SHARED_ENTRIES = 32;
 /** The same for sends that broke off, which are many while targets fail. */
@@ -60,10 +66,15 @@
     entries: readonly LossEntry[],
     source: string,
   ): void {
-    const { log } = this.#options;
+    const { log, quarantine } = this.#options;
     for (const entry of entries) {
-      const wasQuarantined = ledger.isQuarantined(entry.contentId);
+      const { contentId, losses } = entry;
+      const wasQuarantined = ledger.isQuarantined(contentId);
       ledger.merge(entry);
+      // A host whose sends all fail suspects parts that run elsewhere.
+      if (losses > 0 && quarantine.hasRecentProgress(contentId)) {
+        quarantine.recordProgress(contentId, Infinity);
+      }
       if (!wasQuarantined && ledger.isQuarantined(entry.contentId)) {
         log.info("quarantine learned", {
           content: entry.contentId,
@@ -85,17 +96,34 @@
     this.mergeLosses(stored, "store");
     if (!isLeader()) return;
     const storedIds = new Set(stored.map(({ contentId }) => contentId));
-    for (const entry of ledger.entriesQuarantinedFor(MIN_SAVED_MS)) {
+    const saved = new Set([
+      ...ledger.entriesQuarantinedFor(MIN_SAVED_MS),
+      ...ledger.withheldEntries().filter((entry) => this.#isSuspectPart(entry)),
+    ]);
+    for (const entry of saved) {
       if (!storedIds.has(entry.contentId)) {
         await registry.writeQuarantine(entry);
       }
     }
-    for (const contentId of storedIds) {
+    for (const { contentId } of stored) {
       if (ledger.isQuarantined(contentId)) continue;
-      await registry.removeQuarantine(contentId);
+      const isKept = ledger.needsTrial(contentId) &&
+        isPromptPartId(contentId) &&
+        ledger.sinceHeldMs(contentId) < PART_RETENTION_MS;
+      if (!isKept) await registry.removeQuarantine(contentId);
     }
   }
 
+  /**
+   * Whether a part ended enough targets to be saved. Its holds are short, so a
+   * fleet that restarts as a whole must know how many there were.
+   */
+  #isSuspectPart({ contentId, losses }: LossEntry): boolean {
+    const { quarantine: { losses: ledger } } = this.#options;
+    return isPromptPartId(contentId) && losses >= QUARANTINE_LOSSES &&
+      ledger.sinceHeldMs(contentId) < PART_RETENTION_MS;
+  }
+
   #handleLoss(entry: LossEntry): void {
     const { quarantine, registry, log } = this.#options;
     const { contentId, losses, totalLosses } = entry;
@@ -107,7 +135,7 @@
       totalLosses,
       forMs,
     });
-    if (forMs < MIN_SAVED_MS) return;
+    if (forMs < MIN_SAVED_MS && !this.#isSuspectPart(entry)) return;
     registry.writeQuarantine(entry).catch((error) =>
       log.info("quarantine not saved; the leader will retry", {
         content: contentId,
--- a/src/forward/part_losses.ts
+++ b/src/forward/part_losses.ts
@@ -52,7 +52,7 @@
 
   /** Records the first event of a send. */
   recordFirstEvent(): void {
-    for (const id of this.#ids) this.#quarantine.recordProgress(id, Infinity);
+    for (const id of this.#ids) this.#quarantine.recordPartProgress(id);
   }
 
   /** All failures of one content count once, since the content may be the cause. */
@@ -60,6 +60,7 @@
     const baselines = this.#baselines ?? [];
     for (const [index, baseline] of baselines.entries()) {
       const id = this.#ids[index];
+      if (this.#quarantine.hasRecentProgress(id)) continue;
       this.#quarantine[kind].recordLoss(id, {
         baseline: baseline[kind],
         lastEventId: undefined,
