--- a/src/paths/path_chooser.ts
+++ b/src/paths/path_chooser.ts
@@ -19,7 +19,6 @@
 import {
   expectedLayerMs,
   freeTokenLayers,
-  idleLayerMs,
   prefillLayerMs,
 } from "./target_cost.ts";
 import type { TargetLimits } from "./target_limits.ts";
@@ -43,11 +42,6 @@
 const MAX_COMPARED_DOMAINS = 3;
 /** Tokens over which a one-time delay is amortized, about half an answer. */
 const AMORTIZATION_TOKENS = 100;
-/**
- * A path that takes so many times as long as without load is compared with
- * those that cross failure domains.
- */
-const BUSY_PATH_FACTOR = 2;
 
 export interface PathChooserOptions {
   readonly targetTable: TargetTable;
@@ -110,30 +104,11 @@
       crossDomainHopMs: (from: string, to: string) =>
         this.#crossDomainHopMs(from, to, demand),
     };
-    const within = this.#findWithinOneDomain(candidates, search);
-    const found = within !== undefined && !this.#isBusy(within, demand)
-      ? within
-      : cheaperOf(within, findPath({ ...search, candidates }));
+    const found = this.#findWithinOneDomain(candidates, search) ??
+      findPath({ ...search, candidates });
     return found && this.#reserve(found, demand);
   }
 
-  /** Whether a path has become slow by its load, so that a link may be worth it. */
-  #isBusy({ stages }: FoundPath, { figures, current }: PathDemand): boolean {
-    // A path in progress keeps most of its stages.
-    if (current !== undefined) return false;
-    let loadedMs = 0;
-    let idleMs = 0;
-    for (const { targetId, from, to } of stages) {
-      const target = this.#targetTable.get(targetId);
-      if (target === undefined) continue;
-      const layers = to - from;
-      loadedMs += layers * expectedLayerMs(target, figures) +
-        target.prefillBacklog.remainingMs / AMORTIZATION_TOKENS;
-      idleMs += layers * idleLayerMs(target, figures);
-    }
-    return loadedMs > BUSY_PATH_FACTOR * idleMs;
-  }
-
   /**
    * Finds a path whose stages are all in one failure domain: the links between
    * domains carry every prompt and token of a path that crosses them. Compares
@@ -306,14 +281,6 @@
   }
 }
 
-function cheaperOf(
-  a: FoundPath | undefined,
-  b: FoundPath | undefined,
-): FoundPath | undefined {
-  if (a === undefined || b === undefined) return a ?? b;
-  return a.msPerToken <= b.msPerToken ? a : b;
-}
-
 function toCandidate(
   target: Target,
   msPerLayer: number,
--- a/src/paths/path_chooser_test.ts
+++ b/src/paths/path_chooser_test.ts
@@ -290,18 +290,3 @@
   await clock.advance(30);
   expect(backlog()).toBeCloseTo(60, 5);
 });
-
-test("a path within one failure domain that is slow by its load gives way to one that crosses a link", () => {
-  const spare = { id: "b2", span: { from: 10, to: 20 }, domain: "b" };
-  const { targetTable, chooser } = tableOf([...halves, spare]);
-  const second = () => {
-    const path = chooser.choose(demand);
-    path?.release();
-    return path?.stages[1].targetId;
-  };
-  expect(second()).toBe("a2");
-  const a2 = targetTable.get("a2");
-  if (a2 === undefined) throw new Error("no target");
-  a2.peerLoad = { streams: 1_500, tokenLayers: 0 };
-  expect(second()).toBe("b2");
-});
--- a/src/paths/target_cost.ts
+++ b/src/paths/target_cost.ts
@@ -48,17 +48,6 @@
   return usable - target.ownLoad.tokenLayers - target.peerLoad.tokenLayers;
 }
 
-/** Time per token and layer on a target of this kind without load. */
-export function idleLayerMs(target: Target, figures: EngineProfile): number {
-  const kind = figures.kinds.get(
-    target.record.kind ?? target.report?.kind ?? "",
-  );
-  const { decodeTimeFactor = 1, prefillTimeFactor = 1 } = kind ?? {};
-  const readMs = prefillTimeFactor * figures.typicalPromptTokens /
-    figures.prefillTokensPerMs / Math.max(1, figures.typicalAnswerTokens);
-  return (decodeTimeFactor * figures.stepMs + readMs) / figures.layers;
-}
-
 /** Expected time per token and layer under the target's current load. */
 export function expectedLayerMs(
   target: Target,
