--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -63,7 +63,7 @@
   readonly life: ServerLife;
   /** A request whose body contains this ends the server that executes it. */
   crashingText: string | undefined;
-  /** The same for a request with this part in its prompt. */
+  /** A request with this part in its prompt ends it before the first event. */
   crashingPromptPart: string | undefined;
   /**
    * Numbers of events after which such a stream ends the server, in turn; empty
@@ -265,8 +265,7 @@
       return;
     }
     this.#recordExecution(requestId);
-    const isCrashing = this.#isCrashing(request, body);
-    const crashAfter = isCrashing ? this.#nextCrash() : Infinity;
+    const crashAfter = this.#crashAfter(request, body);
     if (crashAfter === 0) {
       if (this.crashDelayMs === 0) this.crash();
       else setTimeout(() => this.crash(), this.crashDelayMs);
@@ -304,12 +303,15 @@
     response.writeHead(200, headers).end(`answer of ${this.id}`);
   }
 
-  #isCrashing(request: IncomingMessage, body: string): boolean {
+  /** Number of events after which a request ends the server; Infinity if it does not. */
+  #crashAfter(request: IncomingMessage, body: string): number {
     const { crashingText, crashingPromptPart } = this;
     const parts = String(request.headers["jackdawshift-prefix-hash"] ?? "");
-    return (crashingText !== undefined && body.includes(crashingText)) ||
-      (crashingPromptPart !== undefined &&
-        parts.includes(`${crashingPromptPart}:`));
+    const hasPart = crashingPromptPart !== undefined &&
+      parts.includes(`${crashingPromptPart}:`);
+    if (hasPart) return 0;
+    const hasText = crashingText !== undefined && body.includes(crashingText);
+    return hasText ? this.#nextCrash() : Infinity;
   }
 
   #recordExecution(requestId: string): void {
