--- /dev/null
+++ b/src/paths/limited_target_control_test.ts
@@ -0,0 +1,84 @@
+import { expect, test } from "vitest";
+import { ManualClock } from "../../test/manual_clock.ts";
+import { silentLog } from "../common/logging.ts";
+import type { ITargetControl } from "../ports/services.ts";
+import type { TargetReport } from "../ports/types.ts";
+import { LimitedTargetControl } from "./limited_target_control.ts";
+import { TargetLimits } from "./target_limits.ts";
+import { TargetTable } from "./target_table.ts";
+
+const TARGET = { id: "a", address: "10.0.0.1:1" };
+const PATH = [{ targetId: "a", address: "10.0.0.1:1", from: 0, to: 4 }];
+
+function setUp(report: Partial<TargetReport> = {}) {
+  const clock = new ManualClock();
+  const targets = new TargetTable({ clock, log: silentLog });
+  targets.put({
+    ...TARGET,
+    service: "s",
+    domain: "d",
+    state: "ready",
+    bornMs: 1,
+    kind: undefined,
+    span: undefined,
+  });
+  const limits = new TargetLimits({
+    clock,
+    log: silentLog,
+    targets,
+    hostId: "h",
+    otherHosts: () => [],
+  });
+  const calls: string[] = [];
+  const control: ITargetControl = {
+    report: () => {
+      calls.push("report");
+      return Promise.resolve(report as TargetReport);
+    },
+    place: () => {
+      calls.push("place");
+      return Promise.resolve({ kind: "begun" });
+    },
+    repath: () => {
+      calls.push("repath");
+      return Promise.resolve({ kind: "begun" });
+    },
+  };
+  const limited = new LimitedTargetControl({ control, limits, targets, clock });
+  return { clock, targets, limits, limited, calls };
+}
+
+test("a target that wants a pause gets no query and no order until its end", async () => {
+  const { clock, limits, limited, calls } = setUp();
+  limits.pause("a", 1_000);
+  expect(await limited.report(TARGET, 100)).toBe("withheld");
+  expect(await limited.repath(TARGET, "r", PATH))
+    .toMatchObject({ kind: "refused" });
+  expect(await limited.place(TARGET, { from: 0, to: 4 }, 0))
+    .toMatchObject({ kind: "refused" });
+  expect(calls).toEqual([]);
+  await clock.advance(1_000);
+  await limited.report(TARGET, 100);
+  await limited.repath(TARGET, "r", PATH);
+  await limited.place(TARGET, { from: 0, to: 4 }, 0);
+  expect(calls).toEqual(["report", "repath", "place"]);
+});
+
+test("a target that says in a report that it leaves gets no new work", async () => {
+  const { targets, limited } = setUp({ isLeaving: true });
+  expect(targets.get("a")?.isReady).toBe(true);
+  await limited.report(TARGET, 100);
+  expect(targets.get("a")?.isReady).toBe(false);
+});
+
+test("a pause lasts beyond a lapse of the record, but not for a later process", () => {
+  const { targets, limits } = setUp();
+  const record = targets.get("a")?.record;
+  if (record === undefined) throw new Error("no target");
+  limits.pause("a", 5_000);
+  targets.remove("a", true);
+  targets.put(record);
+  expect(limits.canSend("a")).toBe(false);
+  targets.put({ ...record, bornMs: 2 });
+  expect(limits.canSend("a")).toBe(true);
+});
--- a/src/paths/path_chooser_test.ts
+++ b/src/paths/path_chooser_test.ts
@@ -290,3 +290,23 @@
   await clock.advance(30);
   expect(backlog()).toBeCloseTo(60, 5);
 });
+
+test("a target that wants a pause is on no new path", () => {
+  const spare = { id: "b2", span: { from: 10, to: 20 }, kind: "slow" };
+  const { targetTable, clock } = tableOf([...halves, spare]);
+  const paused = new Set<string>();
+  const chooser = new PathChooser({
+    targetTable,
+    clock,
+    domain: "a",
+    random: () => 0.5,
+    limits: {
+      canSend: () => true,
+      pausedForMs: (id) => paused.has(id) ? 100 : 0,
+      recordSend: () => {},
+    },
+  });
+  expect(chooser.choose(demand)?.stages[1].targetId).toBe("a2");
+  paused.add("a2");
+  expect(chooser.choose(demand)?.stages[1].targetId).toBe("b2");
+});
