Test what is saved of a prompt part, and which failures count for it

Saving a part at once, breaks before the first event, and events before a change of the path turned no test red when taken out by hand; each has one now.

--- a/src/entry/quarantine_sync_test.ts
+++ b/src/entry/quarantine_sync_test.ts
@@ -97,3 +97,13 @@
   expect(quarantine.heldForMs(["dead/part"])).toBe(0);
   expect(ledger.baseline("dead/part")).toMatchObject({ clearCount: 1 });
 });
+
+test("a prompt part that ended three targets is saved at once, though its hold is short", () => {
+  const { ledger, written } = syncWith(false);
+  for (let i = 0; i < 3; i++) {
+    expect(written).toEqual([]);
+    const baseline = ledger.baseline("dead/part");
+    ledger.recordLoss("dead/part", { baseline, lastEventId: undefined });
+  }
+  expect(written).toEqual(["dead/part"]);
+});
--- a/src/forward/call_losses_test.ts
+++ b/src/forward/call_losses_test.ts
@@ -42,7 +42,7 @@
     plan: {
       requestId: "r",
       contentId: "c",
-      sharedPromptParts: [],
+      sharedPromptParts: ["p"],
       service: { name: "s", engine: undefined },
     },
   });
@@ -90,3 +90,20 @@
   await prove("a");
   expect(quarantine.baseline("c").losses.losses).toBe(1);
 });
+
+test("a send that broke off before its first event counts for the parts of the prompt", async () => {
+  const { quarantine, fail } = callLosses();
+  await fail("a");
+  expect(quarantine.baseline("p/part").breaks.losses).toBe(1);
+});
+
+test("a stream that had events before its path was changed says nothing of its parts", async () => {
+  const { losses, quarantine, prove } = callLosses();
+  losses.beginSend([{ targetId: "a" }]);
+  losses.recordProgress(3);
+  const send = losses.continueSend([{ targetId: "b" }]);
+  await losses.recordFailure(send, { targetId: "b", lastEventId: 3 });
+  await prove("b");
+  expect(quarantine.baseline("c").losses.losses).toBe(1);
+  expect(quarantine.isSuspect("p/part")).toBe(false);
+});
