--- a/src/forward/call_losses_test.ts
+++ b/src/forward/call_losses_test.ts
@@ -56,7 +56,7 @@
     await Promise.resolve();
     await Promise.resolve();
   };
-  return { losses, quarantine, fail, prove };
+  return { clock, losses, quarantine, fail, prove };
 }
 
 test.each([["a", "b"], ["b", "a"]])(
@@ -98,9 +98,10 @@
 });
 
 test("a stream that had events before its path was changed says nothing of its parts", async () => {
-  const { losses, quarantine, prove } = callLosses();
+  const { clock, losses, quarantine, prove } = callLosses();
   losses.beginSend([{ targetId: "a" }]);
   losses.recordProgress(3);
+  await clock.advance(10_000);
   const send = losses.continueSend([{ targetId: "b" }]);
   await losses.recordFailure(send, { targetId: "b", lastEventId: 3 });
   await prove("b");
