--- a/src/admission/quarantine_ledger.ts
+++ b/src/admission/quarantine_ledger.ts
@@ -141,11 +141,11 @@
   }
 
   /**
-   * Records that a send failed at a target. `process` names the target's process
-   * if it has ended, or the content of the request in the entry of a part; its
-   * loss counts once. `lastEventId` is the last event that
-   * the caller has; undefined if none. Returns what a send that begins after
-   * this loss knows of it, and whether the loss had not been counted before.
+   * Records that a send failed at a target. `process` names what counts once:
+   * the target's process if it has ended or, in the entry of a prompt part, the
+   * content of the request. `lastEventId` is the last event that the caller has;
+   * undefined if none. Returns what a send that begins after this loss knows of
+   * it, and whether the loss had not been counted before.
    */
   recordLoss(
     contentId: string,
