Tell in logs and metrics why no path has capacity

Such a request's last line now counts the excluded targets by reason, and two gauges count targets that are unresponsive and suspected. Both kinds of calls check the head of a response with one function, which they had each.

--- a/src/entry/host_gauges.ts
+++ b/src/entry/host_gauges.ts
@@ -33,6 +33,16 @@
     ["jackdawshift_config_version", sources.configVersion],
     ["jackdawshift_store_era", sources.era],
     ["jackdawshift_targets_known", () => targets.all().length],
+    [
+      "jackdawshift_targets_unresponsive",
+      () =>
+        targets.all().filter((one) => one.noResponseSinceMs !== undefined)
+          .length,
+    ],
+    [
+      "jackdawshift_targets_suspected",
+      () => targets.all().filter((one) => one.isSuspect).length,
+    ],
     ["jackdawshift_targets_limited", () => limits.limitedCount],
     ["jackdawshift_peers_live", () => sources.hostCount() - 1],
     [
--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -8,8 +8,7 @@
 
 import type { Target } from "../paths/target.ts";
 import {
-  discardBody,
-  isOfOtherRequest,
+  checkHead,
   isUnframed,
   readResponseBody,
   responseHeaders,
@@ -239,14 +238,12 @@
         : { kind: "may-have-run", reason: outcome.reason };
     }
     const { answer } = outcome;
-    const metadata = codec.answer(answer.rawHeaders);
-    const status = answer.statusCode ?? 0;
-    if (isOfOtherRequest(metadata, requestId)) {
-      answer.destroy();
-      return { kind: "may-have-run", reason: "response of another request" };
-    }
-    if (metadata.isNotExecuted || status === 421) {
-      discardBody(answer);
+    const fault = checkHead(answer, {
+      metadata: codec.answer(answer.rawHeaders),
+      requestId,
+    });
+    if (fault?.kind === "refused") {
+      const { status } = fault;
       if (status === 421) this.#losses.recordReplaced(send, target.id);
       return {
         kind: "not-run",
@@ -254,6 +251,9 @@
         reason: `refused with status ${status}`,
       };
     }
+    if (fault !== undefined) {
+      return { kind: "may-have-run", reason: fault.reason };
+    }
     const responseBody = await readResponseBody(outcome);
     if (responseBody === undefined) {
       return {
@@ -261,22 +261,9 @@
         reason: "response truncated or too large",
       };
     }
-    if (metadata.requestId !== requestId || !metadata.isSigned) {
-      answer.destroy();
-      return {
-        kind: "may-have-run",
-        reason: "response id or signature invalid",
-      };
-    }
-    if (answer.headers["content-encoding"] !== undefined) {
-      return {
-        kind: "may-have-run",
-        reason: "response has a content-encoding",
-      };
-    }
     return {
       kind: "answer",
-      status,
+      status: answer.statusCode ?? 0,
       headers: responseHeaders(answer),
       body: responseBody,
       isUnframed: isUnframed(answer),
--- a/src/forward/response.ts
+++ b/src/forward/response.ts
@@ -61,6 +61,48 @@
   });
 }
 
+/** Why a response is not that of the request. */
+export type HeadFault =
+  | {
+    readonly kind: "refused";
+    readonly status: number;
+    /** Address of the target at fault, if the response names one. */
+    readonly address: string | undefined;
+  }
+  | { readonly kind: "invalid"; readonly reason: string };
+
+/**
+ * Checks the head of a response. The body of a refusal, which promises that the
+ * request was not run, is discarded; that of an invalid response is not read.
+ */
+export function checkHead(
+  answer: UpstreamResponse["answer"],
+  { metadata, requestId }: {
+    readonly metadata: ResponseMetadata;
+    readonly requestId: string;
+  },
+): HeadFault | undefined {
+  const status = answer.statusCode ?? 0;
+  const invalid = (reason: string): HeadFault => {
+    answer.destroy();
+    return { kind: "invalid", reason };
+  };
+  if (isOfOtherRequest(metadata, requestId)) {
+    return invalid("response of another request");
+  }
+  if (metadata.isNotExecuted || status === 421) {
+    discardBody(answer);
+    return { kind: "refused", status, address: metadata.failedStageAddress };
+  }
+  if (metadata.requestId !== requestId || !metadata.isSigned) {
+    return invalid("response id or signature invalid");
+  }
+  if (answer.headers["content-encoding"] !== undefined) {
+    return invalid("response has a content-encoding");
+  }
+  return undefined;
+}
+
 /** A late copy of another request's response says nothing about this request. */
 export function isOfOtherRequest(
   { requestId }: Pick<ResponseMetadata, "requestId">,
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -7,7 +7,7 @@
  */
 
 import { describePath } from "../paths/describe_path.ts";
-import type { ReservedPath } from "../paths/path_chooser.ts";
+import type { PathDemand, ReservedPath } from "../paths/path_chooser.ts";
 import type { EngineProfile, PathStage } from "../ports/types.ts";
 import {
   CallLosses,
@@ -18,7 +18,7 @@
 import { type CallContext, type CallPlan, jitterRetryMs } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
 import { waitForPath } from "./path_wait.ts";
-import { discardBody, isOfOtherRequest } from "./response.ts";
+import { checkHead } from "./response.ts";
 import { type SendResult, toSendResult } from "./send_result.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import { StreamResponse } from "./stream_response.ts";
@@ -54,6 +54,8 @@
   readonly #losses: CallLosses;
   readonly #budgetedRetries: CallRetries;
   #waitedMs = 0;
+  /** Targets that no path could use, by the reason. */
+  #excludedTargets: Readonly<Record<string, number>> | undefined;
   #repaths = 0;
   #isExpired = false;
   #abort = new AbortController();
@@ -119,29 +121,37 @@
   }
 
   async #waitForPath(): Promise<ReservedPath | undefined> {
-    const { clock } = this.#context;
+    const { clock, chooser } = this.#context;
     const startedMs = clock.nowMs();
+    const demand = this.#demand;
     const path = await waitForPath({
       context: this.#context,
-      demand: {
-        service: this.#plan.service.name,
-        figures: this.#profile,
-        tokens: this.#tokens,
-        excluded: this.#excluded,
-        // At the route's limit of targets, only those already used are allowed.
-        allowedFirstTargets: this.#firstIds.size >= this.#plan.route.maxAttempts
-          ? this.#firstIds
-          : undefined,
-      },
+      demand,
       // The caller of a resumed stream is already waiting for its next event.
       rank: this.#sends > 0 ? RESUME_RANK : this.#plan.rank,
       deadlineMs: this.#plan.deadlineMs,
       signal: this.#abort.signal,
     });
     this.#waitedMs += clock.nowMs() - startedMs;
+    if (path === undefined) {
+      this.#excludedTargets = chooser.countExclusions(demand);
+    }
     return path;
   }
 
+  get #demand(): PathDemand {
+    return {
+      service: this.#plan.service.name,
+      figures: this.#profile,
+      tokens: this.#tokens,
+      excluded: this.#excluded,
+      // At the route's limit of targets, only those already used are allowed.
+      allowedFirstTargets: this.#firstIds.size >= this.#plan.route.maxAttempts
+        ? this.#firstIds
+        : undefined,
+    };
+  }
+
   async #send(path: ReservedPath): Promise<SendResult> {
     const { route, requestId } = this.#plan;
     const [first] = path.stages;
@@ -252,15 +262,13 @@
   ): Promise<SendResult> {
     const { answer } = outcome;
     const { codec, targets, clock } = this.#context;
-    const metadata = codec.answer(answer.rawHeaders);
-    const status = answer.statusCode ?? 0;
-    if (isOfOtherRequest(metadata, this.#plan.requestId)) {
-      answer.destroy();
-      return { kind: "broken", reason: "response of another request" };
-    }
-    if (metadata.isNotExecuted || status === 421) {
-      discardBody(answer);
-      const at = metadata.failedStageAddress ?? this.#path?.stages[0].address;
+    const fault = checkHead(answer, {
+      metadata: codec.answer(answer.rawHeaders),
+      requestId: this.#plan.requestId,
+    });
+    if (fault?.kind === "refused") {
+      const { status } = fault;
+      const at = fault.address ?? this.#path?.stages[0].address;
       const target = at === undefined ? undefined : targets.byAddress(at);
       if (target !== undefined) {
         target.avoidUntilMs = clock.nowMs() + AVOID_AFTER_REFUSAL_MS;
@@ -272,14 +280,8 @@
         reason: `refused with status ${status} by ${at}`,
       };
     }
-    if (metadata.requestId !== this.#plan.requestId || !metadata.isSigned) {
-      answer.destroy();
-      return { kind: "broken", reason: "response id or signature invalid" };
-    }
-    if (answer.headers["content-encoding"] !== undefined) {
-      answer.destroy();
-      return { kind: "broken", reason: "response has a content-encoding" };
-    }
+    if (fault !== undefined) return { kind: "broken", reason: fault.reason };
+    const status = answer.statusCode ?? 0;
     const response = this.#response;
     if (status !== 200) {
       const failure = await response.forwardWhole(outcome, status);
@@ -386,6 +388,7 @@
       lastEventId,
       ageMs: Math.round(exchange.ageMs),
       reason: result.kind === "done" ? undefined : result.reason,
+      excludedTargets: this.#excludedTargets,
     });
   }
 }
--- a/src/paths/path_chooser.ts
+++ b/src/paths/path_chooser.ts
@@ -7,7 +7,7 @@
  */
 
 import type { Clock } from "../common/clock.ts";
-import type { EngineProfile, PathStage } from "../ports/types.ts";
+import type { EngineProfile, PathStage, Span } from "../ports/types.ts";
 import { DomainLinks, tokenTransferMs } from "./domain_links.ts";
 import {
   findPath,
@@ -70,6 +70,15 @@
   readonly current?: readonly PathStage[];
 }
 
+/** Why a target takes no new request. */
+export type Exclusion =
+  | "not-ready"
+  | "unresponsive"
+  | "suspected"
+  | "avoided"
+  | "paused"
+  | "full";
+
 /** A path with its memory reserved until `release` is called. */
 export interface ReservedPath extends FoundPath {
   release(): void;
@@ -183,8 +192,34 @@
     }) !== undefined;
   }
 
+  /** Counts the targets with layers that take no new request, by the reason. */
+  countExclusions(demand: PathDemand): Partial<Record<Exclusion, number>> {
+    const counts: Partial<Record<Exclusion, number>> = {};
+    for (const target of this.#targetTable.ofService(demand.service)) {
+      if (target.span === undefined) continue;
+      const exclusion = this.#exclusionOf(target, target.span, demand);
+      if (exclusion === undefined) continue;
+      counts[exclusion] = (counts[exclusion] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  #exclusionOf(
+    target: Target,
+    { from, to }: Span,
+    { tokens, figures }: PathDemand,
+  ): Exclusion | undefined {
+    if (!target.isReady) return "not-ready";
+    if (target.noResponseSinceMs !== undefined) return "unresponsive";
+    if (!target.isResponsive) return "suspected";
+    if (!target.isAvailable) return "avoided";
+    if ((this.#limits?.pausedForMs(target.id) ?? 0) > 0) return "paused";
+    const needed = tokens * (to - from);
+    return freeTokenLayers(target, figures) < needed ? "full" : undefined;
+  }
+
   #candidates(demand: PathDemand): PathCandidate[] {
-    const { service, figures, tokens, excluded, current } = demand;
+    const { service, figures, excluded, current } = demand;
     const onPath = new Set(current?.map(({ targetId }) => targetId));
     const candidates: PathCandidate[] = [];
     const noiseRange = COST_NOISE_SHARE *
@@ -195,10 +230,7 @@
         continue;
       }
       if (!onPath.has(target.id)) {
-        if (!target.isReady || !target.isAvailable) continue;
-        if ((this.#limits?.pausedForMs(target.id) ?? 0) > 0) continue;
-        const needed = tokens * (span.to - span.from);
-        if (freeTokenLayers(target, figures) < needed) continue;
+        if (this.#exclusionOf(target, span, demand) !== undefined) continue;
       }
       const noise = 1 + this.#random() * noiseRange;
       const canBeFirst = (demand.allowedFirstTargets?.has(target.id) ?? true) &&
--- a/src/paths/path_chooser_test.ts
+++ b/src/paths/path_chooser_test.ts
@@ -310,3 +310,24 @@
   paused.add("a2");
   expect(chooser.choose(demand)?.stages[1].targetId).toBe("b2");
 });
+
+test("tells why targets take no new request", () => {
+  const span = { from: 0, to: 10 };
+  const { chooser, targetTable, clock } = tableOf([
+    { id: "silent", span },
+    { id: "suspected", span },
+    { id: "loaded", span },
+    { id: "sound", span },
+  ]);
+  targetTable.markUnresponsive("silent", {});
+  for (const host of ["h1", "h2"]) {
+    targetTable.get("suspected")?.addSuspicion(host, clock.nowMs() + 1_000);
+  }
+  const [, , loaded] = targetTable.all();
+  loaded.peerLoad = { streams: 60, tokenLayers: 1e9 };
+  expect(chooser.countExclusions(demand)).toEqual({
+    unresponsive: 1,
+    suspected: 1,
+    full: 1,
+  });
+});
