Show that hosts cut off from all targets fail their callers, and those of the others

For this a host may be given the local address of its connections to targets (outgoing-ip in the settings); the proxy of the soak moves to standins/.

--- a/soak/back_ends.ts
+++ b/soak/back_ends.ts
@@ -15,7 +15,7 @@
 import { CONFIG_TOPIC, TARGET_TOPIC } from "../platform/store_client.ts";
 import { CLOSING_MS } from "../standins/users_platform/server_life.ts";
 import type { DrawnEndings } from "./endings.ts";
-import { LoopbackProxy } from "./loopback_proxy.ts";
+import { LoopbackProxy } from "../standins/loopback_proxy.ts";
 import {
   BOUNDS,
   CRASH_RESTART_MS,
--- a/src/common/http_call.ts
+++ b/src/common/http_call.ts
@@ -24,6 +24,8 @@
   readonly body?: Buffer | string;
   /** The call fails, and its connection is closed, after this time. */
   readonly timeoutMs: number;
+  /** Local address of the connection; by default, the system's choice. */
+  readonly localAddress?: string;
   /** `false` for a connection of its own. */
   readonly agent: Agent | false;
 }
@@ -44,6 +46,7 @@
       method: options.method,
       path: options.path,
       agent: options.agent,
+      localAddress: options.localAddress,
       headers: {
         ...options.headers,
         ...(options.method === "POST"
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -36,6 +36,8 @@
   readonly quarantine: ContentQuarantine;
   readonly monitor: StreamMonitor;
   readonly domain: string;
+  /** Local address of connections to targets; by default, the system's choice. */
+  readonly outgoingIp?: string;
   readonly random: () => number;
   readonly budgetOf: (service: string) => ServiceRetryBudget;
   readonly queueOf: (service: string) => WaitQueue;
--- a/src/forward/loss_detector.ts
+++ b/src/forward/loss_detector.ts
@@ -54,6 +54,8 @@
 export interface LossDetectorOptions {
   readonly clock: Clock;
   readonly targets: TargetTable;
+  /** Local address of connections; by default, the system's choice. */
+  readonly localAddress?: string;
 }
 
 interface Watch {
@@ -69,11 +71,13 @@
 export class LossDetector {
   readonly #clock: Clock;
   readonly #targets: TargetTable;
+  readonly #localAddress: string | undefined;
   readonly #watches = new Map<string, Watch>();
 
-  constructor({ clock, targets }: LossDetectorOptions) {
+  constructor({ clock, targets, localAddress }: LossDetectorOptions) {
     this.#clock = clock;
     this.#targets = targets;
+    this.#localAddress = localAddress;
     targets.onChange((target) => this.#handleChange(target));
   }
 
@@ -153,12 +157,14 @@
   }
 
   #checkOnce(watch: Watch): Promise<PortState> {
-    watch.pendingCheck ??= connectOnce(parseAddress(watch.process.address))
-      .then((state) => {
-        watch.pendingCheck = undefined;
-        if (state === "refuses") this.#resolve(watch, "port-refuses");
-        return state;
-      });
+    watch.pendingCheck ??= connectOnce({
+      ...parseAddress(watch.process.address),
+      localAddress: this.#localAddress,
+    }).then((state) => {
+      watch.pendingCheck = undefined;
+      if (state === "refuses") this.#resolve(watch, "port-refuses");
+      return state;
+    });
     return watch.pendingCheck;
   }
 
@@ -187,9 +193,11 @@
   return `${targetId} ${bornMs}`;
 }
 
-function connectOnce({ ip, port }: Endpoint): Promise<PortState> {
+function connectOnce(
+  { ip, port, localAddress }: Endpoint & { readonly localAddress?: string },
+): Promise<PortState> {
   return new Promise((resolve) => {
-    const socket = connect({ host: ip, port });
+    const socket = connect({ host: ip, port, localAddress });
     const finish = (state: PortState): void => {
       socket.destroy();
       resolve(state);
--- a/src/forward/target_send.ts
+++ b/src/forward/target_send.ts
@@ -14,7 +14,7 @@
 export interface TargetSendOptions {
   readonly context: Pick<
     CallContext,
-    "codec" | "agent" | "clock" | "limits" | "targets"
+    "codec" | "agent" | "clock" | "limits" | "targets" | "outgoingIp"
   >;
   readonly exchange: Pick<Exchange, "request" | "body">;
   readonly plan: Pick<CallPlan, "customer" | "deadlineMs">;
@@ -50,6 +50,7 @@
     mayReuse: options.mayReuse,
     signal: options.signal,
     agent,
+    localAddress: context.outgoingIp,
   });
   if (outcome.kind === "failed") return outcome;
   const { statusCode = 0, rawHeaders } = outcome.answer;
--- a/src/forward/upstream.ts
+++ b/src/forward/upstream.ts
@@ -23,6 +23,8 @@
   /** Closes the connection when it aborts. */
   readonly signal: AbortSignal;
   readonly agent: KeepAliveAgent;
+  /** Local address of the connection; by default, the system's choice. */
+  readonly localAddress?: string;
 }
 
 /** Outcome of a send: the head of a response, or a failure. */
@@ -59,6 +61,7 @@
       path: options.path,
       headers: toHeaders(options),
       setHost: false,
+      localAddress: options.localAddress,
       agent: options.mayReuse ? agent : false,
       ...(options.mayReuse ? {} : { createConnection: undefined }),
     });
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -358,6 +358,8 @@
   readonly readiness: Endpoint;
   readonly metrics: Endpoint;
   readonly peerPort: number;
+  /** Local address of connections to targets; by default, the system's choice. */
+  readonly outgoingIp?: string;
   /** No process ran on this host before, as the whole system starts first. */
   readonly isFirstStart: boolean;
   readonly bounds: HostBounds;
--- a/soak/loopback_proxy.ts
+++ b/standins/loopback_proxy.ts
@@ -1,13 +1,19 @@
 /**
  * A TCP proxy on the loopback interface that can delay or drop data and reset
- * connections.
+ * connections, also of single clients, which it tells apart by their addresses.
  *
  * @module
  */
 
 import { connect, createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
-import { listenAgain } from "../standins/users_platform/listen_again.ts";
+import { listenAgain } from "./users_platform/listen_again.ts";
+
+/**
+ * What a cut does: connections stop, or are reset, or live on while new ones
+ * are reset.
+ */
+export type ClientCut = "silent" | "reset" | "refuses-new";
 
 /** Forwards connections to one address. */
 export class LoopbackProxy {
@@ -15,6 +21,8 @@
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
   #refusedPort = 0;
+  /** Cuts by the address of the client. */
+  readonly #cuts = new Map<string, ClientCut>();
   /** Delay of each chunk, in both directions. */
   delayMs = 0;
   /** Drops data in both directions; connections stay open. */
@@ -47,6 +55,19 @@
     this.reset();
   }
 
+  /** Cuts a client off, or no longer if `cut` is undefined. */
+  setCut(clientIp: string, cut: ClientCut | undefined): void {
+    if (cut === undefined) this.#cuts.delete(clientIp);
+    else this.#cuts.set(clientIp, cut);
+    // Connections that were silent have lost bytes.
+    if (cut === "refuses-new") return;
+    for (const socket of this.#sockets) {
+      if (cut !== "silent" && socket.remoteAddress === clientIp) {
+        socket.resetAndDestroy();
+      }
+    }
+  }
+
   accept(): void {
     if (this.#server.listening) return;
     listenAgain(this.#server, this.#refusedPort);
@@ -71,10 +92,21 @@
   }
 
   #accept(client: Socket): void {
+    const ip = client.remoteAddress ?? "";
+    const cut = this.#cuts.get(ip);
+    if (cut === "reset" || cut === "refuses-new") {
+      client.resetAndDestroy();
+      return;
+    }
+    const isSilent = (): boolean => this.#cuts.get(ip) === "silent";
     const [host, port] = this.#upstreamAddress.split(":");
     const upstream = connect({ host, port: Number(port) });
-    this.#forward(client, upstream, () => this.dropsAll);
-    this.#forward(upstream, client, () => this.dropsAll || this.dropsAnswers);
+    this.#forward(client, upstream, () => this.dropsAll || isSilent());
+    this.#forward(
+      upstream,
+      client,
+      () => this.dropsAll || this.dropsAnswers || isSilent(),
+    );
   }
 
   #forward(from: Socket, to: Socket, shouldDrop: () => boolean): void {
--- a/standins/users_platform/deployment.ts
+++ b/standins/users_platform/deployment.ts
@@ -20,6 +20,7 @@
 import { EraTracker } from "../../src/feeds/era_tracker.ts";
 import { EntryHost } from "../../src/entry/entry_host.ts";
 import type { HostSettings } from "../../src/ports/types.ts";
+import { type ClientCut, LoopbackProxy } from "../loopback_proxy.ts";
 import { ModelServer, type ModelServerOptions } from "./model_server.ts";
 import { StoreStandin } from "./store_standin.ts";
 
@@ -40,12 +41,15 @@
   readonly log?: ILog;
   readonly clock?: Clock;
   readonly bounds?: Partial<HostSettings["bounds"]>;
+  /** Whether a proxy stands before each server, which can cut single hosts off. */
+  readonly hasProxies?: boolean;
 }
 
 export class Deployment {
   readonly store = new StoreStandin();
   readonly servers: ModelServer[] = [];
   readonly hosts: EntryHost[] = [];
+  readonly #proxies = new Map<ModelServer, LoopbackProxy>();
   readonly #options: DeploymentOptions;
   readonly #owned: { dispose(): void }[] = [];
   #version = 1;
@@ -60,6 +64,12 @@
       const server = new ModelServer(options);
       await server.listen();
       this.servers.push(server);
+      if (this.#options.hasProxies === true) {
+        const proxy = new LoopbackProxy(server.address);
+        await proxy.listen();
+        this.#proxies.set(server, proxy);
+        this.#owned.push(proxy);
+      }
       this.register(server);
       server.life.onListeningChange = (isListening) =>
         isListening ? this.register(server) : this.#scheduleLapse(server);
@@ -81,7 +91,19 @@
   }
 
   register(server: ModelServer, overrides: Record<string, unknown> = {}): void {
-    this.store.put(TARGET_TOPIC, server.id, { ...server.entry, ...overrides });
+    const address = this.#proxies.get(server)?.address ?? server.address;
+    this.store.put(TARGET_TOPIC, server.id, {
+      ...server.entry,
+      address,
+      ...overrides,
+    });
+  }
+
+  /** Cuts hosts off from all servers, or no longer if `cut` is undefined. */
+  cutFromServers(hosts: readonly number[], cut: ClientCut | undefined): void {
+    for (const proxy of this.#proxies.values()) {
+      for (const index of hosts) proxy.setCut(outgoingIp(index), cut);
+    }
   }
 
   /** Writes a configuration; fields of `overrides` replace those of the default. */
@@ -107,9 +129,18 @@
       endpoint: parseEndpoint(this.store.address) ?? { ip: "", port: 0 },
       onEra: (era) => eras.observe(era, "store"),
     });
-    const control = new TargetControl({ log });
+    const settings: HostSettings = {
+      ...hostSettings(index, this.#options.bounds),
+      ...(this.#options.hasProxies === true
+        ? { outgoingIp: outgoingIp(index) }
+        : {}),
+    };
+    const control = new TargetControl({
+      log,
+      localAddress: settings.outgoingIp,
+    });
     const host = new EntryHost({
-      settings: hostSettings(index, this.#options.bounds),
+      settings,
       configLog: store.keyedLog(CONFIG_TOPIC),
       targetLog: store.keyedLog(TARGET_TOPIC),
       registry: store,
@@ -150,6 +181,11 @@
   }
 }
 
+/** The address by which proxies know a host. */
+function outgoingIp(index: number): string {
+  return `127.0.1.${index + 1}`;
+}
+
 function hostSettings(
   index: number,
   bounds: Partial<HostSettings["bounds"]> = {},
