Blame no target on a host that is cut off from all of them

What callers saw: with some hosts partitioned from all targets, all other hosts refused nearly every stream with 'no path with free capacity'.

Cause: a host that cannot reach a target concludes that the target is at fault and tells all others, who believe two such hosts whatever they see themselves. Partitioned hosts never met the old bound (0.4 of all targets silent): once they had marked the few holders of the first layer they tried no others, and with these no path starts anywhere. The class: a fact about another process concluded by one observer whose own link may be at fault.

Evidence: in the incident's logs four hosts mark the same six targets, all that hold layer 0, a second before the others begin to refuse; nobody else marks any.

Change: before a host concludes anything from a failure (a silent target, a refused port, a content that breaks its sends, an order not confirmed) a sample of other targets must answer it on new connections; else it is cut off, blames none, and neither leads nor is believed. A host that hears of suspicions asks the target itself, and its own report outweighs them.

Ruled out: reservations of hanging streams (they end after 2 s, refusals went on for nine), held contents (their refusals have another reason).

--- /dev/null
+++ b/src/entry/call_context.ts
@@ -0,0 +1,49 @@
+/**
+ * What the calls of a host share, put together from the host's parts.
+ *
+ * @module
+ */
+
+import type { CallContext } from "../forward/context.ts";
+import { LossDetector } from "../forward/loss_detector.ts";
+import { StageChecker } from "../paths/stage_checker.ts";
+import type { HostSettings } from "../ports/types.ts";
+import type { ServiceLimits } from "./service_limits.ts";
+
+export interface CallContextOptions extends
+  Omit<
+    CallContext,
+    | "checker"
+    | "lossDetector"
+    | "domain"
+    | "outgoingIp"
+    | "budgetOf"
+    | "queueOf"
+  > {
+  readonly settings: Pick<HostSettings, "domain" | "outgoingIp">;
+  readonly serviceLimits: ServiceLimits;
+}
+
+export function createCallContext(options: CallContextOptions): CallContext {
+  const { settings, serviceLimits, ...shared } = options;
+  const { clock, targets, control, reachability } = shared;
+  return {
+    ...shared,
+    checker: new StageChecker({
+      targetTable: targets,
+      control,
+      clock,
+      reportSilent: reachability.reportSilent,
+    }),
+    lossDetector: new LossDetector({
+      clock,
+      targets,
+      confirmCutOff: () => reachability.confirmCutOff(),
+      localAddress: settings.outgoingIp,
+    }),
+    domain: settings.domain,
+    outgoingIp: settings.outgoingIp,
+    budgetOf: (service) => serviceLimits.budgetOf(service),
+    queueOf: (service) => serviceLimits.queueOf(service),
+  };
+}
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -12,14 +12,13 @@
 import type { ILog } from "../common/logging.ts";
 import { Supervisor } from "../common/supervisor.ts";
 import { EraTracker } from "../feeds/era_tracker.ts";
-import type { CallContext } from "../forward/context.ts";
-import { LossDetector } from "../forward/loss_detector.ts";
+import { createCallContext } from "./call_context.ts";
 import { RequestHandler } from "../forward/request_handler.ts";
 import { StreamMonitor } from "../forward/stream_monitor.ts";
 import { KeepAliveAgent } from "../common/keep_alive_agent.ts";
 import { PathChooser } from "../paths/path_chooser.ts";
 import { LimitedTargetControl } from "../paths/limited_target_control.ts";
-import { StageChecker } from "../paths/stage_checker.ts";
+import { TargetReachability } from "../paths/target_reachability.ts";
 import { TargetLimits } from "../paths/target_limits.ts";
 import { TargetTable } from "../paths/target_table.ts";
 import { PeerLink } from "../peers/peer_link.ts";
@@ -36,6 +35,7 @@
 import { drainHost } from "./host_drain.ts";
 import { registerGauges } from "./host_gauges.ts";
 import { reportEraChanges } from "./era_report.ts";
+import { HostReadiness } from "./host_readiness.ts";
 import { HostListeners, type HostPorts } from "./host_listeners.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { TargetProber } from "./target_prober.ts";
@@ -46,11 +46,6 @@
 
 /** Keys are rejected this long before the configuration's age reaches the limit. */
 const CONFIG_AGE_MARGIN_MS = 600;
-/**
- * At this configuration age the host becomes not ready, so that the load
- * balancer moves callers before they are rejected.
- */
-const MAX_READY_CONFIG_AGE_MS = 2_500;
 /** Maximum wait for tasks to end. */
 const TASK_STOP_TIMEOUT_MS = 100;
 export interface EntryHostOptions {
@@ -76,7 +71,7 @@
   readonly #supervisor: Supervisor;
   readonly #targets: TargetTable;
   readonly #targetLimits: TargetLimits;
-  readonly #control: ITargetControl;
+  readonly #reachability: TargetReachability;
   readonly #chooser: PathChooser;
   readonly #config: ConfigTracker;
   readonly #eras: EraTracker;
@@ -95,7 +90,6 @@
   #isStopping = false;
   #stopped: Promise<void> | undefined;
   #isClosed = false;
-  #wasReady = false;
 
   constructor(options: EntryHostOptions) {
     this.#options = options;
@@ -124,7 +118,14 @@
       targets: this.#targets,
       clock,
     });
-    this.#control = control;
+    this.#reachability = new TargetReachability({
+      targets: this.#targets,
+      clock,
+      log,
+      probe: (target, timeoutMs) => control.probe(target, timeoutMs),
+      mayProbe: (id) => this.#targetLimits.canSend(id),
+      random: this.#random,
+    });
     this.#chooser = new PathChooser({
       targetTable: this.#targets,
       clock,
@@ -163,6 +164,7 @@
       log,
       metrics: this.#metrics,
       config: () => this.#config.table?.config,
+      reportSilent: this.#reachability.reportSilent,
       isLeader: () => this.#peers.isLeader(),
     });
     this.#quarantineSync = new QuarantineSync({
@@ -182,6 +184,7 @@
       clock,
       log,
       canLead: () => !this.#isStopping && this.#isFresh(),
+      isCutOff: () => this.#reachability.isCutOff,
       canRead: () => !this.#isStopping && this.#feeds.isStoreReachable,
       slowTargets: () => this.#placement.slowTargets(),
       onPeerLoad: () => this.#limits.scheduleDispatch(),
@@ -205,18 +208,42 @@
         }),
     });
     this.#core = new RequestHandler({
-      context: this.#context(),
+      context: createCallContext({
+        settings,
+        clock,
+        log,
+        codec: options.codec,
+        random: this.#random,
+        metrics: this.#metrics,
+        targets: this.#targets,
+        limits: this.#targetLimits,
+        chooser: this.#chooser,
+        control,
+        reachability: this.#reachability,
+        agent: this.#agent,
+        quarantine: this.#quarantine,
+        monitor: this.#watch,
+        serviceLimits: this.#limits,
+      }),
       routes: () => this.#config.table,
       isConfigFresh: () => this.#isFresh(),
       configAgeMs: () => this.#feeds.config.ageMs,
       isStopping: () => this.#isStopping,
       isRejectingNew: () => this.#isClosed,
     });
+    const readiness = new HostReadiness({
+      log,
+      isStopping: () => this.#isStopping,
+      hasConfig: () => this.#config.table !== undefined,
+      configAgeMs: () => this.#feeds.config.ageMs,
+      isConfigSourceReachable: () => this.#feeds.config.isSourceReachable,
+      targetCount: () => this.#targets.all().length,
+    });
     this.#listeners = new HostListeners({
       settings,
       onRequest: (request, response) =>
         void this.#core.serve(request, response),
-      isReady: () => this.#isReady(),
+      isReady: () => readiness.isReady(),
       renderMetrics: () => this.#metrics.render(),
     });
     this.#wire();
@@ -244,6 +271,10 @@
       "placement",
       (signal) => this.#placement.run(signal),
     );
+    this.#supervisor.start(
+      "reachability",
+      (signal) => this.#reachability.run(signal),
+    );
     this.#supervisor.start("prober", (signal) => this.#prober.run(signal));
     this.#supervisor.start("watch", (signal) => this.#watch.run(signal));
     log.info("host started", {
@@ -316,6 +347,10 @@
     this.#feeds.config.onBatch((batch) => this.#config.apply(batch));
     this.#feeds.targets.onBatch((batch) => feed.apply(batch));
     this.#targets.onChange(() => this.#limits.scheduleDispatch());
+    this.#reachability.onChange((isCutOff) => {
+      this.#peers.scheduleBroadcast();
+      if (!isCutOff) void this.#prober.probeAll();
+    });
     this.#targetLimits.onChange(() => this.#peers.scheduleBroadcast());
     reportEraChanges({
       eras: this.#eras,
@@ -336,41 +371,13 @@
       configVersion: () => this.#config.table?.config.version ?? 0,
       era: () => this.#eras.current ?? 0,
       targets: this.#targets,
+      isCutOff: () => this.#reachability.isCutOff,
       limits: this.#targetLimits,
       hostCount: () => this.#peers.hostCount,
       quarantine: this.#quarantine,
     });
   }
 
-  #context(): CallContext {
-    const { clock, log, codec, settings } = this.#options;
-    const control = this.#control;
-    return {
-      clock,
-      log,
-      metrics: this.#metrics,
-      targets: this.#targets,
-      limits: this.#targetLimits,
-      chooser: this.#chooser,
-      control,
-      checker: new StageChecker({ targetTable: this.#targets, control, clock }),
-      codec,
-      agent: this.#agent,
-      lossDetector: new LossDetector({
-        clock,
-        targets: this.#targets,
-        localAddress: settings.outgoingIp,
-      }),
-      quarantine: this.#quarantine,
-      monitor: this.#watch,
-      domain: settings.domain,
-      outgoingIp: settings.outgoingIp,
-      random: this.#random,
-      budgetOf: (service) => this.#limits.budgetOf(service),
-      queueOf: (service) => this.#limits.queueOf(service),
-    };
-  }
-
   #engineOf(service: string): unknown {
     return this.#config.table?.config.services.get(service)?.engine;
   }
@@ -379,22 +386,6 @@
     const { revokeMs } = this.#options.settings.bounds;
     return this.#feeds.config.ageMs < revokeMs - CONFIG_AGE_MARGIN_MS;
   }
-
-  #isReady(): boolean {
-    const ready = !this.#isStopping && this.#config.table !== undefined &&
-      this.#feeds.config.isSourceReachable &&
-      this.#feeds.config.ageMs < MAX_READY_CONFIG_AGE_MS &&
-      this.#targets.all().length > 0;
-    if (ready !== this.#wasReady) {
-      this.#wasReady = ready;
-      this.#options.log.info(ready ? "host ready" : "host not ready", {
-        isStopping: this.#isStopping,
-        configAgeMs: Math.round(this.#feeds.config.ageMs),
-        targets: this.#targets.all().length,
-      });
-    }
-    return ready;
-  }
 }
 
 function hostRecord(settings: HostSettings, clock: Clock): HostRecord {
--- a/src/entry/host_gauges.ts
+++ b/src/entry/host_gauges.ts
@@ -16,6 +16,8 @@
   readonly configVersion: () => number;
   readonly era: () => number;
   readonly targets: TargetTable;
+  /** Whether the host is cut off from all targets. */
+  readonly isCutOff: () => boolean;
   readonly limits: TargetLimits;
   /** Live hosts, this one included. */
   readonly hostCount: () => number;
@@ -33,6 +35,7 @@
     ["jackdawshift_config_version", sources.configVersion],
     ["jackdawshift_store_era", sources.era],
     ["jackdawshift_targets_known", () => targets.all().length],
+    ["jackdawshift_cut_off", () => sources.isCutOff() ? 1 : 0],
     [
       "jackdawshift_targets_unresponsive",
       () =>
--- a/src/entry/peer_exchange.ts
+++ b/src/entry/peer_exchange.ts
@@ -63,8 +63,8 @@
 /** The same for suspicions in digests, which pass through one or two relays. */
 const RELAYED_SUSPICION_TTL_MS = 1_400;
 /**
- * A host to which a larger share of the targets is unresponsive counts as
- * isolated itself.
+ * A host to which a larger share of the targets is unresponsive is not believed,
+ * and neither is one that is cut off from all of them.
  */
 const MAX_UNRESPONSIVE_SHARE = 0.4;
 
@@ -79,6 +79,8 @@
   readonly canLead: () => boolean;
   /** Whether reads of the store's logs succeed and this host is not stopping. */
   readonly canRead: () => boolean;
+  /** Whether this host is cut off from all targets. */
+  readonly isCutOff: () => boolean;
   readonly slowTargets: () => (readonly [string, number])[];
   readonly quarantine: QuarantineSync;
   readonly eras: EraTracker;
@@ -305,6 +307,7 @@
   }
 
   #isIsolated(): boolean {
+    if (this.#options.isCutOff()) return true;
     const targets = this.#options.targets.all();
     const unresponsive = targets.filter((target) =>
       target.noResponseSinceMs !== undefined
--- a/src/entry/peer_exchange_test.ts
+++ b/src/entry/peer_exchange_test.ts
@@ -38,7 +38,10 @@
 /** An exchange among `peers` with a fake link that records broadcasts. */
 function exchangeAmong(
   peers: Peer[],
-  options: { canRead?: boolean; isStoreDown?: () => boolean } = {},
+  options: {
+    canRead?: boolean;
+    isStoreDown?: () => boolean;
+  } = {},
 ) {
   const { isStoreDown = () => false } = options;
   const clock = new ManualClock();
@@ -92,6 +95,7 @@
     },
   };
   const exchange = new PeerExchange({
+    isCutOff: () => false,
     link,
     registry,
     eras,
--- a/src/forward/call_losses.ts
+++ b/src/forward/call_losses.ts
@@ -22,7 +22,13 @@
 export interface CallLossesOptions {
   readonly context: Pick<
     CallContext,
-    "log" | "metrics" | "lossDetector" | "quarantine" | "random" | "targets"
+    | "log"
+    | "metrics"
+    | "lossDetector"
+    | "quarantine"
+    | "random"
+    | "targets"
+    | "reachability"
   >;
   readonly plan: Pick<
     CallPlan,
@@ -174,19 +180,28 @@
    * target. Resolves as `observe` does.
    */
   recordFailure(send: MarkedSend, failure: SendFailure): Promise<void> {
-    const { context: { quarantine }, plan: { contentId } } = this.#options;
     const { lastEventId, isAbandoned = false } = failure;
     if (!isAbandoned && !send.isBroken && !this.isQuarantined) {
       send.isBroken = true;
-      quarantine.breaks.recordLoss(contentId, {
-        baseline: send.baseline.breaks,
-        lastEventId,
-      });
-      if (!send.hasEvents) this.#parts.recordBreak();
+      void this.#recordBreak(send, lastEventId);
     }
     return this.observe(send, { checksPort: !isAbandoned, ...failure });
   }
 
+  /** The content does not break sends whose host is cut off from all targets. */
+  async #recordBreak(
+    send: MarkedSend,
+    lastEventId: number | undefined,
+  ): Promise<void> {
+    const { context, plan: { contentId } } = this.#options;
+    if (await context.reachability.confirmCutOff()) return;
+    context.quarantine.breaks.recordLoss(contentId, {
+      baseline: send.baseline.breaks,
+      lastEventId,
+    });
+    if (!send.hasEvents) this.#parts.recordBreak();
+  }
+
   /**
    * Observes a target that may have ended. Resolves when its port was checked
    * and, if it refuses connections, the loss is recorded.
--- a/src/forward/call_losses_test.ts
+++ b/src/forward/call_losses_test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from "vitest";
+import { soundLink } from "../../test/reachability.ts";
 import { ManualClock } from "../../test/manual_clock.ts";
 import { ContentQuarantine } from "../admission/content_quarantine.ts";
 import { type Deferred, deferred } from "../common/deferred.ts";
@@ -29,6 +30,7 @@
     log: silentLog,
     metrics: { count: () => {} },
     targets,
+    reachability: soundLink(targets),
     quarantine,
     lossDetector: {
       observe: ({ targetId }: { readonly targetId: string }) => ({
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -13,6 +13,7 @@
 import type { PathChooser } from "../paths/path_chooser.ts";
 import type { StageChecker } from "../paths/stage_checker.ts";
 import type { TargetLimits } from "../paths/target_limits.ts";
+import type { TargetReachability } from "../paths/target_reachability.ts";
 import type { TargetTable } from "../paths/target_table.ts";
 import type { IHeaderCodec, ITargetControl } from "../ports/services.ts";
 import type { Customer, Route, Service } from "../ports/types.ts";
@@ -30,6 +31,7 @@
   readonly chooser: PathChooser;
   readonly control: ITargetControl;
   readonly checker: StageChecker;
+  readonly reachability: TargetReachability;
   readonly codec: IHeaderCodec;
   readonly agent: KeepAliveAgent;
   readonly lossDetector: LossDetector;
--- a/src/forward/loss_detector.ts
+++ b/src/forward/loss_detector.ts
@@ -54,6 +54,11 @@
 export interface LossDetectorOptions {
   readonly clock: Clock;
   readonly targets: TargetTable;
+  /**
+   * Whether this host is cut off from all targets, so that a refused connection
+   * says nothing about its target.
+   */
+  readonly confirmCutOff: () => Promise<boolean>;
   /** Local address of connections; by default, the system's choice. */
   readonly localAddress?: string;
 }
@@ -72,12 +77,15 @@
   readonly #clock: Clock;
   readonly #targets: TargetTable;
   readonly #localAddress: string | undefined;
+  readonly #confirmCutOff: () => Promise<boolean>;
   readonly #watches = new Map<string, Watch>();
 
-  constructor({ clock, targets, localAddress }: LossDetectorOptions) {
+  constructor(options: LossDetectorOptions) {
+    const { clock, targets } = options;
     this.#clock = clock;
     this.#targets = targets;
-    this.#localAddress = localAddress;
+    this.#localAddress = options.localAddress;
+    this.#confirmCutOff = options.confirmCutOff;
     targets.onChange((target) => this.#handleChange(target));
   }
 
@@ -157,15 +165,21 @@
   }
 
   #checkOnce(watch: Watch): Promise<PortState> {
-    watch.pendingCheck ??= connectOnce({
+    watch.pendingCheck ??= this.#connect(watch).finally(() =>
+      watch.pendingCheck = undefined
+    );
+    return watch.pendingCheck;
+  }
+
+  async #connect(watch: Watch): Promise<PortState> {
+    const state = await connectOnce({
       ...parseAddress(watch.process.address),
       localAddress: this.#localAddress,
-    }).then((state) => {
-      watch.pendingCheck = undefined;
-      if (state === "refuses") this.#resolve(watch, "port-refuses");
-      return state;
     });
-    return watch.pendingCheck;
+    if (state !== "refuses") return state;
+    if (await this.#confirmCutOff()) return "silent";
+    this.#resolve(watch, "port-refuses");
+    return state;
   }
 
   #handleChange(target: Target): void {
--- a/src/forward/loss_detector_test.ts
+++ b/src/forward/loss_detector_test.ts
@@ -29,7 +29,11 @@
   clock = new ManualClock();
   targets = new TargetTable({ clock, log: silentLog });
   targets.put(record);
-  detector = new LossDetector({ clock, targets });
+  detector = new LossDetector({
+    clock,
+    targets,
+    confirmCutOff: () => Promise.resolve(false),
+  });
 });
 
 afterEach(() => {
--- a/src/forward/response_test.ts
+++ b/src/forward/response_test.ts
@@ -52,7 +52,12 @@
 }
 
 const read = (answer: IncomingMessage) =>
-  readResponseBody({ kind: "answer", answer, hasFailed: () => false });
+  readResponseBody({
+    kind: "answer",
+    answer,
+    hasFailed: () => false,
+    isNewConnection: true,
+  });
 
 test("a hundred bodies without end fail within bounded memory, and a sound one beside them is read", async () => {
   const answers = await Promise.all(
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -197,7 +197,7 @@
         signal: sendAbort.signal,
       });
       const result = outcome.kind === "failed"
-        ? this.#handleFailedSend(first, outcome, relay)
+        ? await this.#handleFailedSend(first, outcome, relay)
         : await this.#receive(outcome, relay);
       if (result.kind === "broken") {
         const hasEvents = this.#response.lastEventId !== lastEventId;
@@ -242,16 +242,16 @@
     });
   }
 
-  #handleFailedSend(
+  async #handleFailedSend(
     { targetId }: PathStage,
     { verdict, reason }: Extract<SendOutcome, { readonly kind: "failed" }>,
     relay: StreamRelay,
-  ): SendResult {
+  ): Promise<SendResult> {
     if (verdict === "may-have-run") {
       return { kind: "broken", reason: relay.failure ?? reason };
     }
     if (!this.#abort.signal.aborted) {
-      this.#context.targets.markUnresponsive(targetId, { reason });
+      await this.#context.reachability.reportSilent(targetId, { reason });
     }
     return { kind: "not-run", wasSent: false, reason };
   }
--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -286,7 +286,7 @@
     );
     if (this.#isDone || report === "withheld") return undefined;
     if (report === undefined) {
-      targets.markUnresponsive(first.targetId, {
+      await context.reachability.reportSilent(first.targetId, {
         askedForMs: REPORT_TIMEOUT_MS,
       });
       this.#abandon(
--- a/src/forward/stream_relay_test.ts
+++ b/src/forward/stream_relay_test.ts
@@ -104,6 +104,7 @@
       kind: "answer",
       answer: answer as unknown as IncomingMessage,
       hasFailed: () => false,
+      isNewConnection: true,
     },
     { lastEventId: undefined, onEvents: () => true },
   );
--- a/src/forward/target_send.ts
+++ b/src/forward/target_send.ts
@@ -14,7 +14,13 @@
 export interface TargetSendOptions {
   readonly context: Pick<
     CallContext,
-    "codec" | "agent" | "clock" | "limits" | "targets" | "outgoingIp"
+    | "codec"
+    | "agent"
+    | "clock"
+    | "limits"
+    | "targets"
+    | "outgoingIp"
+    | "reachability"
   >;
   readonly exchange: Pick<Exchange, "request" | "body">;
   readonly plan: Pick<CallPlan, "customer" | "deadlineMs">;
@@ -32,7 +38,7 @@
   options: TargetSendOptions,
 ): Promise<SendOutcome> {
   const { context, exchange: { request, body }, plan, target } = options;
-  const { codec, agent, clock, limits, targets } = context;
+  const { codec, agent, clock, limits, targets, reachability } = context;
   const sentMs = clock.nowMs();
   const outcome = await sendUpstream({
     endpoint: parseAddress(target.address),
@@ -52,7 +58,12 @@
     agent,
     localAddress: context.outgoingIp,
   });
-  if (outcome.kind === "failed") return outcome;
+  if (outcome.kind === "failed") {
+    // What follows from the failure depends on whose link is at fault.
+    if (!options.signal.aborted) await reachability.confirmCutOff();
+    return outcome;
+  }
+  if (outcome.isNewConnection) reachability.recordResponse();
   const { statusCode = 0, rawHeaders } = outcome.answer;
   // Another process than the target responded.
   if (statusCode === 421) return outcome;
--- a/src/forward/upstream.ts
+++ b/src/forward/upstream.ts
@@ -37,6 +37,7 @@
      * without a length as complete in that case.
      */
     readonly hasFailed: () => boolean;
+    readonly isNewConnection: boolean;
   }
   | {
     readonly kind: "failed";
@@ -95,7 +96,12 @@
       clearTimeout(connectTimer);
       // Readers of the body detect failures by its other events.
       answer.on("error", () => {});
-      resolve({ kind: "answer", answer, hasFailed: () => hasFailed });
+      resolve({
+        kind: "answer",
+        answer,
+        hasFailed: () => hasFailed,
+        isNewConnection: !outgoing.reusedSocket,
+      });
     });
     outgoing.end(body);
   });
--- a/src/paths/limited_target_control.ts
+++ b/src/paths/limited_target_control.ts
@@ -50,6 +50,11 @@
     return report;
   }
 
+  probe(target: OrderTarget, timeoutMs: number): Promise<boolean> {
+    this.#options.limits.recordSend(target.id);
+    return this.#options.control.probe(target, timeoutMs);
+  }
+
   place(
     target: OrderTarget,
     span: Span,
--- a/src/paths/limited_target_control_test.ts
+++ b/src/paths/limited_target_control_test.ts
@@ -31,6 +31,7 @@
   });
   const calls: string[] = [];
   const control: ITargetControl = {
+    probe: () => Promise.resolve(true),
     report: () => {
       calls.push("report");
       return Promise.resolve(report as TargetReport);
--- a/src/paths/stage_checker.ts
+++ b/src/paths/stage_checker.ts
@@ -10,6 +10,7 @@
 import type { PathStage } from "../ports/types.ts";
 import { applyReport } from "./apply_report.ts";
 import type { Target } from "./target.ts";
+import type { TargetReachability } from "./target_reachability.ts";
 import type { TargetTable } from "./target_table.ts";
 
 /** A healthy target reports within a few milliseconds. */
@@ -47,6 +48,8 @@
   readonly targetTable: TargetTable;
   readonly control: ITargetControl;
   readonly clock: Clock;
+  /** Marks a target as unresponsive, unless this host is cut off from all. */
+  readonly reportSilent: TargetReachability["reportSilent"];
 }
 
 /** Probes targets and updates the target table with the results. */
@@ -107,7 +110,7 @@
     const elapsedMs = clock.nowMs() - startedMs;
     if (elapsedMs > timeoutMs + MAX_TIMER_DELAY_MS) return;
     if (this.#hasOtherReportSince(stage.targetId, startedMs)) {
-      this.#markUnresponsive(stage, elapsedMs);
+      await this.#reportSilent(stage, elapsedMs);
       return;
     }
     // No other target has reported since; this host itself may be cut off.
@@ -120,12 +123,15 @@
     const isConfirmed = reference === undefined ||
       this.#hasOtherReportSince(stage.targetId, startedMs);
     if (isConfirmed) {
-      this.#markUnresponsive(stage, clock.nowMs() - startedMs);
+      await this.#reportSilent(stage, clock.nowMs() - startedMs);
     } else this.#reportedMs.delete(reference.targetId);
   }
 
-  #markUnresponsive({ targetId }: ProbedStage, askedForMs: number): void {
-    this.#options.targetTable.markUnresponsive(targetId, {
+  async #reportSilent(
+    { targetId }: ProbedStage,
+    askedForMs: number,
+  ): Promise<void> {
+    await this.#options.reportSilent(targetId, {
       askedForMs: Math.round(askedForMs),
     });
   }
--- a/src/paths/stage_checker_test.ts
+++ b/src/paths/stage_checker_test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from "vitest";
 import { systemClock } from "../common/clock.ts";
+import { soundLink } from "../../test/reachability.ts";
 import { silentLog } from "../common/logging.ts";
 import type { ITargetControl } from "../ports/services.ts";
 import type { TargetRecord, TargetReport } from "../ports/types.ts";
@@ -62,6 +63,7 @@
     targetTable,
     control: control as ITargetControl,
     clock: systemClock,
+    reportSilent: soundLink(targetTable).reportSilent,
   });
   return { targetTable, checker, requests: () => requests };
 }
@@ -168,6 +170,7 @@
     targetTable,
     control: control as ITargetControl,
     clock: systemClock,
+    reportSilent: soundLink(targetTable).reportSilent,
   });
   return { targetTable, checker, dead, requests, stages };
 }
--- a/src/paths/target.ts
+++ b/src/paths/target.ts
@@ -10,6 +10,10 @@
 
 /** Number of other hosts that must suspect a target before it counts as unresponsive. */
 const MIN_SUSPECTING_HOSTS = 2;
+/** How long a report outweighs the suspicions of other hosts. */
+const REPORT_VOUCHES_MS = 1_000;
+/** The same for the progress of a stream, which may date from before a fault. */
+const ACTIVITY_VOUCHES_MS = 150;
 /** Weight of the newest outcome in the failure rate. */
 const NEWEST_OUTCOME_WEIGHT = 0.25;
 /** Half-life of the failure rate while no requests go to the target. */
@@ -48,6 +52,7 @@
   avoidUntilMs = -Infinity;
   /** Expiry of each other host's suspicion; hosts renew it while it lasts. */
   readonly #suspectedUntilMs = new Map<string, number>();
+  #suspectedSinceMs = -Infinity;
   /** Prefill work that is outstanding on the target. */
   readonly prefillBacklog: Backlog;
   /** Slowdown relative to the target's kind; 1 is nominal. */
@@ -78,11 +83,18 @@
 
   /** Whether the target responds, as far as this host and the others know. */
   get isResponsive(): boolean {
-    return this.noResponseSinceMs === undefined && !this.#isSuspectedByPeers;
+    return this.noResponseSinceMs === undefined && !this.isDoubted;
+  }
+
+  /** Whether other hosts suspect the target, and this host cannot tell. */
+  get isDoubted(): boolean {
+    return this.noResponseSinceMs === undefined && this.#isSuspectedByPeers &&
+      !this.#isVouched;
   }
 
   /** Records that another host suspects the target, until `untilMs`. */
   addSuspicion(host: string, untilMs: number): void {
+    if (!this.isSuspect) this.#suspectedSinceMs = this.#clock.nowMs();
     this.#suspectedUntilMs.set(host, untilMs);
   }
 
@@ -99,6 +111,17 @@
     return this.#suspicionCount >= MIN_SUSPECTING_HOSTS;
   }
 
+  /**
+   * Whether the target has responded to this host since it is suspected: the
+   * links of other hosts may be at fault.
+   */
+  get #isVouched(): boolean {
+    const isRecent = (atMs: number, forMs: number): boolean =>
+      atMs > this.#suspectedSinceMs && this.#clock.nowMs() - atMs < forMs;
+    return isRecent(this.reportedMs, REPORT_VOUCHES_MS) ||
+      isRecent(this.activeMs, ACTIVITY_VOUCHES_MS);
+  }
+
   get #suspicionCount(): number {
     const nowMs = this.#clock.nowMs();
     for (const [host, untilMs] of this.#suspectedUntilMs) {
--- /dev/null
+++ b/src/paths/target_reachability_test.ts
@@ -0,0 +1,130 @@
+import { expect, test } from "vitest";
+import { ManualClock } from "../../test/manual_clock.ts";
+import { silentLog } from "../common/logging.ts";
+import { TargetReachability } from "./target_reachability.ts";
+import { TargetTable } from "./target_table.ts";
+
+const TARGETS = 12;
+const PROBE_MS = 5;
+
+function setup() {
+  const clock = new ManualClock();
+  const targets = new TargetTable({ clock, log: silentLog });
+  for (let i = 0; i < TARGETS; i++) {
+    targets.put({
+      id: `t${i}`,
+      service: i < 9 ? "model" : "plain",
+      address: `10.0.0.1:${i + 1}`,
+      domain: `domain-${i % 3}`,
+      state: "ready",
+      bornMs: 0,
+      kind: undefined,
+      span: undefined,
+    });
+  }
+  const silent = new Set<string>();
+  const unwilling = new Set<string>();
+  const probed: string[] = [];
+  const reachability = new TargetReachability({
+    targets,
+    clock,
+    log: silentLog,
+    probe: async ({ id }, timeoutMs) => {
+      probed.push(id);
+      const isSilent = silent.has(id);
+      await clock.sleep(isSilent ? timeoutMs : PROBE_MS);
+      return !isSilent;
+    },
+    mayProbe: (id) => !unwilling.has(id),
+    random: () => 0.5,
+  });
+  const cutOff = (): void => {
+    for (const { id } of targets.all()) silent.add(id);
+  };
+  return { clock, targets, silent, unwilling, probed, reachability, cutOff };
+}
+
+test("a single silent target is at fault itself", async () => {
+  const { clock, targets, silent, probed, reachability } = setup();
+  silent.add("t0");
+  void reachability.reportSilent("t0", {});
+  await clock.advance(300);
+  expect(reachability.isCutOff).toBe(false);
+  expect(targets.get("t0")?.noResponseSinceMs).toBeDefined();
+  expect(probed.length).toBeLessThanOrEqual(8);
+});
+
+test("a host that reaches no target blames none and finds itself cut off", async () => {
+  const { clock, targets, reachability, cutOff } = setup();
+  cutOff();
+  for (const { id } of targets.all()) void reachability.reportSilent(id, {});
+  await clock.advance(300);
+  expect(reachability.isCutOff).toBe(true);
+  const blamed = targets.all().filter((one) =>
+    one.noResponseSinceMs !== undefined
+  );
+  expect(blamed).toEqual([]);
+});
+
+test("the loss of a failure domain or of a service is not taken for a cut", async () => {
+  for (const lost of ["domain-0", "model"]) {
+    const { clock, targets, silent, reachability } = setup();
+    for (const { id, record } of targets.all()) {
+      if (record.domain === lost || record.service === lost) silent.add(id);
+    }
+    for (const id of silent) void reachability.reportSilent(id, {});
+    await clock.advance(1_000);
+    expect(reachability.isCutOff).toBe(false);
+  }
+});
+
+test("a recent response on a new connection saves the check", async () => {
+  const { clock, probed, reachability } = setup();
+  reachability.recordResponse();
+  await clock.advance(50);
+  expect(await reachability.confirmCutOff()).toBe(false);
+  expect(probed).toEqual([]);
+});
+
+test("a response during the check shows that the host is not cut off", async () => {
+  const { clock, reachability, cutOff } = setup();
+  cutOff();
+  void reachability.confirmCutOff();
+  await clock.advance(100);
+  reachability.recordResponse();
+  await clock.advance(300);
+  expect(reachability.isCutOff).toBe(false);
+});
+
+test("concurrent failures share a check, and checks keep a distance", async () => {
+  const { clock, targets, silent, probed, reachability } = setup();
+  for (const { id } of targets.all()) if (id !== "t5") silent.add(id);
+  for (let i = 0; i < 100; i++) {
+    void reachability.confirmCutOff();
+    await clock.advance(10);
+  }
+  expect(probed.length).toBeLessThanOrEqual(40);
+});
+
+test("targets that named a limit or asked for a pause are not probed", async () => {
+  const { clock, targets, unwilling, probed, reachability } = setup();
+  for (const { id } of targets.all()) unwilling.add(id);
+  void reachability.confirmCutOff();
+  await clock.advance(500);
+  expect(probed).toEqual([]);
+  expect(reachability.isCutOff).toBe(false);
+});
+
+test("the end of a cut is noticed within half a second", async () => {
+  const { clock, silent, reachability, cutOff } = setup();
+  cutOff();
+  const stop = new AbortController();
+  void reachability.run(stop.signal);
+  void reachability.confirmCutOff();
+  await clock.advance(3_000);
+  expect(reachability.cutOffForMs).toBeGreaterThan(2_500);
+  silent.clear();
+  await clock.advance(500);
+  expect(reachability.isCutOff).toBe(false);
+  stop.abort();
+});
--- a/src/placement/placement_controller.ts
+++ b/src/placement/placement_controller.ts
@@ -12,6 +12,7 @@
 import type { ILog } from "../common/logging.ts";
 import type { IMetrics } from "../common/bucket_metrics.ts";
 import type { Target } from "../paths/target.ts";
+import type { TargetReachability } from "../paths/target_reachability.ts";
 import type { TargetTable } from "../paths/target_table.ts";
 import type { ITargetControl } from "../ports/services.ts";
 import { applyReport } from "../paths/apply_report.ts";
@@ -54,6 +55,8 @@
   readonly log: ILog;
   readonly metrics: IMetrics;
   readonly config: () => RoutingConfig | undefined;
+  /** Marks a target as unresponsive, unless this host is cut off from all. */
+  readonly reportSilent: TargetReachability["reportSilent"];
   /** Whether this host is the one that should act now. */
   readonly isLeader: () => boolean;
 }
@@ -137,7 +140,7 @@
   }
 
   async #requestReports(targets: readonly Target[]): Promise<void> {
-    const { control, targetTable } = this.#options;
+    const { control, targetTable, reportSilent } = this.#options;
     const missing: Target[] = [];
     await Promise.all(targets.map(async (target) => {
       const report = await control.report(addressOf(target), REPORT_TIMEOUT_MS);
@@ -148,7 +151,7 @@
     // If most reports are missing, this host itself is probably cut off.
     if (missing.length > targets.length * MAX_MISSING_SHARE) return;
     for (const { id } of missing) {
-      targetTable.markUnresponsive(id, { askedForMs: REPORT_TIMEOUT_MS });
+      await reportSilent(id, { askedForMs: REPORT_TIMEOUT_MS });
     }
   }
 
--- a/src/placement/placement_controller_test.ts
+++ b/src/placement/placement_controller_test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from "vitest";
+import { soundLink } from "../../test/reachability.ts";
 import { ManualClock } from "../../test/manual_clock.ts";
 import { smallEngineProfile } from "../../test/small_engine.ts";
 import { BucketMetrics } from "../common/bucket_metrics.ts";
@@ -47,6 +48,10 @@
   loadMs = 0;
   readonly late: Order[] = [];
 
+  probe({ id }: { id: string }): Promise<boolean> {
+    return Promise.resolve(!this.dead.has(id));
+  }
+
   report({ id }: { id: string }): Promise<TargetReport | undefined> {
     if (this.dead.has(id)) return Promise.resolve(undefined);
     return Promise.resolve({
@@ -117,6 +122,7 @@
     log: silentLog,
     metrics: new BucketMetrics(),
     config: () => CONFIG,
+    reportSilent: soundLink(targetTable).reportSilent,
     isLeader,
   });
   for (const id of IDS) targetTable.put(recordOf(id));
--- a/src/ports/services.ts
+++ b/src/ports/services.ts
@@ -72,6 +72,8 @@
 /** Report queries and orders to targets. Calls never reject. */
 export interface ITargetControl {
   report(target: OrderTarget, timeoutMs: number): Promise<ReportOutcome>;
+  /** Whether a target gives any response on a new connection within this time. */
+  probe(target: OrderTarget, timeoutMs: number): Promise<boolean>;
   /**
    * Orders a target to hold a span. The order is conditional: the target must
    * have begun `expectedSeq` orders.
--- a/test/peer_fleet.ts
+++ b/test/peer_fleet.ts
@@ -144,6 +144,7 @@
         isLeader: () => false,
       }),
       canLead: () => true,
+      isCutOff: () => false,
       canRead: () => true,
       slowTargets: () => [["target-3", 2.5]],
       onPeerLoad: () => {},
