--- a/src/entry/digest_relay.ts
+++ b/src/entry/digest_relay.ts
@@ -10,6 +10,7 @@
 import type {
   DomainDigest,
   HostLimit,
+  LimitedDelegate,
   UnresponsiveTarget,
 } from "../peers/domain_digest.ts";
 import { type FleetView, isBefore } from "../peers/fleet_view.ts";
@@ -118,6 +119,7 @@
       members: undefined,
       leader: oldestOf(states, ({ canLead }) => canLead),
       reader: oldestOf(states, ({ isReader }) => isReader),
+      limitedDelegates: states.flatMap(limitedDelegate),
       uses: sumUses(states),
       unresponsiveTargets: mergeUnresponsive(states),
       slowTargets: states.find(({ state }) => state.slowTargets !== undefined)
@@ -145,13 +147,21 @@
 
 /** What the other hosts are to know before the next periodic digest. */
 export function urgentPart(
-  { unresponsiveTargets, losses, breaks, limits, era, isEraSettled }:
+  facts:
     & Pick<
       PeerState | DomainDigest,
       "unresponsiveTargets" | "losses" | "breaks" | "limits" | "era"
     >
+    & Partial<
+      Pick<
+        PeerState & DomainDigest,
+        "acceptsDelegated" | "cutOffServices" | "limitedDelegates"
+      >
+    >
     & { readonly isEraSettled: boolean },
 ): string {
+  const { unresponsiveTargets, losses, breaks, limits, era, isEraSettled } =
+    facts;
   const named = limits.map(({ targetId, limitPerS }) => [targetId, limitPerS]);
   return JSON.stringify([
     unresponsiveTargets,
@@ -160,6 +170,9 @@
     named,
     era,
     isEraSettled,
+    facts.acceptsDelegated,
+    facts.cutOffServices,
+    facts.limitedDelegates,
   ]);
 }
 
@@ -180,6 +193,14 @@
   return oldest;
 }
 
+function limitedDelegate(
+  { host: { id: hostId }, state }: HostState,
+): LimitedDelegate[] {
+  const { acceptsDelegated, cutOffServices } = state;
+  if (!acceptsDelegated) return [{ hostId, cutOffServices: undefined }];
+  return cutOffServices.length === 0 ? [] : [{ hostId, cutOffServices }];
+}
+
 function sumUses(states: readonly HostState[]): PeerUse[] {
   const sums = new Map<string, PeerUse>();
   for (const { state } of states) {
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -16,6 +16,7 @@
 import { RequestHandler } from "../forward/request_handler.ts";
 import { StreamMonitor } from "../forward/stream_monitor.ts";
 import { KeepAliveAgent } from "../common/keep_alive_agent.ts";
+import { DelegateChooser } from "../forward/delegate_chooser.ts";
 import { PathChooser } from "../paths/path_chooser.ts";
 import { LimitedTargetControl } from "../paths/limited_target_control.ts";
 import { TargetReachability } from "../paths/target_reachability.ts";
@@ -30,11 +31,12 @@
   IRecordDecoder,
   ITargetControl,
 } from "../ports/services.ts";
-import type { HostRecord, HostSettings } from "../ports/types.ts";
+import type { Endpoint, HostSettings } from "../ports/types.ts";
 import { ConfigTracker } from "./config_tracker.ts";
 import { drainHost } from "./host_drain.ts";
 import { registerGauges } from "./host_gauges.ts";
 import { reportEraChanges } from "./era_report.ts";
+import { hostRecord } from "./host_record.ts";
 import { HostReadiness } from "./host_readiness.ts";
 import { HostListeners, type HostPorts } from "./host_listeners.ts";
 import { PeerExchange } from "./peer_exchange.ts";
@@ -84,6 +86,7 @@
   readonly #prober: TargetProber;
   readonly #watch: StreamMonitor;
   readonly #agent: KeepAliveAgent;
+  readonly #hostAgent = new KeepAliveAgent();
   readonly #core: RequestHandler;
   readonly #limits: ServiceLimits;
   readonly #listeners: HostListeners;
@@ -184,7 +187,8 @@
       clock,
       log,
       canLead: () => !this.#isStopping && this.#isFresh(),
-      isCutOff: () => this.#reachability.isCutOff,
+      cutOffServices: () => this.#reachability.cutOffServices(),
+      acceptsDelegated: () => !this.#isStopping,
       canRead: () => !this.#isStopping && this.#feeds.isStoreReachable,
       slowTargets: () => this.#placement.slowTargets(),
       onPeerLoad: () => this.#limits.scheduleDispatch(),
@@ -220,7 +224,14 @@
         chooser: this.#chooser,
         control,
         reachability: this.#reachability,
+        delegates: new DelegateChooser({
+          domain: settings.domain,
+          hosts: (service) => this.#peers.delegates(service),
+          domainHostCount: () => this.#peers.domainHostCount,
+          random: this.#random,
+        }),
         agent: this.#agent,
+        hostAgent: this.#hostAgent,
         quarantine: this.#quarantine,
         monitor: this.#watch,
         serviceLimits: this.#limits,
@@ -243,6 +254,8 @@
       settings,
       onRequest: (request, response) =>
         void this.#core.serve(request, response),
+      onDelegated: (request, response) =>
+        void this.#core.serve(request, response, "host"),
       isReady: () => readiness.isReady(),
       renderMetrics: () => this.#metrics.render(),
     });
@@ -253,36 +266,34 @@
   async start(): Promise<void> {
     const { settings, log } = this.#options;
     await this.#link.open();
-    await this.#listeners.open();
-    this.#supervisor.start(
-      "config",
-      (signal) => this.#feeds.config.run(signal),
-    );
-    this.#supervisor.start(
-      "targets",
-      (signal) => this.#feeds.targets.run(signal),
-    );
+    await this.#listeners.open(this.#link.host.port);
+    const tasks = {
+      config: this.#feeds.config,
+      targets: this.#feeds.targets,
+      placement: this.#placement,
+      reachability: this.#reachability,
+      prober: this.#prober,
+      watch: this.#watch,
+    };
+    for (const [name, task] of Object.entries(tasks)) {
+      this.#supervisor.start(name, (signal) => task.run(signal));
+    }
     this.#supervisor.start("peers", (signal) => this.#peers.runSender(signal));
     this.#supervisor.start(
       "registry",
       (signal) => this.#peers.runRegistry(signal),
     );
-    this.#supervisor.start(
-      "placement",
-      (signal) => this.#placement.run(signal),
-    );
-    this.#supervisor.start(
-      "reachability",
-      (signal) => this.#reachability.run(signal),
-    );
-    this.#supervisor.start("prober", (signal) => this.#prober.run(signal));
-    this.#supervisor.start("watch", (signal) => this.#watch.run(signal));
     log.info("host started", {
       domain: settings.domain,
       frontend: settings.frontend,
     });
   }
 
+  /** Where other hosts send datagrams, and requests that they delegate. */
+  get hostAddress(): Endpoint {
+    return this.#link.host;
+  }
+
   get ports(): HostPorts {
     return this.#listeners.ports;
   }
@@ -319,6 +330,7 @@
     this.#listeners.dispose();
     this.#link.dispose();
     this.#agent.destroy();
+    this.#hostAgent.destroy();
     void this.#supervisor.stop();
   }
 
@@ -347,18 +359,16 @@
     this.#feeds.config.onBatch((batch) => this.#config.apply(batch));
     this.#feeds.targets.onBatch((batch) => feed.apply(batch));
     this.#targets.onChange(() => this.#limits.scheduleDispatch());
-    this.#reachability.onChange((isCutOff) => {
+    this.#reachability.onChange(({ isCutOff }) => {
       this.#peers.scheduleBroadcast();
       if (!isCutOff) void this.#prober.probeAll();
     });
     this.#targetLimits.onChange(() => this.#peers.scheduleBroadcast());
-    reportEraChanges({
-      eras: this.#eras,
-      metrics: this.#metrics,
-      log,
-      configVersion: () => this.#config.table?.config.version,
-      configAgeMs: () => this.#feeds.config.ageMs,
-    });
+    const configVersion = (): number | undefined =>
+      this.#config.table?.config.version;
+    const configAgeMs = (): number => this.#feeds.config.ageMs;
+    const shared = { metrics: this.#metrics, log, configVersion, configAgeMs };
+    reportEraChanges({ ...shared, eras: this.#eras });
     this.#quarantine.losses.onLoss(() => this.#peers.scheduleBroadcast());
     this.#quarantine.onTrial(() => this.#peers.scheduleBroadcast());
     this.#quarantine.breaks.onLoss(({ totalLosses }) => {
@@ -367,11 +377,11 @@
     });
     registerGauges(this.#metrics, {
       active: () => this.#core.active,
-      configAgeMs: () => this.#feeds.config.ageMs,
-      configVersion: () => this.#config.table?.config.version ?? 0,
+      configAgeMs,
+      configVersion: () => configVersion() ?? 0,
       era: () => this.#eras.current ?? 0,
       targets: this.#targets,
-      isCutOff: () => this.#reachability.isCutOff,
+      cutOffServices: () => this.#reachability.cutOffServices().length,
       limits: this.#targetLimits,
       hostCount: () => this.#peers.hostCount,
       quarantine: this.#quarantine,
@@ -387,8 +397,3 @@
     return this.#feeds.config.ageMs < revokeMs - CONFIG_AGE_MARGIN_MS;
   }
 }
-
-function hostRecord(settings: HostSettings, clock: Clock): HostRecord {
-  const { hostId, domain, ip, peerPort } = settings;
-  return { id: hostId, domain, ip, port: peerPort, bornMs: clock.wallMs() };
-}
--- a/src/entry/host_gauges.ts
+++ b/src/entry/host_gauges.ts
@@ -16,8 +16,8 @@
   readonly configVersion: () => number;
   readonly era: () => number;
   readonly targets: TargetTable;
-  /** Whether the host is cut off from all targets. */
-  readonly isCutOff: () => boolean;
+  /** Number of services from whose targets the host is cut off. */
+  readonly cutOffServices: () => number;
   readonly limits: TargetLimits;
   /** Live hosts, this one included. */
   readonly hostCount: () => number;
@@ -35,7 +35,7 @@
     ["jackdawshift_config_version", sources.configVersion],
     ["jackdawshift_store_era", sources.era],
     ["jackdawshift_targets_known", () => targets.all().length],
-    ["jackdawshift_cut_off", () => sources.isCutOff() ? 1 : 0],
+    ["jackdawshift_services_cut_off", sources.cutOffServices],
     [
       "jackdawshift_targets_unresponsive",
       () =>
--- a/src/entry/host_listeners.ts
+++ b/src/entry/host_listeners.ts
@@ -1,5 +1,6 @@
 /**
- * HTTP servers of a host: frontend for callers, readiness and metrics.
+ * HTTP servers of a host: frontend for callers, requests that other hosts pass
+ * on, readiness and metrics.
  *
  * @module
  */
@@ -12,6 +13,11 @@
 /** Interval at which Node.js checks for slow request headers. */
 const HEADER_CHECK_INTERVAL_MS = 500;
 
+/** Longer than hosts keep idle connections to each other. */
+const HOST_IDLE_MS = 10_000;
+/** Callers' headers, which are limited at the frontend, and those of hosts. */
+const MAX_DELEGATED_HEADER_BYTES = 256 * 1024;
+
 /** Ports on which the host listens; 0 while closed. */
 export interface HostPorts {
   readonly frontend: number;
@@ -22,6 +28,8 @@
 export interface HostListenersOptions {
   readonly settings: HostSettings;
   readonly onRequest: RequestListener;
+  /** Serves a request that another host passes on. */
+  readonly onDelegated: RequestListener;
   readonly isReady: () => boolean;
   readonly renderMetrics: () => string;
 }
@@ -29,6 +37,7 @@
 export class HostListeners {
   readonly #settings: HostSettings;
   readonly #frontend: Server;
+  readonly #delegation: Server;
   readonly #readiness: Server;
   readonly #metrics: Server;
 
@@ -40,6 +49,13 @@
       // The deadline of the request limits the time for its body.
       requestTimeout: 0,
     }, options.onRequest);
+    this.#delegation = createServer({
+      keepAlive: true,
+      keepAliveTimeout: HOST_IDLE_MS,
+      connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS,
+      maxHeaderSize: MAX_DELEGATED_HEADER_BYTES,
+      requestTimeout: 0,
+    }, options.onDelegated);
     this.#readiness = createServer((_request, response) => {
       const status = options.isReady() ? 200 : 503;
       response.writeHead(status, { "content-length": "0" }).end();
@@ -58,8 +74,13 @@
     };
   }
 
-  /** Opens all ports; rejects if one is in use. */
-  async open(): Promise<void> {
+  /**
+   * Opens all ports; rejects if one is in use. Other hosts pass requests on to
+   * `hostPort`.
+   */
+  async open(hostPort: number): Promise<void> {
+    const { ip } = this.#settings;
+    await listen(this.#delegation, { ip, port: hostPort });
     await listen(this.#frontend, this.#settings.frontend);
     await listen(this.#readiness, this.#settings.readiness);
     await listen(this.#metrics, this.#settings.metrics);
@@ -76,7 +97,13 @@
 
   /** Closes all ports and connections. */
   dispose(): void {
-    for (const server of [this.#frontend, this.#readiness, this.#metrics]) {
+    const servers = [
+      this.#frontend,
+      this.#delegation,
+      this.#readiness,
+      this.#metrics,
+    ];
+    for (const server of servers) {
       server.close();
       server.closeAllConnections();
     }
--- a/src/entry/peer_exchange.ts
+++ b/src/entry/peer_exchange.ts
@@ -12,7 +12,7 @@
 import type { TargetLimits } from "../paths/target_limits.ts";
 import type { TargetTable } from "../paths/target_table.ts";
 import type { DomainDigest } from "../peers/domain_digest.ts";
-import { FleetView, isBefore } from "../peers/fleet_view.ts";
+import { FleetView, isBefore, oldest } from "../peers/fleet_view.ts";
 import type { Peer, PeerLink } from "../peers/peer_link.ts";
 import type { PeerState, PeerUse } from "../peers/peer_state.ts";
 import type { IHostRegistry } from "../ports/services.ts";
@@ -79,8 +79,10 @@
   readonly canLead: () => boolean;
   /** Whether reads of the store's logs succeed and this host is not stopping. */
   readonly canRead: () => boolean;
-  /** Whether this host is cut off from all targets. */
-  readonly isCutOff: () => boolean;
+  /** Whether this host serves requests of hosts that reach no target. */
+  readonly acceptsDelegated: () => boolean;
+  /** Services from all of whose targets this host is cut off. */
+  readonly cutOffServices: () => readonly string[];
   readonly slowTargets: () => (readonly [string, number])[];
   readonly quarantine: QuarantineSync;
   readonly eras: EraTracker;
@@ -134,6 +136,16 @@
     return this.#view.hostCount();
   }
 
+  /** Other live hosts that serve requests of hosts that reach no target. */
+  delegates(service: string): HostRecord[] {
+    return this.#view.delegates(service);
+  }
+
+  /** Number of live hosts of this failure domain, this one included. */
+  get domainHostCount(): number {
+    return this.#view.domainHostCount();
+  }
+
   /** Ids of the other live hosts. */
   otherHostIds(): string[] {
     return this.#view.otherHostIds();
@@ -155,11 +167,11 @@
     const { link, canRead } = this.#options;
     const readers = this.#view.readers();
     if (canRead()) readers.push(link.host);
-    const ofDomain = oldestOf(
+    const ofDomain = oldest(
       readers.filter(({ domain }) => domain === link.host.domain),
-    );
+    ).at(0);
     const reader = ofDomain === undefined || ofDomain === link.host
-      ? oldestOf(readers)
+      ? oldest(readers).at(0)
       : ofDomain;
     return reader === link.host ? undefined : reader;
   }
@@ -297,6 +309,8 @@
       slowTargets: this.isLeader() ? this.#options.slowTargets() : undefined,
       canLead: this.#options.canLead() && !this.#isIsolated(),
       isReader: this.#options.canRead(),
+      acceptsDelegated: this.#options.acceptsDelegated(),
+      cutOffServices: this.#options.cutOffServices(),
       losses: this.#options.quarantine.lossesToShare(),
       breaks: this.#options.quarantine.breaksToShare(),
       limits: this.#options.limits.entriesToShare(),
@@ -307,7 +321,7 @@
   }
 
   #isIsolated(): boolean {
-    if (this.#options.isCutOff()) return true;
+    if (this.#options.cutOffServices().length > 0) return true;
     const targets = this.#options.targets.all();
     const unresponsive = targets.filter((target) =>
       target.noResponseSinceMs !== undefined
@@ -382,11 +396,3 @@
     }
   }
 }
-
-function oldestOf(hosts: readonly HostRecord[]): HostRecord | undefined {
-  return hosts.reduce<HostRecord | undefined>(
-    (oldest, host) =>
-      oldest === undefined || isBefore(host, oldest) ? host : oldest,
-    undefined,
-  );
-}
--- a/src/entry/peer_exchange_test.ts
+++ b/src/entry/peer_exchange_test.ts
@@ -25,6 +25,8 @@
     slowTargets: undefined,
     canLead: true,
     isReader,
+    acceptsDelegated: true,
+    cutOffServices: [],
     losses: [],
     breaks: [],
     limits: [],
@@ -95,7 +97,7 @@
     },
   };
   const exchange = new PeerExchange({
-    isCutOff: () => false,
+    cutOffServices: () => [],
     link,
     registry,
     eras,
@@ -118,6 +120,7 @@
     log: silentLog,
     canLead: () => true,
     canRead: () => options.canRead ?? true,
+    acceptsDelegated: () => true,
     slowTargets: () => [],
     onPeerLoad: () => {},
   });
--- a/src/forward/call_losses.ts
+++ b/src/forward/call_losses.ts
@@ -193,8 +193,8 @@
     send: MarkedSend,
     lastEventId: number | undefined,
   ): Promise<void> {
-    const { context, plan: { contentId } } = this.#options;
-    if (await context.reachability.confirmCutOff()) return;
+    const { context, plan: { contentId, service } } = this.#options;
+    if (await context.reachability.confirmCutOff(service.name)) return;
     context.quarantine.breaks.recordLoss(contentId, {
       baseline: send.baseline.breaks,
       lastEventId,
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -18,6 +18,7 @@
 import type { IHeaderCodec, ITargetControl } from "../ports/services.ts";
 import type { Customer, Route, Service } from "../ports/types.ts";
 import type { LossDetector } from "./loss_detector.ts";
+import type { DelegateChooser } from "./delegate_chooser.ts";
 import type { StreamMonitor } from "./stream_monitor.ts";
 import type { KeepAliveAgent } from "../common/keep_alive_agent.ts";
 
@@ -32,8 +33,11 @@
   readonly control: ITargetControl;
   readonly checker: StageChecker;
   readonly reachability: TargetReachability;
+  readonly delegates: DelegateChooser;
   readonly codec: IHeaderCodec;
   readonly agent: KeepAliveAgent;
+  /** Connections to other hosts. */
+  readonly hostAgent: KeepAliveAgent;
   readonly lossDetector: LossDetector;
   readonly quarantine: ContentQuarantine;
   readonly monitor: StreamMonitor;
@@ -55,6 +59,9 @@
   readonly contentId: string;
   /** Parts of the prompt that other requests may share. */
   readonly sharedPromptParts: readonly string[];
+  readonly configVersion: number;
+  /** Whether another host, which reaches no target, passed the request on. */
+  readonly isDelegated: boolean;
   /** Time on the host's clock at which the request times out. */
   readonly deadlineMs: number;
   /** Position in the wait queue; lower ranks are served first. */
@@ -85,6 +92,14 @@
   return forMs + random() * HOLD_JITTER_MS;
 }
 
+/** Counts a request in the budget of retries, at the host that received it. */
+export function recordRequest(
+  { budgetOf }: Pick<CallContext, "budgetOf">,
+  { service, isDelegated }: Pick<CallPlan, "service" | "isDelegated">,
+): void {
+  if (!isDelegated) budgetOf(service.name).recordRequest();
+}
+
 /** Adds jitter to an estimated retry time. */
 export function jitterRetryMs(
   estimateMs: number,
--- a/src/forward/loss_detector.ts
+++ b/src/forward/loss_detector.ts
@@ -55,10 +55,10 @@
   readonly clock: Clock;
   readonly targets: TargetTable;
   /**
-   * Whether this host is cut off from all targets, so that a refused connection
+   * Whether this host is cut off from all targets of a service, so that a refused connection
    * says nothing about its target.
    */
-  readonly confirmCutOff: () => Promise<boolean>;
+  readonly confirmCutOff: (service: string) => Promise<boolean>;
   /** Local address of connections; by default, the system's choice. */
   readonly localAddress?: string;
 }
@@ -77,7 +77,7 @@
   readonly #clock: Clock;
   readonly #targets: TargetTable;
   readonly #localAddress: string | undefined;
-  readonly #confirmCutOff: () => Promise<boolean>;
+  readonly #confirmCutOff: LossDetectorOptions["confirmCutOff"];
   readonly #watches = new Map<string, Watch>();
 
   constructor(options: LossDetectorOptions) {
@@ -177,7 +177,10 @@
       localAddress: this.#localAddress,
     });
     if (state !== "refuses") return state;
-    if (await this.#confirmCutOff()) return "silent";
+    const target = this.#targets.get(watch.process.targetId);
+    const isCutOff = target !== undefined &&
+      await this.#confirmCutOff(target.record.service);
+    if (isCutOff) return "silent";
     this.#resolve(watch, "port-refuses");
     return state;
   }
--- a/src/forward/path_wait.ts
+++ b/src/forward/path_wait.ts
@@ -23,7 +23,10 @@
   readonly signal: AbortSignal;
 }
 
-/** Resolves with undefined on a time-out, a full queue or an abort of `signal`. */
+/**
+ * Resolves with undefined on a time-out, a full queue, an abort of `signal`, or
+ * if this host is found to be cut off from all targets.
+ */
 export function waitForPath(
   options: PathWaitOptions,
 ): Promise<ReservedPath | undefined> {
@@ -40,20 +43,24 @@
       tryStart: () => {
         const path = context.chooser.choose(demand);
         if (path === undefined) return false;
-        signal.removeEventListener("abort", onAbort);
-        resolve(path);
+        finish(path);
         return true;
       },
-      refuse: () => {
-        signal.removeEventListener("abort", onAbort);
-        resolve(undefined);
-      },
+      refuse: () => finish(undefined),
     };
+    function finish(path: ReservedPath | undefined): void {
+      signal.removeEventListener("abort", onAbort);
+      subscription.dispose();
+      resolve(path);
+    }
     function onAbort(): void {
       queue.remove(waiter);
-      resolve(undefined);
+      finish(undefined);
     }
     signal.addEventListener("abort", onAbort, { once: true });
+    const subscription = context.reachability.onChange((change) => {
+      if (change.isCutOff && change.service === demand.service) onAbort();
+    });
     queue.add(waiter);
   });
 }
--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -7,22 +7,28 @@
  */
 
 import type { Target } from "../paths/target.ts";
-import {
-  checkHead,
-  isUnframed,
-  readResponseBody,
-  responseHeaders,
-} from "./response.ts";
+import type { HostRecord } from "../ports/types.ts";
+import { checkHead } from "./response.ts";
 import { CallLosses, type MarkedSend } from "./call_losses.ts";
 import {
   type CallContext,
   type CallPlan,
   jitterRetryMs,
+  recordRequest,
   tryAcquireRetry,
 } from "./context.ts";
+import { refuseCutOff } from "./cut_off_refusal.ts";
+import { checkDelegateHead, sendToHost } from "./delegation.ts";
 import type { Exchange } from "./exchange.ts";
+import {
+  type Attempt,
+  readAnswer,
+  toAttempt,
+  writeResponse,
+} from "./plain_attempt.ts";
 import { pickPlainTarget } from "./plain_target.ts";
 import { sendToTarget } from "./target_send.ts";
+import type { SendOutcome } from "./upstream.ts";
 
 /** Share of the route's latency goal after which a hedged send starts. */
 const HEDGE_DELAY_FRACTION = 0.6;
@@ -33,23 +39,6 @@
 /** Retry time for refused callers; calls take some 20 ms. */
 const RETRY_AFTER_MS = 150;
 
-/** Result of one send. */
-type Attempt =
-  | {
-    readonly kind: "answer";
-    readonly status: number;
-    readonly headers: string[];
-    readonly body: Buffer;
-    /** A truncated body could not be told from a complete one. */
-    readonly isUnframed: boolean;
-  }
-  | {
-    readonly kind: "not-run";
-    readonly wasSent: boolean;
-    readonly reason: string;
-  }
-  | { readonly kind: "may-have-run"; readonly reason: string };
-
 export class PlainCall {
   readonly #context: CallContext;
   readonly #exchange: Exchange;
@@ -64,6 +53,8 @@
   #isDecided = false;
   #fallback: Attempt | undefined;
   #lastReason = "no eligible target";
+  /** Time to retry that another host named when it refused the call. */
+  #retryAfterMs: number | undefined;
 
   constructor(context: CallContext, exchange: Exchange, plan: CallPlan) {
     this.#context = context;
@@ -80,7 +71,7 @@
       cancel,
       Math.max(0, this.#plan.deadlineMs - clock.nowMs()),
     );
-    this.#context.budgetOf(this.#plan.service.name).recordRequest();
+    recordRequest(this.#context, this.#plan);
     try {
       const answer = await this.#losses.acquire()
         ? await this.#serve()
@@ -102,13 +93,13 @@
     const isIdempotent = this.#plan.route.retryPolicy === "idempotent";
     return new Promise((resolve) => {
       const launch = (): void => {
-        const target = this.#nextTarget();
-        if (target === undefined) {
+        const attempt = this.#nextAttempt();
+        if (attempt === undefined) {
           if (this.#running === 0) resolve(undefined);
           return;
         }
         this.#running++;
-        void this.#attempt(target, isIdempotent).then((attempt) => {
+        void attempt().then((attempt) => {
           this.#running--;
           if (this.#isFinal(attempt, isIdempotent)) resolve(attempt);
           else launch();
@@ -141,15 +132,39 @@
     return !isIdempotent;
   }
 
-  /** Selects the target of the next send; undefined if no send is allowed. */
-  #nextTarget(): Target | undefined {
-    const { route, service, deadlineMs } = this.#plan;
-    const { targets, limits, clock, random, domain } = this.#context;
+  /** Prepares the next send; undefined if none is allowed. */
+  #nextAttempt(): (() => Promise<Attempt>) | undefined {
+    const { route, service, deadlineMs, isDelegated } = this.#plan;
+    const { clock, reachability } = this.#context;
     if (this.#abort.signal.aborted || this.#sends >= route.maxAttempts) {
       return undefined;
     }
     if (this.#losses.heldForMs > 0) return undefined;
     if (deadlineMs - clock.nowMs() < MIN_REMAINING_MS) return undefined;
+    if (reachability.isCutOff(service.name)) {
+      const host = isDelegated ? undefined : this.#nextHost();
+      return host && (() => this.#delegate(host));
+    }
+    const isIdempotent = route.retryPolicy === "idempotent";
+    const target = this.#nextTarget();
+    return target && (() => this.#attempt(target, isIdempotent));
+  }
+
+  /** Selects the host that serves the call in the place of this one. */
+  #nextHost(): HostRecord | undefined {
+    // A host that could not serve the call has told when it can be served.
+    if (this.#retryAfterMs !== undefined) return undefined;
+    const host = this.#context.delegates.choose({
+      service: this.#plan.service.name,
+      excluded: this.#tried,
+    });
+    return host && this.#beginSend(host.id) ? host : undefined;
+  }
+
+  /** Selects the target of the next send. */
+  #nextTarget(): Target | undefined {
+    const { service } = this.#plan;
+    const { targets, limits, random, domain } = this.#context;
     const target = pickPlainTarget({
       targets: targets.ofService(service.name).filter(({ id }) =>
         limits.canSend(id)
@@ -159,14 +174,67 @@
       isPreferred: ({ id }) => limits.isRenewalDue(id),
       random,
     });
-    if (target === undefined) return undefined;
+    if (target === undefined || !this.#beginSend(target.id)) return undefined;
+    limits.recordSend(target.id);
+    return target;
+  }
+
+  /** Acquires a retry if the call was sent before; returns false without one. */
+  #beginSend(receiver: string): boolean {
+    const { service } = this.#plan;
     if (this.#sends > 0 && !tryAcquireRetry(this.#context, service.name)) {
-      return undefined;
+      return false;
     }
-    this.#tried.add(target.id);
-    limits.recordSend(target.id);
+    this.#tried.add(receiver);
     this.#sends++;
-    return target;
+    return true;
+  }
+
+  /** Lets another host serve the call, since this one reaches no target. */
+  async #delegate(host: HostRecord): Promise<Attempt> {
+    const context = this.#context;
+    const plan = this.#plan;
+    const attempts = plan.route.maxAttempts - this.#sends + 1;
+    context.log.info("request delegated", {
+      request: plan.requestId,
+      to: host.id,
+      send: this.#sends,
+      attempts,
+    });
+    context.delegates.begin(host);
+    const outcome = await sendToHost({
+      context,
+      exchange: this.#exchange,
+      plan,
+      host,
+      attempts,
+      mayReuse: plan.route.retryPolicy === "idempotent",
+      signal: this.#abort.signal,
+    });
+    context.delegates.end(host);
+    const attempt = await this.#readDelegated(outcome);
+    // A call that no target received does not count as a send.
+    if (attempt.kind === "not-run") this.#sends--;
+    return attempt;
+  }
+
+  async #readDelegated(outcome: SendOutcome): Promise<Attempt> {
+    if (outcome.kind === "failed") return toAttempt(outcome);
+    const { answer } = outcome;
+    const refusal = checkDelegateHead(answer, {
+      metadata: this.#context.codec.answer(answer.rawHeaders),
+      requestId: this.#plan.requestId,
+    });
+    if (refusal?.kind === "invalid") {
+      return { kind: "may-have-run", reason: refusal.reason };
+    }
+    if (refusal !== undefined) {
+      if (refusal.kind === "refused") {
+        this.#retryAfterMs = refusal.retryAfterMs ?? RETRY_AFTER_MS;
+      }
+      return { kind: "not-run", wasSent: false, reason: refusal.reason };
+    }
+    return await readAnswer(outcome);
   }
 
   async #attempt(target: Target, mayRetry: boolean): Promise<Attempt> {
@@ -232,11 +300,7 @@
       mayReuse: route.retryPolicy === "idempotent",
       signal: this.#abort.signal,
     });
-    if (outcome.kind === "failed") {
-      return outcome.verdict === "not-run"
-        ? { kind: "not-run", wasSent: false, reason: outcome.reason }
-        : { kind: "may-have-run", reason: outcome.reason };
-    }
+    if (outcome.kind === "failed") return toAttempt(outcome);
     const { answer } = outcome;
     const fault = checkHead(answer, {
       metadata: codec.answer(answer.rawHeaders),
@@ -254,20 +318,7 @@
     if (fault !== undefined) {
       return { kind: "may-have-run", reason: fault.reason };
     }
-    const responseBody = await readResponseBody(outcome);
-    if (responseBody === undefined) {
-      return {
-        kind: "may-have-run",
-        reason: "response truncated or too large",
-      };
-    }
-    return {
-      kind: "answer",
-      status: answer.statusCode ?? 0,
-      headers: responseHeaders(answer),
-      body: responseBody,
-      isUnframed: isUnframed(answer),
-    };
+    return await readAnswer(outcome);
   }
 
   /** Time until the first target wants requests again; 0 if one does now. */
@@ -280,7 +331,7 @@
   }
 
   #finish(attempt: Attempt | undefined): void {
-    const { log, metrics, random, clock } = this.#context;
+    const { log, metrics, random, clock, reachability } = this.#context;
     const exchange = this.#exchange;
     const answer = attempt?.kind === "answer" ? attempt : this.#fallback;
     let status: number;
@@ -290,6 +341,11 @@
     } else if (this.#mayHaveRun) {
       status = clock.nowMs() >= this.#plan.deadlineMs ? 504 : 502;
       exchange.refuse(status, "no valid response from a target");
+    } else if (reachability.isCutOff(this.#plan.service.name)) {
+      status = refuseCutOff(this.#context, exchange, {
+        ...this.#plan,
+        retryAfterMs: this.#retryAfterMs,
+      });
     } else {
       status = 503;
       this.#losses.refuse(exchange, {
@@ -313,17 +369,3 @@
     });
   }
 }
-
-function writeResponse(
-  exchange: Exchange,
-  answer: Extract<Attempt, { readonly kind: "answer" }>,
-): void {
-  const { status, headers, body } = answer;
-  if (!answer.isUnframed) {
-    const framed = [...headers, "Content-Length", String(body.length)];
-    exchange.answer(status, framed, body);
-    return;
-  }
-  exchange.writeUnframedHead(status, headers);
-  exchange.response.end(body);
-}
--- a/src/forward/request_handler.ts
+++ b/src/forward/request_handler.ts
@@ -15,6 +15,7 @@
   jitterHoldMs,
   jitterRetryMs,
 } from "./context.ts";
+import { DECLINED_STATUS, readDelegation } from "./delegation.ts";
 import { Exchange } from "./exchange.ts";
 import { PlainCall } from "./plain_call.ts";
 import type { RouteTable } from "./route_table.ts";
@@ -42,6 +43,9 @@
   readonly isRejectingNew: () => boolean;
 }
 
+/** Who sent a request to this host. */
+export type RequestOrigin = "caller" | "host";
+
 type Admission =
   | {
     readonly kind: "admit";
@@ -67,9 +71,11 @@
     return this.#active;
   }
 
+  /** Serves a request of a caller, or one that another host passes on. */
   async serve(
     request: IncomingMessage,
     response: ServerResponse,
+    origin: RequestOrigin = "caller",
   ): Promise<void> {
     const { context, isStopping } = this.#options;
     this.#active++;
@@ -81,7 +87,7 @@
       isClosing: isStopping,
     });
     try {
-      await this.#serve(exchange);
+      await this.#serve(exchange, origin);
     } catch (error) {
       context.log.error("request failed with an internal error", {
         request: exchange.metadata.requestId,
@@ -95,8 +101,10 @@
     }
   }
 
-  async #serve(exchange: Exchange): Promise<void> {
-    const admission = this.#admit(exchange);
+  async #serve(exchange: Exchange, origin: RequestOrigin): Promise<void> {
+    const admission = origin === "host"
+      ? await this.#admitDelegated(exchange)
+      : this.#admit(exchange);
     if (admission.kind === "refuse") {
       this.#refuse(exchange, admission);
       return;
@@ -146,6 +154,35 @@
       }).run();}
   }
 
+  /** What this host does not admit another one may, so it is declined. */
+  async #admitDelegated(exchange: Exchange): Promise<Admission> {
+    const decline = (reason: string): Admission => ({
+      kind: "refuse",
+      status: DECLINED_STATUS,
+      reason,
+    });
+    const delegation = readDelegation(exchange.request.headers);
+    if (delegation === undefined) return decline("not a delegated request");
+    const { context, routes } = this.#options;
+    const version = routes()?.config.version ?? -1;
+    if (version < delegation.configVersion) {
+      return decline(`configuration ${version} is older`);
+    }
+    const admission = this.#admit(exchange);
+    if (admission.kind === "refuse") return decline(admission.reason);
+    const { plan } = admission;
+    // What cut the other host off may have cut this one, which may be idle.
+    if (await context.reachability.confirmCutOff(plan.service.name)) {
+      return decline("host is cut off from all targets");
+    }
+    const { route } = plan;
+    const maxAttempts = Math.min(route.maxAttempts, delegation.attempts);
+    return {
+      kind: "admit",
+      plan: { ...plan, route: { ...route, maxAttempts }, isDelegated: true },
+    };
+  }
+
   #admit(exchange: Exchange): Admission {
     const { routes, isConfigFresh, context } = this.#options;
     const table = routes();
@@ -206,6 +243,8 @@
         route,
         service,
         customer,
+        configVersion: table.config.version,
+        isDelegated: false,
         requestId: metadata.requestId,
         deadlineMs: exchange.receivedMs + waitMs,
         rank: rankOf(customer, route.priority),
--- /dev/null
+++ b/src/forward/send_history.ts
@@ -0,0 +1,90 @@
+/**
+ * The sends of one streaming call: to which targets or hosts they went, which of
+ * these the call avoids, and whether another one is allowed.
+ *
+ * @module
+ */
+
+import type { Route } from "../ports/types.ts";
+import type { SendResult } from "./send_result.ts";
+
+/** Retries after which a request is abandoned, refused sends included. */
+const MAX_RETRIES = 4;
+
+export interface SendHistoryOptions {
+  readonly route: Pick<Route, "maxAttempts" | "isResumable">;
+}
+
+export class SendHistory {
+  readonly #route: SendHistoryOptions["route"];
+  /** Targets or hosts that may have received the request. */
+  readonly #receivers = new Set<string>();
+  readonly #excluded = new Set<string>();
+  #current = "";
+  #sends = 0;
+  #retries = 0;
+  #mayHaveRun = false;
+
+  constructor({ route }: SendHistoryOptions) {
+    this.#route = route;
+  }
+
+  get sends(): number {
+    return this.#sends;
+  }
+
+  /** Whether a send may have run the request. */
+  get mayHaveRun(): boolean {
+    return this.#mayHaveRun;
+  }
+
+  /** Targets and hosts to avoid. */
+  get excluded(): ReadonlySet<string> {
+    return this.#excluded;
+  }
+
+  /** At the route's limit, those already used; undefined below it. */
+  get allowedReceivers(): ReadonlySet<string> | undefined {
+    return this.hasAttempts ? undefined : this.#receivers;
+  }
+
+  get hasAttempts(): boolean {
+    return this.#receivers.size < this.#route.maxAttempts;
+  }
+
+  /** Number of further targets to which the request may be sent. */
+  get attemptsLeft(): number {
+    return Math.max(1, this.#route.maxAttempts - this.#receivers.size);
+  }
+
+  begin(receiver: string): void {
+    this.#receivers.add(receiver);
+    this.#current = receiver;
+    this.#sends++;
+  }
+
+  exclude(id: string): void {
+    this.#excluded.add(id);
+  }
+
+  /** Records a failed send; returns whether the request may be sent again. */
+  mayRepeat(result: SendResult): boolean {
+    if (result.kind === "broken") {
+      this.#mayHaveRun = true;
+      this.#excluded.add(this.#current);
+    }
+    const isRefused = result.kind === "not-run";
+    if (isRefused && !result.wasSent) {
+      this.#receivers.delete(this.#current);
+      this.#excluded.add(this.#current);
+    }
+    const isSafe = isRefused
+      ? result.retryAfterMs === undefined
+      : this.#route.isResumable;
+    // A later stage may have refused; another path can start at the same target.
+    const mayReuse = isRefused && result.wasSent &&
+      [...this.#receivers].some((id) => !this.#excluded.has(id));
+    const hasReceiver = mayReuse || this.hasAttempts;
+    return isSafe && hasReceiver && ++this.#retries <= MAX_RETRIES;
+  }
+}
--- a/src/forward/send_result.ts
+++ b/src/forward/send_result.ts
@@ -10,6 +10,8 @@
     readonly kind: "not-run";
     readonly wasSent: boolean;
     readonly reason: string;
+    /** Defined if no target can run the request before. */
+    readonly retryAfterMs?: number;
   }
   | { readonly kind: "broken"; readonly reason: string };
 
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -8,17 +8,20 @@
 
 import { describePath } from "../paths/describe_path.ts";
 import type { PathDemand, ReservedPath } from "../paths/path_chooser.ts";
-import type { EngineProfile, PathStage } from "../ports/types.ts";
+import type { EngineProfile, HostRecord, PathStage } from "../ports/types.ts";
 import {
   CallLosses,
   type FailureDetails,
   type MarkedSend,
 } from "./call_losses.ts";
 import { CallRetries } from "./call_retries.ts";
-import { type CallContext, type CallPlan, jitterRetryMs } from "./context.ts";
+import { concludeStream } from "./conclude_stream.ts";
+import { type CallContext, type CallPlan, recordRequest } from "./context.ts";
+import { delegateStream } from "./delegated_stream.ts";
 import type { Exchange } from "./exchange.ts";
 import { waitForPath } from "./path_wait.ts";
 import { checkHead } from "./response.ts";
+import { SendHistory } from "./send_history.ts";
 import { type SendResult, toSendResult } from "./send_result.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import { StreamResponse } from "./stream_response.ts";
@@ -28,10 +31,6 @@
 
 /** Resumed streams rank before all requests that have not started. */
 const RESUME_RANK = -1;
-/** Retry time for refused callers; a stream takes some seconds. */
-const RETRY_AFTER_MS = 700;
-/** Retries after which a request is abandoned, refused sends included. */
-const MAX_RETRIES = 4;
 const AVOID_AFTER_REFUSAL_MS = 600;
 
 type UpstreamResponse = Extract<SendOutcome, { readonly kind: "answer" }>;
@@ -41,15 +40,9 @@
   readonly #exchange: Exchange;
   readonly #plan: CallPlan;
   readonly #profile: EngineProfile;
-  readonly #firstIds = new Set<string>();
-  readonly #excluded = new Set<string>();
-  /** First target of the latest send. */
-  #currentFirstId = "";
+  readonly #history: SendHistory;
   readonly #tokens: number;
   #path: ReservedPath | undefined;
-  #sends = 0;
-  #retries = 0;
-  #mayHaveRun = false;
   readonly #response: StreamResponse;
   readonly #losses: CallLosses;
   readonly #budgetedRetries: CallRetries;
@@ -68,6 +61,7 @@
     this.#context = context;
     this.#exchange = exchange;
     this.#plan = plan;
+    this.#history = new SendHistory({ route: plan.route });
     this.#profile = plan.profile;
     this.#response = new StreamResponse({ exchange });
     this.#losses = new CallLosses({ context, plan });
@@ -86,7 +80,7 @@
       this.#isExpired = true;
       this.#abort.abort();
     }, Math.max(0, this.#plan.deadlineMs - clock.nowMs()));
-    this.#context.budgetOf(this.#plan.service.name).recordRequest();
+    recordRequest(this.#context, this.#plan);
     let result: SendResult = {
       kind: "not-run",
       wasSent: false,
@@ -94,13 +88,9 @@
     };
     try {
       for (;;) {
-        this.#path = await this.#waitForPath();
-        if (this.#path === undefined) break;
-        // The content may have been quarantined while the request waited.
-        if (this.#losses.heldForMs > 0) break;
-        if (!(await this.#losses.acquire())) break;
-        if (!this.#budgetedRetries.tryBeginSend()) break;
-        result = await this.#send(this.#path);
+        const send = await this.#nextSend();
+        if (send === undefined || !this.#budgetedRetries.tryBeginSend()) break;
+        result = await send();
         this.#release();
         if (result.kind === "done" || !this.#mayRetry(result)) break;
       }
@@ -113,6 +103,28 @@
     this.#finish(result);
   }
 
+  /** Prepares the next send; resolves with undefined if none is possible. */
+  async #nextSend(): Promise<(() => Promise<SendResult>) | undefined> {
+    const { reachability, delegates } = this.#context;
+    const { service: { name: service }, isDelegated } = this.#plan;
+    if (!reachability.isCutOff(service)) {
+      const path = this.#path = await this.#waitForPath();
+      // The content may have been quarantined while the request waited.
+      if (path !== undefined && this.#losses.heldForMs > 0) return undefined;
+      if (path !== undefined) {
+        return await this.#losses.acquire()
+          ? () => this.#send(path)
+          : undefined;
+      }
+    }
+    if (!reachability.isCutOff(service) || isDelegated) return undefined;
+    const host = delegates.choose({
+      service,
+      excluded: this.#history.excluded,
+    });
+    return host && (() => this.#delegate(host));
+  }
+
   #release(): void {
     if (this.#path === undefined) return;
     this.#path.release();
@@ -128,7 +140,7 @@
       context: this.#context,
       demand,
       // The caller of a resumed stream is already waiting for its next event.
-      rank: this.#sends > 0 ? RESUME_RANK : this.#plan.rank,
+      rank: this.#history.sends > 0 ? RESUME_RANK : this.#plan.rank,
       deadlineMs: this.#plan.deadlineMs,
       signal: this.#abort.signal,
     });
@@ -144,20 +156,15 @@
       service: this.#plan.service.name,
       figures: this.#profile,
       tokens: this.#tokens,
-      excluded: this.#excluded,
-      // At the route's limit of targets, only those already used are allowed.
-      allowedFirstTargets: this.#firstIds.size >= this.#plan.route.maxAttempts
-        ? this.#firstIds
-        : undefined,
+      excluded: this.#history.excluded,
+      allowedFirstTargets: this.#history.allowedReceivers,
     };
   }
 
   async #send(path: ReservedPath): Promise<SendResult> {
     const { route, requestId } = this.#plan;
     const [first] = path.stages;
-    this.#firstIds.add(first.targetId);
-    this.#currentFirstId = first.targetId;
-    this.#sends++;
+    this.#history.begin(first.targetId);
     this.#logSend(path);
     let marked = this.#losses.beginSend(path.stages);
     const { lastEventId } = this.#response;
@@ -172,8 +179,7 @@
       tokens: this.#tokens,
       path,
       abort: () => sendAbort.abort(),
-      mayAbandon: () =>
-        route.isResumable && this.#firstIds.size < route.maxAttempts,
+      mayAbandon: () => route.isResumable && this.#history.hasAttempts,
       isQuarantined: () => this.#losses.isQuarantined,
       onStageLost: (stage) =>
         void this.#losses.observe(marked, this.#failureAt(stage)),
@@ -192,7 +198,7 @@
         plan: this.#plan,
         target: first,
         path: path.stages,
-        lastEventId: this.#sends > 1 ? lastEventId : undefined,
+        lastEventId: this.#history.sends > 1 ? lastEventId : undefined,
         mayReuse: route.isResumable,
         signal: sendAbort.signal,
       });
@@ -213,6 +219,30 @@
     }
   }
 
+  /** Lets another host serve the request, since this one reaches no target. */
+  #delegate(host: HostRecord): Promise<SendResult> {
+    const { requestId } = this.#plan;
+    const attempts = this.#history.attemptsLeft;
+    this.#history.begin(host.id);
+    this.#context.log.info("request delegated", {
+      request: requestId,
+      to: host.id,
+      send: this.#history.sends,
+      attempts,
+      lastEventId: this.#response.lastEventId,
+    });
+    return delegateStream({
+      context: this.#context,
+      exchange: this.#exchange,
+      plan: this.#plan,
+      host,
+      attempts,
+      response: this.#response,
+      isResumed: this.#history.sends > 1,
+      signal: this.#abort.signal,
+    });
+  }
+
   async #recordFailure(
     first: PathStage,
     marked: MarkedSend,
@@ -233,7 +263,7 @@
     this.#context.log.info("request sent", {
       request: this.#plan.requestId,
       content: this.#plan.contentId,
-      send: this.#sends,
+      send: this.#history.sends,
       path: describePath(path.stages),
       msPerToken: Math.round(path.msPerToken * 100) / 100,
       tokens: Math.round(this.#tokens),
@@ -272,7 +302,7 @@
       const target = at === undefined ? undefined : targets.byAddress(at);
       if (target !== undefined) {
         target.avoidUntilMs = clock.nowMs() + AVOID_AFTER_REFUSAL_MS;
-        this.#excluded.add(target.id);
+        this.#history.exclude(target.id);
       }
       return {
         kind: "not-run",
@@ -319,25 +349,11 @@
   /** Whether another send is allowed after a failed one. */
   #mayRetry(result: SendResult): boolean {
     const { log, clock } = this.#context;
-    const { route, requestId, deadlineMs } = this.#plan;
-    if (result.kind === "broken") {
-      this.#mayHaveRun = true;
-      this.#excluded.add(this.#currentFirstId);
-    }
-    if (result.kind === "not-run" && !result.wasSent) {
-      this.#firstIds.delete(this.#currentFirstId);
-      this.#excluded.add(this.#currentFirstId);
-    }
-    const isAllowed = (result.kind === "not-run" || route.isResumable) &&
-      this.#losses.heldForMs === 0;
+    const { requestId, deadlineMs } = this.#plan;
+    const mayRepeat = this.#history.mayRepeat(result);
     const hasTime = clock.nowMs() < deadlineMs && !this.#abort.signal.aborted;
-    // A later stage may have refused; another path can start at the same target.
-    const mayReuseFirst = result.kind === "not-run" && result.wasSent &&
-      [...this.#firstIds].some((id) => !this.#excluded.has(id));
-    const hasTarget = mayReuseFirst || this.#firstIds.size < route.maxAttempts;
-    const hasRetries = hasTarget && ++this.#retries <= MAX_RETRIES;
     const wasSent = result.kind !== "not-run" || result.wasSent;
-    const willRetry = isAllowed && hasTime && hasRetries &&
+    const willRetry = mayRepeat && this.#losses.heldForMs === 0 && hasTime &&
       this.#budgetedRetries.recordFailure({ wasSent });
     log.info("send failed", {
       request: requestId,
@@ -351,44 +367,21 @@
   }
 
   #finish(result: SendResult): void {
-    const { log, metrics, random } = this.#context;
-    const exchange = this.#exchange;
-    let status: number | string = "complete";
-    if (exchange.isDisconnected) {
-      status = "caller left";
-    } else if (result.kind !== "done") {
-      if (this.#response.isHeadSent) {
-        status = "broken off";
-        exchange.abortResponse();
-      } else if (this.#mayHaveRun) {
-        status = this.#isExpired ? 504 : 502;
-        exchange.refuse(status, "no complete response from a target");
-      } else {
-        status = 503;
-        this.#losses.refuse(exchange, {
-          reason: "no path with free capacity",
-          retryAfterMs: jitterRetryMs(RETRY_AFTER_MS, random),
-        });
-      }
-    }
-    metrics.count("jackdawshift_answers_total", { status: String(status) });
-    const { firstEventMs, lastEventId } = this.#response;
-    if (firstEventMs !== undefined) {
-      metrics.record("jackdawshift_first_event_ms", firstEventMs);
-    }
-    log.info("request finished", {
-      request: this.#plan.requestId,
-      content: this.#plan.contentId,
-      route: this.#plan.route.name,
-      status,
-      sends: this.#sends,
-      repaths: this.#repaths,
-      waitedMs: Math.round(this.#waitedMs),
-      firstEventMs: firstEventMs && Math.round(firstEventMs),
-      lastEventId,
-      ageMs: Math.round(exchange.ageMs),
-      reason: result.kind === "done" ? undefined : result.reason,
-      excludedTargets: this.#excludedTargets,
+    concludeStream({
+      context: this.#context,
+      exchange: this.#exchange,
+      plan: this.#plan,
+      response: this.#response,
+      losses: this.#losses,
+      result,
+      mayHaveRun: this.#history.mayHaveRun,
+      isExpired: this.#isExpired,
+      facts: {
+        sends: this.#history.sends,
+        repaths: this.#repaths,
+        waitedMs: Math.round(this.#waitedMs),
+        excludedTargets: this.#excludedTargets,
+      },
     });
   }
 }
--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -13,7 +13,11 @@
 import { applyReport } from "../paths/apply_report.ts";
 import type { CallContext } from "./context.ts";
 import { EventPace, SUSPECT_OVERDUE_MS } from "./event_pace.ts";
-import { EventReader } from "./event_reader.ts";
+import {
+  EventForwarder,
+  type EventSink,
+  type ForwardResult,
+} from "./event_forwarder.ts";
 import type { SendOutcome } from "./upstream.ts";
 import type { MonitoredStream } from "./stream_monitor.ts";
 
@@ -36,10 +40,6 @@
 /** Why a stage is replaced. */
 type Fault = "silent" | "stalled" | "slow" | "leaving";
 
-export type RelayResult =
-  | { readonly kind: "complete" }
-  | { readonly kind: "broken"; readonly reason: string };
-
 export interface StreamRelayOptions {
   readonly context: CallContext;
   readonly service: string;
@@ -61,16 +61,6 @@
   readonly onPathChange: (path: ReservedPath) => void;
 }
 
-/** Receiver of the events of a relay. */
-export interface RelaySink {
-  readonly lastEventId: number | undefined;
-  /** Returns false on backpressure; the relay then pauses until `handleDrain`. */
-  readonly onEvents: (
-    bytes: Buffer,
-    lastEventId: number | undefined,
-  ) => boolean;
-}
-
 /** Relays the events of one send. */
 export class StreamRelay implements MonitoredStream {
   readonly #options: StreamRelayOptions;
@@ -82,7 +72,7 @@
   #hasTriedUrgent = false;
   #hasAvoidedSlow = false;
   #isRepairing = false;
-  #isPaused = false;
+  #events: EventForwarder | undefined;
   #isDone = false;
   /** Set if the relay itself aborted the send. */
   failure: string | undefined;
@@ -96,55 +86,24 @@
 
   dispose(): void {
     this.#isDone = true;
+    this.#events?.stop();
     this.#options.context.monitor.remove(this);
   }
 
   /** Forwards events until the stream ends. */
-  run(
-    { answer, hasFailed }: UpstreamResponse,
-    sink: RelaySink,
-  ): Promise<RelayResult> {
-    const reader = new EventReader();
-    let lastId = sink.lastEventId;
-    return new Promise((resolve) => {
-      const fail = (reason: string): void => {
-        resolve({ kind: "broken", reason: this.failure ?? reason });
-        answer.destroy();
-      };
-      answer.on("data", (chunk: Buffer) => {
-        if (this.#isDone) return;
-        const batch = reader.push(chunk);
-        if (reader.isOversized) {
-          fail("event exceeds the maximum size");
-          return;
-        }
-        if (batch === undefined) return;
-        for (const id of batch.ids) {
-          if (id === undefined) continue;
-          if (lastId !== undefined && id !== lastId + 1) {
-            fail(`event id ${id} is not the successor of ${lastId}`);
-            return;
-          }
-          lastId = id;
-        }
-        if (batch.hasFields) this.#recordProgress();
-        if (!sink.onEvents(batch.bytes, lastId)) {
-          answer.pause();
-          this.#isPaused = true;
-        }
-      });
-      answer.on("end", () => {
-        if (!answer.complete || hasFailed()) fail("stream truncated");
-        else if (reader.pendingBytes > 0) fail("stream ended inside an event");
-        else resolve({ kind: "complete" });
-      });
-      answer.on("close", () => fail("stream truncated"));
-      this.#resume = () => {
-        this.#isPaused = false;
-        this.#pace.resume(this.#options.context.clock.nowMs());
-        answer.resume();
-      };
+  async run(
+    outcome: UpstreamResponse,
+    sink: EventSink,
+  ): Promise<ForwardResult> {
+    this.#events = new EventForwarder({
+      outcome,
+      sink,
+      onProgress: () => this.#recordProgress(),
     });
+    const result = await this.#events.run();
+    return result.kind === "broken" && this.failure !== undefined
+      ? { kind: "broken", reason: this.failure }
+      : result;
   }
 
   #recordProgress(): void {
@@ -160,18 +119,22 @@
 
   /** Resumes after backpressure. */
   handleDrain(): void {
-    if (this.#isPaused) this.#resume();
+    if (this.#events?.isPaused !== true) return;
+    this.#pace.resume(this.#options.context.clock.nowMs());
+    this.#events.resume();
   }
 
-  #resume: () => void = () => {};
-
   checkProgress(nowMs: number): void {
-    if (this.#isDone || this.#isRepairing || this.#isPaused) return;
+    if (this.#isDone || this.#isRepairing || this.#events?.isPaused) return;
     const gapMs = this.#pace.gapMs(nowMs);
     const found = this.#knownFault(gapMs);
     const { backoff } = this.#options.context.monitor;
     const overdueMs = this.#pace.overdueMs(this.#hasSuspect, backoff.factor);
     if (found === undefined && gapMs < overdueMs) return;
+    if (this.#isCutOff) {
+      this.#abandon("cut off from all targets");
+      return;
+    }
     const isUrgent = found !== undefined && found.fault === "silent";
     if (nowMs < this.#nextCheckMs && !(isUrgent && !this.#hasTriedUrgent)) {
       return;
@@ -193,6 +156,11 @@
     });
   }
 
+  get #isCutOff(): boolean {
+    const { context, service } = this.#options;
+    return context.reachability.isCutOff(service);
+  }
+
   get #checkIntervalMs(): number {
     return Math.min(
       MAX_CHECK_INTERVAL_MS,
--- a/src/forward/stream_relay_test.ts
+++ b/src/forward/stream_relay_test.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from "node:http";
 import { PassThrough } from "node:stream";
 import { expect, test } from "vitest";
+import { soundLink } from "../../test/reachability.ts";
 import { ManualClock } from "../../test/manual_clock.ts";
 import { smallEngineProfile } from "../../test/small_engine.ts";
 import { BucketMetrics } from "../common/bucket_metrics.ts";
@@ -46,6 +47,7 @@
     log: silentLog,
     metrics: new BucketMetrics(),
     targets,
+    reachability: soundLink(targets),
     chooser,
     checker: {
       check: () => {
--- a/src/forward/target_send.ts
+++ b/src/forward/target_send.ts
@@ -9,6 +9,7 @@
 import { parseAddress } from "./address.ts";
 import type { CallContext, CallPlan } from "./context.ts";
 import type { Exchange } from "./exchange.ts";
+import { withoutDelegation } from "./delegation.ts";
 import { type SendOutcome, sendUpstream } from "./upstream.ts";
 
 export interface TargetSendOptions {
@@ -23,7 +24,7 @@
     | "reachability"
   >;
   readonly exchange: Pick<Exchange, "request" | "body">;
-  readonly plan: Pick<CallPlan, "customer" | "deadlineMs">;
+  readonly plan: Pick<CallPlan, "customer" | "deadlineMs" | "service">;
   readonly target: Pick<PathStage, "targetId" | "address">;
   /** Undefined if the target serves the call alone. */
   readonly path?: readonly PathStage[];
@@ -44,7 +45,7 @@
     endpoint: parseAddress(target.address),
     method: request.method ?? "GET",
     path: request.url ?? "/",
-    headers: codec.forward(request.rawHeaders, {
+    headers: codec.forward(withoutDelegation(request.rawHeaders), {
       targetId: target.targetId,
       remainingMs: plan.deadlineMs - sentMs,
       customer: plan.customer?.name,
@@ -60,10 +61,14 @@
   });
   if (outcome.kind === "failed") {
     // What follows from the failure depends on whose link is at fault.
-    if (!options.signal.aborted) await reachability.confirmCutOff();
+    if (!options.signal.aborted) {
+      await reachability.confirmCutOff(plan.service.name);
+    }
     return outcome;
   }
-  if (outcome.isNewConnection) reachability.recordResponse();
+  if (outcome.isNewConnection) {
+    reachability.recordResponse(plan.service.name);
+  }
   const { statusCode = 0, rawHeaders } = outcome.answer;
   // Another process than the target responded.
   if (statusCode === 421) return outcome;
--- a/src/paths/stage_checker.ts
+++ b/src/paths/stage_checker.ts
@@ -48,8 +48,10 @@
   readonly targetTable: TargetTable;
   readonly control: ITargetControl;
   readonly clock: Clock;
-  /** Marks a target as unresponsive, unless this host is cut off from all. */
-  readonly reportSilent: TargetReachability["reportSilent"];
+  readonly reachability: Pick<
+    TargetReachability,
+    "reportSilent" | "confirmCutOff"
+  >;
 }
 
 /** Probes targets and updates the target table with the results. */
@@ -102,7 +104,7 @@
   }
 
   async #probe(stage: PathStage): Promise<void> {
-    const { clock } = this.#options;
+    const { clock, targetTable, reachability } = this.#options;
     const timeoutMs = this.#probeTimeoutMs;
     const startedMs = clock.nowMs();
     if (await this.#hasReportWithin(stage, timeoutMs)) return;
@@ -114,6 +116,10 @@
       return;
     }
     // No other target has reported since; this host itself may be cut off.
+    const probed = targetTable.get(stage.targetId);
+    if (probed !== undefined) {
+      void reachability.confirmCutOff(probed.record.service);
+    }
     const reference = this.#referenceFor(stage.targetId);
     const [isAnswered] = await Promise.all([
       this.#hasReportWithin(stage, timeoutMs),
@@ -131,7 +137,7 @@
     { targetId }: ProbedStage,
     askedForMs: number,
   ): Promise<void> {
-    await this.#options.reportSilent(targetId, {
+    await this.#options.reachability.reportSilent(targetId, {
       askedForMs: Math.round(askedForMs),
     });
   }
--- a/src/paths/stage_checker_test.ts
+++ b/src/paths/stage_checker_test.ts
@@ -63,7 +63,7 @@
     targetTable,
     control: control as ITargetControl,
     clock: systemClock,
-    reportSilent: soundLink(targetTable).reportSilent,
+    reachability: soundLink(targetTable),
   });
   return { targetTable, checker, requests: () => requests };
 }
@@ -170,7 +170,7 @@
     targetTable,
     control: control as ITargetControl,
     clock: systemClock,
-    reportSilent: soundLink(targetTable).reportSilent,
+    reachability: soundLink(targetTable),
   });
   return { targetTable, checker, dead, requests, stages };
 }
--- a/src/paths/target_reachability.ts
+++ b/src/paths/target_reachability.ts
@@ -1,8 +1,9 @@
 /**
- * Tells whether this host is cut off from all targets. A target that does not
- * respond may be at fault, or the link of this host may be: before the host
- * draws a conclusion from a failure, some other targets must respond to it on
- * new connections, since established ones may outlive the link.
+ * Tells whether this host is cut off from all targets of a service. A target
+ * that does not respond may be at fault, or the link of this host may be: before
+ * the host draws a conclusion from a failure, some other target of the service
+ * must respond to it on a new connection, since established ones may outlive the
+ * link.
  *
  * @module
  */
@@ -17,14 +18,14 @@
 /** Targets probed first; mostly one of them responds. */
 const FIRST_SAMPLE_SIZE = 2;
 const FIRST_TIMEOUT_MS = 60;
-/** Targets probed next, of all services and failure domains. */
+/** Targets probed next, of all failure domains. */
 const SECOND_SAMPLE_SIZE = 6;
 /** Longer, since reports are slow while this host's own link is full. */
 const SECOND_TIMEOUT_MS = 200;
 /** A response on a new connection this recent shows that the link works. */
-const RECENT_RESPONSE_MS = 100;
-/** Least time between checks that find the link sound. */
-const CHECK_INTERVAL_MS = 200;
+const RECENT_RESPONSE_MS = 200;
+/** Timers that fire this late show that this process was blocked. */
+const MAX_TIMER_DELAY_MS = 40;
 /** Time between checks while the host is cut off. */
 const RECOVERY_INTERVAL_MS = 300;
 
@@ -39,92 +40,112 @@
   readonly random: () => number;
 }
 
+interface ServiceState {
+  cutOffSinceMs: number | undefined;
+  /** When a target last responded on a new connection. */
+  lastResponseMs: number;
+  pendingCheck: Promise<void> | undefined;
+}
+
+export interface ReachabilityChange {
+  readonly service: string;
+  readonly isCutOff: boolean;
+}
+
 export class TargetReachability {
   readonly #options: TargetReachabilityOptions;
-  readonly #onChange = new Emitter<boolean>();
-  #cutOffSinceMs: number | undefined;
-  #lastResponseMs = -Infinity;
-  #lastCheckMs = -Infinity;
-  #pending: Promise<void> | undefined;
+  readonly #services = new Map<string, ServiceState>();
+  readonly #onChange = new Emitter<ReachabilityChange>();
 
-  /** Fires with `isCutOff` when it changes. */
-  readonly onChange: Event<boolean> = this.#onChange.event;
+  readonly onChange: Event<ReachabilityChange> = this.#onChange.event;
 
   constructor(options: TargetReachabilityOptions) {
     this.#options = options;
   }
 
-  get isCutOff(): boolean {
-    return this.#cutOffSinceMs !== undefined;
+  isCutOff(service: string): boolean {
+    return this.#services.get(service)?.cutOffSinceMs !== undefined;
+  }
+
+  /** The services from whose targets the host is cut off. */
+  cutOffServices(): string[] {
+    return [...this.#services.keys()].filter((name) => this.isCutOff(name));
   }
 
   /** How long the host has been cut off; 0 if it is not. */
-  get cutOffForMs(): number {
-    return this.#cutOffSinceMs === undefined
-      ? 0
-      : this.#options.clock.nowMs() - this.#cutOffSinceMs;
+  cutOffForMs(service: string): number {
+    const sinceMs = this.#services.get(service)?.cutOffSinceMs;
+    return sinceMs === undefined ? 0 : this.#options.clock.nowMs() - sinceMs;
   }
 
-  /** Records that a target responded on a new connection. */
-  recordResponse(): void {
-    this.#lastResponseMs = this.#options.clock.nowMs();
+  /** Records that a target of a service responded on a new connection. */
+  recordResponse(service: string): void {
+    this.#stateOf(service).lastResponseMs = this.#options.clock.nowMs();
   }
 
   /**
    * Called after a target did not respond. Resolves with whether the host is cut
-   * off, at once if a target has responded a moment ago.
+   * off, at once if a target of the service has responded a moment ago.
    */
-  async confirmCutOff(): Promise<boolean> {
-    if (this.isCutOff || this.#hasRecentResponse()) return this.isCutOff;
-    this.#pending ??= this.#check().finally(() => this.#pending = undefined);
-    await this.#pending;
-    return this.isCutOff;
+  async confirmCutOff(service: string): Promise<boolean> {
+    const state = this.#stateOf(service);
+    const responseAgeMs = this.#options.clock.nowMs() - state.lastResponseMs;
+    if (!this.isCutOff(service) && responseAgeMs >= RECENT_RESPONSE_MS) {
+      state.pendingCheck ??= this.#check(service).finally(() =>
+        state.pendingCheck = undefined
+      );
+      await state.pendingCheck;
+    }
+    return this.isCutOff(service);
   }
 
   /**
-   * Marks a target as unresponsive, unless this host is cut off. `evidence` is
-   * logged.
+   * Marks a target as unresponsive, unless this host is cut off from all targets
+   * of its service. `evidence` is logged.
    */
   readonly reportSilent = async (
     targetId: string,
     evidence: Readonly<Record<string, unknown>>,
   ): Promise<void> => {
-    if (await this.confirmCutOff()) return;
-    this.#options.targets.markUnresponsive(targetId, evidence);
+    const { targets } = this.#options;
+    const service = targets.get(targetId)?.record.service;
+    if (service === undefined || await this.confirmCutOff(service)) return;
+    targets.markUnresponsive(targetId, evidence);
   };
 
   /** Checks until aborted whether a host that is cut off reaches targets again. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock } = this.#options;
     while (!signal.aborted) {
-      await clock.sleep(RECOVERY_INTERVAL_MS, signal);
-      if (!this.isCutOff) continue;
-      const sample = this.#sample().slice(0, FIRST_SAMPLE_SIZE);
-      if (await this.#anyResponds(sample, FIRST_TIMEOUT_MS)) {
-        this.#setCutOff(false);
-      }
+      await this.#options.clock.sleep(RECOVERY_INTERVAL_MS, signal);
+      await Promise.all(
+        this.cutOffServices().map((service) => this.#checkRecovery(service)),
+      );
     }
   }
 
-  #hasRecentResponse(): boolean {
-    const { clock } = this.#options;
-    return clock.nowMs() - this.#lastResponseMs < RECENT_RESPONSE_MS;
+  async #checkRecovery(service: string): Promise<void> {
+    const sample = this.#sample(service).slice(0, FIRST_SAMPLE_SIZE);
+    if (await this.#anyResponds(sample, FIRST_TIMEOUT_MS)) {
+      this.#setCutOff(service, false);
+    }
   }
 
-  async #check(): Promise<void> {
+  async #check(service: string): Promise<void> {
     const { clock } = this.#options;
-    await clock.sleep(
-      Math.max(0, this.#lastCheckMs + CHECK_INTERVAL_MS - clock.nowMs()),
-    );
     const startedMs = clock.nowMs();
-    const sample = this.#sample();
+    const sample = this.#sample(service);
     if (sample.length === 0) return;
     const first = sample.slice(0, FIRST_SAMPLE_SIZE);
     const second = sample.slice(FIRST_SAMPLE_SIZE);
     const isReached = await this.#anyResponds(first, FIRST_TIMEOUT_MS) ||
       await this.#anyResponds(second, SECOND_TIMEOUT_MS);
-    this.#lastCheckMs = clock.nowMs();
-    this.#setCutOff(!isReached && this.#lastResponseMs < startedMs);
+    const elapsedMs = clock.nowMs() - startedMs;
+    // The responses may have arrived while this process was blocked.
+    const isBlocked = elapsedMs >
+      FIRST_TIMEOUT_MS + SECOND_TIMEOUT_MS + MAX_TIMER_DELAY_MS;
+    const isCutOff = !isReached && !isBlocked &&
+      this.#stateOf(service).lastResponseMs < startedMs;
+    this.#setCutOff(service, isCutOff);
   }
 
   async #anyResponds(
@@ -136,37 +157,29 @@
       if (!await probe({ id, address: record.address }, timeoutMs)) {
         throw new Error(`no response from target ${id}`);
       }
-      this.recordResponse();
+      this.recordResponse(record.service);
     });
     return await Promise.any(probes).then(() => true, () => false);
   }
 
   /**
-   * Some targets, first those that have responded so far, and of each service
-   * and failure domain in turn.
+   * Some targets of a service, first those that have responded so far, and of
+   * each failure domain in turn.
    */
-  #sample(): Target[] {
+  #sample(service: string): Target[] {
     const { targets, mayProbe, random } = this.#options;
-    const groups = new Map<string, Target[]>();
-    for (const target of targets.all()) {
-      if (!target.isReady || !mayProbe(target.id)) continue;
-      const isSilent = target.noResponseSinceMs !== undefined;
-      const { service, domain } = target.record;
-      const key = JSON.stringify([isSilent, service, domain]);
-      const group = groups.get(key);
-      if (group === undefined) groups.set(key, [target]);
-      else group.push(target);
-    }
-    const ranked = [...groups.values()].flatMap((group) => {
-      const shuffled = group.map((target) => ({ target, order: random() }))
-        .sort((a, b) => a.order - b.order);
-      return shuffled.map(({ target, order }, index) => ({
-        target,
-        isSilent: target.noResponseSinceMs !== undefined,
-        rank: index + order,
-      }));
-    });
-    return ranked
+    const counts = new Map<string, number>();
+    return targets.ofService(service)
+      .filter((target) => target.isReady && mayProbe(target.id))
+      .map((target) => ({ target, order: random() }))
+      .sort((a, b) => a.order - b.order)
+      .map(({ target, order }) => {
+        const isSilent = target.noResponseSinceMs !== undefined;
+        const group = `${isSilent} ${target.record.domain}`;
+        const count = counts.get(group) ?? 0;
+        counts.set(group, count + 1);
+        return { target, isSilent, rank: count + order };
+      })
       .sort((a, b) =>
         Number(a.isSilent) - Number(b.isSilent) || a.rank - b.rank
       )
@@ -174,20 +187,37 @@
       .map(({ target }) => target);
   }
 
-  #setCutOff(isCutOff: boolean): void {
-    if (isCutOff === this.isCutOff) return;
+  #stateOf(service: string): ServiceState {
+    let state = this.#services.get(service);
+    if (state === undefined) {
+      state = {
+        cutOffSinceMs: undefined,
+        lastResponseMs: -Infinity,
+        pendingCheck: undefined,
+      };
+      this.#services.set(service, state);
+    }
+    return state;
+  }
+
+  #setCutOff(service: string, isCutOff: boolean): void {
+    if (isCutOff === this.isCutOff(service)) return;
     const { log, clock } = this.#options;
+    const state = this.#stateOf(service);
+    const nowMs = clock.nowMs();
     if (isCutOff) {
-      this.#cutOffSinceMs = clock.nowMs();
+      state.cutOffSinceMs = nowMs;
       log.warn("cut off from all targets", {
-        lastResponseMs: Math.round(clock.nowMs() - this.#lastResponseMs),
+        service,
+        lastResponseMs: Math.round(nowMs - state.lastResponseMs),
       });
     } else {
       log.info("targets reached again", {
-        cutOffForMs: Math.round(this.cutOffForMs),
+        service,
+        cutOffForMs: Math.round(this.cutOffForMs(service)),
       });
-      this.#cutOffSinceMs = undefined;
+      state.cutOffSinceMs = undefined;
     }
-    this.#onChange.fire(isCutOff);
+    this.#onChange.fire({ service, isCutOff });
   }
 }
--- a/src/paths/target_reachability_test.ts
+++ b/src/paths/target_reachability_test.ts
@@ -25,6 +25,8 @@
   const silent = new Set<string>();
   const unwilling = new Set<string>();
   const probed: string[] = [];
+  /** How late timers fire. */
+  const lateMs = { value: 0 };
   const reachability = new TargetReachability({
     targets,
     clock,
@@ -32,7 +34,7 @@
     probe: async ({ id }, timeoutMs) => {
       probed.push(id);
       const isSilent = silent.has(id);
-      await clock.sleep(isSilent ? timeoutMs : PROBE_MS);
+      await clock.sleep(isSilent ? timeoutMs + lateMs.value : PROBE_MS);
       return !isSilent;
     },
     mayProbe: (id) => !unwilling.has(id),
@@ -41,7 +43,16 @@
   const cutOff = (): void => {
     for (const { id } of targets.all()) silent.add(id);
   };
-  return { clock, targets, silent, unwilling, probed, reachability, cutOff };
+  return {
+    clock,
+    targets,
+    silent,
+    unwilling,
+    probed,
+    lateMs,
+    reachability,
+    cutOff,
+  };
 }
 
 test("a single silent target is at fault itself", async () => {
@@ -49,7 +60,7 @@
   silent.add("t0");
   void reachability.reportSilent("t0", {});
   await clock.advance(300);
-  expect(reachability.isCutOff).toBe(false);
+  expect(reachability.isCutOff("model")).toBe(false);
   expect(targets.get("t0")?.noResponseSinceMs).toBeDefined();
   expect(probed.length).toBeLessThanOrEqual(8);
 });
@@ -59,48 +70,65 @@
   cutOff();
   for (const { id } of targets.all()) void reachability.reportSilent(id, {});
   await clock.advance(300);
-  expect(reachability.isCutOff).toBe(true);
+  expect(reachability.isCutOff("model")).toBe(true);
   const blamed = targets.all().filter((one) =>
     one.noResponseSinceMs !== undefined
   );
   expect(blamed).toEqual([]);
 });
 
-test("the loss of a failure domain or of a service is not taken for a cut", async () => {
-  for (const lost of ["domain-0", "model"]) {
-    const { clock, targets, silent, reachability } = setup();
-    for (const { id, record } of targets.all()) {
-      if (record.domain === lost || record.service === lost) silent.add(id);
-    }
-    for (const id of silent) void reachability.reportSilent(id, {});
-    await clock.advance(1_000);
-    expect(reachability.isCutOff).toBe(false);
+test("the loss of a failure domain is not taken for a cut", async () => {
+  const { clock, targets, silent, reachability } = setup();
+  for (const { id, record } of targets.all()) {
+    if (record.domain === "domain-0") silent.add(id);
   }
+  for (const id of silent) void reachability.reportSilent(id, {});
+  await clock.advance(1_000);
+  expect(reachability.cutOffServices()).toEqual([]);
+});
+
+test("a host that reaches no target of one service still reaches the others", async () => {
+  const { clock, targets, silent, reachability } = setup();
+  for (const { id } of targets.ofService("model")) silent.add(id);
+  for (const service of ["model", "plain"]) {
+    void reachability.confirmCutOff(service);
+  }
+  await clock.advance(1_000);
+  expect(reachability.cutOffServices()).toEqual(["model"]);
+});
+
+test("a process that was blocked during the check concludes nothing", async () => {
+  const { clock, lateMs, reachability, cutOff } = setup();
+  cutOff();
+  lateMs.value = 50;
+  void reachability.confirmCutOff("model");
+  await clock.advance(1_000);
+  expect(reachability.isCutOff("model")).toBe(false);
 });
 
 test("a recent response on a new connection saves the check", async () => {
   const { clock, probed, reachability } = setup();
-  reachability.recordResponse();
+  reachability.recordResponse("model");
   await clock.advance(50);
-  expect(await reachability.confirmCutOff()).toBe(false);
+  expect(await reachability.confirmCutOff("model")).toBe(false);
   expect(probed).toEqual([]);
 });
 
 test("a response during the check shows that the host is not cut off", async () => {
   const { clock, reachability, cutOff } = setup();
   cutOff();
-  void reachability.confirmCutOff();
+  void reachability.confirmCutOff("model");
   await clock.advance(100);
-  reachability.recordResponse();
+  reachability.recordResponse("model");
   await clock.advance(300);
-  expect(reachability.isCutOff).toBe(false);
+  expect(reachability.isCutOff("model")).toBe(false);
 });
 
-test("concurrent failures share a check, and checks keep a distance", async () => {
+test("concurrent failures share a check, and a sound link is not checked again at once", async () => {
   const { clock, targets, silent, probed, reachability } = setup();
   for (const { id } of targets.all()) if (id !== "t5") silent.add(id);
   for (let i = 0; i < 100; i++) {
-    void reachability.confirmCutOff();
+    void reachability.confirmCutOff("model");
     await clock.advance(10);
   }
   expect(probed.length).toBeLessThanOrEqual(40);
@@ -109,10 +137,10 @@
 test("targets that named a limit or asked for a pause are not probed", async () => {
   const { clock, targets, unwilling, probed, reachability } = setup();
   for (const { id } of targets.all()) unwilling.add(id);
-  void reachability.confirmCutOff();
+  void reachability.confirmCutOff("model");
   await clock.advance(500);
   expect(probed).toEqual([]);
-  expect(reachability.isCutOff).toBe(false);
+  expect(reachability.isCutOff("model")).toBe(false);
 });
 
 test("the end of a cut is noticed within half a second", async () => {
@@ -120,11 +148,11 @@
   cutOff();
   const stop = new AbortController();
   void reachability.run(stop.signal);
-  void reachability.confirmCutOff();
+  void reachability.confirmCutOff("model");
   await clock.advance(3_000);
-  expect(reachability.cutOffForMs).toBeGreaterThan(2_500);
+  expect(reachability.cutOffForMs("model")).toBeGreaterThan(2_500);
   silent.clear();
   await clock.advance(500);
-  expect(reachability.isCutOff).toBe(false);
+  expect(reachability.isCutOff("model")).toBe(false);
   stop.abort();
 });
--- a/src/peers/domain_digest.ts
+++ b/src/peers/domain_digest.ts
@@ -37,6 +37,13 @@
   readonly hostId: string;
 }
 
+/** A host that does not serve all requests that others pass on. */
+export interface LimitedDelegate {
+  readonly hostId: string;
+  /** Services of which it serves none; undefined for all. */
+  readonly cutOffServices: readonly string[] | undefined;
+}
+
 export interface DomainDigest {
   /** The host that made the digest; its domain is that of the digest. */
   readonly relay: HostRecord;
@@ -50,6 +57,11 @@
   readonly leader: HostRecord | undefined;
   /** The oldest host that reads the store's logs. */
   readonly reader: HostRecord | undefined;
+  /**
+   * Live hosts that serve some or no requests of others; undefined if the relay,
+   * of an earlier version, does not know.
+   */
+  readonly limitedDelegates: readonly LimitedDelegate[] | undefined;
   /** Load of all hosts of the domain; undefined if the digest carries none. */
   readonly uses: readonly PeerUse[] | undefined;
   readonly unresponsiveTargets: readonly UnresponsiveTarget[];
@@ -70,6 +82,10 @@
     m: digest.members?.map(encodeHost),
     l: digest.leader && encodeHost(digest.leader),
     r: digest.reader && encodeHost(digest.reader),
+    x: digest.limitedDelegates?.map(({ hostId, cutOffServices }) => [
+      hostId,
+      ...(cutOffServices ?? []),
+    ]),
     u: digest.uses?.flatMap((
       { targetId, streams, tokenLayers },
     ) => [targetId, streams, Math.round(tokenLayers)]),
@@ -111,13 +127,13 @@
 
 function decodeDigest(value: unknown): DomainDigest | undefined {
   if (typeof value !== "object" || value === null) return undefined;
-  const { h, n, k, m, l, r, u, q, w, c, b, t, e } = value as Record<
+  const { h, n, k, m, l, r, x, u, q, w, c, b, t, e } = value as Record<
     string,
     unknown
   >;
   const relay = decodeHost(h);
   if (relay === undefined || !isCount(n) || !isCount(k)) return undefined;
-  const lists = [m, u, q, w, c, b, t].filter((list) => list !== undefined);
+  const lists = [m, x, u, q, w, c, b, t].filter((list) => list !== undefined);
   if (!lists.every(isShortList)) return undefined;
   const members = m === undefined ? undefined : hostsOf(m);
   const uses = u === undefined ? undefined : decodeUses(u);
@@ -131,6 +147,9 @@
     members,
     leader: hostInDomain(l, relay.domain),
     reader: hostInDomain(r, relay.domain),
+    limitedDelegates: x === undefined
+      ? undefined
+      : listOf(x).flatMap(decodeLimitedDelegate),
     uses,
     unresponsiveTargets: listOf(q).flatMap(decodeUnresponsive),
     slowTargets: w === undefined ? undefined : listOf(w).filter(isSlowTarget),
@@ -183,6 +202,14 @@
   return targetId === undefined ? [] : [{ targetId, hostIds }];
 }
 
+function decodeLimitedDelegate(value: unknown): LimitedDelegate[] {
+  const names = listOf(value).filter((name) => typeof name === "string");
+  const [hostId, ...services] = names;
+  if (hostId === undefined) return [];
+  const cutOffServices = services.length === 0 ? undefined : services;
+  return [{ hostId, cutOffServices }];
+}
+
 function decodeHostLimit(value: unknown): HostLimit[] {
   const [hostId, ...limit] = listOf(value);
   if (typeof hostId !== "string") return [];
--- a/src/peers/domain_digest_test.ts
+++ b/src/peers/domain_digest_test.ts
@@ -11,6 +11,10 @@
   members: [HOST, { ...HOST, id: "i" }],
   leader: HOST,
   reader: undefined,
+  limitedDelegates: [
+    { hostId: "h", cutOffServices: ["s"] },
+    { hostId: "i", cutOffServices: undefined },
+  ],
   uses: [{ targetId: "t", streams: 2, tokenLayers: 400 }],
   unresponsiveTargets: [{ targetId: "s", hostIds: ["h", "i"] }],
   slowTargets: [["w", 2.5]],
--- a/src/peers/fleet_view.ts
+++ b/src/peers/fleet_view.ts
@@ -130,6 +130,33 @@
     return ids.filter((id) => id !== link.host.id);
   }
 
+  /** Number of live hosts of this host's failure domain, this one included. */
+  domainHostCount(): number {
+    const { direct, digest } =
+      this.#domains().get(this.#options.link.host.domain) ?? {};
+    return digest?.digest.hostCount ?? (direct?.length ?? 0) + 1;
+  }
+
+  /** Other live hosts that serve requests to a service for hosts that cannot. */
+  delegates(service: string): HostRecord[] {
+    const ownId = this.#options.link.host.id;
+    return [...this.#domains().values()].flatMap(({ direct, digest }) => {
+      if (digest === undefined) {
+        return direct.filter(({ state }) =>
+          state?.acceptsDelegated === true &&
+          !state.cutOffServices.includes(service)
+        ).map(({ host }) => host);
+      }
+      const { limitedDelegates } = digest.digest;
+      if (limitedDelegates === undefined) return [];
+      const excluded = new Set([ownId]);
+      for (const { hostId, cutOffServices } of limitedDelegates) {
+        if (cutOffServices?.includes(service) ?? true) excluded.add(hostId);
+      }
+      return digest.members.filter(({ id }) => !excluded.has(id));
+    });
+  }
+
   /** Other live hosts that can lead; of a domain known by its digest, the oldest. */
   leaders(): HostRecord[] {
     return this.#candidates(
@@ -326,7 +353,8 @@
   return a.bornMs < b.bornMs || (a.bornMs === b.bornMs && a.id < b.id);
 }
 
-function oldest(hosts: readonly HostRecord[]): HostRecord[] {
+/** The oldest hosts, as many as a failure domain has relays, the oldest first. */
+export function oldest(hosts: readonly HostRecord[]): HostRecord[] {
   return [...hosts].sort((a, b) => isBefore(a, b) ? -1 : 1)
     .slice(0, RELAYS_PER_DOMAIN);
 }
--- a/src/peers/peer_state.ts
+++ b/src/peers/peer_state.ts
@@ -36,6 +36,10 @@
    * and the host is not stopping.
    */
   readonly canLead: boolean;
+  /** Serves requests of hosts that reach no target. */
+  readonly acceptsDelegated: boolean;
+  /** Services from all of whose targets the host is cut off. */
+  readonly cutOffServices: readonly string[];
   /** Reads the store's logs and answers queries about them. */
   readonly isReader: boolean;
   /** Contents that ended targets; those that were cleared have no losses. */
@@ -68,6 +72,8 @@
     w: state.slowTargets ?? null,
     l: state.canLead ? 1 : 0,
     r: state.isReader ? 1 : 0,
+    a: state.acceptsDelegated ? 1 : 0,
+    x: state.cutOffServices,
     c: state.losses.map(encodeLosses),
     b: state.breaks.map(encodeLosses),
     m: state.limits.map(encodeLimit),
@@ -80,7 +86,7 @@
 export function decodePeerState(
   fields: Readonly<Record<string, unknown>>,
 ): ReceivedState | undefined {
-  const { h, n, u, q, w, l, r, c, b, m, e, d } = fields;
+  const { h, n, u, q, w, l, r, a, x, c, b, m, e, d } = fields;
   const host = decodeHost(h);
   if (host === undefined || !Array.isArray(u) || !Array.isArray(q)) {
     return undefined;
@@ -95,6 +101,10 @@
       slowTargets: Array.isArray(w) ? w.filter(isSlowTarget) : undefined,
       canLead: l === 1,
       isReader: r === 1,
+      acceptsDelegated: a === 1,
+      cutOffServices: Array.isArray(x)
+        ? x.filter((name) => typeof name === "string")
+        : [],
       // Hosts of earlier versions send none.
       losses: Array.isArray(c) ? c.flatMap(decodeLosses) : [],
       breaks: Array.isArray(b) ? b.flatMap(decodeLosses) : [],
--- a/src/peers/peer_state_test.ts
+++ b/src/peers/peer_state_test.ts
@@ -11,6 +11,8 @@
   slowTargets: [["w", 2.5]] as const,
   canLead: true,
   isReader: true,
+  acceptsDelegated: true,
+  cutOffServices: ["s"],
   losses: [{
     contentId: "c",
     clearCount: 1,
--- a/src/ports/services.ts
+++ b/src/ports/services.ts
@@ -6,6 +6,7 @@
  */
 
 import type {
+  DelegationMetadata,
   ForwardMetadata,
   HostRecord,
   KeyedRead,
@@ -60,6 +61,8 @@
   request(headers: RawHeaders): RequestMetadata;
   /** Returns the headers to forward, without hop-by-hop headers. */
   forward(headers: RawHeaders, marks: ForwardMetadata): string[];
+  /** The same for another host, which authenticates the caller itself. */
+  delegate(headers: RawHeaders, marks: DelegationMetadata): string[];
   answer(headers: RawHeaders): ResponseMetadata;
 }
 
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -206,6 +206,12 @@
   readonly urgency: number | undefined;
 }
 
+/** Metadata of a request that another host serves. */
+export type DelegationMetadata = Pick<
+  ForwardMetadata,
+  "remainingMs" | "lastEventId"
+>;
+
 /** Metadata decoded from the headers of a target's response. */
 export interface ResponseMetadata {
   readonly requestId: string | undefined;
--- a/standins/users_platform/deployment.ts
+++ b/standins/users_platform/deployment.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import process from "node:process";
 import { headerCodec } from "../../platform/header_codec.ts";
 import { recordDecoder } from "../../platform/record_decoder.ts";
 import {
@@ -31,6 +32,8 @@
 export const CUSTOMER = "breeders";
 
 const LAYER_COUNT = 8;
+const PEER_PORT = 7_340;
+const MAX_HOSTS_PER_PROCESS = 250;
 /** The store removes the record of a server that has not written it for so long. */
 const LAPSE_MS = 1_500;
 
@@ -49,6 +52,7 @@
   readonly store = new StoreStandin();
   readonly servers: ModelServer[] = [];
   readonly hosts: EntryHost[] = [];
+  readonly #hostIps = new Map<number, string>();
   readonly #proxies = new Map<ModelServer, LoopbackProxy>();
   readonly #options: DeploymentOptions;
   readonly #owned: { dispose(): void }[] = [];
@@ -102,7 +106,9 @@
   /** Cuts hosts off from all servers, or no longer if `cut` is undefined. */
   cutFromServers(hosts: readonly number[], cut: ClientCut | undefined): void {
     for (const proxy of this.#proxies.values()) {
-      for (const index of hosts) proxy.setCut(outgoingIp(index), cut);
+      for (const index of hosts) {
+        proxy.setCut(this.#hostIps.get(index) ?? "", cut);
+      }
     }
   }
 
@@ -129,12 +135,8 @@
       endpoint: parseEndpoint(this.store.address) ?? { ip: "", port: 0 },
       onEra: (era) => eras.observe(era, "store"),
     });
-    const settings: HostSettings = {
-      ...hostSettings(index, this.#options.bounds),
-      ...(this.#options.hasProxies === true
-        ? { outgoingIp: outgoingIp(index) }
-        : {}),
-    };
+    const settings = hostSettings(index, this.#options.bounds);
+    this.#hostIps.set(index, settings.ip);
     const control = new TargetControl({
       log,
       localAddress: settings.outgoingIp,
@@ -181,9 +183,12 @@
   }
 }
 
-/** The address by which proxies know a host. */
-function outgoingIp(index: number): string {
-  return `127.0.1.${index + 1}`;
+let nextHostNumber = 0;
+
+/** A loopback address that no other host of a running test has. */
+function newHostIp(): string {
+  const number = nextHostNumber++ % MAX_HOSTS_PER_PROCESS + 1;
+  return `127.${(process.pid >> 8) % 254 + 1}.${process.pid % 256}.${number}`;
 }
 
 function hostSettings(
@@ -191,14 +196,16 @@
   bounds: Partial<HostSettings["bounds"]> = {},
 ): HostSettings {
   const local = { ip: "127.0.0.1", port: 0 };
+  const ip = newHostIp();
   return {
     hostId: `host-${index}`,
     domain: "a",
-    ip: "127.0.0.1",
+    ip,
+    outgoingIp: ip,
     frontend: local,
     readiness: local,
     metrics: local,
-    peerPort: 0,
+    peerPort: PEER_PORT,
     isFirstStart: true,
     bounds: {
       revokeMs: 5_000,
--- a/test/peer_fleet.ts
+++ b/test/peer_fleet.ts
@@ -144,8 +144,9 @@
         isLeader: () => false,
       }),
       canLead: () => true,
-      isCutOff: () => false,
+      cutOffServices: () => [],
       canRead: () => true,
+      acceptsDelegated: () => true,
       slowTargets: () => [["target-3", 2.5]],
       onPeerLoad: () => {},
     });
--- a/test/reachability.ts
+++ b/test/reachability.ts
@@ -10,8 +10,9 @@
 /** Every silent target is itself at fault. */
 export function soundLink(
   targets: Pick<TargetTable, "markUnresponsive">,
-): Pick<TargetReachability, "reportSilent" | "confirmCutOff"> {
+): Pick<TargetReachability, "reportSilent" | "confirmCutOff" | "isCutOff"> {
   return {
+    isCutOff: () => false,
     confirmCutOff: () => Promise.resolve(false),
     reportSilent: (targetId, evidence) => {
       targets.markUnresponsive(targetId, evidence);
