--- a/soak/fault_modes.ts
+++ b/soak/fault_modes.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { ServerMode } from "../standins/users_platform/model_server.ts";
+import type { ServerMode } from "../standins/users_platform/server_mode.ts";
 import type { StoreFault } from "../standins/users_platform/store_standin.ts";
 import type { FaultKind } from "./types.ts";
 
--- a/soak/host_process.ts
+++ b/soak/host_process.ts
@@ -45,6 +45,8 @@
       this.#settingsPath,
       JSON.stringify({
         ip,
+        // Servers and proxies tell hosts apart by their addresses.
+        "outgoing-ip": ip,
         "node-name": name,
         zone: domain,
         listen: {
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { checkLinkCuts } from "./link_cuts.ts";
+import { checkPauses } from "./pauses.ts";
 import { checkRequestLimits } from "./request_limits.ts";
 import { CRASHING_PART, CRASHING_TEXT } from "./settings.ts";
 import type { Attempt, Bounds, Execution, History } from "./types.ts";
@@ -27,6 +29,8 @@
     ...checkRetryBudget(history, bounds),
     ...checkCrashing(history, bounds),
     ...checkRequestLimits(history, bounds),
+    ...checkLinkCuts(history, bounds),
+    ...checkPauses(history, bounds),
     ...checkRecovery(history, bounds),
     ...history.leakedStreams === 0 ? [] : [
       `${history.leakedStreams} streams still executing after their callers had finished`,
--- a/soak/invariants_test.ts
+++ b/soak/invariants_test.ts
@@ -42,6 +42,8 @@
     orders: [],
     revocations: [],
     absences: [],
+    linkCuts: [],
+    pauses: [],
     storeFaults: [],
     hostFaults: [],
     limits: [],
--- a/soak/settings.ts
+++ b/soak/settings.ts
@@ -5,7 +5,7 @@
  */
 
 import { HOST_NAME, KEY } from "../standins/users_platform/deployment.ts";
-import type { Bounds } from "./types.ts";
+import type { Bounds, RouteName } from "./types.ts";
 
 export { HOST_NAME };
 
@@ -19,6 +19,11 @@
 
 /** A request whose body contains this ends the server that executes it. */
 export const CRASHING_TEXT = "ends its server";
+export const CRASHING_ROUTES: readonly RouteName[] = [
+  "briefs",
+  "slips",
+  "acks",
+];
 export const CRASH_RESTART_MS = 1_000;
 /** The same for a request whose prompt has this part. */
 export const CRASHING_PART = "dead";
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -18,21 +18,23 @@
 import { HostProcess } from "./host_process.ts";
 import { findViolations } from "./invariants.ts";
 import { drawEndings, type DrawnEndings } from "./endings.ts";
+import { cutLinks } from "./link_cuts.ts";
+import { askForPause, collectPauses } from "./pauses.ts";
 import { drawLimit } from "./request_limits.ts";
 import { drawSchedule } from "./schedule.ts";
 import {
   BOUNDS,
   CHECKED_RECOVERY_MS,
   CRASH_RESTART_MS,
+  CRASHING_ROUTES,
   DOMAINS,
   HOST_COUNT,
   MODEL_SERVER_COUNT,
   PLAIN_SERVER_COUNT,
   STARTUP_TIMEOUT_MS,
 } from "./settings.ts";
-import type { Fault, History, Interval, RouteName } from "./types.ts";
+import type { Fault, History, Interval, LinkCut } from "./types.ts";
 
-/** Delay of a slow connection in each direction. */
 const SLOW_DELAY_MS = 40;
 const POLL_INTERVAL_MS = 50;
 /** A store comes back from a copy of one to fifteen times this age. */
@@ -42,8 +44,6 @@
 /** Time in which servers must cancel the streams of callers that disconnected. */
 const CANCEL_TIMEOUT_MS = 1_000;
 
-const CRASHING_ROUTES: readonly RouteName[] = ["briefs", "slips", "acks"];
-
 /** Offset of the seed, so that a seed draws the same faults as without it. */
 const PART_SEED_OFFSET = 4_000_037;
 
@@ -71,6 +71,7 @@
   readonly #folder: string;
   readonly #hosts: HostProcess[] = [];
   readonly #storeFaults: Interval[] = [];
+  readonly #linkCuts: LinkCut[] = [];
   readonly #hostFaults: (Interval & { readonly host: string })[] = [];
   #storeFaultStartMs = 0;
   /** Drills take place one after another. */
@@ -89,7 +90,7 @@
   }
 
   async run(): Promise<SoakOutcome> {
-    const { seed, faultPhaseMs } = this.#options;
+    const { seed, faultPhaseMs, hasCrashingPart } = this.#options;
     const schedule = drawSchedule({
       seed,
       faultPhaseMs,
@@ -103,18 +104,25 @@
     const callers = new Callers({
       hosts: this.#hosts,
       random: seededRandom(seed),
-      sendsPromptParts: this.#options.hasCrashingPart,
+      sendsPromptParts: hasCrashingPart,
     });
     try {
       callers.startProbing();
       await this.#waitUntilReady(callers);
       callers.start();
       const startMs = performance.now();
-      const limit = drawLimit(seed, this.#backEnds.servers.length);
+      const { servers } = this.#backEnds;
+      const limit = drawLimit(seed, servers.length);
       await Promise.all([
         ...schedule.map((fault) => this.#injectFault(fault, startMs, callers)),
         systemClock.sleep(limit.startMs)
           .then(() => this.#backEnds.limitRequests(limit)),
+        cutLinks(seed, this.#hosts, servers)
+          .then((cut) => this.#linkCuts.push(cut)),
+        askForPause(seed, servers, {
+          begin: (server) => this.#beginFault(server),
+          end: (server) => this.#endFault(server),
+        }),
         this.#sendCrashingPart(callers),
       ]);
       this.#backEnds.restoreKey();
@@ -332,8 +340,8 @@
   #endStoreFault(): void {
     const { store, storeProxy } = this.#backEnds;
     if (!this.#endFault(store)) return;
-    const startMs = this.#storeFaultStartMs;
-    this.#storeFaults.push({ startMs, endMs: performance.now() });
+    const endMs = performance.now();
+    this.#storeFaults.push({ startMs: this.#storeFaultStartMs, endMs });
     store.fault = "none";
     storeProxy.clearFaults();
   }
@@ -375,6 +383,8 @@
       storeFaults: this.#storeFaults,
       hostFaults: this.#hostFaults,
       limits,
+      linkCuts: this.#linkCuts,
+      pauses: collectPauses(servers, this.#hosts),
       faultsEndMs,
       leakedStreams,
     };
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -103,6 +103,21 @@
   readonly endedAtMs: readonly number[];
 }
 
+/** When hosts were cut off from all servers. */
+export interface LinkCut extends Interval {
+  readonly hosts: readonly string[];
+}
+
+/** A pause that a server asked a host for. */
+export interface AskedPause {
+  readonly serverId: string;
+  readonly host: string;
+  readonly atMs: number;
+  readonly endMs: number;
+  /** Times of all requests, queries and orders of that host there. */
+  readonly arrivedAtMs: readonly number[];
+}
+
 /** The observations of one run, against which the invariants are checked. */
 export interface History {
   readonly attempts: readonly Attempt[];
@@ -117,6 +132,10 @@
   /** When hosts were stopped, killed, paused or had their clocks set. */
   readonly hostFaults: readonly (Interval & { readonly host: string })[];
   readonly limits: readonly LimitedServer[];
+  /** When hosts were cut off from all servers. */
+  readonly linkCuts:
+    readonly (Interval & { readonly hosts: readonly string[] })[];
+  readonly pauses: readonly AskedPause[];
   /** When the last fault ended; undefined if the run ended before that. */
   readonly faultsEndMs: number | undefined;
   /** Streams that servers still executed after all callers had finished. */
--- a/standins/loopback_proxy.ts
+++ b/standins/loopback_proxy.ts
@@ -100,7 +100,8 @@
     }
     const isSilent = (): boolean => this.#cuts.get(ip) === "silent";
     const [host, port] = this.#upstreamAddress.split(":");
-    const upstream = connect({ host, port: Number(port) });
+    // The server sees the address of the client.
+    const upstream = connect({ host, port: Number(port), localAddress: ip });
     this.#forward(client, upstream, () => this.dropsAll || isSilent());
     this.#forward(
       upstream,
--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -12,21 +12,14 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
-import type { ReceivedRequest, StartedExecution } from "./received_request.ts";
+import type {
+  Arrival,
+  NamedPause,
+  ReceivedRequest,
+  StartedExecution,
+} from "./received_request.ts";
 import { ServerLife } from "./server_life.ts";
-
-/** How requests are answered; all modes except `good` are faults. */
-export type ServerMode =
-  | "good"
-  | "error"
-  | "shed"
-  | "hang"
-  | "cut"
-  | "foreign"
-  | "unsigned"
-  | "unframed"
-  | "unframed-reset"
-  | "stall";
+import type { ServerMode } from "./server_mode.ts";
 
 export interface ModelServerOptions {
   readonly id: string;
@@ -88,6 +81,8 @@
   seq = 0;
   /** Times of all requests, queries and orders on the process's clock. */
   readonly arrivedAtMs: number[] = [];
+  readonly arrivals: Arrival[] = [];
+  readonly namedPauses: NamedPause[] = [];
   readonly receivedRequests: ReceivedRequest[] = [];
   readonly executions: StartedExecution[] = [];
   readonly orders: Record<string, unknown>[] = [];
@@ -152,7 +147,10 @@
 
   #serve(request: IncomingMessage, response: ServerResponse): void {
     if (!this.life.isRunning) return;
-    this.arrivedAtMs.push(performance.now());
+    const atMs = performance.now();
+    const from = request.socket.remoteAddress ?? "";
+    this.arrivedAtMs.push(atMs);
+    this.arrivals.push({ from, atMs });
     if (this.limitPerS !== undefined) {
       response.setHeader("Server-Limit", this.limitPerS);
     }
@@ -255,6 +253,12 @@
     }
     if (mode === "shed" || this.rejectNextCount > 0) {
       this.rejectNextCount = Math.max(0, this.rejectNextCount - 1);
+      if (this.retryAfterS !== undefined) {
+        const from = request.socket.remoteAddress ?? "";
+        const atMs = performance.now();
+        const endMs = atMs + this.retryAfterS * 1_000;
+        this.namedPauses.push({ from, atMs, endMs });
+      }
       response.writeHead(503, {
         "jackdawshift-not-executed": "1",
         "at-server": this.rejectingAddress || this.address,
--- a/standins/users_platform/received_request.ts
+++ b/standins/users_platform/received_request.ts
@@ -13,6 +13,17 @@
   readonly body: string;
 }
 
+/** A request, query or order, and the address from which it came. */
+export interface Arrival {
+  readonly from: string;
+  readonly atMs: number;
+}
+
+/** A rejection that names a time to retry. */
+export interface NamedPause extends Arrival {
+  readonly endMs: number;
+}
+
 /** A request that the server started to execute. */
 export interface StartedExecution {
   readonly requestId: string;
--- /dev/null
+++ b/standins/users_platform/server_mode.ts
@@ -0,0 +1,18 @@
+/**
+ * The faults of a stand-in server.
+ *
+ * @module
+ */
+
+/** How requests are answered; all modes except `good` are faults. */
+export type ServerMode =
+  | "good"
+  | "error"
+  | "shed"
+  | "hang"
+  | "cut"
+  | "foreign"
+  | "unsigned"
+  | "unframed"
+  | "unframed-reset"
+  | "stall";
