--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -16,6 +16,7 @@
   Arrival,
   NamedPause,
   ReceivedRequest,
+  RunningStream,
   StartedExecution,
 } from "./received_request.ts";
 import { ServerLife } from "./server_life.ts";
@@ -32,16 +33,6 @@
   readonly eventGapMs?: number;
 }
 
-interface RunningStream {
-  readonly response: ServerResponse;
-  readonly requestId: string;
-  /** The event instead of which the server ends. */
-  readonly crashAt: number;
-  path: string;
-  next: number;
-  isStalled: boolean;
-}
-
 /** A server on its own loopback port. */
 export class ModelServer {
   readonly #options: ModelServerOptions;
@@ -75,6 +66,8 @@
   limitPerS: number | undefined;
   /** Whether all its responses say that it leaves. */
   isLeaving = false;
+  /** Whether mode `shed` also rejects queries and orders. */
+  rejectsQueries = false;
   /** Time to retry that its rejections name; undefined for none. */
   retryAfterS: number | undefined;
   span: { from: number; to: number } | undefined;
@@ -159,7 +152,9 @@
     request.on("data", (chunk: Buffer) => chunks.push(chunk));
     request.on("end", () => {
       const body = Buffer.concat(chunks).toString();
-      if (request.url === "/v1/report") this.#report(response);
+      if (this.mode === "shed" && this.rejectsQueries) {
+        this.#reject(request, response);
+      } else if (request.url === "/v1/report") this.#report(response);
       else if (request.url === "/v1/order") this.#order(body, response);
       else this.#serveRequest(request, body, response);
     });
@@ -253,19 +248,7 @@
     }
     if (mode === "shed" || this.rejectNextCount > 0) {
       this.rejectNextCount = Math.max(0, this.rejectNextCount - 1);
-      if (this.retryAfterS !== undefined) {
-        const from = request.socket.remoteAddress ?? "";
-        const atMs = performance.now();
-        const endMs = atMs + this.retryAfterS * 1_000;
-        this.namedPauses.push({ from, atMs, endMs });
-      }
-      response.writeHead(503, {
-        "jackdawshift-not-executed": "1",
-        "at-server": this.rejectingAddress || this.address,
-        ...(this.retryAfterS === undefined
-          ? {}
-          : { "retry-after": String(this.retryAfterS) }),
-      }).end();
+      this.#reject(request, response);
       return;
     }
     this.#recordExecution(requestId);
@@ -307,6 +290,21 @@
     response.writeHead(200, headers).end(`answer of ${this.id}`);
   }
 
+  #reject(request: IncomingMessage, response: ServerResponse): void {
+    const { retryAfterS } = this;
+    if (retryAfterS !== undefined) {
+      const from = request.socket.remoteAddress ?? "";
+      const atMs = performance.now();
+      const endMs = atMs + retryAfterS * 1_000;
+      this.namedPauses.push({ from, atMs, endMs });
+      response.setHeader("retry-after", String(retryAfterS));
+    }
+    response.writeHead(503, {
+      "jackdawshift-not-executed": "1",
+      "at-server": this.rejectingAddress || this.address,
+    }).end();
+  }
+
   /** Number of events after which a request ends the server; Infinity if it does not. */
   #crashAfter(request: IncomingMessage, body: string): number {
     const { crashingText, crashingPromptPart } = this;
--- a/standins/users_platform/received_request.ts
+++ b/standins/users_platform/received_request.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 
 export interface ReceivedRequest {
   readonly method: string;
@@ -32,3 +32,14 @@
   /** Time on the monotonic clock of the process. */
   readonly atMs: number;
 }
+
+/** A stream that has not ended. */
+export interface RunningStream {
+  readonly response: ServerResponse;
+  readonly requestId: string;
+  /** The event instead of which the server ends. */
+  readonly crashAt: number;
+  path: string;
+  next: number;
+  isStalled: boolean;
+}
