Read in responses to queries and orders that a target wants a pause or leaves

Cause: only responses to callers' requests were read for a pause. A rejected query counted as no response, and a target without response is asked twice a second and by each overdue stream.

Change: the client of queries and orders fires an event for what any response says of its target, and a rejected query counts as withheld, not as silence.

--- a/src/paths/limited_target_control.ts
+++ b/src/paths/limited_target_control.ts
@@ -6,7 +6,12 @@
  */
 
 import type { Clock } from "../common/clock.ts";
-import type { ITargetControl, OrderTarget } from "../ports/services.ts";
+import type { Event } from "../common/emitter.ts";
+import type {
+  ITargetControl,
+  OrderTarget,
+  TargetNotice,
+} from "../ports/services.ts";
 import type {
   OrderOutcome,
   PathStage,
@@ -34,18 +39,30 @@
 
   constructor(options: LimitedTargetControlOptions) {
     this.#options = options;
+    const { control, limits, targets } = options;
+    control.onNotice(({ targetId, isLeaving, pauseMs }) => {
+      if (isLeaving) targets.markLeaving(targetId);
+      if (pauseMs !== undefined) limits.pause(targetId, pauseMs);
+    });
+  }
+
+  get onNotice(): Event<TargetNotice> {
+    return this.#options.control.onNotice;
   }
 
   async report(target: OrderTarget, timeoutMs: number): Promise<ReportOutcome> {
-    const { control, limits, clock, targets } = this.#options;
+    const { control, limits, clock } = this.#options;
     if (!limits.tryAcquire(target.id)) return "withheld";
     const sentMs = clock.nowMs();
     const report = await control.report(target, timeoutMs);
+    // A target that rejects the query has responded.
+    if (report === undefined && limits.pausedForMs(target.id) > 0) {
+      return "withheld";
+    }
     if (report !== undefined && report !== "withheld") {
       const limitPerS = report.requestLimitPerS;
       // Not every report may name the limit that responses to requests name.
       limits.observe(target.id, { limitPerS, sentMs, mayWithdraw: false });
-      if (report.isLeaving) targets.markLeaving(target.id);
     }
     return report;
   }
--- a/src/paths/limited_target_control_test.ts
+++ b/src/paths/limited_target_control_test.ts
@@ -1,7 +1,8 @@
 import { expect, test } from "vitest";
 import { ManualClock } from "../../test/manual_clock.ts";
 import { silentLog } from "../common/logging.ts";
-import type { ITargetControl } from "../ports/services.ts";
+import { Emitter } from "../common/emitter.ts";
+import type { ITargetControl, TargetNotice } from "../ports/services.ts";
 import type { TargetReport } from "../ports/types.ts";
 import { LimitedTargetControl } from "./limited_target_control.ts";
 import { TargetLimits } from "./target_limits.ts";
@@ -10,7 +11,13 @@
 const TARGET = { id: "a", address: "10.0.0.1:1" };
 const PATH = [{ targetId: "a", address: "10.0.0.1:1", from: 0, to: 4 }];
 
-function setUp(report: Partial<TargetReport> = {}) {
+/** A target that responds with its report, or not, and may add a notice. */
+function setUp(
+  { report = {}, notice }: {
+    readonly report?: Partial<TargetReport> | undefined;
+    readonly notice?: Partial<TargetNotice>;
+  } = {},
+) {
   const clock = new ManualClock();
   const targets = new TargetTable({ clock, log: silentLog });
   targets.put({
@@ -30,14 +37,25 @@
     otherHosts: () => [],
   });
   const calls: string[] = [];
+  const notices = new Emitter<TargetNotice>();
+  const fireNotice = (): void => {
+    if (notice === undefined) return;
+    const none = { targetId: "a", isLeaving: false, pauseMs: undefined };
+    notices.fire({ ...none, ...notice });
+  };
   const control: ITargetControl = {
+    onNotice: notices.event,
     probe: () => Promise.resolve(true),
     report: () => {
       calls.push("report");
-      return Promise.resolve(report as TargetReport);
+      fireNotice();
+      return Promise.resolve(
+        notice?.pauseMs === undefined ? report as TargetReport : undefined,
+      );
     },
     place: () => {
       calls.push("place");
+      fireNotice();
       return Promise.resolve({ kind: "begun" });
     },
     repath: () => {
@@ -66,12 +84,26 @@
 });
 
 test("a target that says in a report that it leaves gets no new work", async () => {
-  const { targets, limited } = setUp({ isLeaving: true });
+  const { targets, limited } = setUp({ notice: { isLeaving: true } });
   expect(targets.get("a")?.isReady).toBe(true);
   await limited.report(TARGET, 100);
   expect(targets.get("a")?.isReady).toBe(false);
 });
 
+test("a target that says in the response to an order that it leaves gets no new work", async () => {
+  const { targets, limited } = setUp({ notice: { isLeaving: true } });
+  await limited.place(TARGET, { from: 0, to: 4 }, 0);
+  expect(targets.get("a")?.isReady).toBe(false);
+});
+
+test("a target that rejects a query and asks for a pause has responded, and gets none until its end", async () => {
+  const { clock, limited, calls } = setUp({ notice: { pauseMs: 1_000 } });
+  expect(await limited.report(TARGET, 100)).toBe("withheld");
+  await clock.advance(900);
+  expect(await limited.report(TARGET, 100)).toBe("withheld");
+  expect(calls).toEqual(["report"]);
+});
+
 test("a pause lasts beyond a lapse of the record, but not for a later process", () => {
   const { targets, limits } = setUp();
   const record = targets.get("a")?.record;
--- a/src/placement/placement_controller_test.ts
+++ b/src/placement/placement_controller_test.ts
@@ -5,7 +5,8 @@
 import { BucketMetrics } from "../common/bucket_metrics.ts";
 import { silentLog } from "../common/logging.ts";
 import { TargetTable } from "../paths/target_table.ts";
-import type { ITargetControl } from "../ports/services.ts";
+import { Emitter } from "../common/emitter.ts";
+import type { ITargetControl, TargetNotice } from "../ports/services.ts";
 import type {
   OrderOutcome,
   RoutingConfig,
@@ -34,6 +35,7 @@
 
 /** Targets that accept an order if it names their current order count. */
 class Fleet implements ITargetControl {
+  readonly onNotice = new Emitter<TargetNotice>().event;
   readonly clock = new ManualClock();
   readonly spans = new Map<string, Span>();
   readonly seqs = new Map<string, number>();
--- a/src/ports/services.ts
+++ b/src/ports/services.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import type { Event } from "../common/emitter.ts";
 import type {
   DelegationMetadata,
   ForwardMetadata,
@@ -72,8 +73,18 @@
   readonly address: string;
 }
 
+/** What a target says of itself when it responds to a query or an order. */
+export interface TargetNotice {
+  readonly targetId: string;
+  /** The process leaves. */
+  readonly isLeaving: boolean;
+  /** It rejected the call and wants none of this host for so long. */
+  readonly pauseMs: number | undefined;
+}
+
 /** Report queries and orders to targets. Calls never reject. */
 export interface ITargetControl {
+  readonly onNotice: Event<TargetNotice>;
   report(target: OrderTarget, timeoutMs: number): Promise<ReportOutcome>;
   /** Whether a target gives any response on a new connection within this time. */
   probe(target: OrderTarget, timeoutMs: number): Promise<boolean>;
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -155,7 +155,6 @@
   readonly stalled: readonly StalledRequest[];
   /** Requests a second that the target accepts from all hosts together. */
   readonly requestLimitPerS?: number;
-  readonly isLeaving?: boolean;
 }
 
 /**
