Check pauses in the soak against the process that asked, and answers that arrived

Trace: its proxy dropped all answers at the time ('server-answers-lost 14', 1.56 to 4.47 s), host-2 logged each send as 'read ECONNRESET' and no 'target paused', so it never knew; and the processes that the counted requests reached were later ones.

--- a/soak/pauses.ts
+++ b/soak/pauses.ts
@@ -8,6 +8,7 @@
 import { systemClock } from "../src/common/clock.ts";
 import { seededRandom } from "../src/common/random.ts";
 import type { ModelServer } from "../standins/users_platform/model_server.ts";
+import type { NamedPause } from "../standins/users_platform/received_request.ts";
 import type { BackEnd } from "./back_ends.ts";
 import type { HostProcess } from "./host_process.ts";
 import type { AskedPause, Bounds, History } from "./types.ts";
@@ -23,6 +24,8 @@
 const MAX_PAUSE_S = 4;
 /** Requests that were on their way arrive within this time. */
 const GRACE_MS = 500;
+/** An answer has passed its proxy, or was dropped there, after this time. */
+const ANSWER_TRANSIT_MS = 200;
 const MAX_REQUESTS_IN_PAUSE = 2;
 
 export interface DrawnPause {
@@ -73,19 +76,28 @@
   servers: readonly BackEnd[],
   hosts: readonly HostProcess[],
 ): AskedPause[] {
-  return servers.flatMap(({ server }) =>
-    server.namedPauses.map(({ from, atMs, endMs }) => ({
+  return servers.flatMap(({ server, proxy }) => {
+    // A host that never got the answer does not know of the pause.
+    const isLost = ({ from, atMs }: NamedPause): boolean =>
+      proxy.lostAnswers.some((lost) =>
+        lost.to === from && lost.atMs >= atMs &&
+        lost.atMs < atMs + ANSWER_TRANSIT_MS
+      );
+    const pauses = server.namedPauses.filter((pause) => !isLost(pause));
+    return pauses.map(({ from, atMs, endMs, bornMs }) => ({
       serverId: server.id,
       host: hosts.find(({ ip }) => ip === from)?.name ?? from,
       atMs,
       endMs,
-      arrivedAtMs: server.arrivals.filter((one) => one.from === from)
-        .map((one) => one.atMs),
-    }))
-  );
+      // A later process has asked for nothing.
+      arrivedAtMs: server.arrivals.filter((one) =>
+        one.from === from && one.bornMs === bornMs
+      ).map((one) => one.atMs),
+    }));
+  });
 }
 
-/** A fault of the host since, or an end of the server, excuses a pause. */
+/** A fault of the host since, or a cut of its links, excuses a pause. */
 export function checkPauses(
   { pauses, hostFaults, linkCuts }: History,
   { stableWindowMs }: Bounds,
--- a/standins/loopback_proxy.ts
+++ b/standins/loopback_proxy.ts
@@ -15,6 +15,12 @@
  */
 export type ClientCut = "silent" | "reset" | "refuses-new";
 
+export interface LostAnswer {
+  /** Address of the client. */
+  readonly to: string;
+  readonly atMs: number;
+}
+
 /** Forwards connections to one address. */
 export class LoopbackProxy {
   readonly #upstreamAddress: string;
@@ -23,6 +29,8 @@
   #refusedPort = 0;
   /** Cuts by the address of the client. */
   readonly #cuts = new Map<string, ClientCut>();
+  /** Data from the upstream that was dropped. */
+  readonly lostAnswers: LostAnswer[] = [];
   /** Delay of each chunk, in both directions. */
   delayMs = 0;
   /** Drops data in both directions; connections stay open. */
@@ -102,15 +110,27 @@
     const [host, port] = this.#upstreamAddress.split(":");
     // The server sees the address of the client.
     const upstream = connect({ host, port: Number(port), localAddress: ip });
-    this.#forward(client, upstream, () => this.dropsAll || isSilent());
-    this.#forward(
-      upstream,
-      client,
-      () => this.dropsAll || this.dropsAnswers || isSilent(),
-    );
+    this.#forward({
+      from: client,
+      to: upstream,
+      shouldDrop: () => this.dropsAll || isSilent(),
+    });
+    this.#forward({
+      from: upstream,
+      to: client,
+      shouldDrop: () => this.dropsAll || this.dropsAnswers || isSilent(),
+      onDrop: () => this.lostAnswers.push({ to: ip, atMs: performance.now() }),
+    });
   }
 
-  #forward(from: Socket, to: Socket, shouldDrop: () => boolean): void {
+  #forward(
+    { from, to, shouldDrop, onDrop }: {
+      readonly from: Socket;
+      readonly to: Socket;
+      readonly shouldDrop: () => boolean;
+      readonly onDrop?: () => void;
+    },
+  ): void {
     this.#sockets.add(from);
     from.setNoDelay(true);
     const delayed = (action: () => void): void => {
@@ -121,7 +141,8 @@
     from.on("data", (chunk) => {
       // Once a chunk is dropped, drop the rest too: TCP never delivers a gap.
       hasDropped ||= shouldDrop();
-      if (!hasDropped) delayed(() => to.destroyed || to.write(chunk));
+      if (hasDropped) onDrop?.();
+      else delayed(() => to.destroyed || to.write(chunk));
     });
     from.on("end", () => {
       if (!hasDropped) delayed(() => to.end());
--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -143,7 +143,7 @@
     const atMs = performance.now();
     const from = request.socket.remoteAddress ?? "";
     this.arrivedAtMs.push(atMs);
-    this.arrivals.push({ from, atMs });
+    this.arrivals.push({ from, atMs, bornMs: this.life.bornMs });
     if (this.limitPerS !== undefined) {
       response.setHeader("Server-Limit", this.limitPerS);
     }
@@ -296,7 +296,8 @@
       const from = request.socket.remoteAddress ?? "";
       const atMs = performance.now();
       const endMs = atMs + retryAfterS * 1_000;
-      this.namedPauses.push({ from, atMs, endMs });
+      const { bornMs } = this.life;
+      this.namedPauses.push({ from, atMs, endMs, bornMs });
       response.setHeader("retry-after", String(retryAfterS));
     }
     response.writeHead(503, {
--- a/standins/users_platform/received_request.ts
+++ b/standins/users_platform/received_request.ts
@@ -16,6 +16,8 @@
 /** A request, query or order, and the address from which it came. */
 export interface Arrival {
   readonly from: string;
+  /** Start of the process at which it arrived. */
+  readonly bornMs: number;
   readonly atMs: number;
 }
 
