Test at 9 and 60 hosts that all learn who serves requests of others

The directory of delegates in fleets that exchange digests had no test of its own: a host that is cut off from a service is named for the others only, one that stops for none, within half a second of virtual time.

--- a/src/entry/peer_fleet_test.ts
+++ b/src/entry/peer_fleet_test.ts
@@ -153,3 +153,30 @@
   }
   fleet.close();
 });
+
+test.each([9, 60])(
+  "all of %i hosts learn within half a second who serves requests of others",
+  async (count) => {
+    const fleet = new PeerFleet(count);
+    await fleet.start();
+    const [first, second, third] = fleet.hosts;
+    fleet.cutOff.set(first.record.id, ["s"]);
+    fleet.stopping.add(second.record.id);
+    for (const { exchange } of [first, second]) exchange.scheduleBroadcast();
+    await fleet.clock.advance(500);
+    for (const { record, exchange } of fleet.hosts) {
+      const ids = (service: string) =>
+        new Set(exchange.delegates(service).map(({ id }) => id));
+      const others = fleet.hosts.map((host) => host.record.id)
+        .filter((id) => id !== record.id && id !== second.record.id);
+      expect(ids("other")).toEqual(new Set(others));
+      expect(ids("s"))
+        .toEqual(new Set(others.filter((id) => id !== first.record.id)));
+    }
+    const ofDomain = fleet.hosts.filter(({ record }) =>
+      record.domain === third.record.domain
+    );
+    expect(third.exchange.domainHostCount).toBe(ofDomain.length);
+    fleet.close();
+  },
+);
--- a/test/peer_fleet.ts
+++ b/test/peer_fleet.ts
@@ -40,6 +40,10 @@
 /** Hosts with their own exchange over a network of virtual time. */
 export class PeerFleet {
   readonly clock = new ManualClock();
+  /** Services that hosts are cut off from, by host. */
+  readonly cutOff = new Map<string, readonly string[]>();
+  /** Hosts that accept no requests of others. */
+  readonly stopping = new Set<string>();
   readonly hosts: FleetHost[] = [];
   readonly #random = seededRandom(2026);
   lossShare = 0;
@@ -144,9 +148,9 @@
         isLeader: () => false,
       }),
       canLead: () => true,
-      cutOffServices: () => [],
+      cutOffServices: () => this.cutOff.get(record.id) ?? [],
       canRead: () => true,
-      acceptsDelegated: () => true,
+      acceptsDelegated: () => !this.stopping.has(record.id),
       slowTargets: () => [["target-3", 2.5]],
       onPeerLoad: () => {},
     });
