Keep hosts ready when the store refuses the host that reads for all

Cause: when the reads of the host that reads for the fleet failed, it asked the next reader, which was itself waiting for an answer from it. Both waits, and those of all hosts behind them, ended only at their time-out of 1.25 s; each then read the store with a further wait of up to 0.9 s, by which time the proof of the configuration was older than the 2.5 s allowed. Change: a host whose own read of a log fails tells the hosts that wait for it at once, and lets no query wait until its reads succeed again. With an old proof the next read waits only until the proof is 1.8 s old. In steady state the interval of reads is unchanged (0.9 s).

--- a/src/entry/store_feeds.ts
+++ b/src/entry/store_feeds.ts
@@ -63,14 +63,14 @@
     this.#targetLog = this.#share("targets", targetLog, 0);
     this.config = this.#follow({
       name: "config",
-      source: this.#configLog,
+      log: this.#configLog,
       pauseMs: 0,
       // Each configuration is complete, so the newest one makes up for all.
       isRewritten: options.isNewestConfig,
     });
     this.targets = this.#follow({
       name: "targets",
-      source: this.#targetLog,
+      log: this.#targetLog,
       pauseMs: TARGET_PAUSE_MS,
     });
     link.onQuery(({ query, reply }) => this.#responder.handle(query, reply));
@@ -97,21 +97,22 @@
   }
 
   #follow(
-    feed: Pick<
-      KeyedFollowerOptions,
-      "name" | "source" | "pauseMs" | "isRewritten"
-    >,
+    { log: source, ...feed }:
+      & Pick<KeyedFollowerOptions, "name" | "pauseMs" | "isRewritten">
+      & { readonly log: SharedLog },
   ): KeyedFollower {
     const { clock, log, random, eras } = this.#options;
     const follower = new KeyedFollower({
       ...feed,
+      source,
       waitMs: READ_WAIT_MS,
       eras,
       clock,
       log,
       random,
     });
-    this.#responder.add(feed.name, follower);
+    this.#responder.add(feed.name, follower, () => source.isSourceReachable);
+    source.onSourceFailure(() => this.#responder.rejectPending(feed.name));
     return follower;
   }
 }
--- a/src/feeds/keyed_follower.ts
+++ b/src/feeds/keyed_follower.ts
@@ -21,6 +21,14 @@
 /** Longest delay between retries, well below the limit on the configuration's age. */
 const MAX_RETRY_MS = 600;
 
+/**
+ * Age up to which a wait for the next record extends the proof: two waits of
+ * 0.9 s, as a read that found nothing new dates from its start. After a failure
+ * the next read waits less, so that the host does not become unready meanwhile.
+ */
+const MAX_PROOF_AGE_MS = 1_800;
+/** Least wait for the next record while there is a proof. */
+const MIN_WAIT_MS = 100;
 /** Minimum delay between reads that do not wait at the store. */
 const CATCH_UP_PAUSE_MS = 10;
 /** Spreads the snapshots that all hosts read when the era rises. */
@@ -227,7 +235,7 @@
     // Without a recent proof, an immediate response matters more.
     const hasProof = this.#failures === 0 && this.ageMs !== Infinity &&
       this.#watermarkEra === this.era;
-    return hasProof ? Infinity : 0;
+    return hasProof ? Math.max(MIN_WAIT_MS, MAX_PROOF_AGE_MS - this.ageMs) : 0;
   }
 
   async #fetchSnapshot(signal: AbortSignal): Promise<FetchResult | undefined> {
--- a/src/peers/log_responder.ts
+++ b/src/peers/log_responder.ts
@@ -33,6 +33,7 @@
 
 interface FollowedLog {
   readonly follower: KeyedFollower;
+  readonly isReading: () => boolean;
   readonly mirror: LogMirror;
   pending: PendingQuery[];
 }
@@ -53,9 +54,21 @@
     this.#clock = options.clock;
   }
 
-  /** Answers queries about the log `name` from the records of `follower`. */
-  add(name: string, follower: KeyedFollower): void {
-    const followed = { follower, mirror: new LogMirror(), pending: [] };
+  /**
+   * Answers queries about the log `name` from the records of `follower`.
+   * `isReading` tells whether this host's own reads of the log succeed.
+   */
+  add(
+    name: string,
+    follower: KeyedFollower,
+    isReading: () => boolean = () => true,
+  ): void {
+    const followed = {
+      follower,
+      isReading,
+      mirror: new LogMirror(),
+      pending: [],
+    };
     this.#logs.set(name, followed);
     follower.onBatch((batch) => followed.mirror.apply(batch));
     follower.onWatermark(() => this.#answerPending(followed));
@@ -69,12 +82,29 @@
       return;
     }
     const read = readFor(followed, pendingQuery);
-    const mustWait = query.mayWait && read?.records.length === 0 &&
+    const isUnchanged = read?.records.length === 0;
+    // This host may itself be waiting for the one that asks, so neither would learn more.
+    if (isUnchanged && !followed.isReading()) {
+      reply({ id: query.id, read: undefined });
+      return;
+    }
+    const mustWait = query.mayWait && isUnchanged &&
       followed.pending.length < MAX_PENDING_QUERIES;
     if (mustWait) followed.pending.push(pendingQuery);
     else reply({ id: query.id, read });
   }
 
+  /** Tells the hosts that wait for news of a log to read it themselves. */
+  rejectPending(name: string): void {
+    const followed = this.#logs.get(name);
+    if (followed === undefined) return;
+    const { pending } = followed;
+    followed.pending = [];
+    for (const { query, reply } of pending) {
+      reply({ id: query.id, read: undefined });
+    }
+  }
+
   #answerPending(followed: FollowedLog): void {
     const { pending } = followed;
     followed.pending = [];
--- a/src/peers/shared_log.ts
+++ b/src/peers/shared_log.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Clock } from "../common/clock.ts";
+import { Emitter, type Event } from "../common/emitter.ts";
 import type { IMetrics } from "../common/bucket_metrics.ts";
 import type { IKeyedLog } from "../ports/services.ts";
 import type { HostRecord, KeyedRead, KeyedSnapshot } from "../ports/types.ts";
@@ -50,8 +51,12 @@
 /** Reads through another host if one already reads the source. */
 export class SharedLog implements IKeyedLog {
   readonly #options: SharedLogOptions;
+  readonly #onSourceFailure = new Emitter<void>();
   #isSourceReachable = false;
 
+  /** Fires when this host's own read of the source has failed. */
+  readonly onSourceFailure: Event<void> = this.#onSourceFailure.event;
+
   constructor(options: SharedLogOptions) {
     this.#options = options;
   }
@@ -96,6 +101,7 @@
       return read;
     } catch (error) {
       this.#isSourceReachable = false;
+      this.#onSourceFailure.fire();
       throw error;
     }
   }
