Replace a repath that names another ended target at once

Callers saw: when three targets of a path end together, streams stood still for 200 to 1,800 ms, and were late by the 250 ms gap of their routes. Cause: the replacement path often included another of the ended targets. Its refusal (409) names that target, but the name was not used: the next attempt came after the delay between checks (100 to 400 ms) and could choose the same target again. Change: the named target is excluded and avoided for 600 ms, and another path is ordered at once, three orders a repair at most. The logged gap is that of the order, not of the check before it. Result: stream_relay_test.ts, red before (one order within 70 ms), green after.

--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -9,7 +9,8 @@
 import type { PathStage } from "../ports/types.ts";
 import { describePath } from "../paths/describe_path.ts";
 import type { ReservedPath } from "../paths/path_chooser.ts";
-import type { EngineProfile } from "../ports/types.ts";
+import type { EngineProfile, OrderOutcome } from "../ports/types.ts";
+import type { Target } from "../paths/target.ts";
 import { applyReport } from "../paths/apply_report.ts";
 import type { CallContext } from "./context.ts";
 import { EventPace, SUSPECT_OVERDUE_MS } from "./event_pace.ts";
@@ -27,6 +28,13 @@
 const CHECK_INTERVAL_MS = 100;
 /** Each check without a finding doubles the delay, since the stages are just busy. */
 const MAX_CHECK_INTERVAL_MS = 400;
+/**
+ * Orders of one repair. Targets that end together are found one by one: a path
+ * that avoids the first may include the next.
+ */
+const MAX_REPATH_ORDERS = 3;
+/** How long a target that a refused repath names gets no other request. */
+const AVOID_AFTER_REFUSAL_MS = 600;
 /** Delay between attempts to leave a stage that still works. */
 const LEAVE_RETRY_INTERVAL_MS = 500;
 const REPORT_TIMEOUT_MS = 300;
@@ -297,50 +305,71 @@
       this.#abandon("first target unresponsive");
       return;
     }
-    const next = chooser.choose({
-      service,
-      figures,
-      tokens,
-      excluded: new Set([faulty.targetId]),
-      current: this.#path.stages,
-    });
-    if (next === undefined) {
-      log.warn("no alternative path", {
+    const excluded = new Set([faulty.targetId]);
+    for (let i = 0; i < MAX_REPATH_ORDERS; i++) {
+      const next = chooser.choose({
+        service,
+        figures,
+        tokens,
+        excluded,
+        current: this.#path.stages,
+      });
+      if (next === undefined) {
+        log.warn("no alternative path", {
+          request: requestId,
+          faulty: [...excluded].join(),
+        });
+        if (gapMs >= ABANDON_AFTER_MS) {
+          this.#abandon(`no path that avoids ${faulty.targetId}`);
+        }
+        return;
+      }
+      const outcome = await control.repath(
+        { id: first.targetId, address: first.address },
+        requestId,
+        next.stages,
+      );
+      metrics.count("jackdawshift_repaths_total", { outcome: outcome.kind });
+      log.info("repath requested", {
         request: requestId,
         faulty: faulty.targetId,
+        fault,
+        path: describePath(next.stages),
+        gapMs: Math.round(this.#pace.gapMs(clock.nowMs())),
+        outcome,
       });
-      if (gapMs >= ABANDON_AFTER_MS) {
-        this.#abandon(`no path that avoids ${faulty.targetId}`);
+      const isMoved = outcome.kind === "begun" || outcome.kind === "already";
+      if (isMoved && !this.#isDone) {
+        this.#path.release();
+        this.#path = next;
+        this.#options.onPathChange(next);
+        this.#pace.recordRepath(clock.nowMs());
+        return;
       }
-      return;
-    }
-    const outcome = await control.repath(
-      { id: first.targetId, address: first.address },
-      requestId,
-      next.stages,
-    );
-    metrics.count("jackdawshift_repaths_total", { outcome: outcome.kind });
-    log.info("repath requested", {
-      request: requestId,
-      faulty: faulty.targetId,
-      fault,
-      path: describePath(next.stages),
-      gapMs: Math.round(gapMs),
-      outcome,
-    });
-    const isMoved = outcome.kind === "begun" || outcome.kind === "already";
-    if (!isMoved || this.#isDone) {
       next.release();
-      this.#fruitlessChecks++;
-      if (outcome.kind === "refused" && outcome.status === 404) {
-        this.#abandon("request unknown to its first target");
+      if (this.#isDone) return;
+      const refusing = this.#refusingTarget(outcome, next.stages);
+      if (refusing === undefined) {
+        this.#fruitlessChecks++;
+        if (outcome.kind === "refused" && outcome.status === 404) {
+          this.#abandon("request unknown to its first target");
+        }
+        return;
       }
-      return;
+      excluded.add(refusing.id);
+      refusing.avoidUntilMs = clock.nowMs() + AVOID_AFTER_REFUSAL_MS;
     }
-    this.#path.release();
-    this.#path = next;
-    this.#options.onPathChange(next);
-    this.#pace.recordRepath(clock.nowMs());
+    this.#fruitlessChecks++;
+  }
+
+  /** The target of the new path, other than the first, that a refusal names. */
+  #refusingTarget(
+    outcome: OrderOutcome,
+    [, ...stages]: readonly PathStage[],
+  ): Target | undefined {
+    if (outcome.kind !== "refused") return undefined;
+    const stage = stages.find(({ address }) => address === outcome.address);
+    return stage && this.#options.context.targets.get(stage.targetId);
   }
 
   #abandon(reason: string): void {
--- a/src/forward/stream_relay_test.ts
+++ b/src/forward/stream_relay_test.ts
@@ -212,3 +212,26 @@
   expect(Math.min(...pausesMs.slice(3))).toBeGreaterThanOrEqual(400);
   relay.dispose();
 });
+
+test("a path refused because of another ended target is replaced at once by one without it", async () => {
+  const { repaths, outcome, runChecks, targets, path, relay } = stalledStream();
+  targets.put({
+    id: "d",
+    service: "s",
+    address: "10.0.0.1:4",
+    domain: "d",
+    state: "ready",
+    bornMs: 0,
+    kind: "small",
+    span: { from: 4, to: 8 },
+  });
+  outcome.next = { kind: "refused", status: 409, address: "10.0.0.1:3" };
+  const [, second] = path.stages;
+  targets.get(second.targetId)?.markUnresponsive();
+  // The refusal names c, so at most one path through it is tried.
+  await runChecks(70);
+  expect(repaths.length).toBeGreaterThanOrEqual(2);
+  expect(repaths.filter((one) => one === "a,c").length).toBeLessThanOrEqual(1);
+  expect(repaths).toContain("a,d");
+  relay.dispose();
+});
