Query placed targets at the idle interval while others are unplaced

Cause: while any target was unplaced or unresponsive, the leader queried all targets for a report every 400 ms, 232 queries per second on a fleet of 93.

Change: active rounds query only the targets that are unplaced, unresponsive, have an order in progress or have changed since their last query. All others are queried every 1.5 s, as in idle rounds. The rule that a host which misses most reports is cut off now counts the last query of each target, since a round may query only a few. Idle rounds begin after a round that has queried all targets, so that no placed target waits up to 2.7 s for its next query.

--- a/src/placement/placement_controller.ts
+++ b/src/placement/placement_controller.ts
@@ -22,7 +22,10 @@
 
 /** Interval of rounds while targets hold no layers or are unresponsive. */
 const ACTIVE_ROUND_INTERVAL_MS = 400;
-/** Interval of rounds while all targets are placed; a report costs the target little. */
+/**
+ * Interval of rounds while all targets are placed, and of the queries to placed
+ * targets while others are not.
+ */
 const IDLE_ROUND_INTERVAL_MS = 1_500;
 /** Targets normally report within a few milliseconds. */
 const REPORT_TIMEOUT_MS = 400;
@@ -66,14 +69,20 @@
   /** For each target with an order of unknown outcome, until when it may take effect. */
   readonly #unknownUntilMs = new Map<string, number>();
   readonly #pendingOrders = new Map<string, PendingOrder>();
+  /** When each target was last queried; absent if it has changed since. */
+  readonly #queriedMs = new Map<string, number>();
+  /** Targets whose last query got no reply. */
+  readonly #missingIds = new Set<string>();
   #targetsChangedMs = -Infinity;
   #wasLeader = false;
 
   constructor(options: PlacementControllerOptions) {
     this.#options = options;
-    options.targetTable.onChange(() =>
-      this.#targetsChangedMs = options.clock.nowMs()
-    );
+    options.targetTable.onChange(({ id, isRemoved }) => {
+      this.#targetsChangedMs = options.clock.nowMs();
+      this.#queriedMs.delete(id);
+      if (isRemoved) this.#missingIds.delete(id);
+    });
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -88,6 +97,8 @@
           {},
         );
         this.#wasLeader = isActive;
+        this.#queriedMs.clear();
+        this.#missingIds.clear();
       }
       const isSettled = isActive ? await this.#runRound() : false;
       await clock.sleep(
@@ -127,29 +138,59 @@
     ) {
       if (targets.every(({ span }) => span === undefined)) return false;
     }
-    await this.#requestReports(targets);
+    const due = targets.filter((target) => this.#isQueryDue(target));
+    await this.#requestReports(due, targets);
     const orders = planPlacement({
       figures,
       targets: targets.flatMap((target) => this.#toPlanTarget(target, figures)),
     });
     await Promise.all(orders.map((order) => this.#sendOrder(order)));
-    return orders.length === 0 &&
+    return orders.length === 0 && due.length === targets.length &&
       targets.every((target) =>
         target.span !== undefined && target.noResponseSinceMs === undefined
       );
   }
 
-  async #requestReports(targets: readonly Target[]): Promise<void> {
-    const { control, targetTable, reportSilent } = this.#options;
+  /**
+   * Whether the target may have changed since its last query, because it is
+   * unplaced, unresponsive or has an order in progress, or because that query is
+   * long ago. Querying all targets in each active round costs 232 queries per
+   * second on a fleet of 93.
+   */
+  #isQueryDue({ id, span, noResponseSinceMs, report }: Target): boolean {
+    const ageMs = this.#options.clock.nowMs() -
+      (this.#queriedMs.get(id) ?? -Infinity);
+    return ageMs >= IDLE_ROUND_INTERVAL_MS || span === undefined ||
+      noResponseSinceMs !== undefined || report === undefined ||
+      report.isBusy || this.#pendingOrders.has(id) ||
+      this.#isOrderUnknown(id);
+  }
+
+  #isOrderUnknown(id: string): boolean {
+    return (this.#unknownUntilMs.get(id) ?? -Infinity) >
+      this.#options.clock.nowMs();
+  }
+
+  async #requestReports(
+    due: readonly Target[],
+    targets: readonly Target[],
+  ): Promise<void> {
+    const { clock, control, targetTable, reportSilent } = this.#options;
     const missing: Target[] = [];
-    await Promise.all(targets.map(async (target) => {
+    await Promise.all(due.map(async (target) => {
+      // Set first, so that a change during the query makes another one due.
+      this.#queriedMs.set(target.id, clock.nowMs());
       const report = await control.report(addressOf(target), REPORT_TIMEOUT_MS);
-      if (report === "withheld") return;
       if (report === undefined) missing.push(target);
-      else applyReport(target, report, targetTable);
+      else if (report !== "withheld") applyReport(target, report, targetTable);
+      if (report === undefined) this.#missingIds.add(target.id);
+      else this.#missingIds.delete(target.id);
     }));
-    // If most reports are missing, this host itself is probably cut off.
-    if (missing.length > targets.length * MAX_MISSING_SHARE) return;
+    // If most reports are missing, this host itself is probably cut off. A round
+    // may query few targets, so the last query of each target counts.
+    const missingCount =
+      targets.filter(({ id }) => this.#missingIds.has(id)).length;
+    if (missingCount > targets.length * MAX_MISSING_SHARE) return;
     for (const { id } of missing) {
       await reportSilent(id, { askedForMs: REPORT_TIMEOUT_MS });
     }
@@ -166,8 +207,6 @@
       nowMs - target.noResponseSinceMs >= TARGET_LOST_AFTER_MS;
     if (isLost) return [];
     const pending = this.#pendingOrder(target);
-    const isUnknown =
-      (this.#unknownUntilMs.get(target.id) ?? -Infinity) > nowMs;
     return [{
       id: target.id,
       domain: target.record.domain,
@@ -177,7 +216,7 @@
       span: pending?.span ?? target.span,
       canAcceptOrder: target.noResponseSinceMs === undefined &&
         target.report !== undefined && pending === undefined &&
-        !target.report.isBusy && !isUnknown,
+        !target.report.isBusy && !this.#isOrderUnknown(target.id),
     }];
   }
 
--- a/src/placement/placement_controller_test.ts
+++ b/src/placement/placement_controller_test.ts
@@ -1,4 +1,4 @@
-import { expect, test } from "vitest";
+import { describe, expect, test } from "vitest";
 import { soundLink } from "../../test/reachability.ts";
 import { ManualClock } from "../../test/manual_clock.ts";
 import { smallEngineProfile } from "../../test/small_engine.ts";
@@ -48,6 +48,8 @@
   /** Targets that are still loading their last order. */
   readonly loading = new Map<string, Span>();
   loadMs = 0;
+  /** Times of the report queries to each target. */
+  readonly queries = new Map<string, number[]>();
   readonly late: Order[] = [];
 
   probe({ id }: { id: string }): Promise<boolean> {
@@ -55,6 +57,8 @@
   }
 
   report({ id }: { id: string }): Promise<TargetReport | undefined> {
+    const nowMs = this.clock.nowMs();
+    this.queries.set(id, [...this.queries.get(id) ?? [], nowMs]);
     if (this.dead.has(id)) return Promise.resolve(undefined);
     return Promise.resolve({
       bornMs: 0,
@@ -115,7 +119,11 @@
   }
 }
 
-function runController(fleet: Fleet, isLeader: () => boolean) {
+function runController(
+  fleet: Fleet,
+  isLeader: () => boolean,
+  ids: readonly string[] = IDS,
+) {
   const targetTable = new TargetTable({ clock: fleet.clock, log: silentLog });
   const controller = new PlacementController({
     targetTable,
@@ -127,7 +135,7 @@
     reportSilent: soundLink(targetTable).reportSilent,
     isLeader,
   });
-  for (const id of IDS) targetTable.put(recordOf(id));
+  for (const id of ids) targetTable.put(recordOf(id));
   const stop = new AbortController();
   void controller.run(stop.signal);
   return { targetTable, stop };
@@ -289,3 +297,77 @@
   expect(atMs[1] - atMs[0]).toBeLessThan(3_500);
   stop.abort();
 });
+
+describe("while three targets of 93 stay unplaced", () => {
+  const UNPLACED_MS = 14_000;
+  const ids = Array.from({ length: 93 }, (_, index) => `t${index}`);
+  const unplaced = ids.slice(0, 3);
+
+  async function startLoads(loadMs = UNPLACED_MS + 2_000) {
+    const fleet = new Fleet();
+    const host = runController(fleet, () => true, ids);
+    await fleet.clock.advance(6_000);
+    expect(fleet.spans.size).toBe(ids.length);
+    fleet.loadMs = loadMs;
+    for (const id of unplaced) {
+      fleet.spans.delete(id);
+      host.targetTable.put({ ...recordOf(id), bornMs: 1 });
+      host.targetTable.put(recordOf(id));
+    }
+    await fleet.clock.advance(2_000);
+    expect([...fleet.loading.keys()].sort()).toEqual(unplaced);
+    fleet.queries.clear();
+    return { fleet, ...host };
+  }
+
+  // All 93 targets were queried in each round, 232 times per second.
+  test("at most 70 report queries are sent per second, most to the unplaced", async () => {
+    const { fleet, stop } = await startLoads();
+    await fleet.clock.advance(UNPLACED_MS);
+    expect(fleet.loading.size).toBe(3);
+    const counts = [...fleet.queries.values()].map(({ length }) => length);
+    const sum = counts.reduce((a, b) => a + b);
+    expect(sum / (UNPLACED_MS / 1_000)).toBeLessThanOrEqual(70);
+    for (const id of unplaced) {
+      expect(fleet.queries.get(id)?.length).toBeGreaterThanOrEqual(30);
+    }
+    stop.abort();
+  });
+
+  // A placed target that falls silent is found only by these queries.
+  test.each([4_000, 4_400, 4_800, 5_200])(
+    "a placed target is queried at the idle interval, also around the end of a load of %i ms",
+    async (loadMs) => {
+      const { fleet, stop } = await startLoads(loadMs);
+      await fleet.clock.advance(2 * loadMs);
+      expect(fleet.loading.size).toBe(0);
+      const atMs = fleet.queries.get("t50") ?? [];
+      const gapsMs = atMs.slice(1).map((ms, index) => ms - atMs[index]);
+      expect(Math.min(...gapsMs)).toBeGreaterThanOrEqual(1_500);
+      expect(Math.max(...gapsMs)).toBeLessThanOrEqual(1_900);
+      stop.abort();
+    },
+  );
+
+  test("a placed target that changes is queried in the next round", async () => {
+    const { fleet, targetTable, stop } = await startLoads();
+    while (!fleet.queries.has("t50")) await fleet.clock.advance(100);
+    fleet.queries.clear();
+    targetTable.put({ ...recordOf("t50"), address: "10.0.0.2:50" });
+    await fleet.clock.advance(400);
+    expect(fleet.queries.get("t50")).toHaveLength(1);
+    stop.abort();
+  });
+
+  // All reports of a round may then be missing although the host is not cut off.
+  test("unplaced targets that fall silent together are found", async () => {
+    const { fleet, targetTable, stop } = await startLoads();
+    while (!fleet.queries.has("t50")) await fleet.clock.advance(100);
+    for (const id of unplaced) fleet.dead.add(id);
+    await fleet.clock.advance(800);
+    for (const id of unplaced) {
+      expect(targetTable.get(id)?.noResponseSinceMs).toBeDefined();
+    }
+    stop.abort();
+  });
+});
