Count control calls to targets by kind and purpose

Change: report queries and probes carry a purpose from their caller to LimitedTargetControl, which counts what is sent in jackdawshift_control_calls_total; port checks after failed sends are counted there too. New connections for requests are counted in jackdawshift_target_connections_total. Withheld calls aren't counted.

--- a/src/entry/call_context.ts
+++ b/src/entry/call_context.ts
@@ -40,6 +40,7 @@
       targets,
       confirmCutOff: (service) => reachability.confirmCutOff(service),
       localAddress: settings.outgoingIp,
+      metrics: shared.metrics,
     }),
     domain: settings.domain,
     outgoingIp: settings.outgoingIp,
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -120,12 +120,14 @@
       limits: this.#targetLimits,
       targets: this.#targets,
       clock,
+      metrics: this.#metrics,
     });
     this.#reachability = new TargetReachability({
       targets: this.#targets,
       clock,
       log,
-      probe: (target, timeoutMs) => control.probe(target, timeoutMs),
+      probe: (target, timeoutMs) =>
+        control.probe(target, timeoutMs, { purpose: "reachability" }),
       mayProbe: (id) => this.#targetLimits.canSend(id),
       random: this.#random,
     });
@@ -198,7 +200,7 @@
       control,
       clock,
       log,
-      hasReports: (service) => this.#engineOf(service) !== undefined,
+      hasReports: (service) => this.#hasEngine(service),
     });
     this.#watch = new StreamMonitor({
       clock,
@@ -338,9 +340,7 @@
   reload(): void {
     this.#options.log.info(
       "reload requested; a running host keeps its settings",
-      {
-        configVersion: this.#config.table?.config.version,
-      },
+      { configVersion: this.#config.table?.config.version },
     );
   }
 
@@ -388,8 +388,9 @@
     });
   }
 
-  #engineOf(service: string): unknown {
-    return this.#config.table?.config.services.get(service)?.engine;
+  #hasEngine(service: string): boolean {
+    const { services } = this.#config.table?.config ?? {};
+    return services?.get(service)?.engine !== undefined;
   }
 
   #isFresh(): boolean {
--- a/src/entry/target_prober.ts
+++ b/src/entry/target_prober.ts
@@ -71,6 +71,7 @@
     const report = await control.report(
       { id, address: record.address },
       REPORT_TIMEOUT_MS,
+      { purpose: "suspicion" },
     );
     if (report !== undefined && report !== "withheld") {
       applyReport(target, report, targets);
@@ -94,6 +95,7 @@
     const report = await control.report(
       { id, address: record.address },
       REPORT_TIMEOUT_MS,
+      { purpose: "recovery" },
     );
     if (report === undefined || report === "withheld") return;
     applyReport(target, report, targets);
--- a/src/forward/loss_detector.ts
+++ b/src/forward/loss_detector.ts
@@ -9,8 +9,10 @@
  */
 
 import { connect } from "node:net";
+import type { IMetrics } from "../common/bucket_metrics.ts";
 import type { Clock } from "../common/clock.ts";
 import { type Deferred, deferred } from "../common/deferred.ts";
+import { countControlCall } from "../paths/control_calls.ts";
 import type { Target } from "../paths/target.ts";
 import type { TargetTable } from "../paths/target_table.ts";
 import type { Endpoint } from "../ports/types.ts";
@@ -61,6 +63,7 @@
   readonly confirmCutOff: (service: string) => Promise<boolean>;
   /** Local address of connections; by default, the system's choice. */
   readonly localAddress?: string;
+  readonly metrics?: Pick<IMetrics, "count">;
 }
 
 interface Watch {
@@ -77,6 +80,7 @@
   readonly #clock: Clock;
   readonly #targets: TargetTable;
   readonly #localAddress: string | undefined;
+  readonly #metrics: LossDetectorOptions["metrics"];
   readonly #confirmCutOff: LossDetectorOptions["confirmCutOff"];
   readonly #watches = new Map<string, Watch>();
 
@@ -85,6 +89,7 @@
     this.#clock = clock;
     this.#targets = targets;
     this.#localAddress = options.localAddress;
+    this.#metrics = options.metrics;
     this.#confirmCutOff = options.confirmCutOff;
     targets.onChange((target) => this.#handleChange(target));
   }
@@ -172,6 +177,7 @@
   }
 
   async #connect(watch: Watch): Promise<PortState> {
+    countControlCall(this.#metrics, { call: "port", purpose: "failed-send" });
     const state = await connectOnce({
       ...parseAddress(watch.process.address),
       localAddress: this.#localAddress,
--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -251,6 +251,7 @@
     const report = await control.report(
       { id: first.targetId, address: first.address },
       REPORT_TIMEOUT_MS,
+      { purpose: "stalled-request" },
     );
     if (this.#isDone || report === "withheld") return undefined;
     if (report === undefined) {
--- a/src/forward/target_send.ts
+++ b/src/forward/target_send.ts
@@ -19,6 +19,7 @@
     | "agent"
     | "clock"
     | "limits"
+    | "metrics"
     | "targets"
     | "outgoingIp"
     | "reachability"
@@ -58,6 +59,10 @@
     signal: options.signal,
     agent,
     localAddress: context.outgoingIp,
+    onNewConnection: () =>
+      context.metrics.count("jackdawshift_target_connections_total", {
+        service: plan.service.name,
+      }),
   });
   if (outcome.kind === "failed") {
     // What follows from the failure depends on whose link is at fault.
--- a/src/forward/upstream.ts
+++ b/src/forward/upstream.ts
@@ -25,6 +25,8 @@
   readonly agent: KeepAliveAgent;
   /** Local address of the connection; by default, the system's choice. */
   readonly localAddress?: string;
+  /** Called when the request opens a connection of its own. */
+  readonly onNewConnection?: () => void;
 }
 
 /** Outcome of a send: the head of a response, or a failure. */
@@ -81,7 +83,10 @@
     outgoing.on("socket", (socket) => {
       socket.setNoDelay(true);
       if (!socket.connecting) isConnected = true;
-      else socket.once("connect", () => isConnected = true);
+      else {
+        options.onNewConnection?.();
+        socket.once("connect", () => isConnected = true);
+      }
     });
     outgoing.on("error", (error) => {
       hasFailed = true;
--- a/src/paths/limited_target_control.ts
+++ b/src/paths/limited_target_control.ts
@@ -1,15 +1,18 @@
 /**
  * Counts queries and orders to targets against the limits that the targets name,
- * and withholds queries that would exceed them.
+ * and withholds queries that would exceed them. What is sent is also counted by
+ * purpose.
  *
  * @module
  */
 
+import type { IMetrics } from "../common/bucket_metrics.ts";
 import type { Clock } from "../common/clock.ts";
 import type { Event } from "../common/emitter.ts";
 import type {
   ITargetControl,
   OrderTarget,
+  QueryOptions,
   TargetNotice,
 } from "../ports/services.ts";
 import type {
@@ -20,6 +23,7 @@
 } from "../ports/types.ts";
 import type { TargetLimits } from "./target_limits.ts";
 import type { TargetTable } from "./target_table.ts";
+import { countControlCall } from "./control_calls.ts";
 
 /** The outcome of an order that is withheld while its target wants none. */
 const PAUSED: OrderOutcome = {
@@ -32,6 +36,7 @@
   readonly limits: TargetLimits;
   readonly targets: Pick<TargetTable, "markLeaving">;
   readonly clock: Clock;
+  readonly metrics?: Pick<IMetrics, "count">;
 }
 
 export class LimitedTargetControl implements ITargetControl {
@@ -50,9 +55,14 @@
     return this.#options.control.onNotice;
   }
 
-  async report(target: OrderTarget, timeoutMs: number): Promise<ReportOutcome> {
-    const { control, limits, clock } = this.#options;
+  async report(
+    target: OrderTarget,
+    timeoutMs: number,
+    { purpose }: QueryOptions = { purpose: "unspecified" },
+  ): Promise<ReportOutcome> {
+    const { control, limits, clock, metrics } = this.#options;
     if (!limits.tryAcquire(target.id)) return "withheld";
+    countControlCall(metrics, { call: "report", purpose });
     const sentMs = clock.nowMs();
     const report = await control.report(target, timeoutMs);
     // A target that rejects the query has responded.
@@ -67,9 +77,15 @@
     return report;
   }
 
-  probe(target: OrderTarget, timeoutMs: number): Promise<boolean> {
-    this.#options.limits.recordSend(target.id);
-    return this.#options.control.probe(target, timeoutMs);
+  probe(
+    target: OrderTarget,
+    timeoutMs: number,
+    { purpose }: QueryOptions = { purpose: "unspecified" },
+  ): Promise<boolean> {
+    const { control, limits, metrics } = this.#options;
+    limits.recordSend(target.id);
+    countControlCall(metrics, { call: "probe", purpose });
+    return control.probe(target, timeoutMs);
   }
 
   place(
@@ -77,9 +93,10 @@
     span: Span,
     expectedSeq: number,
   ): Promise<OrderOutcome> {
-    const { limits, control } = this.#options;
+    const { limits, control, metrics } = this.#options;
     if (limits.pausedForMs(target.id) > 0) return Promise.resolve(PAUSED);
     limits.recordSend(target.id);
+    countControlCall(metrics, { call: "order", purpose: "placement" });
     return control.place(target, span, expectedSeq);
   }
 
@@ -88,9 +105,10 @@
     requestId: string,
     path: readonly PathStage[],
   ): Promise<OrderOutcome> {
-    const { limits, control } = this.#options;
+    const { limits, control, metrics } = this.#options;
     if (limits.pausedForMs(first.id) > 0) return Promise.resolve(PAUSED);
     limits.recordSend(first.id);
+    countControlCall(metrics, { call: "order", purpose: "repath" });
     return control.repath(first, requestId, path);
   }
 }
--- a/src/paths/limited_target_control_test.ts
+++ b/src/paths/limited_target_control_test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from "vitest";
 import { ManualClock } from "../../test/manual_clock.ts";
+import { BucketMetrics } from "../common/bucket_metrics.ts";
 import { silentLog } from "../common/logging.ts";
 import { Emitter } from "../common/emitter.ts";
 import type { ITargetControl, TargetNotice } from "../ports/services.ts";
@@ -63,8 +64,15 @@
       return Promise.resolve({ kind: "begun" });
     },
   };
-  const limited = new LimitedTargetControl({ control, limits, targets, clock });
-  return { clock, targets, limits, limited, calls };
+  const metrics = new BucketMetrics();
+  const limited = new LimitedTargetControl({
+    control,
+    limits,
+    targets,
+    clock,
+    metrics,
+  });
+  return { clock, targets, limits, limited, calls, metrics };
 }
 
 test("a target that wants a pause gets no query and no order until its end", async () => {
@@ -115,3 +123,26 @@
   targets.put({ ...record, bornMs: 2 });
   expect(limits.canSend("a")).toBe(true);
 });
+
+test("calls are counted by kind and purpose, without those that are withheld", async () => {
+  const { limits, limited, metrics } = setUp();
+  await limited.report(TARGET, 100, { purpose: "late-event" });
+  await limited.report(TARGET, 100, { purpose: "recovery" });
+  await limited.report(TARGET, 100, { purpose: "recovery" });
+  await limited.probe(TARGET, 100, { purpose: "reachability" });
+  await limited.repath(TARGET, "r", PATH);
+  await limited.place(TARGET, { from: 0, to: 4 }, 0);
+  limits.pause("a", 1_000);
+  await limited.report(TARGET, 100, { purpose: "recovery" });
+  await limited.repath(TARGET, "r", PATH);
+  const counts = metrics.render().split("\n").filter((line) =>
+    line.startsWith("jackdawshift_control_calls_total{")
+  );
+  expect(counts.map((line) => line.slice(line.indexOf("{")))).toEqual([
+    '{call="report",purpose="late-event"} 1',
+    '{call="report",purpose="recovery"} 2',
+    '{call="probe",purpose="reachability"} 1',
+    '{call="order",purpose="repath"} 1',
+    '{call="order",purpose="placement"} 1',
+  ]);
+});
--- a/src/paths/stage_checker.ts
+++ b/src/paths/stage_checker.ts
@@ -169,7 +169,9 @@
   ): Promise<boolean> {
     const { control, targetTable, clock } = this.#options;
     const startedMs = clock.nowMs();
-    const report = await control.report(target, REPORT_TIMEOUT_MS);
+    const report = await control.report(target, REPORT_TIMEOUT_MS, {
+      purpose: "late-event",
+    });
     // The target cannot be judged.
     if (report === "withheld") return true;
     if (report === undefined) return false;
--- a/src/placement/placement_controller.ts
+++ b/src/placement/placement_controller.ts
@@ -143,7 +143,11 @@
     const { control, targetTable, reportSilent } = this.#options;
     const missing: Target[] = [];
     await Promise.all(targets.map(async (target) => {
-      const report = await control.report(addressOf(target), REPORT_TIMEOUT_MS);
+      const report = await control.report(
+        addressOf(target),
+        REPORT_TIMEOUT_MS,
+        { purpose: "placement" },
+      );
       if (report === "withheld") return;
       if (report === undefined) missing.push(target);
       else applyReport(target, report, targetTable);
--- a/src/ports/services.ts
+++ b/src/ports/services.ts
@@ -73,6 +73,26 @@
   readonly address: string;
 }
 
+/** Why a host queries a target; a label of its metrics. */
+export type QueryPurpose =
+  /** A stage of a path whose next event is overdue. */
+  | "late-event"
+  /** A first stage that may name the stage for which a request waits. */
+  | "stalled-request"
+  /** A target that does not respond to this host. */
+  | "recovery"
+  /** A target that other hosts report as unresponsive. */
+  | "suspicion"
+  /** The plan of which target holds which layers. */
+  | "placement"
+  /** Whether this host reaches any target of a service. */
+  | "reachability"
+  | "unspecified";
+
+export interface QueryOptions {
+  readonly purpose: QueryPurpose;
+}
+
 /** What a target says of itself when it responds to a query or an order. */
 export interface TargetNotice {
   readonly targetId: string;
@@ -85,9 +105,17 @@
 /** Report queries and orders to targets. Calls never reject. */
 export interface ITargetControl {
   readonly onNotice: Event<TargetNotice>;
-  report(target: OrderTarget, timeoutMs: number): Promise<ReportOutcome>;
+  report(
+    target: OrderTarget,
+    timeoutMs: number,
+    options?: QueryOptions,
+  ): Promise<ReportOutcome>;
   /** Whether a target gives any response on a new connection within this time. */
-  probe(target: OrderTarget, timeoutMs: number): Promise<boolean>;
+  probe(
+    target: OrderTarget,
+    timeoutMs: number,
+    options?: QueryOptions,
+  ): Promise<boolean>;
   /**
    * Orders a target to hold a span. The order is conditional: the target must
    * have begun `expectedSeq` orders.
