--- a/src/placement/placement_controller.ts
+++ b/src/placement/placement_controller.ts
@@ -180,7 +180,11 @@
     await Promise.all(due.map(async (target) => {
       // Set first, so that a change during the query makes another one due.
       this.#queriedMs.set(target.id, clock.nowMs());
-      const report = await control.report(addressOf(target), REPORT_TIMEOUT_MS);
+      const report = await control.report(
+        addressOf(target),
+        REPORT_TIMEOUT_MS,
+        { purpose: "placement" },
+      );
       if (report === undefined) missing.push(target);
       else if (report !== "withheld") applyReport(target, report, targetTable);
       if (report === undefined) this.#missingIds.add(target.id);
