Tell model servers the priority of a request

Cause: model servers admit more urgent requests first if a request names its priority (Jackdawshift-Request-Priority, 5 without it). The header codec knew the header, but no host ever sent it, so that a server with a queue admitted the least urgent kind before the most urgent. Change: requests to model servers name the customer's priority, else that of their route, limited to 0 to 9. Calls to plain services name none. Deployments whose routes have one priority keep the order that they had; effect on callers not measured by itself.

--- a/src/forward/target_send.ts
+++ b/src/forward/target_send.ts
@@ -12,6 +12,9 @@
 import { withoutDelegation } from "./delegation.ts";
 import { type SendOutcome, sendUpstream } from "./upstream.ts";
 
+/** Of a request to a model server; 0 is the most urgent. */
+const LEAST_URGENT = 9;
+
 export interface TargetSendOptions {
   readonly context: Pick<
     CallContext,
@@ -25,7 +28,10 @@
     | "reachability"
   >;
   readonly exchange: Pick<Exchange, "request" | "body">;
-  readonly plan: Pick<CallPlan, "customer" | "deadlineMs" | "service">;
+  readonly plan: Pick<
+    CallPlan,
+    "customer" | "deadlineMs" | "route" | "service"
+  >;
   readonly target: Pick<PathStage, "targetId" | "address">;
   /** Undefined if the target serves the call alone. */
   readonly path?: readonly PathStage[];
@@ -52,7 +58,8 @@
       customer: plan.customer?.name,
       path: options.path,
       lastEventId: options.lastEventId,
-      urgency: undefined,
+      // Plain services have no order of admission.
+      urgency: options.path && urgencyOf(plan),
     }),
     body,
     mayReuse: options.mayReuse,
@@ -93,3 +100,11 @@
   });
   return outcome;
 }
+
+/** The priority in force for a request, in the range that model servers accept. */
+function urgencyOf(
+  { customer, route }: Pick<CallPlan, "customer" | "route">,
+): number {
+  const priority = Math.round(customer?.priority ?? route.priority);
+  return Math.min(LEAST_URGENT, Math.max(0, priority));
+}
