--- a/src/tool/config_diff.ts
+++ b/src/tool/config_diff.ts
@@ -4,7 +4,6 @@
  * @module
  */
 
-import type { Config } from "../config/schema.ts";
 import { jsonPointer } from "../config/validate.ts";
 
 const DISPLAYED_DIGEST_CHARS = 8;
@@ -17,8 +16,8 @@
   readonly after?: unknown;
 }
 
-/** Lists the fields that differ; a list is compared as one field. */
-export function diffConfig(before: Config, after: Config): Difference[] {
+/** Lists the fields of two documents that differ; a list is compared as one field. */
+export function diffConfig(before: object, after: object): Difference[] {
   const differences: Difference[] = [];
   compare(before, after, []);
   return differences;
