Pass configurations between hosts also if they exceed a datagram

Cause: hosts pass records on by datagrams, which hold 6,000 bytes. Of a larger record the reader said that it cannot answer; a host that the store refuses then never gets it, and without it no proof that its configuration is current. The watermark is that of the reader, relative to the start of the call, as with datagrams. Requests that another host delegates are never taken for such a query. Hosts of earlier versions read the store as before.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -13,6 +13,7 @@
 import { Supervisor } from "../common/supervisor.ts";
 import { EraTracker } from "../feeds/era_tracker.ts";
 import { createCallContext } from "./call_context.ts";
+import { readConfigVersion } from "../forward/delegation.ts";
 import { RequestHandler } from "../forward/request_handler.ts";
 import { StreamMonitor } from "../forward/stream_monitor.ts";
 import { KeepAliveAgent } from "../common/keep_alive_agent.ts";
@@ -155,6 +156,7 @@
       configLog: options.configLog,
       targetLog: options.targetLog,
       link: this.#link,
+      hostAgent: this.#hostAgent,
       clock,
       log,
       metrics: this.#metrics,
@@ -256,8 +258,14 @@
       settings,
       onRequest: (request, response) =>
         void this.#core.serve(request, response),
-      onDelegated: (request, response) =>
-        void this.#core.serve(request, response, "host"),
+      onDelegated: (request, response) => {
+        const { transfer } = this.#feeds;
+        // A delegated request has a caller's path and headers.
+        const isQuery = readConfigVersion(request.headers) === undefined &&
+          transfer.handles(request);
+        if (isQuery) transfer.serve(request, response);
+        else void this.#core.serve(request, response, "host");
+      },
       isReady: () => readiness.isReady(),
       renderMetrics: () => this.#metrics.render(),
     });
--- a/src/entry/store_feeds.ts
+++ b/src/entry/store_feeds.ts
@@ -13,6 +13,8 @@
   KeyedFollower,
   type KeyedFollowerOptions,
 } from "../feeds/keyed_follower.ts";
+import type { KeepAliveAgent } from "../common/keep_alive_agent.ts";
+import { LogTransfer } from "../peers/log_transfer.ts";
 import { LogResponder } from "../peers/log_responder.ts";
 import type { PeerLink } from "../peers/peer_link.ts";
 import { SharedLog } from "../peers/shared_log.ts";
@@ -31,6 +33,8 @@
   readonly configLog: IKeyedLog;
   readonly targetLog: IKeyedLog;
   readonly link: PeerLink;
+  /** Connections to other hosts. */
+  readonly hostAgent: KeepAliveAgent;
   readonly eras: EraTracker;
   readonly clock: Clock;
   readonly log: ILog;
@@ -49,6 +53,8 @@
 export class StoreFeeds {
   readonly #options: StoreFeedsOptions;
   readonly #responder: LogResponder;
+  /** Passes large records on to other hosts. */
+  readonly transfer: LogTransfer;
   readonly #configLog: SharedLog;
   readonly #targetLog: SharedLog;
   readonly config: KeyedFollower;
@@ -57,7 +63,9 @@
   constructor(options: StoreFeedsOptions) {
     this.#options = options;
     const { configLog, targetLog, clock, link } = options;
-    this.#responder = new LogResponder({ clock });
+    const { log, hostAgent: agent } = options;
+    const responder = this.#responder = new LogResponder({ clock });
+    this.transfer = new LogTransfer({ responder, agent, log });
     this.#configLog = this.#share("config", configLog, READ_WAIT_MS);
     // Target heartbeats would end each wait at once, so reads do not wait.
     this.#targetLog = this.#share("targets", targetLog, 0);
@@ -90,6 +98,7 @@
       source,
       sourceWaitMs,
       ask: (...query) => link.queryLog(...query),
+      fetch: (...query) => this.transfer.fetch(...query),
       clock,
       metrics,
       reader,
--- a/src/entry/store_feeds_test.ts
+++ b/src/entry/store_feeds_test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from "vitest";
 import { ManualClock } from "../../test/manual_clock.ts";
 import { Emitter } from "../common/emitter.ts";
+import { KeepAliveAgent } from "../common/keep_alive_agent.ts";
 import { BucketMetrics } from "../common/bucket_metrics.ts";
 import { silentLog } from "../common/logging.ts";
 import { EraTracker } from "../feeds/era_tracker.ts";
@@ -34,6 +35,7 @@
     configLog: available,
     targetLog: failing,
     link: { onQuery: new Emitter().event } as unknown as PeerLink,
+    hostAgent: new KeepAliveAgent(),
     clock,
     eras: new EraTracker({ clock, log: silentLog }),
     log: silentLog,
--- a/src/feeds/log_mirror.ts
+++ b/src/feeds/log_mirror.ts
@@ -9,13 +9,15 @@
 import type { KeyedRecord } from "../ports/types.ts";
 import type { KeyedBatch } from "./keyed_follower.ts";
 
-/** Larger values are read from the log itself, since an answer must fit in a datagram. */
+/** Larger values are passed on over a connection, since they do not fit in a datagram. */
 const MAX_VALUE_BYTES = 6_000;
+/** Larger values are not kept; other hosts read them from the log itself. */
+const MAX_KEPT_BYTES = 4 * 1024 * 1024;
 /** Tombstones kept; a host that is further behind reads the log itself. */
 const MAX_TOMBSTONES = 1_000;
 
 interface Entry {
-  /** Undefined for a tombstone, and for a large value. */
+  /** Undefined for a tombstone, and for a value that is not kept. */
   readonly value: Buffer | undefined;
   readonly isLarge: boolean;
   /** End offset of the read that returned the value. */
@@ -40,12 +42,13 @@
     for (const { key, value } of batch.records) {
       const isLarge = value !== undefined && value.length > MAX_VALUE_BYTES;
       const old = this.#entries.get(key);
-      const isSame = old !== undefined && !isLarge && !old.isLarge &&
-        isSameValue(old.value, value);
+      const isKept = value !== undefined && value.length <= MAX_KEPT_BYTES;
+      const isSame = old !== undefined && old.isLarge === isLarge &&
+        (isKept || !isLarge) && isSameValue(old.value, value);
       if (isSame) continue;
       if (value === undefined) this.#tombstones++;
       this.#entries.set(key, {
-        value: isLarge ? undefined : value,
+        value: isKept ? value : undefined,
         isLarge,
         changedOffset: batch.nextOffset,
       });
@@ -55,16 +58,31 @@
 
   /**
    * Returns the records changed since `fromOffset`; undefined if the mirror
-   * does not cover them.
+   * does not cover them, or if one is too large for a datagram.
    */
   readAfter(fromOffset: number): MirrorRead | undefined {
+    return this.#read(fromOffset, ({ isLarge }) => !isLarge);
+  }
+
+  /** The same for records of any size. */
+  readAllAfter(fromOffset: number): MirrorRead | undefined {
+    return this.#read(
+      fromOffset,
+      ({ isLarge, value }) => !isLarge || value !== undefined,
+    );
+  }
+
+  #read(
+    fromOffset: number,
+    canReturn: (entry: Entry) => boolean,
+  ): MirrorRead | undefined {
     if (fromOffset < this.#firstOffset || fromOffset > this.#nextOffset) {
       return undefined;
     }
     const records: KeyedRecord[] = [];
     for (const [key, entry] of this.#entries) {
       if (entry.changedOffset <= fromOffset) continue;
-      if (entry.isLarge) return undefined;
+      if (!canReturn(entry)) return undefined;
       records.push({ key, value: entry.value });
     }
     return { records, nextOffset: this.#nextOffset };
--- a/src/peers/log_messages.ts
+++ b/src/peers/log_messages.ts
@@ -15,12 +15,16 @@
   readonly mayWait: boolean;
   /** Era in which the offset is valid; undefined if the log has none. */
   readonly era: number | undefined;
+  /** The host can fetch records that are too large for a datagram. */
+  readonly canFetch?: boolean;
 }
 
 /** `read` is undefined if the host cannot answer the query. */
 export interface LogAnswer {
   readonly id: number;
   readonly read: LogAnswerRead | undefined;
+  /** The records are too large for a datagram and can be fetched. */
+  readonly isLarge?: boolean;
 }
 
 /** New records, with their watermark. */
@@ -31,15 +35,15 @@
 }
 
 export function encodeLogQuery(query: LogQuery): Buffer {
-  const { id, log, fromOffset, mayWait, era } = query;
+  const { id, log, fromOffset, mayWait, era, canFetch } = query;
+  const fields = [id, log, fromOffset, mayWait ? 1 : 0, era ?? null];
   return Buffer.from(
-    JSON.stringify({
-      ask: [id, log, fromOffset, mayWait ? 1 : 0, era ?? null],
-    }),
+    JSON.stringify({ ask: canFetch === true ? [...fields, 1] : fields }),
   );
 }
 
-export function encodeLogAnswer({ id, read }: LogAnswer): Buffer {
+export function encodeLogAnswer({ id, read, isLarge }: LogAnswer): Buffer {
+  if (isLarge === true) return Buffer.from(JSON.stringify({ say: [id, 1] }));
   return Buffer.from(JSON.stringify({
     say: read === undefined ? [id] : [
       id,
@@ -58,7 +62,7 @@
 /** Returns undefined for a malformed query. */
 export function decodeLogQuery(value: unknown): LogQuery | undefined {
   if (!Array.isArray(value)) return undefined;
-  const [id, log, fromOffset, mayWait, era = null] = value;
+  const [id, log, fromOffset, mayWait, era = null, canFetch] = value;
   if (
     !isOffset(id) || typeof log !== "string" || !isOffset(fromOffset) ||
     !isEra(era)
@@ -69,6 +73,7 @@
     fromOffset,
     mayWait: mayWait === 1,
     era: era ?? undefined,
+    ...(canFetch === 1 ? { canFetch: true } : {}),
   };
 }
 
@@ -85,6 +90,9 @@
   ] = value;
   if (!isOffset(id)) return undefined;
   if (value.length === 1) return { id, read: undefined };
+  if (value.length === 2 && watermarkDeltaMs === 1) {
+    return { id, read: undefined, isLarge: true };
+  }
   if (
     !Number.isFinite(watermarkDeltaMs) || !isDurationMs(sinceRecoveryMs) ||
     !isOffset(nextOffset) || !Array.isArray(items) || !isEra(era)
--- a/src/peers/log_responder.ts
+++ b/src/peers/log_responder.ts
@@ -81,8 +81,8 @@
       reply({ id: query.id, read: undefined });
       return;
     }
-    const read = readFor(followed, pendingQuery);
-    const isUnchanged = read?.records.length === 0;
+    const answer = answerTo(followed, pendingQuery);
+    const isUnchanged = answer.read?.records.length === 0;
     // This host may itself be waiting for the one that asks, so neither would learn more.
     if (isUnchanged && !followed.isReading()) {
       reply({ id: query.id, read: undefined });
@@ -91,7 +91,15 @@
     const mustWait = query.mayWait && isUnchanged &&
       followed.pending.length < MAX_PENDING_QUERIES;
     if (mustWait) followed.pending.push(pendingQuery);
-    else reply({ id: query.id, read });
+    else reply(answer);
+  }
+
+  /** The records for a query at once, however large; undefined without a proof. */
+  readNow(query: LogQuery): LogAnswerRead | undefined {
+    const followed = this.#logs.get(query.log);
+    if (followed === undefined) return undefined;
+    const arrivedMs = this.#clock.nowMs();
+    return readFor(followed, { query, arrivedMs }, { includesLarge: true });
   }
 
   /** Tells the hosts that wait for news of a log to read it themselves. */
@@ -111,18 +119,23 @@
     const sinceMs = this.#clock.nowMs() - QUERY_RETENTION_MS;
     for (const one of pending) {
       if (one.arrivedMs < sinceMs) continue;
-      one.reply({ id: one.query.id, read: readFor(followed, one) });
+      one.reply(answerTo(followed, one));
     }
   }
 }
 
 function readFor(
   { follower, mirror }: FollowedLog,
-  { query, arrivedMs }: PendingQuery,
+  { query, arrivedMs }: Pick<PendingQuery, "query" | "arrivedMs">,
+  { includesLarge }: { readonly includesLarge: boolean } = {
+    includesLarge: false,
+  },
 ): LogAnswerRead | undefined {
   const { watermarkMs, era } = follower;
   if (era !== query.era) return undefined;
-  const read = mirror.readAfter(query.fromOffset);
+  const read = includesLarge
+    ? mirror.readAllAfter(query.fromOffset)
+    : mirror.readAfter(query.fromOffset);
   if (watermarkMs === undefined || read === undefined) return undefined;
   return {
     ...read,
@@ -131,3 +144,11 @@
     sinceRecoveryMs: Math.min(MAX_RECOVERY_AGE_MS, follower.sinceRecoveryMs),
   };
 }
+
+function answerTo(followed: FollowedLog, pending: PendingQuery): LogAnswer {
+  const { id, canFetch } = pending.query;
+  const read = readFor(followed, pending);
+  const isLarge = canFetch === true && read === undefined &&
+    readFor(followed, pending, { includesLarge: true }) !== undefined;
+  return isLarge ? { id, read, isLarge } : { id, read };
+}
--- a/src/peers/peer_link.ts
+++ b/src/peers/peer_link.ts
@@ -181,17 +181,22 @@
 
   /**
    * Resolves to undefined if the host cannot answer the query or does not
-   * answer within `timeoutMs`.
+   * answer within `timeoutMs`, and to "large" if the records are to be fetched.
    */
   async queryLog(
     host: HostRecord,
     query: Omit<LogQuery, "id">,
     timeoutMs: number,
-  ): Promise<LogAnswerRead | undefined> {
+  ): Promise<LogAnswerRead | "large" | undefined> {
     const id = ++this.#lastQueryId;
     const timer = new AbortController();
-    const answered = new Promise<LogAnswerRead | undefined>((resolve) => {
-      this.#pending.set(id, ({ read }) => resolve(read));
+    const answered = new Promise<LogAnswerRead | "large" | undefined>((
+      resolve,
+    ) => {
+      this.#pending.set(
+        id,
+        ({ read, isLarge }) => resolve(isLarge === true ? "large" : read),
+      );
       void this.#options.clock.sleep(timeoutMs, timer.signal)
         .then(() => resolve(undefined));
     });
--- a/src/peers/shared_log.ts
+++ b/src/peers/shared_log.ts
@@ -20,14 +20,24 @@
  */
 const MAX_AGE_MS = 2_000;
 
+/** A host that has just answered is close by and alive. */
+const FETCH_TIMEOUT_MS = 500;
+
 /**
  * Queries a host; resolves to undefined if it cannot answer, or not within
- * `timeoutMs`.
+ * `timeoutMs`, and to "large" if its answer does not fit in a datagram.
  */
 export type QueryLog = (
   host: HostRecord,
   query: Omit<LogQuery, "id">,
   timeoutMs: number,
+) => Promise<LogAnswerRead | "large" | undefined>;
+
+/** Fetches an answer of any size; resolves to undefined on a failure. */
+export type FetchLog = (
+  host: HostRecord,
+  query: Omit<LogQuery, "id">,
+  timeoutMs: number,
 ) => Promise<LogAnswerRead | undefined>;
 
 export interface SharedLogOptions {
@@ -40,6 +50,8 @@
    */
   readonly sourceWaitMs: number;
   readonly ask: QueryLog;
+  /** Without it, large records are read from the source. */
+  readonly fetch?: FetchLog;
   readonly clock: Clock;
   readonly metrics: IMetrics;
   /** The highest era that this host has met. */
@@ -111,13 +123,17 @@
     fromOffset: number,
     mayWait: boolean,
   ): Promise<KeyedRead | undefined> {
-    const { name, ask, clock } = this.#options;
+    const { name, ask, fetch, clock } = this.#options;
     const startedMs = clock.nowMs();
-    const read = await ask(
+    const query = { log: name, fromOffset, mayWait, era: this.#options.era() };
+    const answer = await ask(
       reader,
-      { log: name, fromOffset, mayWait, era: this.#options.era() },
+      fetch === undefined ? query : { ...query, canFetch: true },
       QUERY_TIMEOUT_MS,
     );
+    const read = answer === "large"
+      ? await this.#fetchLarge(reader, query, startedMs)
+      : answer;
     if (read === undefined || !isUsable(read, clock.nowMs() - startedMs)) {
       this.#count("host-without-answer");
       return undefined;
@@ -141,6 +157,19 @@
     };
   }
 
+  /** The watermark of the result is relative to `sinceMs`, like that of an answer. */
+  async #fetchLarge(
+    reader: HostRecord,
+    query: Omit<LogQuery, "id">,
+    sinceMs: number,
+  ): Promise<LogAnswerRead | undefined> {
+    const { fetch, clock } = this.#options;
+    const delayMs = clock.nowMs() - sinceMs;
+    const read = await fetch?.(reader, query, FETCH_TIMEOUT_MS);
+    return read &&
+      { ...read, watermarkDeltaMs: read.watermarkDeltaMs + delayMs };
+  }
+
   #count(from: string): void {
     const { metrics, name } = this.#options;
     metrics.count("jackdawshift_log_reads_total", { log: name, from });
