Let few hosts probe an unresponsive target often, and the others seldom

Cause: every host probed an unresponsive target every 500 ms, 158 times a second from 79 hosts, and a target that two others suspect about as often.

Change: three hosts, selected by rendezvous hashing of target and host, probe it every 500 ms. Digests name the selected hosts first among those that report a target.

--- a/src/entry/digest_relay.ts
+++ b/src/entry/digest_relay.ts
@@ -7,6 +7,7 @@
  */
 
 import type { Clock } from "../common/clock.ts";
+import { rendezvousRank } from "../common/hash.ts";
 import type {
   DomainDigest,
   HostLimit,
@@ -221,11 +222,15 @@
   for (const { host, state } of states) {
     for (const targetId of state.unresponsiveTargets) {
       const ids = hostIds.get(targetId) ?? [];
-      if (ids.length < MAX_NAMED_HOSTS) ids.push(host.id);
+      ids.push(host.id);
       hostIds.set(targetId, ids);
     }
   }
-  return [...hostIds].map(([targetId, ids]) => ({ targetId, hostIds: ids }));
+  return [...hostIds].map(([targetId, ids]) => ({
+    targetId,
+    // First those that probe the target for all hosts, see `probe_schedule.ts`.
+    hostIds: rendezvousRank(targetId, ids).slice(0, MAX_NAMED_HOSTS),
+  }));
 }
 
 /** The newest word on each limit, and the sends of every host that sent there. */
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -200,7 +200,11 @@
       control,
       clock,
       log,
-      hasReports: (service) => this.#hasEngine(service),
+      hasReports: (service) =>
+        this.#config.table?.config.services.get(service)?.engine !== undefined,
+      reportSilent: this.#reachability.reportSilent,
+      link: this.#link,
+      peers: this.#peers,
     });
     this.#watch = new StreamMonitor({
       clock,
@@ -388,11 +392,6 @@
     });
   }
 
-  #hasEngine(service: string): boolean {
-    const { services } = this.#config.table?.config ?? {};
-    return services?.get(service)?.engine !== undefined;
-  }
-
   #isFresh(): boolean {
     const { revokeMs } = this.#options.settings.bounds;
     return this.#feeds.config.ageMs < revokeMs - CONFIG_AGE_MARGIN_MS;
--- a/test/peer_fleet.ts
+++ b/test/peer_fleet.ts
@@ -28,6 +28,7 @@
 export interface FleetHost {
   readonly record: HostRecord;
   readonly exchange: PeerExchange;
+  readonly link: PeerLink;
   readonly targets: TargetTable;
   readonly quarantine: ContentQuarantine;
   readonly limits: TargetLimits;
@@ -159,6 +160,7 @@
     this.hosts.push({
       record,
       exchange,
+      link,
       targets,
       quarantine,
       limits,
