Bound the queries for late events, and ask the first server first

Cause: an event that is 95 ms late made a host query all 10 to 17 servers of a path, again after 100 to 400 ms and for each stream.

Change: a server is queried at most once in 400 ms, but once more when another host begins to suspect it. The first server of the path is asked first; the others follow when it has reported without naming the server that the request waits for, or after 25 ms. The report that the check fetched is searched for stalled requests instead of a second query. While reports are slow, the repeated query on a second connection waits for as long as these take.

--- a/src/forward/stream_monitor.ts
+++ b/src/forward/stream_monitor.ts
@@ -7,6 +7,7 @@
 
 import type { Clock } from "../common/clock.ts";
 import { CheckBackoff } from "./check_backoff.ts";
+import { CheckBudget } from "./check_budget.ts";
 
 /** A stalled stream is detected at most this much later. */
 const CHECK_INTERVAL_MS = 25;
@@ -27,10 +28,14 @@
   readonly #streams = new Set<MonitoredStream>();
   /** Shared by the streams, which wait longer while checks find nothing. */
   readonly backoff: CheckBackoff;
+  /** Shared by the streams, whose checks send at most so many queries. */
+  readonly budget: CheckBudget;
 
   constructor(options: StreamMonitorOptions) {
     this.#options = options;
-    this.backoff = new CheckBackoff({ clock: options.clock });
+    const { clock } = options;
+    this.backoff = new CheckBackoff({ clock });
+    this.budget = new CheckBudget({ clock, streams: () => this.size });
   }
 
   get size(): number {
--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -1,16 +1,18 @@
 /**
  * Forwards the events of one send and repairs its path. If events are overdue,
- * the stages are checked, the first target is queried for the stage that the
- * request waits for, and a path that avoids the faulty stage takes over.
+ * the stages are checked, the report of the first target is searched for the
+ * stage that the request waits for, and a path that avoids the faulty stage takes
+ * over.
  *
  * @module
  */
 
-import type { PathStage } from "../ports/types.ts";
+import type { PathStage, StalledRequest } from "../ports/types.ts";
 import { describePath } from "../paths/describe_path.ts";
 import type { ReservedPath } from "../paths/path_chooser.ts";
 import type { EngineProfile } from "../ports/types.ts";
 import { applyReport } from "../paths/apply_report.ts";
+import { QUERY_INTERVAL_MS } from "../paths/stage_checker.ts";
 import type { CallContext } from "./context.ts";
 import { EventPace, SUSPECT_OVERDUE_MS } from "./event_pace.ts";
 import {
@@ -40,6 +42,12 @@
 /** Why a stage is replaced. */
 type Fault = "silent" | "stalled" | "slow" | "leaving";
 
+/** `unchecked` if the host has sent as many queries as it may for now. */
+type Finding =
+  | { readonly stage: PathStage; readonly fault: Fault }
+  | "unchecked"
+  | undefined;
+
 export interface StreamRelayOptions {
   readonly context: CallContext;
   readonly service: string;
@@ -203,10 +211,11 @@
     const { context, requestId } = this.#options;
     const found = known ?? await this.#findFault(gapMs);
     if (this.#isDone) return;
-    if (known === undefined) {
+    const isChecked = found !== "unchecked";
+    if (known === undefined && isChecked) {
       context.monitor.backoff.recordCheck(found !== undefined);
     }
-    if (found !== undefined) {
+    if (isChecked && found !== undefined) {
       await this.#repath(found.stage, found.fault, gapMs);
       return;
     }
@@ -214,6 +223,7 @@
       this.#abandon(`no event for ${Math.round(gapMs)} ms`);
       return;
     }
+    if (!isChecked) return;
     this.#fruitlessChecks++;
     context.metrics.count("jackdawshift_slow_events_total");
     if (gapMs < STALLED_OVERDUE_MS) return;
@@ -224,30 +234,49 @@
   }
 
   /** Checks all stages, then queries the first for the stage the request waits for. */
-  async #findFault(
-    gapMs: number,
-  ): Promise<{ readonly stage: PathStage; readonly fault: Fault } | undefined> {
+  async #findFault(gapMs: number): Promise<Finding> {
+    const { context, requestId } = this.#options;
     const { stages } = this.#path;
-    await this.#options.context.checker.check(stages, this.#pace.progressMs);
+    const { progressMs } = this.#pace;
+    const { budget } = context.monitor;
+    if (!budget.hasRoom && !this.#hasSuspect) return "unchecked";
+    await context.checker.check(stages, progressMs, {
+      requestId,
+      isOverdue: () => this.#pace.progressMs === progressMs,
+      budget,
+    });
     if (this.#isDone) return undefined;
-    const newGapMs = this.#pace.gapMs(this.#options.context.clock.nowMs());
+    const newGapMs = this.#pace.gapMs(context.clock.nowMs());
     // An event arrived during the check.
     if (newGapMs < gapMs) return undefined;
     const known = this.#knownFault(newGapMs);
     if (known !== undefined) return known;
-    const first = this.#options.context.targets.get(stages[0].targetId);
+    const first = context.targets.get(stages[0].targetId);
     if (gapMs < STALLED_OVERDUE_MS && first?.noResponseSinceMs === undefined) {
       return undefined;
     }
     const stage = await this.#findStalled(gapMs);
+    if (stage === "unchecked") return stage;
     return stage && { stage, fault: "stalled" };
   }
 
-  /** Queries the first target for the stage that the request waits for. */
-  async #findStalled(gapMs: number): Promise<PathStage | undefined> {
-    const { context, requestId } = this.#options;
-    const { targets, control } = context;
+  /** Searches the report of the first target for the stage that is waited for. */
+  async #findStalled(
+    gapMs: number,
+  ): Promise<PathStage | "unchecked" | undefined> {
+    const { context } = this.#options;
+    const { targets, control, monitor, clock } = context;
     const [first] = this.#path.stages;
+    const known = targets.get(first.targetId);
+    const isRecent = known !== undefined &&
+      known.noResponseSinceMs === undefined &&
+      known.reportedMs > clock.nowMs() - QUERY_INTERVAL_MS;
+    if (isRecent) {
+      // The report may be older than the stall, and name an earlier one.
+      if (known.reportedMs <= this.#pace.progressMs) return "unchecked";
+      return this.#stalledStage(known.report?.stalled ?? []) ?? "unchecked";
+    }
+    if (!monitor.budget.tryAcquire()) return "unchecked";
     const report = await control.report(
       { id: first.targetId, address: first.address },
       REPORT_TIMEOUT_MS,
@@ -265,13 +294,17 @@
     }
     const firstTarget = targets.get(first.targetId);
     if (firstTarget !== undefined) applyReport(firstTarget, report, targets);
-    const stalled = report.stalled.find((entry) =>
-      entry.requestId === requestId
-    );
+    return this.#stalledStage(report.stalled);
+  }
+
+  #stalledStage(entries: readonly StalledRequest[]): PathStage | undefined {
+    const { context: { targets }, requestId } = this.#options;
+    const stalled = entries.find((entry) => entry.requestId === requestId);
     if (stalled === undefined) return undefined;
     const target = targets.byAddress(stalled.address);
     if (target !== undefined) {
-      targets.markUnresponsive(target.id, { waitedForBy: first.targetId });
+      const waitedForBy = this.#path.stages[0].targetId;
+      targets.markUnresponsive(target.id, { waitedForBy });
     }
     return this.#path.stages.find(({ address }) => address === stalled.address);
   }
--- a/src/paths/stage_checker.ts
+++ b/src/paths/stage_checker.ts
@@ -1,6 +1,7 @@
 /**
- * Checks that the targets of a path respond, by requesting their reports.
- * Concurrent checks of the same target share one probe.
+ * Checks that the targets of a path respond, by requesting their reports. The
+ * first target is asked before the others, since its report may name the one at
+ * fault. Concurrent checks of the same target share one probe.
  *
  * @module
  */
@@ -34,8 +35,12 @@
  * broken or lose packets.
  */
 const HEDGE_DELAY_MS = 25;
-/** A report at most this old is reused instead of sending another probe. */
-const REUSE_MS = 100;
+/** Least time between two queries of a target. */
+export const QUERY_INTERVAL_MS = 400;
+/** The same for a target that another host has begun to suspect. */
+const SUSPECT_QUERY_INTERVAL_MS = 100;
+/** A stream that made progress this recently shows that its targets work. */
+const RECENT_ACTIVITY_MS = 100;
 /**
  * A target in another failure domain is the preferred reference unless its last
  * report is older by this.
@@ -44,6 +49,24 @@
 /** A timer that fires this late shows that this process was blocked. */
 const MAX_TIMER_DELAY_MS = 25;
 
+/** Limits the queries of checks. */
+export interface QueryBudget {
+  /** Counts a query unless there is no room for it. */
+  tryAcquire(): boolean;
+  /** Counts a query that is sent in any case. */
+  record(): void;
+}
+
+const UNLIMITED: QueryBudget = { tryAcquire: () => true, record: () => {} };
+
+export interface CheckOptions {
+  /** The request that waits for an event. */
+  readonly requestId?: string;
+  /** Whether it still does. */
+  readonly isOverdue?: () => boolean;
+  readonly budget?: QueryBudget;
+}
+
 export interface StageCheckerOptions {
   readonly targetTable: TargetTable;
   readonly control: ITargetControl;
@@ -59,6 +82,9 @@
   readonly #options: StageCheckerOptions;
   readonly #pending = new Map<string, Promise<void>>();
   readonly #reportedMs = new Map<string, number>();
+  /** Suspected targets that were asked since the suspicion began. */
+  readonly #askedSuspects = new Set<string>();
+  #checkCount = 0;
   #referenceProbes = 0;
   #slowestReportMs = 0;
   #slowUntilMs = -Infinity;
@@ -66,48 +92,123 @@
   constructor(options: StageCheckerOptions) {
     this.#options = options;
     options.targetTable.onChange(({ id, isRemoved }) => {
-      if (isRemoved) this.#reportedMs.delete(id);
+      if (!isRemoved) return;
+      this.#reportedMs.delete(id);
+      this.#askedSuspects.delete(id);
     });
   }
 
   /**
-   * Resolves when the target of each stage has reported, is marked as
-   * unresponsive, or could not be judged. A target over which another stream
-   * has made progress after `stalledSinceMs`, and a moment ago, is not asked.
+   * Resolves when each target that was asked has reported, is marked as
+   * unresponsive, or could not be judged. Not asked are targets that reported a
+   * moment ago, targets over which another stream has made progress after
+   * `stalledSinceMs` and a moment ago, and those for which the budget has no
+   * room. The targets after the first are asked once it has reported, unless it
+   * names the one that the request waits for, or takes longer than usual.
    */
   async check(
     stages: readonly PathStage[],
     stalledSinceMs = Infinity,
+    options: CheckOptions = {},
   ): Promise<void> {
-    await Promise.all(
-      stages.map((stage) => this.#checkStage(stage, stalledSinceMs)),
+    const { requestId, isOverdue = () => true, budget = UNLIMITED } = options;
+    const due = stages.filter((stage) => this.#isDue(stage, stalledSinceMs));
+    const isUrgent = (stage: PathStage): boolean =>
+      stage === stages[0] ||
+      this.#options.targetTable.get(stage.targetId)?.isSuspect === true;
+    const probes = due.filter(isUrgent).map((stage) =>
+      this.#checkStage(stage, budget)
     );
+    if (due.length > 0 && due[0] === stages[0]) {
+      const delay = this.#options.clock.sleep(HEDGE_DELAY_MS);
+      await Promise.race([probes[0], delay]);
+    }
+    if (
+      isOverdue() &&
+      !this.#isExplained(stages[0], { requestId, stalledSinceMs })
+    ) {
+      const others = due.filter((stage) => !isUrgent(stage));
+      probes.push(
+        ...this.#longestUnheardFirst(others).map((stage) =>
+          this.#checkStage(stage, budget)
+        ),
+      );
+    }
+    await Promise.all(probes);
   }
 
-  #checkStage(stage: PathStage, stalledSinceMs: number): Promise<void> {
+  #isDue({ targetId }: PathStage, stalledSinceMs: number): boolean {
     const { targetTable, clock } = this.#options;
-    const target = targetTable.get(stage.targetId);
+    const target = targetTable.get(targetId);
     if (target === undefined || target.noResponseSinceMs !== undefined) {
-      return Promise.resolve();
+      return false;
     }
-    const recentMs = clock.nowMs() - REUSE_MS;
-    const isActive = target.activeMs > Math.max(recentMs, stalledSinceMs);
-    if (isActive || target.reportedMs > recentMs) return Promise.resolve();
-    let pending = this.#pending.get(stage.targetId);
+    const nowMs = clock.nowMs();
+    const activeSinceMs = Math.max(nowMs - RECENT_ACTIVITY_MS, stalledSinceMs);
+    if (target.activeMs > activeSinceMs) return false;
+    if (!target.isSuspect) this.#askedSuspects.delete(targetId);
+    const intervalMs = this.#isNewSuspect(targetId)
+      ? SUSPECT_QUERY_INTERVAL_MS
+      : QUERY_INTERVAL_MS;
+    return target.reportedMs <= nowMs - intervalMs;
+  }
+
+  #isNewSuspect(targetId: string): boolean {
+    return !this.#askedSuspects.has(targetId) &&
+      this.#options.targetTable.get(targetId)?.isSuspect === true;
+  }
+
+  /** Whether the first target named the one that the request waits for. */
+  #isExplained(
+    { targetId }: PathStage,
+    { requestId, stalledSinceMs }: {
+      readonly requestId: string | undefined;
+      readonly stalledSinceMs: number;
+    },
+  ): boolean {
+    const first = this.#options.targetTable.get(targetId);
+    if (first?.report === undefined || first.reportedMs <= stalledSinceMs) {
+      return false;
+    }
+    return first.report.stalled.some((one) => one.requestId === requestId);
+  }
+
+  /** Targets that were never heard from take turns. */
+  #longestUnheardFirst(stages: readonly PathStage[]): PathStage[] {
+    const { targetTable } = this.#options;
+    const start = this.#checkCount++ % Math.max(1, stages.length);
+    const heardMs = ({ targetId }: PathStage): number => {
+      const target = targetTable.get(targetId);
+      return Math.max(target?.reportedMs ?? 0, target?.activeMs ?? 0);
+    };
+    return [...stages.slice(start), ...stages.slice(0, start)]
+      .map((stage) => ({ stage, atMs: heardMs(stage) }))
+      .sort((a, b) => a.atMs === b.atMs ? 0 : a.atMs - b.atMs)
+      .map(({ stage }) => stage);
+  }
+
+  #checkStage(stage: PathStage, budget: QueryBudget): Promise<void> {
+    const { targetId } = stage;
+    let pending = this.#pending.get(targetId);
     if (pending === undefined) {
-      pending = this.#probe(stage).finally(() =>
-        this.#pending.delete(stage.targetId)
+      if (this.#isNewSuspect(targetId)) {
+        // Rare, and the target may be lost to all hosts.
+        this.#askedSuspects.add(targetId);
+        budget.record();
+      } else if (!budget.tryAcquire()) return Promise.resolve();
+      pending = this.#probe(stage, budget).finally(() =>
+        this.#pending.delete(targetId)
       );
-      this.#pending.set(stage.targetId, pending);
+      this.#pending.set(targetId, pending);
     }
     return pending;
   }
 
-  async #probe(stage: PathStage): Promise<void> {
+  async #probe(stage: PathStage, budget: QueryBudget): Promise<void> {
     const { clock, targetTable, reachability } = this.#options;
     const timeoutMs = this.#probeTimeoutMs;
     const startedMs = clock.nowMs();
-    if (await this.#hasReportWithin(stage, timeoutMs)) return;
+    if (await this.#hasReportWithin(stage, { timeoutMs, budget })) return;
     // The report may have arrived while this process was blocked.
     const elapsedMs = clock.nowMs() - startedMs;
     if (elapsedMs > timeoutMs + MAX_TIMER_DELAY_MS) return;
@@ -121,9 +222,10 @@
       void reachability.confirmCutOff(probed.record.service);
     }
     const reference = this.#referenceFor(stage.targetId);
+    for (const one of [stage, reference]) if (one) budget.record();
     const [isAnswered] = await Promise.all([
-      this.#hasReportWithin(stage, timeoutMs),
-      reference && this.#hasReportWithin(reference, timeoutMs),
+      this.#hasReportWithin(stage, { timeoutMs, budget }),
+      reference && this.#hasReportWithin(reference, { timeoutMs, budget }),
     ]);
     if (isAnswered) return;
     const isConfirmed = reference === undefined ||
@@ -148,15 +250,20 @@
    */
   async #hasReportWithin(
     { targetId, address }: ProbedStage,
-    timeoutMs: number,
+    { timeoutMs, budget }: {
+      readonly timeoutMs: number;
+      readonly budget: QueryBudget;
+    },
   ): Promise<boolean> {
     const { clock } = this.#options;
+    const hedgeDelayMs = this.#hedgeDelayMs(timeoutMs);
     const send = () => this.#requestReport({ id: targetId, address });
     const first = send();
-    const hedgeDelay = clock.sleep(HEDGE_DELAY_MS).then(() => undefined);
+    const hedgeDelay = clock.sleep(hedgeDelayMs).then(() => undefined);
     if (await Promise.race([first, hedgeDelay]) === true) return true;
+    budget.record();
     const second = send();
-    const timeout = clock.sleep(timeoutMs - HEDGE_DELAY_MS).then(() => false);
+    const timeout = clock.sleep(timeoutMs - hedgeDelayMs).then(() => false);
     return await Promise.race([
       first.then((isAnswered) => isAnswered || second),
       second.then((isAnswered) => isAnswered || first),
@@ -187,6 +294,15 @@
     return true;
   }
 
+  /** While reports are slow, a second request would mostly be in vain. */
+  #hedgeDelayMs(timeoutMs: number): number {
+    if (this.#options.clock.nowMs() > this.#slowUntilMs) return HEDGE_DELAY_MS;
+    return Math.max(
+      HEDGE_DELAY_MS,
+      Math.min(this.#slowestReportMs, timeoutMs / 2),
+    );
+  }
+
   get #probeTimeoutMs(): number {
     if (this.#options.clock.nowMs() > this.#slowUntilMs) {
       return PROBE_TIMEOUT_MS;
