Read what has arrived before a target counts as unresponsive

Cause: a process that was held up for some 30 ms runs its due timers before it reads its sockets. The time-out of a check then fired although the report was there; the guard against late timers allows 25 ms. Change: after a time-out the checker lets the event loop read what has arrived, and looks again.

--- a/src/paths/stage_checker.ts
+++ b/src/paths/stage_checker.ts
@@ -75,11 +75,14 @@
     TargetReachability,
     "reportSilent" | "confirmCutOff"
   >;
+  /** Resolves when what has arrived at this process has been read. */
+  readonly readArrived?: () => Promise<void>;
 }
 
 /** Probes targets and updates the target table with the results. */
 export class StageChecker {
   readonly #options: StageCheckerOptions;
+  readonly #readArrived: () => Promise<void>;
   readonly #pending = new Map<string, Promise<void>>();
   readonly #reportedMs = new Map<string, number>();
   /** Suspected targets that were asked since the suspicion began. */
@@ -91,6 +94,8 @@
 
   constructor(options: StageCheckerOptions) {
     this.#options = options;
+    this.#readArrived = options.readArrived ??
+      (() => new Promise((resolve) => setImmediate(resolve)));
     options.targetTable.onChange(({ id, isRemoved }) => {
       if (!isRemoved) return;
       this.#reportedMs.delete(id);
@@ -209,7 +214,10 @@
     const timeoutMs = this.#probeTimeoutMs;
     const startedMs = clock.nowMs();
     if (await this.#hasReportWithin(stage, { timeoutMs, budget })) return;
-    // The report may have arrived while this process was blocked.
+    // Due timers run before a report is read that arrived while this process was held up.
+    await this.#readArrived();
+    const reportedMs = this.#reportedMs.get(stage.targetId) ?? -Infinity;
+    if (reportedMs >= startedMs) return;
     const elapsedMs = clock.nowMs() - startedMs;
     if (elapsedMs > timeoutMs + MAX_TIMER_DELAY_MS) return;
     if (this.#hasOtherReportSince(stage.targetId, startedMs)) {
--- a/src/paths/stage_checker_test.ts
+++ b/src/paths/stage_checker_test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { systemClock } from "../common/clock.ts";
+import { ManualClock } from "../../test/manual_clock.ts";
 import { soundLink } from "../../test/reachability.ts";
 import { silentLog } from "../common/logging.ts";
 import type { ITargetControl } from "../ports/services.ts";
@@ -44,74 +44,80 @@
   answersAfterMs: (number | undefined)[],
   otherAfterMs: () => number | undefined = () => 1,
 ) {
+  const clock = new ManualClock();
   let requests = 0;
   const control: Pick<ITargetControl, "report"> = {
     async report({ id }, timeoutMs) {
       const afterMs = id === "t" ? answersAfterMs[requests++] : otherAfterMs();
       if (afterMs === undefined || afterMs > timeoutMs) {
-        await systemClock.sleep(timeoutMs);
+        await clock.sleep(timeoutMs);
         return undefined;
       }
-      await systemClock.sleep(afterMs);
+      await clock.sleep(afterMs);
       return REPORT;
     },
   };
-  const targetTable = new TargetTable({ clock: systemClock, log: silentLog });
+  const targetTable = new TargetTable({ clock, log: silentLog });
   targetTable.put(RECORD);
   targetTable.put(OTHER);
   const checker = new StageChecker({
     targetTable,
     control: control as ITargetControl,
-    clock: systemClock,
+    clock,
     reachability: soundLink(targetTable),
+    readArrived: () => Promise.resolve(),
   });
-  return { targetTable, checker, requests: () => requests };
+  const check = (
+    checked: Parameters<StageChecker["check"]>[0],
+    stalledSinceMs?: number,
+  ) => clock.runUntil(checker.check(checked, stalledSinceMs));
+  return { targetTable, clock, check, requests: () => requests };
 }
 
 test("concurrent and closely following checks of a target share one request", async () => {
-  const { targetTable, checker, requests } = checkerWith([2]);
-  await Promise.all([checker.check([STAGE]), checker.check([STAGE])]);
+  const { targetTable, check, requests } = checkerWith([2]);
+  await Promise.all([check([STAGE]), check([STAGE])]);
   expect(requests()).toBe(1);
   expect(targetTable.get("t")?.noResponseSinceMs).toBeUndefined();
-  await checker.check([STAGE]);
+  await check([STAGE]);
   expect(requests()).toBe(1);
 });
 
 test("a target over which another stream made progress since the stall is not asked", async () => {
-  const { targetTable, checker, requests } = checkerWith([2]);
-  const nowMs = systemClock.nowMs();
+  const { clock, targetTable, check, requests } = checkerWith([2]);
+  const nowMs = clock.nowMs();
   targetTable.get("t")?.recordActivity(nowMs - 5);
-  await checker.check([STAGE], nowMs - 50);
+  await check([STAGE], nowMs - 50);
   expect(requests()).toBe(0);
-  await checker.check([STAGE], nowMs);
+  await check([STAGE], nowMs);
   expect(requests()).toBe(1);
 });
 
 test("a second request makes up for a lost answer", async () => {
-  const { targetTable, checker } = checkerWith([undefined, 2]);
-  await checker.check([STAGE]);
+  const { targetTable, check } = checkerWith([undefined, 2]);
+  await check([STAGE]);
   expect(targetTable.get("t")?.noResponseSinceMs).toBeUndefined();
 });
 
 test("a target that answers neither request is unresponsive", async () => {
-  const { targetTable, checker } = checkerWith([undefined, undefined]);
+  const { targetTable, check } = checkerWith([undefined, undefined]);
   const changed: string[] = [];
   targetTable.onChange(({ id }) => changed.push(id));
-  await checker.check([STAGE, OTHER_STAGE]);
+  await check([STAGE, OTHER_STAGE]);
   expect(targetTable.get("t")?.noResponseSinceMs).toBeDefined();
   expect(changed).toEqual(["t"]);
 });
 
 test("a target is not marked as unresponsive while no other target answers", async () => {
   let isLinkFull = false;
-  const { targetTable, checker } = checkerWith(
+  const { clock, targetTable, check } = checkerWith(
     [],
     () => isLinkFull ? undefined : 1,
   );
-  await checker.check([OTHER_STAGE]);
+  await check([OTHER_STAGE]);
   isLinkFull = true;
-  await systemClock.sleep(120);
-  await checker.check([STAGE, OTHER_STAGE]);
+  await clock.advance(120);
+  await check([STAGE, OTHER_STAGE]);
   expect(
     targetTable.all().every(({ noResponseSinceMs }) =>
       noResponseSinceMs === undefined
@@ -121,41 +127,42 @@
 });
 
 test("the last target to answer is probed as a reference if only one target is checked", async () => {
-  const { targetTable, checker } = checkerWith([]);
-  await checker.check([OTHER_STAGE]);
-  await systemClock.sleep(120);
-  await checker.check([STAGE]);
+  const { clock, targetTable, check } = checkerWith([]);
+  await check([OTHER_STAGE]);
+  await clock.advance(120);
+  await check([STAGE]);
   expect(targetTable.get("t")?.noResponseSinceMs).toBeDefined();
   expect(targetTable.get("other")?.noResponseSinceMs).toBeUndefined();
 });
 
 test("slow answers extend the probe timeout", async () => {
-  const { targetTable, checker } = checkerWith([90, 90, 90, 90], () => 60);
-  await checker.check([OTHER_STAGE]);
-  await checker.check([STAGE, OTHER_STAGE]);
+  const { targetTable, check } = checkerWith([90, 90, 90, 90], () => 60);
+  await check([OTHER_STAGE]);
+  await check([STAGE, OTHER_STAGE]);
   expect(targetTable.get("t")?.noResponseSinceMs).toBeUndefined();
 });
 
 test("a late answer marks the target as responsive again", async () => {
-  const { targetTable, checker } = checkerWith([200, undefined]);
-  await checker.check([STAGE, OTHER_STAGE]);
+  const { clock, targetTable, check } = checkerWith([200, undefined]);
+  await check([STAGE, OTHER_STAGE]);
   expect(targetTable.get("t")?.noResponseSinceMs).toBeDefined();
-  await systemClock.sleep(200);
+  await clock.advance(200);
   expect(targetTable.get("t")?.noResponseSinceMs).toBeUndefined();
 });
 
 /** Targets of two failure domains; those in `dead` never answer. */
 function checkerOfDomains() {
+  const clock = new ManualClock();
   const dead = new Set<string>();
   const requests: string[] = [];
   const control: Pick<ITargetControl, "report"> = {
     async report({ id }, timeoutMs) {
       requests.push(id);
-      await systemClock.sleep(dead.has(id) ? timeoutMs : 1);
+      await clock.sleep(dead.has(id) ? timeoutMs : 1);
       return dead.has(id) ? undefined : REPORT;
     },
   };
-  const targetTable = new TargetTable({ clock: systemClock, log: silentLog });
+  const targetTable = new TargetTable({ clock, log: silentLog });
   const stageOf = (id: string, domain: string) => {
     const address = `10.0.1.${targetTable.all().length + 1}:80`;
     targetTable.put({ ...RECORD, id, domain, address });
@@ -169,36 +176,68 @@
   const checker = new StageChecker({
     targetTable,
     control: control as ITargetControl,
-    clock: systemClock,
+    clock,
     reachability: soundLink(targetTable),
+    readArrived: () => Promise.resolve(),
   });
-  return { targetTable, checker, dead, requests, stages };
+  const check = (
+    checked: Parameters<StageChecker["check"]>[0],
+    stalledSinceMs?: number,
+  ) => clock.runUntil(checker.check(checked, stalledSinceMs));
+  return { targetTable, clock, check, dead, requests, stages };
 }
 
 test("a target of another failure domain is the preferred reference", async () => {
-  const { targetTable, checker, dead, requests, stages } = checkerOfDomains();
-  await checker.check([stages.far]);
-  await systemClock.sleep(30);
+  const { clock, targetTable, check, dead, requests, stages } =
+    checkerOfDomains();
+  await check([stages.far]);
+  await clock.advance(30);
   // Answered last, but is lost together with the checked target.
-  await checker.check([stages.near2]);
-  await systemClock.sleep(120);
+  await check([stages.near2]);
+  await clock.advance(120);
   for (const id of ["near", "near2"]) dead.add(id);
   requests.length = 0;
-  await checker.check([stages.near]);
+  await check([stages.near]);
   expect(requests).toContain("far");
   expect(requests).not.toContain("near2");
   expect(targetTable.get("near")?.noResponseSinceMs).toBeDefined();
 });
 
 test("an unresponsive reference is replaced by the next", async () => {
-  const { targetTable, checker, dead, stages } = checkerOfDomains();
-  await checker.check([stages.near2]);
-  await systemClock.sleep(30);
-  await checker.check([stages.far]);
-  await systemClock.sleep(120);
+  const { clock, targetTable, check, dead, stages } = checkerOfDomains();
+  await check([stages.near2]);
+  await clock.advance(30);
+  await check([stages.far]);
+  await clock.advance(120);
   for (const id of ["near", "far"]) dead.add(id);
-  await checker.check([stages.near]);
+  await check([stages.near]);
   expect(targetTable.get("near")?.noResponseSinceMs).toBeUndefined();
-  await checker.check([stages.near]);
+  await check([stages.near]);
   expect(targetTable.get("near")?.noResponseSinceMs).toBeDefined();
 });
+
+test("a target whose report has arrived, but was not read before the timers, is not unresponsive", async () => {
+  const clock = new ManualClock();
+  const targetTable = new TargetTable({ clock, log: silentLog });
+  targetTable.put(RECORD);
+  targetTable.put(OTHER);
+  const unread: (() => void)[] = [];
+  const control: Pick<ITargetControl, "report"> = {
+    report: ({ id }) =>
+      id === "t"
+        ? new Promise((resolve) => unread.push(() => resolve(REPORT)))
+        : Promise.resolve(REPORT),
+  };
+  const checker = new StageChecker({
+    targetTable,
+    control: control as ITargetControl,
+    clock,
+    reachability: soundLink(targetTable),
+    readArrived: () => {
+      for (const read of unread) read();
+      return Promise.resolve();
+    },
+  });
+  await clock.runUntil(checker.check([STAGE, OTHER_STAGE]));
+  expect(targetTable.get("t")?.noResponseSinceMs).toBeUndefined();
+});
