Share the refusal of a port among sends that failed at its process

Cause: when a process ends, each of its sends at a host fails and checked the port on a connection of its own, unless the checks overlapped.

Change: a refusal stands for 250 ms for the other sends that failed at the same process. A process that ended does not come back, so the conclusion is the same; a later process of the target has another start time. A port that accepts is still checked for each send, since it may close in between, and the loss must be recorded before the request is sent on.

Tried and dropped: probing the second target of a reachability check only after 15 ms without a response of the first halves these probes, but a dead target is then reported up to 15 ms later if the first one is silent, too. These checks already share their result for 200 ms.

Result (src/forward/loss_detector_test.ts): ten sends that fail one after another in 200 ms open 1 connection instead of 10.

--- a/src/forward/loss_detector.ts
+++ b/src/forward/loss_detector.ts
@@ -20,6 +20,13 @@
 
 /** A connection is accepted or refused within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 50;
+/**
+ * How long the refusal of a port stands for other sends that failed at the same
+ * process. One that restarts takes two seconds at least, while its record may
+ * name the earlier process for longer. A port that accepts is checked for each
+ * send, since its process may have ended in between.
+ */
+const REFUSAL_TTL_MS = 250;
 /** Pauses before the checks of a port; a process that ends may close it late. */
 const CHECK_PAUSES_MS = [0, 60, 140, 400];
 /**
@@ -83,6 +90,8 @@
   readonly #metrics: LossDetectorOptions["metrics"];
   readonly #confirmCutOff: LossDetectorOptions["confirmCutOff"];
   readonly #watches = new Map<string, Watch>();
+  /** When the ports of processes that ended refused a connection. */
+  readonly #refusedMs = new Map<string, number>();
 
   constructor(options: LossDetectorOptions) {
     const { clock, targets } = options;
@@ -99,6 +108,12 @@
     process: TargetProcess,
     { checksPort }: { readonly checksPort: boolean },
   ): Observation {
+    if (checksPort && this.#hasRefused(process)) {
+      return {
+        firstCheck: Promise.resolve("refuses"),
+        evidence: Promise.resolve("port-refuses"),
+      };
+    }
     const watch = this.#watch(process);
     const firstCheck = checksPort
       ? this.#checkPort(watch)
@@ -143,6 +158,14 @@
     if (this.#isOpen(watch)) this.#resolve(watch, undefined);
   }
 
+  #hasRefused(process: TargetProcess): boolean {
+    const sinceMs = this.#clock.nowMs() - REFUSAL_TTL_MS;
+    for (const [key, atMs] of this.#refusedMs) {
+      if (atMs < sinceMs) this.#refusedMs.delete(key);
+    }
+    return this.#refusedMs.has(watchKey(process));
+  }
+
   #isOpen(watch: Watch): boolean {
     return this.#watches.get(watchKey(watch.process)) === watch;
   }
@@ -187,6 +210,7 @@
     const isCutOff = target !== undefined &&
       await this.#confirmCutOff(target.record.service);
     if (isCutOff) return "silent";
+    this.#refusedMs.set(watchKey(watch.process), this.#clock.nowMs());
     this.#resolve(watch, "port-refuses");
     return state;
   }
--- a/src/forward/loss_detector_test.ts
+++ b/src/forward/loss_detector_test.ts
@@ -12,6 +12,7 @@
 let clock: ManualClock;
 let targets: TargetTable;
 let detector: LossDetector;
+let checks: number;
 
 beforeEach(async () => {
   server = createServer((socket) => socket.destroy());
@@ -29,9 +30,11 @@
   clock = new ManualClock();
   targets = new TargetTable({ clock, log: silentLog });
   targets.put(record);
+  checks = 0;
   detector = new LossDetector({
     clock,
     targets,
+    metrics: { count: () => checks++ },
     confirmCutOff: () => Promise.resolve(false),
   });
 });
@@ -101,3 +104,38 @@
   await clock.advance(6_000);
   expect(await evidence).toBe(undefined);
 });
+
+test("sends that failed at the same ended process share the refusal of its port", async () => {
+  await new Promise((resolve) => server.close(resolve));
+  for (let i = 0; i < 10; i++) {
+    const { firstCheck, evidence } = observe();
+    expect(await firstCheck).toBe("refuses");
+    expect(await evidence).toBe("port-refuses");
+    await clock.advance(20);
+  }
+  expect(checks).toBe(1);
+  await clock.advance(300);
+  expect(await observe().evidence).toBe("port-refuses");
+  expect(checks).toBe(2);
+});
+
+test("the refusal of a port says nothing of a later process", async () => {
+  await new Promise((resolve) => server.close(resolve));
+  expect(await observe().evidence).toBe("port-refuses");
+  record = { ...record, bornMs: 2_000 };
+  expect(await observe().firstCheck).toBe("refuses");
+  expect(checks).toBe(2);
+});
+
+test("sends that failed at the same moment share one check", async () => {
+  const firstChecks = Array.from({ length: 10 }, () => observe().firstCheck);
+  expect(new Set(await Promise.all(firstChecks))).toEqual(new Set(["accepts"]));
+  expect(checks).toBe(1);
+});
+
+test("a port that accepted a moment ago is checked for the next send", async () => {
+  expect(await observe().firstCheck).toBe("accepts");
+  await new Promise((resolve) => server.close(resolve));
+  expect(await observe().firstCheck).toBe("refuses");
+  expect(checks).toBe(2);
+});
