Let all hosts of a small fleet probe an unresponsive target

Cause: with three probers a host of a fleet of nine would wait up to 800 ms for the word of others before it uses a target again that it could ask itself. The amounts that the three probers bound grow with the fleet; at nine hosts they are small, and deployments of that size are to be served as before. Change: up to 12 hosts, all probe at the short interval.

--- a/src/entry/probe_schedule.ts
+++ b/src/entry/probe_schedule.ts
@@ -11,6 +11,11 @@
 
 /** Hosts that probe a target at the short interval. */
 const PROBERS = 3;
+/**
+ * In fleets up to this size every host probes: the probes of all are few, and a
+ * host waits for nobody's word before it uses a target again.
+ */
+const MAX_PROBING_FLEET = 12;
 const PROBER_INTERVAL_MS = 500;
 const MAX_INTERVAL_MS = 4_000;
 /**
@@ -83,7 +88,9 @@
 
   #update(view: ProbeView): void {
     const { nowMs, ranked, isReportedBy } = view;
-    const selected = ranked.slice(0, PROBERS);
+    const selected = ranked.length <= MAX_PROBING_FLEET
+      ? ranked
+      : ranked.slice(0, PROBERS);
     const isReported = selected.filter(isReportedBy).length >= MIN_REPORTERS;
     const hasChanged = this.#selected !== selected.join();
     this.#selected = selected.join();
--- a/src/entry/target_prober_test.ts
+++ b/src/entry/target_prober_test.ts
@@ -159,14 +159,19 @@
   fleet.close();
 });
 
-test("each of three hosts probes at the short interval, as before", async () => {
-  const { fleet, clock, probes, state, using } = await fleetWithProbers(3);
-  state.isDead = true;
-  for (const host of fleet.hosts) markUnresponsive(host, TARGET);
-  await clock.advance(4_000);
-  expect(probes.length).toBeGreaterThanOrEqual(3 * 6);
-  state.isDead = false;
-  await clock.advance(600);
-  expect(using()).toHaveLength(3);
-  fleet.close();
-});
+test.each([3, 9])(
+  "each of %i hosts probes at the short interval, as before",
+  async (hosts) => {
+    const { fleet, clock, probes, state, using } = await fleetWithProbers(
+      hosts,
+    );
+    state.isDead = true;
+    for (const host of fleet.hosts) markUnresponsive(host, TARGET);
+    await clock.advance(4_000);
+    expect(probes.length).toBeGreaterThanOrEqual(hosts * 6);
+    state.isDead = false;
+    await clock.advance(600);
+    expect(using()).toHaveLength(hosts);
+    fleet.close();
+  },
+);
