--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -13,6 +13,7 @@
 import { Supervisor } from "../common/supervisor.ts";
 import { EraTracker } from "../feeds/era_tracker.ts";
 import { createCallContext } from "./call_context.ts";
+import { readConfigVersion } from "../forward/delegation.ts";
 import { RequestHandler } from "../forward/request_handler.ts";
 import { StreamMonitor } from "../forward/stream_monitor.ts";
 import { KeepAliveAgent } from "../common/keep_alive_agent.ts";
@@ -155,6 +156,7 @@
       configLog: options.configLog,
       targetLog: options.targetLog,
       link: this.#link,
+      hostAgent: this.#hostAgent,
       clock,
       log,
       metrics: this.#metrics,
@@ -200,7 +202,11 @@
       control,
       clock,
       log,
-      hasReports: (service) => this.#hasEngine(service),
+      hasReports: (service) =>
+        this.#config.table?.config.services.get(service)?.engine !== undefined,
+      reportSilent: this.#reachability.reportSilent,
+      link: this.#link,
+      peers: this.#peers,
     });
     this.#watch = new StreamMonitor({
       clock,
@@ -256,8 +262,14 @@
       settings,
       onRequest: (request, response) =>
         void this.#core.serve(request, response),
-      onDelegated: (request, response) =>
-        void this.#core.serve(request, response, "host"),
+      onDelegated: (request, response) => {
+        const { transfer } = this.#feeds;
+        // A delegated request has a caller's path and headers.
+        const isQuery = readConfigVersion(request.headers) === undefined &&
+          transfer.handles(request);
+        if (isQuery) transfer.serve(request, response);
+        else void this.#core.serve(request, response, "host");
+      },
       isReady: () => readiness.isReady(),
       renderMetrics: () => this.#metrics.render(),
     });
@@ -388,11 +400,6 @@
     });
   }
 
-  #hasEngine(service: string): boolean {
-    const { services } = this.#config.table?.config ?? {};
-    return services?.get(service)?.engine !== undefined;
-  }
-
   #isFresh(): boolean {
     const { revokeMs } = this.#options.settings.bounds;
     return this.#feeds.config.ageMs < revokeMs - CONFIG_AGE_MARGIN_MS;
