Delay and refuse the requests that cost callers least

Cause: the wait queue ordered requests by rank and age alone, refused them only when 1.2 s were over or the queue was full, and asked every refused caller to return after 0.7 s, whatever the excess load.

Change: a pure cost weighs a request's value (size, whether it can still be in time) against its work and grows with the time waited; the queue starts the costliest and refuses the cheapest first. One in eight starts goes to a less urgent rank by age. A request is refused immediately if its first event can't reach its caller or its estimated wait is too long. Retry-After is a reserved slot at the rate of starts. One log line tells why a request was refused and for whom. The queue takes mayStart, fleetWaitMs and an observer of counts by rank, which are not connected yet.

--- a/measure/placed/day.ts
+++ b/measure/placed/day.ts
@@ -6,6 +6,12 @@
  * @module
  */
 
+import {
+  callerPatienceMs,
+  type RequestNeeds,
+  requestSize,
+  requestWorkMs,
+} from "../../src/admission/refusal_cost.ts";
 import { WaitQueue } from "../../src/admission/wait_queue.ts";
 import { silentLog } from "../../src/common/logging.ts";
 import { type Random, seededRandom } from "../../src/common/random.ts";
@@ -187,11 +193,27 @@
     host.queue.add({
       rank: queueWay === "ranked" ? request.rank : 0,
       untilMs: this.#events.nowMs() + MAX_WAIT_MS,
+      needs: queueWay === "ranked" ? this.#needsOf(request) : undefined,
       tryStart,
       refuse: reject,
     });
   }
 
+  #needsOf(request: SimulatedRequest): RequestNeeds {
+    const { kind, startMs, promptTokens, expectedTokens } = request;
+    const tokens = { promptTokens, answerTokens: expectedTokens };
+    return {
+      requestId: String(startMs),
+      contentId: String(startMs),
+      kind,
+      size: requestSize(promptTokens, expectedTokens),
+      workMs: requestWorkMs(this.#options.figures, tokens),
+      receivedMs: startMs,
+      goalMs: FIRST_EVENT_GOAL_MS,
+      patienceMs: callerPatienceMs(FIRST_EVENT_GOAL_MS, EVENT_GAP_GOAL_MS),
+    };
+  }
+
   #start(host: SimulatedHost, request: SimulatedRequest): boolean {
     const path = this.#selectPath(host, request);
     if (path === undefined) return false;
@@ -219,9 +241,11 @@
       isFinished: false,
     };
     this.#streams.add(stream);
+    const sentMs = this.#events.nowMs();
     this.#targets.prefill(path.stages, request.promptTokens, [], () => {
       const eventMs = this.#targets.tokenMs(stream.stages) * TOKENS_PER_EVENT;
       request.firstEventMs = this.#events.nowMs() + eventMs - request.startMs;
+      host.queue.recordFirstEvent(this.#events.nowMs() + eventMs - sentMs);
       if (request.firstEventMs > FIRST_EVENT_GOAL_MS) stream.isLate = true;
       const leftTokens = request.answerTokens - TOKENS_PER_EVENT;
       this.#events.after(eventMs, () => this.#generate(stream, leftTokens));
--- a/src/entry/service_limits.ts
+++ b/src/entry/service_limits.ts
@@ -6,7 +6,7 @@
  */
 
 import { ServiceRetryBudget } from "../admission/service_retry_budget.ts";
-import { WaitQueue } from "../admission/wait_queue.ts";
+import { WaitQueue, type WaitQueueOptions } from "../admission/wait_queue.ts";
 import type { Clock } from "../common/clock.ts";
 import type { HostSettings } from "../ports/types.ts";
 
@@ -19,11 +19,20 @@
 /** Minimum number of hosts among which the retry slack is divided. */
 const MIN_HOSTS = 12;
 
+/** The part of the fleet's admission level that concerns one service. */
+export type ServiceAdmission = Pick<
+  WaitQueueOptions,
+  "mayStart" | "fleetWaitMs" | "observer"
+>;
+
 export interface ServiceLimitsOptions {
   readonly clock: Clock;
   readonly settings: Pick<HostSettings, "bounds" | "isFirstStart">;
   /** Number of other hosts that are known, live or not. */
   readonly knownHosts: () => number;
+  /** By default, each host admits requests by its own view alone. */
+  readonly admission?: (service: string) => ServiceAdmission;
+  readonly random?: () => number;
 }
 
 export class ServiceLimits {
@@ -63,9 +72,12 @@
   queueOf(service: string): WaitQueue {
     let queue = this.#queues.get(service);
     if (queue === undefined) {
+      const { clock, admission, random } = this.#options;
       queue = new WaitQueue({
-        clock: this.#options.clock,
+        clock,
         maxWaiting: MAX_QUEUED_REQUESTS,
+        random,
+        ...admission?.(service),
       });
       this.#queues.set(service, queue);
     }
--- a/src/entry/service_limits_test.ts
+++ b/src/entry/service_limits_test.ts
@@ -55,3 +55,28 @@
   limits.tick();
   expect(isRefused).toBe(true);
 });
+
+test("the queue of a service asks the fleet's admission of that service", () => {
+  const clock = new ManualClock();
+  const offered: string[] = [];
+  const limits = new ServiceLimits({
+    clock,
+    settings: { bounds: BOUNDS, isFirstStart: true },
+    knownHosts: () => 8,
+    admission: (service) => ({
+      mayStart: (rank) => service === "open" || rank === 0,
+      observer: { onOffered: (rank) => offered.push(`${service} ${rank}`) },
+    }),
+  });
+  const started: string[] = [];
+  for (const service of ["open", "held"]) {
+    limits.queueOf(service).add({
+      rank: 1,
+      untilMs: clock.nowMs() + 1_200,
+      tryStart: () => started.push(service) > 0,
+      refuse: () => {},
+    });
+  }
+  expect(started).toEqual(["open"]);
+  expect(offered).toEqual(["open 1", "held 1"]);
+});
--- a/src/forward/path_wait.ts
+++ b/src/forward/path_wait.ts
@@ -4,9 +4,17 @@
  * @module
  */
 
-import type { Waiter } from "../admission/wait_queue.ts";
+import {
+  callerPatienceMs,
+  type RequestNeeds,
+  requestSize,
+  requestWorkMs,
+} from "../admission/refusal_cost.ts";
+import type { Refusal, Waiter } from "../admission/wait_queue.ts";
 import type { PathDemand, ReservedPath } from "../paths/path_chooser.ts";
-import type { CallContext } from "./context.ts";
+import type { EngineProfile } from "../ports/types.ts";
+import type { CallContext, CallPlan } from "./context.ts";
+import type { Exchange } from "./exchange.ts";
 
 /**
  * Longest wait for capacity. Callers abandon a stream that sends no event for
@@ -15,17 +23,24 @@
 const MAX_WAIT_MS = 1_200;
 
 export interface PathWaitOptions {
-  readonly context: CallContext;
+  readonly context: Pick<
+    CallContext,
+    "clock" | "chooser" | "queueOf" | "reachability"
+  >;
   readonly demand: PathDemand;
   readonly rank: number;
+  /** Undefined for a stream that resumes, which is compared by rank only. */
+  readonly needs: RequestNeeds | undefined;
   readonly deadlineMs: number;
   /** Aborts when the caller disconnects or the request times out. */
   readonly signal: AbortSignal;
+  /** Called if the queue refuses the request. */
+  readonly onRefusal?: (refusal: Refusal) => void;
 }
 
 /**
- * Resolves with undefined on a time-out, a full queue, an abort of `signal`, or
- * if this host is found to be cut off from all targets.
+ * Resolves with undefined on a refusal by the queue, an abort of `signal`, or if
+ * this host is found to be cut off from all targets.
  */
 export function waitForPath(
   options: PathWaitOptions,
@@ -36,6 +51,7 @@
   return new Promise((resolve) => {
     const waiter: Waiter = {
       rank: options.rank,
+      needs: options.needs,
       untilMs: Math.min(
         context.clock.nowMs() + MAX_WAIT_MS,
         options.deadlineMs,
@@ -46,7 +62,10 @@
         finish(path);
         return true;
       },
-      refuse: () => finish(undefined),
+      refuse: (refusal) => {
+        options.onRefusal?.(refusal);
+        finish(undefined);
+      },
     };
     function finish(path: ReservedPath | undefined): void {
       signal.removeEventListener("abort", onAbort);
@@ -64,3 +83,29 @@
     queue.add(waiter);
   });
 }
+
+export interface NeedsOptions {
+  readonly plan: Pick<CallPlan, "requestId" | "contentId" | "route">;
+  readonly profile: EngineProfile;
+  readonly exchange: Pick<Exchange, "metadata" | "receivedMs">;
+}
+
+/** What the queue compares a request by; its longest answer counts if stated. */
+export function requestNeeds(options: NeedsOptions): RequestNeeds {
+  const { plan, profile, exchange: { metadata, receivedMs } } = options;
+  const { promptTokens, maxAnswerTokens, likelyAnswerTokens } = metadata;
+  const answerTokens = maxAnswerTokens > 0
+    ? maxAnswerTokens
+    : likelyAnswerTokens ?? profile.typicalAnswerTokens;
+  const { route } = plan;
+  return {
+    requestId: plan.requestId,
+    contentId: plan.contentId,
+    kind: route.name,
+    size: requestSize(promptTokens, answerTokens),
+    workMs: requestWorkMs(profile, { promptTokens, answerTokens }),
+    receivedMs,
+    goalMs: route.firstByteGoalMs,
+    patienceMs: callerPatienceMs(route.firstByteGoalMs, route.eventGapGoalMs),
+  };
+}
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -7,32 +7,28 @@
  */
 
 import { describePath } from "../paths/describe_path.ts";
-import type { PathDemand, ReservedPath } from "../paths/path_chooser.ts";
+import type { ReservedPath } from "../paths/path_chooser.ts";
 import type { EngineProfile, HostRecord, PathStage } from "../ports/types.ts";
 import {
   CallLosses,
   type FailureDetails,
   type MarkedSend,
 } from "./call_losses.ts";
+import { CallPathWait } from "./call_path_wait.ts";
 import { CallRetries } from "./call_retries.ts";
 import { concludeStream } from "./conclude_stream.ts";
 import { type CallContext, type CallPlan, recordRequest } from "./context.ts";
 import { delegateStream } from "./delegated_stream.ts";
 import type { Exchange } from "./exchange.ts";
-import { waitForPath } from "./path_wait.ts";
 import { checkHead } from "./response.ts";
 import { SendHistory } from "./send_history.ts";
 import { type SendResult, toSendResult } from "./send_result.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import { StreamResponse } from "./stream_response.ts";
-import { tokensToReserve } from "./token_reservation.ts";
+import { handleTargetRefusal } from "./target_refusal.ts";
 import { sendToTarget } from "./target_send.ts";
 import type { SendOutcome } from "./upstream.ts";
 
-/** Resumed streams rank before all requests that have not started. */
-const RESUME_RANK = -1;
-const AVOID_AFTER_REFUSAL_MS = 600;
-
 type UpstreamResponse = Extract<SendOutcome, { readonly kind: "answer" }>;
 
 export class StreamCall {
@@ -41,14 +37,11 @@
   readonly #plan: CallPlan;
   readonly #profile: EngineProfile;
   readonly #history: SendHistory;
-  readonly #tokens: number;
+  readonly #wait: CallPathWait;
   #path: ReservedPath | undefined;
   readonly #response: StreamResponse;
   readonly #losses: CallLosses;
   readonly #budgetedRetries: CallRetries;
-  #waitedMs = 0;
-  /** Targets that no path could use, by the reason. */
-  #excludedTargets: Readonly<Record<string, number>> | undefined;
   #repaths = 0;
   #isExpired = false;
   #abort = new AbortController();
@@ -69,7 +62,14 @@
       context,
       service: plan.service.name,
     });
-    this.#tokens = tokensToReserve(exchange.metadata, plan.profile);
+    this.#wait = new CallPathWait({
+      context,
+      exchange,
+      plan,
+      profile: plan.profile,
+      history: this.#history,
+      signal: this.#abort.signal,
+    });
   }
 
   async run(): Promise<void> {
@@ -108,7 +108,7 @@
     const { reachability, delegates } = this.#context;
     const { service: { name: service }, isDelegated } = this.#plan;
     if (!reachability.isCutOff(service)) {
-      const path = this.#path = await this.#waitForPath();
+      const path = this.#path = await this.#wait.next();
       // The content may have been quarantined while the request waited.
       if (path !== undefined && this.#losses.heldForMs > 0) return undefined;
       if (path !== undefined) {
@@ -133,35 +133,6 @@
     this.#context.queueOf(this.#plan.service.name).dispatch();
   }
 
-  async #waitForPath(): Promise<ReservedPath | undefined> {
-    const { clock, chooser } = this.#context;
-    const startedMs = clock.nowMs();
-    const demand = this.#demand;
-    const path = await waitForPath({
-      context: this.#context,
-      demand,
-      // The caller of a resumed stream is already waiting for its next event.
-      rank: this.#history.sends > 0 ? RESUME_RANK : this.#plan.rank,
-      deadlineMs: this.#plan.deadlineMs,
-      signal: this.#abort.signal,
-    });
-    this.#waitedMs += clock.nowMs() - startedMs;
-    if (path === undefined) {
-      this.#excludedTargets = chooser.countExclusions(demand);
-    }
-    return path;
-  }
-
-  get #demand(): PathDemand {
-    return {
-      service: this.#plan.service.name,
-      figures: this.#profile,
-      tokens: this.#tokens,
-      excluded: this.#history.excluded,
-      allowedFirstTargets: this.#history.allowedReceivers,
-    };
-  }
-
   async #send(path: ReservedPath): Promise<SendResult> {
     const { route, requestId } = this.#plan;
     const [first] = path.stages;
@@ -177,7 +148,7 @@
       service: this.#plan.service.name,
       figures: this.#profile,
       requestId,
-      tokens: this.#tokens,
+      tokens: this.#wait.tokens,
       path,
       abort: () => sendAbort.abort(),
       mayAbandon: () => route.isResumable && this.#history.hasAttempts,
@@ -264,9 +235,9 @@
       send: this.#history.sends,
       path: describePath(path.stages),
       msPerToken: Math.round(path.msPerToken * 100) / 100,
-      tokens: Math.round(this.#tokens),
+      tokens: Math.round(this.#wait.tokens),
       lastEventId: this.#response.lastEventId,
-      waitedMs: Math.round(this.#waitedMs),
+      waitedMs: Math.round(this.#wait.waitedMs),
     });
   }
 
@@ -289,24 +260,18 @@
     relay: StreamRelay,
   ): Promise<SendResult> {
     const { answer } = outcome;
-    const { codec, targets, clock } = this.#context;
+    const { codec } = this.#context;
     const fault = checkHead(answer, {
       metadata: codec.answer(answer.rawHeaders),
       requestId: this.#plan.requestId,
     });
     if (fault?.kind === "refused") {
-      const { status } = fault;
-      const at = fault.address ?? this.#path?.stages[0].address;
-      const target = at === undefined ? undefined : targets.byAddress(at);
-      if (target !== undefined) {
-        target.avoidUntilMs = clock.nowMs() + AVOID_AFTER_REFUSAL_MS;
-        this.#history.exclude(target.id);
-      }
-      return {
-        kind: "not-run",
-        wasSent: true,
-        reason: `refused with status ${status} by ${at}`,
-      };
+      return handleTargetRefusal({
+        context: this.#context,
+        history: this.#history,
+        status: fault.status,
+        address: fault.address ?? this.#path?.stages[0].address,
+      });
     }
     if (fault !== undefined) return { kind: "broken", reason: fault.reason };
     const status = answer.statusCode ?? 0;
@@ -322,6 +287,7 @@
       lastEventId: response.lastEventId,
       onEvents: (bytes, lastId) => {
         if (lastId !== undefined) this.#losses.recordProgress(lastId);
+        if (!response.isHeadSent) this.#wait.recordFirstEvent();
         return response.forwardEvents(answer, bytes, lastId);
       },
     });
@@ -372,13 +338,14 @@
       response: this.#response,
       losses: this.#losses,
       result,
+      refusal: this.#wait.refusal,
       mayHaveRun: this.#history.mayHaveRun,
       isExpired: this.#isExpired,
       facts: {
         sends: this.#history.sends,
         repaths: this.#repaths,
-        waitedMs: Math.round(this.#waitedMs),
-        excludedTargets: this.#excludedTargets,
+        waitedMs: Math.round(this.#wait.waitedMs),
+        excludedTargets: this.#wait.excludedTargets,
       },
     });
   }
