--- a/measure/refusal/queue_load.ts
+++ b/measure/refusal/queue_load.ts
@@ -168,7 +168,8 @@
     const tokens = request.promptTokens + request.answerTokens;
     if (tokens > this.#freeTokens) return false;
     this.#freeTokens -= tokens;
-    const firstEventMs = firstEventAfterMs(request.promptTokens);
+    const firstEventMs = firstEventAfterMs(request.promptTokens) *
+      (this.#load.firstEventFactor ?? 1);
     const firstAtMs = this.#events.nowMs() + firstEventMs;
     const hasLeft = firstAtMs > arrivedMs + request.patienceMs;
     const isLate = firstAtMs > request.firstMs + request.goalMs;
--- a/measure/refusal/types.ts
+++ b/measure/refusal/types.ts
@@ -25,6 +25,8 @@
   readonly durationMs: number;
   /** Share of refused callers that ignore `Retry-After`. */
   readonly hastyShare?: number;
+  /** Multiplies the time from a start to the first event. */
+  readonly firstEventFactor?: number;
 }
 
 export interface LoadRequest {
--- a/src/admission/wait_queue_load_test.ts
+++ b/src/admission/wait_queue_load_test.ts
@@ -77,6 +77,21 @@
   },
 );
 
+test("with slow first events, few requests start in vain", () => {
+  const load = {
+    ...QUEUE_LOADS["twice the capacity, 4 hosts"],
+    firstEventFactor: 8,
+    seed: SEEDS[0],
+  };
+  const { left } = simulateQueues({ ...load, order: "cost" });
+  const byRank = simulateQueues({ ...load, order: "rank" });
+  expect(left).toBeLessThan(byRank.left / 2);
+});
+
+test.each(LOAD_NAMES)("under %s, no caller leaves while it waits", (name) => {
+  for (const { left } of outcomesOf(name, "cost")) expect(left).toBe(0);
+});
+
 function servedShare(requests: LoadOutcome["requests"]): number {
   const served = requests.filter(({ end }) =>
     end === "in-time" || end === "late"
