--- a/test/reference_site.ts
+++ b/test/reference_site.ts
@@ -27,6 +27,19 @@
     decodeTimeFactor: 16,
     prefillTimeFactor: 8.2,
   },
+  // Of the deployments of docs/hard-load.md; the reference site has none of them.
+  {
+    name: "v100",
+    memoryMb: 14_400,
+    decodeTimeFactor: 5.3,
+    prefillTimeFactor: 7.9,
+  },
+  {
+    name: "l40s",
+    memoryMb: 43_000,
+    decodeTimeFactor: 5.6,
+    prefillTimeFactor: 2.7,
+  },
 ];
 
 /** Decode steps in each pass of a target. */
