Limit the memory of a replica to what its first stage's slots can use

Cause: each replica got memory for requests of 0.6 times its weights. In the deployments A and B that is more than the slots of its first stage can use, and costs replicas: paths are long, and few first stages take all streams.

Change: no more memory than for half of the slots of a first stage at the typical length of requests, at least 0.2 times the weights. A placed fleet is not changed; the plan for the reference site is the same for all 33 targets. Also mended, found by the new property test or by inspection: spares depended on the order in which the host lists the targets; a target too small for a layer was ordered to hold an empty span; a replica was closed by the sum of its memory although whole layers did not fit.

--- a/src/placement/placement_plan.ts
+++ b/src/placement/placement_plan.ts
@@ -26,15 +26,41 @@
  */
 const REQUEST_MEMORY_RATIO = 0.6;
 
-/** Tokens of context for which each replica has memory. */
+/**
+ * Share of the slots of a replica's first stage for which it has memory. Requests
+ * must not be refused while less than half of them are in use.
+ */
+const USED_SLOTS_SHARE = 0.5;
+/** Lower bound of the ratio: requests differ from the typical one. */
+const MIN_REQUEST_MEMORY_RATIO = 0.2;
+
+/**
+ * Tokens of context for which each replica has memory. Where a token takes
+ * little memory, the first stage has too few slots for the ratio; the memory
+ * then allows more replicas, each with fewer stages. Compared in
+ * docs/design/17-placement-demand.md.
+ */
 function tokensPerReplica(figures: EngineProfile): number {
   const bytesPerLayer = figures.kvBytesPerToken / figures.layers;
-  return REQUEST_MEMORY_RATIO * figures.layerMb * 1_000_000 / bytesPerLayer;
+  const tokensAtRatio = (ratio: number): number =>
+    ratio * figures.layerMb * 1_000_000 / bytesPerLayer;
+  const slotTokens = USED_SLOTS_SHARE * figures.slots *
+    (figures.typicalPromptTokens + figures.typicalAnswerTokens);
+  return Math.min(
+    tokensAtRatio(REQUEST_MEMORY_RATIO),
+    Math.max(tokensAtRatio(MIN_REQUEST_MEMORY_RATIO), slotTokens),
+  );
 }
 
 /** Returns the first placement, or what to add to the current one. */
-export function planPlacement(options: PlacementOptions): PlannedOrder[] {
-  const isFirst = options.targets.every(({ span }) => span === undefined);
+export function planPlacement(
+  { figures, targets }: PlacementOptions,
+): PlannedOrder[] {
+  // Sums of capacity differ in the last digit with the order of their terms,
+  // which decides between spans of equal value.
+  const sorted = [...targets].sort((a, b) => a.id < b.id ? -1 : 1);
+  const options = { figures, targets: sorted };
+  const isFirst = sorted.every(({ span }) => span === undefined);
   return isFirst ? planFirst(options) : planAdditions(options);
 }
 
@@ -100,17 +126,28 @@
   let group: PlanTarget[] = [];
   for (const target of [...targets].sort(bySpeed)) {
     group.push(target);
-    if (sumMemory(group) < replicaMb) continue;
+    if (sumMemory(group) < replicaMb || !holdsAllLayers(group, figures)) {
+      continue;
+    }
     groups.push(group);
     group = [];
   }
-  const limit = group.reduce(
+  if (sumMemory(group) >= minMb && holdsAllLayers(group, figures)) {
+    groups.push(group);
+  } else return { groups, rest: group };
+  return { groups, rest: [] };
+}
+
+/** Whether all layers fit, which whole layers may not although their sum does. */
+function holdsAllLayers(
+  group: readonly PlanTarget[],
+  figures: EngineProfile,
+): boolean {
+  const layers = group.reduce(
     (sum, target) => sum + maxLayers(target, figures),
     0,
   );
-  if (sumMemory(group) >= minMb && limit >= figures.layers) groups.push(group);
-  else return { groups, rest: group };
-  return { groups, rest: [] };
+  return layers >= figures.layers;
 }
 
 /**
@@ -225,6 +262,7 @@
   let best: { target: PlanTarget; remainingTokens: number } | undefined;
   for (const target of targets) {
     if (!target.canAcceptOrder || target.span === undefined) continue;
+    if (maxLayers(target, figures) < 1) continue;
     // Each layer of the moved target must keep another holder.
     const remainingTokens = minCapacityWithout(target, capacity, figures);
     if (remainingTokens <= 0) continue;
@@ -276,9 +314,11 @@
   capacity: LayerCapacity,
   figures: EngineProfile,
 ): Span | undefined {
+  const limit = Math.min(figures.layers, maxLayers(target, figures));
+  // An order for no layers would count as a placement without an effect.
+  if (limit < 1) return undefined;
   const length = Math.min(
-    figures.layers,
-    maxLayers(target, figures),
+    limit,
     Math.max(
       1,
       Math.floor(
--- a/src/placement/placement_plan_test.ts
+++ b/src/placement/placement_plan_test.ts
@@ -5,6 +5,7 @@
   SITE_PROFILE,
   siteTargets,
 } from "../../test/reference_site.ts";
+import type { EngineProfile } from "../ports/types.ts";
 import { planPlacement } from "./placement_plan.ts";
 import type { PlannedOrder, PlanTarget } from "./types.ts";
 
@@ -88,6 +89,133 @@
   });
 });
 
+/** Deployment A of docs/hard-load.md: a token takes a third of the memory. */
+const A_PROFILE = { ...SITE_PROFILE, kvBytesPerToken: 492_000 };
+const A_COUNTS = { a: [2, 0, 9, 24], b: [4, 0, 11, 10], c: [3, 0, 16, 14] };
+
+describe("the memory for requests of a replica", () => {
+  /** Targets that hold the last layer, by failure domain. */
+  const lastStages = (figures: EngineProfile) => {
+    const targets = siteTargets(A_COUNTS);
+    const placed = apply(targets, planPlacement({ figures, targets }));
+    return Object.keys(A_COUNTS).map((domain) =>
+      placed.filter((one) =>
+        one.domain === domain && one.span?.to === figures.layers
+      )
+        .length
+    );
+  };
+
+  // Memory that the slots of a first stage can't use costs replicas.
+  test("is limited by the slots of its first stage, which allows more replicas", () => {
+    expect(lastStages(A_PROFILE)).toEqual([3, 3, 4]);
+    expect(lastStages({ ...A_PROFILE, slots: 10_000 })).toEqual([3, 2, 3]);
+  });
+
+  // Otherwise an upgrade of the hosts would reload the whole fleet.
+  test("moves nothing on a fleet that was placed with more of it", () => {
+    const figures = { ...A_PROFILE, slots: 10_000 };
+    const targets = siteTargets(A_COUNTS);
+    const placed = apply(targets, planPlacement({ figures, targets }));
+    expect(planPlacement({ figures: A_PROFILE, targets: placed })).toEqual([]);
+    const returned = [{ ...placed[0], span: undefined }, ...placed.slice(1)];
+    const orders = planPlacement({ figures: A_PROFILE, targets: returned });
+    expect(orders.map(({ targetId }) => targetId)).toEqual([placed[0].id]);
+    expectFits(apply(returned, orders));
+  });
+
+  // Without a lower bound, two targets with 3 in 100 of free memory would do.
+  test("is not less than a fifth of the weights if there are few slots", () => {
+    const figures = { ...SITE_PROFILE, slots: 1 };
+    const targets = siteTargets({ a: [4, 0, 0] });
+    const placed = apply(targets, planPlacement({ figures, targets }));
+    for (const { span, memoryMb } of placed) {
+      const length = span === undefined ? 0 : span.to - span.from;
+      expect(length * figures.layerMb * 1.2).toBeLessThanOrEqual(memoryMb);
+    }
+  });
+
+  test("is that of the ratio on the reference site", () => {
+    const targets = siteTargets();
+    const manySlots = { ...SITE_PROFILE, slots: 10_000 };
+    expect(planPlacement({ figures: SITE_PROFILE, targets }))
+      .toEqual(planPlacement({ figures: manySlots, targets }));
+  });
+});
+
+function smallTargets(count: number, memoryMb: number): PlanTarget[] {
+  const [target] = siteTargets({ a: [0, 0, 1] });
+  return Array.from(
+    { length: count },
+    (_, index) => ({ ...target, id: `t${index}`, memoryMb }),
+  );
+}
+
+// An order for an empty span would be repeated for ever.
+test("a target too small for one layer gets no order", () => {
+  const [tiny] = smallTargets(1, 1_500);
+  const targets = [...siteTargets(), { ...tiny, id: "tiny" }];
+  const first = planPlacement({ figures: SITE_PROFILE, targets });
+  expect(first.map(({ targetId }) => targetId)).not.toContain("tiny");
+  const placed = apply(targets, first);
+  expect(planPlacement({ figures: SITE_PROFILE, targets: placed })).toEqual([]);
+  // Nor is it moved to a gap, if an earlier version has placed it.
+  const [low] = siteTargets({ a: [1, 0, 0] });
+  const withGap = [
+    { ...low, span: { from: 0, to: 39 } },
+    { ...tiny, span: { from: 0, to: 1 } },
+  ];
+  expect(planPlacement({ figures: SITE_PROFILE, targets: withGap })).toEqual(
+    [],
+  );
+});
+
+// The memory of 75 such targets is 1.6 times the weights, but holds 75 layers.
+test("every layer is placed on targets that hold one layer each", () => {
+  const targets = smallTargets(150, 3_000);
+  const placed = apply(
+    targets,
+    planPlacement({ figures: SITE_PROFILE, targets }),
+  );
+  expectFits(placed);
+  expect(Math.min(...holdersByLayer(placed))).toBeGreaterThanOrEqual(1);
+});
+
+test("on any fleet, orders fit into memory, do not depend on the order of the targets, and move nothing while each layer has a holder", () => {
+  const counts = fc.array(fc.nat({ max: 12 }), { minLength: 4, maxLength: 4 });
+  const fleets = fc.record({
+    domains: fc.array(counts, { minLength: 1, maxLength: 3 }),
+    emptied: fc.array(fc.nat({ max: 143 }), { maxLength: 12 }),
+    kvBytesPerToken: fc.integer({ min: 100_000, max: 2_000_000 }),
+    slots: fc.integer({ min: 1, max: 500 }),
+  });
+  fc.assert(
+    fc.property(fleets, ({ domains, emptied, ...rest }) => {
+      const figures = { ...SITE_PROFILE, ...rest };
+      const targets = siteTargets(
+        Object.fromEntries(domains.map((counts, index) => [index, counts])),
+      );
+      const first = planPlacement({ figures, targets });
+      expect(planPlacement({ figures, targets: [...targets].reverse() }))
+        .toEqual(first);
+      const placed = apply(targets, first);
+      expectFits(placed);
+      const returned = placed.map((target, index) =>
+        emptied.includes(index) ? { ...target, span: undefined } : target
+      );
+      const added = planPlacement({ figures, targets: returned });
+      expectFits(apply(returned, added));
+      const spans = new Map(returned.map(({ id, span }) => [id, span]));
+      if (Math.min(...holdersByLayer(returned)) > 0) {
+        for (const { targetId } of added) {
+          expect(spans.get(targetId)).toBeUndefined();
+        }
+      }
+    }),
+    { seed: 20261204, numRuns: 100 },
+  );
+});
+
 test("a replica that barely fits into memory covers every layer", () => {
   const targets = siteTargets({ a: [0, 0, 8] });
   const placed = apply(
