--- a/src/entry/target_prober.ts
+++ b/src/entry/target_prober.ts
@@ -94,9 +94,9 @@
     }
   }
 
-  #isRenewalDue({ id, isSuspect }: Target): boolean {
-    const respondedMs = this.#respondedMs.get(id);
-    if (respondedMs === undefined || !isSuspect) return false;
+  #isRenewalDue(target: Target): boolean {
+    const respondedMs = this.#respondedMs.get(target.id);
+    if (respondedMs === undefined || !target.isSuspect) return false;
     const ageMs = this.#options.clock.nowMs() - respondedMs;
     return ageMs >= RESPONSE_RENEWAL_MS && ageMs < RESPONSE_RETENTION_MS;
   }
--- a/src/entry/target_prober_test.ts
+++ b/src/entry/target_prober_test.ts
@@ -159,6 +159,18 @@
   fleet.close();
 });
 
+test("in a fleet without digests, a target that returns is used by all within 1 s, too", async () => {
+  const { fleet, clock, probes, state, using } = await fleetWithProbers(9);
+  state.isDead = true;
+  for (const host of fleet.hosts) markUnresponsive(host, TARGET);
+  await clock.advance(6_070);
+  expect(mostPerSecond(probes)).toBeLessThanOrEqual(12);
+  state.isDead = false;
+  await clock.advance(1_000);
+  expect(using()).toHaveLength(9);
+  fleet.close();
+});
+
 test("each of three hosts probes at the short interval, as before", async () => {
   const { fleet, clock, probes, state, using } = await fleetWithProbers(3);
   state.isDead = true;
