Exchange demand and prefill work between hosts

Cause: hosts know of each other's loads on targets, but not of the requests that wait elsewhere, nor of the prefill work sent to a target. Change: states and digests carry demand by service and rank, and prefill work beside the loads, in two lists of their own that earlier versions skip. Relays sum them up; demand carries its age through the relays. EntryHost constructs the exchange and hands it to ServiceLimits.

--- /dev/null
+++ b/src/entry/demand_exchange.ts
@@ -0,0 +1,138 @@
+/**
+ * The demand of the fleet at this host: sends this host's counts with its state,
+ * adds those of the other hosts, and lets the admission level follow.
+ *
+ * @module
+ */
+
+import { AdmissionLevel } from "../admission/admission_level.ts";
+import { FleetDemand } from "../admission/fleet_demand.ts";
+import type { Clock } from "../common/clock.ts";
+import type { ILog } from "../common/logging.ts";
+import {
+  type RankDemand,
+  type ReceivedDemand,
+  type ServiceDemand,
+  subtractDemand,
+  sumDemand,
+} from "../peers/demand_codec.ts";
+import type { MalformedList } from "../peers/peer_state.ts";
+import { sendIntervalMs } from "./send_interval.ts";
+
+/** Older demand of other hosts is ignored. */
+const MAX_AGE_MS = 2_000;
+/** Sums are made once in this time at most, unless newer demand arrives. */
+const SUM_TTL_MS = 50;
+/** Sources whose malformed lists were logged; then no more are. */
+const MAX_LOGGED = 500;
+/** A level that returns within this time is logged as one. */
+const LEVEL_LOG_MS = 5_000;
+
+export interface DemandExchangeOptions {
+  readonly clock: Clock;
+  readonly log: ILog;
+  readonly random: () => number;
+  readonly peers: () => {
+    /** Demand at the other hosts. */
+    peerDemands(): readonly ReceivedDemand[];
+    /** Number of live hosts. */
+    readonly hostCount: number;
+  };
+}
+
+export class DemandExchange {
+  readonly #options: DemandExchangeOptions;
+  /** Counts of this host. */
+  readonly demand: FleetDemand;
+  /** Which ranks may start at this host. */
+  readonly level: AdmissionLevel;
+  readonly #logged = new Set<string>();
+  /** When a level was last in force, by service; until its end is logged. */
+  readonly #restrictedMs = new Map<string, number>();
+  /** What this host sent last; digests of its domain contain it. */
+  #shared: readonly ServiceDemand[] = [];
+  #sums: ReadonlyMap<string, readonly RankDemand[]> | undefined;
+  #summedMs = -Infinity;
+
+  constructor(options: DemandExchangeOptions) {
+    this.#options = options;
+    const { clock, random, peers } = options;
+    this.demand = new FleetDemand({ clock });
+    this.level = new AdmissionLevel({
+      clock,
+      random,
+      exchangeIntervalMs: () => sendIntervalMs(peers().hostCount),
+      demand: this.demand,
+      fleetDemand: (service) => this.#fleetDemand()?.get(service),
+    });
+  }
+
+  /** The counts to send with the state of this host. */
+  toShare(): readonly ServiceDemand[] {
+    this.#shared = this.demand.current();
+    this.#logLevels();
+    return this.#shared;
+  }
+
+  /** Requests that wait at all hosts, as far as this one knows. */
+  fleetWaiting(): number {
+    const ranks = [...this.#fleetDemand()?.values() ?? []].flat();
+    return ranks.reduce((sum, { waiting }) => sum + waiting, 0);
+  }
+
+  /** Called after a state or digest of another host has been taken in. */
+  handleReceived(
+    { malformedLists = [] }: {
+      readonly malformedLists?: readonly MalformedList[];
+    },
+    source: string,
+  ): void {
+    this.#summedMs = -Infinity;
+    this.level.invalidate();
+    for (const list of malformedLists) {
+      const key = `${list} ${source}`;
+      if (this.#logged.has(key) || this.#logged.size >= MAX_LOGGED) continue;
+      this.#logged.add(key);
+      this.#options.log.warn("malformed list of another host dropped", {
+        list,
+        source,
+      });
+    }
+  }
+
+  #logLevels(): void {
+    const { clock, log } = this.#options;
+    const nowMs = clock.nowMs();
+    for (const service of this.level.restricted()) {
+      if (!this.#restrictedMs.has(service)) {
+        const level = this.level.of(service);
+        const { rank, share } = level;
+        const waitMs = level.waitMs(rank);
+        log.info("starts restricted by rank", { service, rank, share, waitMs });
+      }
+      this.#restrictedMs.set(service, nowMs);
+    }
+    for (const [service, lastMs] of this.#restrictedMs) {
+      if (nowMs - lastMs < LEVEL_LOG_MS) continue;
+      this.#restrictedMs.delete(service);
+      log.info("starts no longer restricted by rank", { service });
+    }
+  }
+
+  /** By service; undefined without current demand of other hosts. */
+  #fleetDemand(): ReadonlyMap<string, readonly RankDemand[]> | undefined {
+    const nowMs = this.#options.clock.nowMs();
+    if (nowMs - this.#summedMs < SUM_TTL_MS) return this.#sums;
+    this.#summedMs = nowMs;
+    const fresh = this.#options.peers().peerDemands().filter(({ ageMs }) =>
+      ageMs <= MAX_AGE_MS
+    );
+    if (fresh.length === 0) return this.#sums = undefined;
+    const others = fresh.map(({ demand, includesOwn }) =>
+      includesOwn ? subtractDemand(demand, this.#shared) : demand
+    );
+    const sums = sumDemand([...others, this.demand.current()]);
+    this.#sums = new Map(sums.map(({ service, ranks }) => [service, ranks]));
+    return this.#sums;
+  }
+}
--- a/src/entry/digest_relay.ts
+++ b/src/entry/digest_relay.ts
@@ -15,7 +15,9 @@
 } from "../peers/domain_digest.ts";
 import { type FleetView, isBefore } from "../peers/fleet_view.ts";
 import type { Peer, PeerLink } from "../peers/peer_link.ts";
+import { sumDemand } from "../peers/demand_codec.ts";
 import type { PeerState, PeerUse } from "../peers/peer_state.ts";
+import { addUse } from "../peers/use_sums.ts";
 import type { HostRecord } from "../ports/types.ts";
 
 /** Urgent changes within this time share a digest. */
@@ -129,6 +131,10 @@
       limits: mergeLimits(own, peers, clock.nowMs()),
       era: own.state.era,
       isEraSettled: own.state.isEraSettled,
+      demand: {
+        demand: sumDemand(states.map(({ state }) => state.demand ?? [])),
+        ageMs: 0,
+      },
     };
   }
 
@@ -204,14 +210,7 @@
 function sumUses(states: readonly HostState[]): PeerUse[] {
   const sums = new Map<string, PeerUse>();
   for (const { state } of states) {
-    for (const { targetId, streams, tokenLayers } of state.uses) {
-      const sum = sums.get(targetId);
-      sums.set(targetId, {
-        targetId,
-        streams: streams + (sum?.streams ?? 0),
-        tokenLayers: tokenLayers + (sum?.tokenLayers ?? 0),
-      });
-    }
+    for (const use of state.uses) addUse(sums, use);
   }
   return [...sums.values()];
 }
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -33,6 +33,7 @@
 } from "../ports/services.ts";
 import type { Endpoint, HostSettings } from "../ports/types.ts";
 import { ConfigTracker } from "./config_tracker.ts";
+import { DemandExchange } from "./demand_exchange.ts";
 import { drainHost } from "./host_drain.ts";
 import { registerGauges } from "./host_gauges.ts";
 import { reportEraChanges } from "./era_report.ts";
@@ -44,6 +45,7 @@
 import { ServiceLimits } from "./service_limits.ts";
 import { StoreFeeds } from "./store_feeds.ts";
 import { QuarantineSync } from "./quarantine_sync.ts";
+import { createTargetAgent } from "./target_agent.ts";
 import { TargetFeed } from "./target_feed.ts";
 
 /** Keys are rejected this long before the configuration's age reaches the limit. */
@@ -89,6 +91,7 @@
   readonly #hostAgent = new KeepAliveAgent();
   readonly #core: RequestHandler;
   readonly #limits: ServiceLimits;
+  readonly #admission: DemandExchange;
   readonly #listeners: HostListeners;
   #isStopping = false;
   #stopped: Promise<void> | undefined;
@@ -140,7 +143,14 @@
     this.#config = new ConfigTracker({ decoder, log });
     const host = hostRecord(settings, clock);
     this.#link = new PeerLink({ host, clock, log });
+    this.#admission = new DemandExchange({
+      clock,
+      log,
+      random: this.#random,
+      peers: () => this.#peers,
+    });
     this.#limits = new ServiceLimits({
+      admission: this.#admission,
       clock,
       settings,
       knownHosts: () => this.#link.knownCount,
@@ -178,6 +188,7 @@
     });
     this.#peers = new PeerExchange({
       quarantine: this.#quarantineSync,
+      demand: this.#admission,
       eras: this.#eras,
       random: this.#random,
       link: this.#link,
@@ -198,19 +209,14 @@
       control,
       clock,
       log,
-      hasReports: (service) => this.#engineOf(service) !== undefined,
+      hasReports: (service) =>
+        this.#config.table?.config.services.get(service)?.engine !== undefined,
     });
     this.#watch = new StreamMonitor({
       clock,
       onTick: () => this.#limits.tick(),
     });
-    this.#agent = new KeepAliveAgent({
-      onUnsolicitedData: (address, sizeBytes) =>
-        log.warn("unexpected bytes on idle connection to target", {
-          address,
-          sizeBytes,
-        }),
-    });
+    this.#agent = createTargetAgent(log);
     this.#core = new RequestHandler({
       context: createCallContext({
         settings,
@@ -278,11 +284,9 @@
     for (const [name, task] of Object.entries(tasks)) {
       this.#supervisor.start(name, (signal) => task.run(signal));
     }
-    this.#supervisor.start("peers", (signal) => this.#peers.runSender(signal));
-    this.#supervisor.start(
-      "registry",
-      (signal) => this.#peers.runRegistry(signal),
-    );
+    const peers = this.#peers;
+    this.#supervisor.start("peers", (signal) => peers.runSender(signal));
+    this.#supervisor.start("registry", (signal) => peers.runRegistry(signal));
     log.info("host started", {
       domain: settings.domain,
       frontend: settings.frontend,
@@ -336,11 +340,10 @@
 
   /** Handles a change of the settings file; a running host keeps its settings. */
   reload(): void {
+    const configVersion = this.#config.table?.config.version;
     this.#options.log.info(
       "reload requested; a running host keeps its settings",
-      {
-        configVersion: this.#config.table?.config.version,
-      },
+      { configVersion },
     );
   }
 
@@ -385,13 +388,10 @@
       limits: this.#targetLimits,
       hostCount: () => this.#peers.hostCount,
       quarantine: this.#quarantine,
+      admission: this.#admission,
     });
   }
 
-  #engineOf(service: string): unknown {
-    return this.#config.table?.config.services.get(service)?.engine;
-  }
-
   #isFresh(): boolean {
     const { revokeMs } = this.#options.settings.bounds;
     return this.#feeds.config.ageMs < revokeMs - CONFIG_AGE_MARGIN_MS;
--- a/src/entry/host_gauges.ts
+++ b/src/entry/host_gauges.ts
@@ -8,6 +8,7 @@
 import type { BucketMetrics } from "../common/bucket_metrics.ts";
 import type { TargetLimits } from "../paths/target_limits.ts";
 import type { TargetTable } from "../paths/target_table.ts";
+import type { DemandExchange } from "./demand_exchange.ts";
 
 export interface GaugeSources {
   /** Requests in progress. */
@@ -22,6 +23,7 @@
   /** Live hosts, this one included. */
   readonly hostCount: () => number;
   readonly quarantine: ContentQuarantine;
+  readonly admission: DemandExchange;
 }
 
 export function registerGauges(
@@ -53,6 +55,14 @@
       () => quarantine.losses.quarantinedCount,
     ],
     ["jackdawshift_contents_held", () => quarantine.breaks.quarantinedCount],
+    [
+      "jackdawshift_services_restricted",
+      () => sources.admission.level.restricted().length,
+    ],
+    [
+      "jackdawshift_fleet_waiting_requests",
+      () => sources.admission.fleetWaiting(),
+    ],
     ["jackdawshift_resident_bytes", () => process.memoryUsage.rss()],
   ];
   for (const [name, read] of gauges) metrics.gauge(name, read);
--- a/src/entry/peer_exchange.ts
+++ b/src/entry/peer_exchange.ts
@@ -11,27 +11,19 @@
 import type { EraTracker } from "../feeds/era_tracker.ts";
 import type { TargetLimits } from "../paths/target_limits.ts";
 import type { TargetTable } from "../paths/target_table.ts";
+import type { ReceivedDemand } from "../peers/demand_codec.ts";
 import type { DomainDigest } from "../peers/domain_digest.ts";
 import { FleetView, isBefore, oldest } from "../peers/fleet_view.ts";
 import type { Peer, PeerLink } from "../peers/peer_link.ts";
-import type { PeerState, PeerUse } from "../peers/peer_state.ts";
+import type { PeerState } from "../peers/peer_state.ts";
 import type { IHostRegistry } from "../ports/services.ts";
 import type { HostRecord } from "../ports/types.ts";
+import type { DemandExchange } from "./demand_exchange.ts";
 import { DigestRelay, urgentPart } from "./digest_relay.ts";
 import type { QuarantineSync } from "./quarantine_sync.ts";
+import { sendIntervalMs } from "./send_interval.ts";
+import { applyPeerUses, ownUses } from "./target_loads.ts";
 
-/** Time between broadcasts, up to `SEND_SCALING_HOSTS` hosts. */
-const SEND_INTERVAL_MS = 250;
-/**
- * Above this count the interval grows with the number of hosts, which keeps the
- * traffic of a link constant.
- */
-const SEND_SCALING_HOSTS = 24;
-/**
- * Maximum time between broadcasts; a host from which none arrived for 1.5 s
- * counts as down.
- */
-const MAX_SEND_INTERVAL_MS = 600;
 /** Targets that become unresponsive within this time share a broadcast. */
 const BROADCAST_DELAY_MS = 20;
 /** Spreads the registrations of all hosts when the era of the store rises. */
@@ -85,6 +77,7 @@
   readonly cutOffServices: () => readonly string[];
   readonly slowTargets: () => (readonly [string, number])[];
   readonly quarantine: QuarantineSync;
+  readonly demand: DemandExchange;
   readonly eras: EraTracker;
   readonly random: () => number;
   /** Called when the load of the other hosts has been updated. */
@@ -146,6 +139,11 @@
     return this.#view.domainHostCount();
   }
 
+  /** Demand at the other hosts, as far as they send it. */
+  peerDemands(): ReceivedDemand[] {
+    return this.#view.demands();
+  }
+
   /** Ids of the other live hosts. */
   otherHostIds(): string[] {
     return this.#view.otherHostIds();
@@ -184,12 +182,7 @@
       this.#relay.send();
       this.#updatePeerUse();
       onPeerLoad();
-      const scale = this.hostCount / SEND_SCALING_HOSTS;
-      const pauseMs = Math.min(
-        MAX_SEND_INTERVAL_MS,
-        SEND_INTERVAL_MS * Math.max(1, scale),
-      );
-      await clock.sleep(pauseMs, signal);
+      await clock.sleep(sendIntervalMs(this.hostCount), signal);
     }
   }
 
@@ -295,17 +288,15 @@
   }
 
   #state(): PeerState {
-    const uses: PeerUse[] = [];
-    const unresponsive: string[] = [];
-    for (const target of this.#options.targets.all()) {
-      const { streams, tokenLayers } = target.ownLoad;
-      if (streams > 0) uses.push({ targetId: target.id, streams, tokenLayers });
-      if (target.noResponseSinceMs !== undefined) unresponsive.push(target.id);
-    }
+    const { targets } = this.#options;
+    const unresponsive = targets.all()
+      .filter(({ noResponseSinceMs }) => noResponseSinceMs !== undefined);
     return {
       sequenceNumber: ++this.#sequenceNumber,
-      uses,
-      unresponsiveTargets: this.#isIsolated() ? [] : unresponsive,
+      uses: ownUses(targets),
+      unresponsiveTargets: this.#isIsolated()
+        ? []
+        : unresponsive.map(({ id }) => id),
       slowTargets: this.isLeader() ? this.#options.slowTargets() : undefined,
       canLead: this.#options.canLead() && !this.#isIsolated(),
       isReader: this.#options.canRead(),
@@ -317,6 +308,7 @@
       era: this.#options.eras.current,
       isEraSettled: this.#options.eras.isSettled,
       wantsDigests: true,
+      demand: this.#options.demand.toShare(),
     };
   }
 
@@ -333,6 +325,7 @@
     if (state === undefined) return;
     const { limits } = this.#options;
     this.#applyFacts(state, host.id);
+    this.#options.demand.handleReceived(state, host.id);
     limits.merge(state.limits, host.id);
     for (const id of state.unresponsiveTargets) {
       this.#suspect(id, host.id, SUSPICION_TTL_MS);
@@ -344,6 +337,7 @@
     const { isNew, previous } = this.#view.receive(digest);
     if (!isNew) return;
     this.#applyFacts(digest, digest.relay.id);
+    this.#options.demand.handleReceived(digest, digest.relay.id);
     for (const { hostId, ...limit } of digest.limits) {
       if (hostId !== link.host.id) limits.merge([limit], hostId);
     }
@@ -386,13 +380,6 @@
   }
 
   #updatePeerUse(): void {
-    const uses = this.#view.peerUses();
-    for (const target of this.#options.targets.all()) {
-      const use = uses.get(target.id);
-      target.peerLoad = {
-        streams: use?.streams ?? 0,
-        tokenLayers: use?.tokenLayers ?? 0,
-      };
-    }
+    applyPeerUses(this.#options.targets, this.#view.peerUses());
   }
 }
--- a/src/entry/peer_exchange_test.ts
+++ b/src/entry/peer_exchange_test.ts
@@ -10,6 +10,7 @@
 import type { Peer, PeerLink, PeerUpdate } from "../peers/peer_link.ts";
 import type { PeerState } from "../peers/peer_state.ts";
 import type { HostRecord } from "../ports/types.ts";
+import { DemandExchange } from "./demand_exchange.ts";
 import { QuarantineSync } from "./quarantine_sync.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 
@@ -101,6 +102,12 @@
     link,
     registry,
     eras,
+    demand: new DemandExchange({
+      clock,
+      log: silentLog,
+      random: () => 0.5,
+      peers: () => ({ peerDemands: () => [], hostCount: 1 }),
+    }),
     random: () => 0.5,
     quarantine: new QuarantineSync({
       quarantine: new ContentQuarantine({ clock }),
--- a/src/entry/service_limits.ts
+++ b/src/entry/service_limits.ts
@@ -9,6 +9,7 @@
 import { WaitQueue } from "../admission/wait_queue.ts";
 import type { Clock } from "../common/clock.ts";
 import type { HostSettings } from "../ports/types.ts";
+import type { DemandExchange } from "./demand_exchange.ts";
 
 /** Requests of a service that may wait for a path; a stream uses about 100 KB. */
 const MAX_QUEUED_REQUESTS = 400;
@@ -24,6 +25,8 @@
   readonly settings: Pick<HostSettings, "bounds" | "isFirstStart">;
   /** Number of other hosts that are known, live or not. */
   readonly knownHosts: () => number;
+  /** Counts of requests for the other hosts, and which ranks may start. */
+  readonly admission?: Pick<DemandExchange, "demand" | "level">;
 }
 
 export class ServiceLimits {
--- a/src/paths/target.ts
+++ b/src/paths/target.ts
@@ -26,6 +26,8 @@
   streams: number;
   /** Memory reserved for requests, in tokens x layers. */
   tokenLayers: number;
+  /** Tokens x layers of prompts in progress; undefined if unknown. */
+  prefillTokenLayers?: number;
 }
 
 export interface TargetOptions {
--- a/src/peers/demand_codec.ts
+++ b/src/peers/demand_codec.ts
@@ -42,6 +42,12 @@
   readonly ageMs: number;
 }
 
+/** Demand of one other host or of a failure domain, as received. */
+export interface ReceivedDemand extends AgedDemand {
+  /** Whether demand at this host is part of it. */
+  readonly includesOwn: boolean;
+}
+
 /** Sums up demand of several sources, with at most `MAX_RANKS` ranks a service. */
 export function sumDemand(
   sources: Iterable<readonly ServiceDemand[]>,
--- a/src/peers/domain_digest.ts
+++ b/src/peers/domain_digest.ts
@@ -7,6 +7,13 @@
  */
 
 import type { HostRecord, LossEntry, SharedLimit } from "../ports/types.ts";
+import {
+  type AgedDemand,
+  decodeAgedDemand,
+  decodePrefill,
+  encodeAgedDemand,
+  encodePrefill,
+} from "./demand_codec.ts";
 import {
   decodeEra,
   decodeHost,
@@ -19,6 +26,8 @@
   isCount,
   isNumber,
   isSlowTarget,
+  type MalformedList,
+  malformedOf,
   type PeerUse,
 } from "./peer_state.ts";
 
@@ -72,6 +81,10 @@
   readonly limits: readonly HostLimit[];
   readonly era: number | undefined;
   readonly isEraSettled: boolean;
+  /** Demand at the hosts of the domain; undefined if the digest carries none. */
+  readonly demand?: AgedDemand;
+  /** Lists that were dropped when the digest was decoded. */
+  readonly malformedLists?: readonly MalformedList[];
 }
 
 function encodeDigest(digest: DomainDigest): unknown {
@@ -97,6 +110,8 @@
     b: digest.breaks.map(encodeLosses),
     t: digest.limits.map((limit) => [limit.hostId, ...encodeLimit(limit)]),
     e: encodeEra(digest),
+    f: digest.uses && encodePrefill(digest.uses),
+    v: digest.demand && encodeAgedDemand(digest.demand),
   };
 }
 
@@ -127,7 +142,7 @@
 
 function decodeDigest(value: unknown): DomainDigest | undefined {
   if (typeof value !== "object" || value === null) return undefined;
-  const { h, n, k, m, l, r, x, u, q, w, c, b, t, e } = value as Record<
+  const { h, n, k, m, l, r, x, u, q, w, c, b, t, e, f, v } = value as Record<
     string,
     unknown
   >;
@@ -136,7 +151,8 @@
   const lists = [m, x, u, q, w, c, b, t].filter((list) => list !== undefined);
   if (!lists.every(isShortList)) return undefined;
   const members = m === undefined ? undefined : hostsOf(m);
-  const uses = u === undefined ? undefined : decodeUses(u);
+  const uses = u === undefined ? undefined : decodeUses(u, f);
+  const demand = decodeAgedDemand(v);
   const isComplete = (m === undefined || members !== undefined) &&
     (u === undefined || uses !== undefined);
   if (!isComplete) return undefined;
@@ -157,6 +173,12 @@
     breaks: listOf(b).flatMap(decodeLosses),
     limits: listOf(t).flatMap(decodeHostLimit),
     ...decodeEra(e),
+    ...(demand === undefined ? {} : { demand }),
+    ...malformedOf({
+      demand: v !== undefined && demand === undefined,
+      prefill: f !== undefined && uses !== undefined &&
+        decodePrefill(f, uses.length) === undefined,
+    }),
   };
 }
 
@@ -182,8 +204,12 @@
 }
 
 /** Undefined unless all entries are valid, since a part would look like the whole. */
-function decodeUses(value: unknown): PeerUse[] | undefined {
+function decodeUses(
+  value: unknown,
+  prefillValue: unknown,
+): PeerUse[] | undefined {
   const fields = listOf(value);
+  const prefill = decodePrefill(prefillValue, fields.length / 3);
   const uses: PeerUse[] = [];
   for (let i = 0; i < fields.length; i += 3) {
     const [targetId, streams, tokenLayers] = fields.slice(i, i + 3);
@@ -191,7 +217,13 @@
       typeof targetId !== "string" || !isNumber(streams) ||
       !isNumber(tokenLayers)
     ) return undefined;
-    uses.push({ targetId, streams, tokenLayers });
+    const prefillTokenLayers = prefill?.[i / 3];
+    uses.push({
+      targetId,
+      streams,
+      tokenLayers,
+      ...(prefillTokenLayers === undefined ? {} : { prefillTokenLayers }),
+    });
   }
   return uses;
 }
--- a/src/peers/fleet_view.ts
+++ b/src/peers/fleet_view.ts
@@ -10,7 +10,9 @@
 import type { HostRecord } from "../ports/types.ts";
 import type { DomainDigest } from "./domain_digest.ts";
 import type { Peer, PeerLink } from "./peer_link.ts";
+import type { AgedDemand, ReceivedDemand } from "./demand_codec.ts";
 import type { PeerUse } from "./peer_state.ts";
+import { addUse } from "./use_sums.ts";
 
 /** Relays of a failure domain: its oldest live hosts. */
 const RELAYS_PER_DOMAIN = 2;
@@ -187,6 +189,29 @@
     return sums;
   }
 
+  /**
+   * Demand at the other hosts: of a domain known by its digest, one for the
+   * domain, else one for each host. Of hosts that send none, none.
+   */
+  demands(): ReceivedDemand[] {
+    const nowMs = this.#options.clock.nowMs();
+    const ownDomain = this.#options.link.host.domain;
+    return [...this.#domains()].flatMap(([domain, { direct, digest }]) => {
+      if (digest === undefined) {
+        return direct.flatMap(({ state, lastReceivedMs }) =>
+          state?.demand === undefined ? [] : [{
+            demand: state.demand,
+            ageMs: nowMs - lastReceivedMs,
+            includesOwn: false,
+          }]
+        );
+      }
+      const demand = agedDemand(digest, nowMs);
+      if (demand === undefined) return [];
+      return [{ ...demand, includesOwn: domain === ownDomain }];
+    });
+  }
+
   /** Records the load that this host told others; digests contain it. */
   recordSentUses(uses: readonly PeerUse[]): void {
     this.#sentUses = uses;
@@ -198,7 +223,8 @@
     return [...this.#domains()].flatMap(([domain, { digest }]) => {
       if (digest === undefined || domain === own) return [];
       const { members, uses } = digest;
-      return [{ ...digest.digest, members, uses }];
+      const demand = agedDemand(digest, this.#options.clock.nowMs());
+      return [{ ...digest.digest, members, uses, demand }];
     });
   }
 
@@ -332,6 +358,14 @@
   }
 }
 
+/** The demand of a digest with its age now. */
+function agedDemand(
+  { digest: { demand }, receivedMs }: ReceivedDigest,
+  nowMs: number,
+): AgedDemand | undefined {
+  return demand && { ...demand, ageMs: demand.ageMs + nowMs - receivedMs };
+}
+
 /** Whether a digest tells more than what is known of its relay. */
 function isNewer(
   { relay, sequenceNumber, uses }: DomainDigest,
@@ -358,16 +392,3 @@
   return [...hosts].sort((a, b) => isBefore(a, b) ? -1 : 1)
     .slice(0, RELAYS_PER_DOMAIN);
 }
-
-function addUse(
-  sums: Map<string, PeerUse>,
-  { targetId, streams, tokenLayers }: PeerUse,
-  sign: 1 | -1 = 1,
-): void {
-  const sum = sums.get(targetId);
-  sums.set(targetId, {
-    targetId,
-    streams: Math.max(0, (sum?.streams ?? 0) + sign * streams),
-    tokenLayers: Math.max(0, (sum?.tokenLayers ?? 0) + sign * tokenLayers),
-  });
-}
--- a/src/peers/peer_state.ts
+++ b/src/peers/peer_state.ts
@@ -5,6 +5,14 @@
  */
 
 import type { HostRecord, LossEntry, SharedLimit } from "../ports/types.ts";
+import {
+  decodeDemand,
+  decodePrefill,
+  encodeDemand,
+  encodePrefill,
+  MAX_HOST_REQUESTS,
+  type ServiceDemand,
+} from "./demand_codec.ts";
 
 /** A longer list is malformed. */
 const MAX_COMPANIONS = 16;
@@ -14,6 +22,11 @@
   readonly targetId: string;
   readonly streams: number;
   readonly tokenLayers: number;
+  /**
+   * Tokens x layers of prompts in progress; undefined if only hosts of earlier
+   * versions use the target.
+   */
+  readonly prefillTokenLayers?: number;
 }
 
 /** State that a host broadcasts. */
@@ -53,8 +66,14 @@
   readonly isEraSettled: boolean;
   /** The receiver is to send the digests of all failure domains. */
   readonly wantsDigests: boolean;
+  /** Demand at the host; undefined if it is of an earlier version. */
+  readonly demand?: readonly ServiceDemand[];
+  /** Lists that were dropped when the state was decoded. */
+  readonly malformedLists?: readonly MalformedList[];
 }
 
+export type MalformedList = "demand" | "prefill";
+
 /** A state with the host that sent it. */
 export interface ReceivedState {
   readonly host: HostRecord;
@@ -79,6 +98,8 @@
     m: state.limits.map(encodeLimit),
     e: encodeEra(state),
     d: state.wantsDigests ? 1 : 0,
+    f: encodePrefill(state.uses),
+    v: state.demand && encodeDemand(state.demand, MAX_HOST_REQUESTS),
   }));
 }
 
@@ -86,17 +107,19 @@
 export function decodePeerState(
   fields: Readonly<Record<string, unknown>>,
 ): ReceivedState | undefined {
-  const { h, n, u, q, w, l, r, a, x, c, b, m, e, d } = fields;
+  const { h, n, u, q, w, l, r, a, x, c, b, m, e, d, f, v } = fields;
   const host = decodeHost(h);
   if (host === undefined || !Array.isArray(u) || !Array.isArray(q)) {
     return undefined;
   }
   if (!isNumber(n)) return undefined;
+  const prefill = decodePrefill(f, u.length);
+  const demand = decodeDemand(v, MAX_HOST_REQUESTS);
   return {
     host,
     state: {
       sequenceNumber: n,
-      uses: u.flatMap(decodeUse),
+      uses: u.flatMap((use, index) => decodeUse(use, prefill?.[index])),
       unresponsiveTargets: q.filter((target) => typeof target === "string"),
       slowTargets: Array.isArray(w) ? w.filter(isSlowTarget) : undefined,
       canLead: l === 1,
@@ -111,6 +134,11 @@
       limits: Array.isArray(m) ? m.flatMap(decodeLimit) : [],
       ...decodeEra(e),
       wantsDigests: d === 1,
+      ...(demand === undefined ? {} : { demand }),
+      ...malformedOf({
+        demand: v !== undefined && demand === undefined,
+        prefill: f !== undefined && prefill === undefined,
+      }),
     },
   };
 }
@@ -129,13 +157,30 @@
   return { id, domain, ip, port, bornMs };
 }
 
-function decodeUse(value: unknown): PeerUse[] {
+/** The member `malformedLists` if there are any. */
+export function malformedOf(
+  lists: Readonly<Record<MalformedList, boolean>>,
+): { readonly malformedLists?: readonly MalformedList[] } {
+  const malformedLists = (["demand", "prefill"] as const)
+    .filter((list) => lists[list]);
+  return malformedLists.length === 0 ? {} : { malformedLists };
+}
+
+function decodeUse(
+  value: unknown,
+  prefillTokenLayers: number | undefined,
+): PeerUse[] {
   if (!Array.isArray(value)) return [];
   const [targetId, streams, tokenLayers] = value;
   if (
     typeof targetId !== "string" || !isNumber(streams) || !isNumber(tokenLayers)
   ) return [];
-  return [{ targetId, streams, tokenLayers }];
+  return [{
+    targetId,
+    streams,
+    tokenLayers,
+    ...(prefillTokenLayers === undefined ? {} : { prefillTokenLayers }),
+  }];
 }
 
 export function encodeLosses(entry: LossEntry): unknown[] {
--- a/test/peer_fleet.ts
+++ b/test/peer_fleet.ts
@@ -8,7 +8,7 @@
 import type { Socket } from "node:dgram";
 import { ManualClock } from "./manual_clock.ts";
 import { ContentQuarantine } from "../src/admission/content_quarantine.ts";
-import { silentLog } from "../src/common/logging.ts";
+import { type ILog, silentLog } from "../src/common/logging.ts";
 import { seededRandom } from "../src/common/random.ts";
 import { EraTracker } from "../src/feeds/era_tracker.ts";
 import { TargetLimits } from "../src/paths/target_limits.ts";
@@ -16,6 +16,7 @@
 import { PeerLink } from "../src/peers/peer_link.ts";
 import type { HostRecord } from "../src/ports/types.ts";
 import { PeerExchange } from "../src/entry/peer_exchange.ts";
+import { DemandExchange } from "../src/entry/demand_exchange.ts";
 import { QuarantineSync } from "../src/entry/quarantine_sync.ts";
 
 /** Failure domains among which hosts and targets are spread. */
@@ -31,6 +32,7 @@
   readonly targets: TargetTable;
   readonly quarantine: ContentQuarantine;
   readonly limits: TargetLimits;
+  readonly demand: DemandExchange;
   readonly stop: AbortController;
   isDown: boolean;
   sent: { messages: number; bytes: number };
@@ -46,6 +48,8 @@
   readonly stopping = new Set<string>();
   readonly hosts: FleetHost[] = [];
   readonly #random = seededRandom(2026);
+  /** Of the exchange of demand. */
+  log: ILog = silentLog;
   lossShare = 0;
   isCut: (from: HostRecord, to: HostRecord) => boolean = () => false;
   readonly #handlers = new Map<number, Handler>();
@@ -132,7 +136,14 @@
       hostId: record.id,
       otherHosts: () => exchange.otherHostIds(),
     });
+    const demand: DemandExchange = new DemandExchange({
+      clock,
+      log: this.log,
+      random: seededRandom(index),
+      peers: () => exchange,
+    });
     const exchange: PeerExchange = new PeerExchange({
+      demand,
       link,
       registry,
       clock,
@@ -162,6 +173,7 @@
       targets,
       quarantine,
       limits,
+      demand,
       stop: new AbortController(),
       isDown: false,
       sent: { messages: 0, bytes: 0 },
