--- a/src/admission/admission_level.ts
+++ b/src/admission/admission_level.ts
@@ -19,13 +19,13 @@
 
 export type { ServiceLevel };
 
-/** A computed level is used for this long, unless newer sums arrive. */
+/** A computed level is used for this long. */
 const LEVEL_TTL_MS = 50;
 /**
  * Requests that start within this time of their arrival do not count as
  * waiting: by Little's law, the number that waits is the rate times the wait.
  */
-const TOLERATED_WAIT_S = 0.1;
+const TOLERATED_WAIT_S = 0.2;
 /** The same once the level is in force, so that it does not alternate. */
 const RELEASE_WAIT_S = 0.02;
 /**
@@ -37,7 +37,7 @@
  * Factor on the capacity, for each exchange interval in which the ranks that
  * may start do not wait: there is capacity that the level does not use.
  */
-const RAISE_FACTOR = 1.25;
+const RAISE_FACTOR = 1.5;
 /** Bound of the product of these factors. */
 const MAX_RAISE = 16;
 
@@ -102,11 +102,6 @@
     );
   }
 
-  /** Lets the level be computed anew, as newer sums have arrived. */
-  invalidate(): void {
-    for (const state of this.#services.values()) state.computedMs = -Infinity;
-  }
-
   #recordOffered({ service, rank }: RankedRequest): void {
     const { level, credits, lastRank } = this.#stateOf(service);
     if (Math.min(rank, lastRank) === level.rank) credits.addShare(level.share);
--- a/src/entry/demand_exchange.ts
+++ b/src/entry/demand_exchange.ts
@@ -21,10 +21,15 @@
 
 /** Older demand of other hosts is ignored. */
 const MAX_AGE_MS = 2_000;
-/** Sums are made once in this time at most, unless newer demand arrives. */
+/**
+ * Sums are made once in this time at most: a relay receives a state every few
+ * milliseconds.
+ */
 const SUM_TTL_MS = 50;
 /** Sources whose malformed lists were logged; then no more are. */
 const MAX_LOGGED = 500;
+/** Least time between two changes of levels that are passed on at once. */
+const CHANGE_INTERVAL_MS = 500;
 /** A level that returns within this time is logged as one. */
 const LEVEL_LOG_MS = 5_000;
 
@@ -47,6 +52,9 @@
   /** Which ranks may start at this host. */
   readonly level: AdmissionLevel;
   readonly #logged = new Set<string>();
+  /** Services with a level in force at the last change that was passed on. */
+  #restricted = "";
+  #changedMs = -Infinity;
   /** When a level was last in force, by service; until its end is logged. */
   readonly #restrictedMs = new Map<string, number>();
   /** What this host sent last; digests of its domain contain it. */
@@ -80,15 +88,17 @@
     return ranks.reduce((sum, { waiting }) => sum + waiting, 0);
   }
 
-  /** Called after a state or digest of another host has been taken in. */
+  /**
+   * Called after a state or digest of another host has been taken in. Returns
+   * whether levels have come into force or ended, which a relay passes on
+   * before its next digest.
+   */
   handleReceived(
     { malformedLists = [] }: {
       readonly malformedLists?: readonly MalformedList[];
     },
     source: string,
-  ): void {
-    this.#summedMs = -Infinity;
-    this.level.invalidate();
+  ): boolean {
     for (const list of malformedLists) {
       const key = `${list} ${source}`;
       if (this.#logged.has(key) || this.#logged.size >= MAX_LOGGED) continue;
@@ -98,6 +108,13 @@
         source,
       });
     }
+    const nowMs = this.#options.clock.nowMs();
+    if (nowMs - this.#changedMs < CHANGE_INTERVAL_MS) return false;
+    const restricted = this.level.restricted().join();
+    if (restricted === this.#restricted) return false;
+    this.#restricted = restricted;
+    this.#changedMs = nowMs;
+    return true;
   }
 
   #logLevels(): void {
--- a/src/entry/peer_exchange.ts
+++ b/src/entry/peer_exchange.ts
@@ -325,7 +325,7 @@
     if (state === undefined) return;
     const { limits } = this.#options;
     this.#applyFacts(state, host.id);
-    this.#options.demand.handleReceived(state, host.id);
+    this.#handleDemand(state, host.id);
     limits.merge(state.limits, host.id);
     for (const id of state.unresponsiveTargets) {
       this.#suspect(id, host.id, SUSPICION_TTL_MS);
@@ -337,7 +337,7 @@
     const { isNew, previous } = this.#view.receive(digest);
     if (!isNew) return;
     this.#applyFacts(digest, digest.relay.id);
-    this.#options.demand.handleReceived(digest, digest.relay.id);
+    this.#handleDemand(digest, digest.relay.id);
     for (const { hostId, ...limit } of digest.limits) {
       if (hostId !== link.host.id) limits.merge([limit], hostId);
     }
@@ -352,6 +352,11 @@
     if (isUrgent) this.#relay.scheduleUrgent();
   }
 
+  #handleDemand(facts: PeerState | DomainDigest, source: string): void {
+    const isChanged = this.#options.demand.handleReceived(facts, source);
+    if (isChanged) this.#relay.scheduleUrgent();
+  }
+
   /** Applies what states and digests tell alike. */
   #applyFacts(
     facts: Pick<
--- a/src/peers/fleet_view.ts
+++ b/src/peers/fleet_view.ts
@@ -31,6 +31,11 @@
  */
 const DISCOVERY_HOSTS = 3;
 const DISCOVERY_MS = 800;
+/**
+ * The demand of a host leaves the sums when its last state is older, shortly
+ * before the host counts as down, as sums are not made all the time.
+ */
+const MAX_DEMAND_AGE_MS = 1_400;
 /** How long the grouping of hosts by domain is used for further queries. */
 const GROUPING_TTL_MS = 20;
 
@@ -198,13 +203,12 @@
     const ownDomain = this.#options.link.host.domain;
     return [...this.#domains()].flatMap(([domain, { direct, digest }]) => {
       if (digest === undefined) {
-        return direct.flatMap(({ state, lastReceivedMs }) =>
-          state?.demand === undefined ? [] : [{
-            demand: state.demand,
-            ageMs: nowMs - lastReceivedMs,
-            includesOwn: false,
-          }]
-        );
+        return direct.flatMap(({ state, lastReceivedMs }) => {
+          const { demand } = state ?? {};
+          const ageMs = nowMs - lastReceivedMs;
+          if (demand === undefined || ageMs > MAX_DEMAND_AGE_MS) return [];
+          return [{ demand, ageMs, includesOwn: false }];
+        });
       }
       const demand = agedDemand(digest, nowMs);
       if (demand === undefined) return [];
--- a/test/peer_fleet.ts
+++ b/test/peer_fleet.ts
@@ -52,6 +52,8 @@
   log: ILog = silentLog;
   lossShare = 0;
   isCut: (from: HostRecord, to: HostRecord) => boolean = () => false;
+  /** Further latency of what a host sends. */
+  delayMs: (from: HostRecord) => number = () => 0;
   readonly #handlers = new Map<number, Handler>();
 
   readonly #targetCount: number;
@@ -202,7 +204,7 @@
     if (sender.isDown) return;
     sender.sent.messages++;
     sender.sent.bytes += message.length;
-    await this.clock.sleep(LATENCY_MS);
+    await this.clock.sleep(LATENCY_MS + this.delayMs(sender.record));
     const isLost = this.#random() < this.lossShare ||
       this.isCut(sender.record, receiver.record);
     if (isLost || receiver.isDown) return;
