--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -34,6 +34,7 @@
 } from "../ports/services.ts";
 import type { Endpoint, HostSettings } from "../ports/types.ts";
 import { ConfigTracker } from "./config_tracker.ts";
+import { DemandExchange } from "./demand_exchange.ts";
 import { drainHost } from "./host_drain.ts";
 import { registerGauges } from "./host_gauges.ts";
 import { reportEraChanges } from "./era_report.ts";
@@ -45,6 +46,7 @@
 import { ServiceLimits } from "./service_limits.ts";
 import { StoreFeeds } from "./store_feeds.ts";
 import { QuarantineSync } from "./quarantine_sync.ts";
+import { createTargetAgent } from "./target_agent.ts";
 import { TargetFeed } from "./target_feed.ts";
 
 /** Keys are rejected this long before the configuration's age reaches the limit. */
@@ -90,6 +92,7 @@
   readonly #hostAgent = new KeepAliveAgent();
   readonly #core: RequestHandler;
   readonly #limits: ServiceLimits;
+  readonly #admission: DemandExchange;
   readonly #listeners: HostListeners;
   #isStopping = false;
   #stopped: Promise<void> | undefined;
@@ -143,9 +146,17 @@
     this.#config = new ConfigTracker({ decoder, log });
     const host = hostRecord(settings, clock);
     this.#link = new PeerLink({ host, clock, log });
+    this.#admission = new DemandExchange({
+      clock,
+      log,
+      random: this.#random,
+      peers: () => this.#peers,
+    });
     this.#limits = new ServiceLimits({
       clock,
       settings,
+      random: this.#random,
+      admission: (service) => this.#admission.of(service),
       knownHosts: () => this.#link.knownCount,
     });
     const { hostId } = settings;
@@ -182,6 +193,7 @@
     });
     this.#peers = new PeerExchange({
       quarantine: this.#quarantineSync,
+      demand: this.#admission,
       eras: this.#eras,
       random: this.#random,
       link: this.#link,
@@ -212,13 +224,7 @@
       clock,
       onTick: () => this.#limits.tick(),
     });
-    this.#agent = new KeepAliveAgent({
-      onUnsolicitedData: (address, sizeBytes) =>
-        log.warn("unexpected bytes on idle connection to target", {
-          address,
-          sizeBytes,
-        }),
-    });
+    this.#agent = createTargetAgent(log);
     this.#core = new RequestHandler({
       context: createCallContext({
         settings,
@@ -292,11 +298,9 @@
     for (const [name, task] of Object.entries(tasks)) {
       this.#supervisor.start(name, (signal) => task.run(signal));
     }
-    this.#supervisor.start("peers", (signal) => this.#peers.runSender(signal));
-    this.#supervisor.start(
-      "registry",
-      (signal) => this.#peers.runRegistry(signal),
-    );
+    const peers = this.#peers;
+    this.#supervisor.start("peers", (signal) => peers.runSender(signal));
+    this.#supervisor.start("registry", (signal) => peers.runRegistry(signal));
     log.info("host started", {
       domain: settings.domain,
       frontend: settings.frontend,
@@ -350,9 +354,10 @@
 
   /** Handles a change of the settings file; a running host keeps its settings. */
   reload(): void {
+    const configVersion = this.#config.table?.config.version;
     this.#options.log.info(
       "reload requested; a running host keeps its settings",
-      { configVersion: this.#config.table?.config.version },
+      { configVersion },
     );
   }
 
@@ -397,6 +402,7 @@
       limits: this.#targetLimits,
       hostCount: () => this.#peers.hostCount,
       quarantine: this.#quarantine,
+      admission: this.#admission,
     });
   }
 
