Choose paths by the estimated time to the first event

Cause: hosts selected targets with noise on the costs that grows with the fleet, and counted the prefill of one prompt once for each host, so speed and load of a target had almost no influence. Nothing estimated the time to the first event.

Prefill work counts at the targets of a path until its first event or release, and is taken from the other hosts as peerLoad.prefillTokenLayers. Where it is known, the search costs targets by the estimate; choices are spread by counting own work for that of others unseen and, above 12 hosts, by drawing half of the candidates and by the mean of the reports. Without reports, and for repaths, the choice is as before. The error is exported as jackdawshift_first_event_error_ms. The simulation got old load information, prefill reports, 79 and 200 hosts and more baselines.

Requests that wait up to 1.2 s for memory start too late for their goal.

--- a/measure/placed/day.ts
+++ b/measure/placed/day.ts
@@ -9,6 +9,7 @@
 import { WaitQueue } from "../../src/admission/wait_queue.ts";
 import { silentLog } from "../../src/common/logging.ts";
 import { type Random, seededRandom } from "../../src/common/random.ts";
+import { choiceSpread } from "../../src/paths/choice_spread.ts";
 import {
   PathChooser,
   type PathDemand,
@@ -18,10 +19,13 @@
 import { EventQueue } from "../chains/fakes.ts";
 import { summarize } from "./outcome.ts";
 import { PlacedTargets } from "./placed_targets.ts";
+import { LoadExchange } from "./load_exchange.ts";
 import { BaselinePaths } from "./baseline_paths.ts";
+import type { PathStage } from "../../src/ports/types.ts";
 import { drawInterarrivalMs, drawRequest } from "./request_source.ts";
 import { kindOf } from "../../test/reference_site.ts";
 import type {
+  LoadInfo,
   RunningStream,
   SimulatedHost,
   SimulatedRequest,
@@ -30,8 +34,13 @@
 } from "./types.ts";
 
 const SERVICE = "model";
-/** Interval at which hosts exchange their target loads. */
-const LOAD_EXCHANGE_MS = 250;
+/** Load information in fleets of up to 12 hosts. */
+export const SMALL_FLEET_INFO: LoadInfo = {
+  intervalMs: 250,
+  minDelayMs: 0,
+  maxDelayMs: 0,
+  hasPrefillReports: true,
+};
 const DISPATCH_INTERVAL_MS = 25;
 /** Longest time that a request waits in a queue for capacity. */
 const MAX_WAIT_MS = 1_200;
@@ -60,6 +69,7 @@
   readonly #baselinePaths: BaselinePaths;
   readonly #requests: SimulatedRequest[] = [];
   readonly #streams = new Set<RunningStream>();
+  readonly #sendsByFirst = new Map<string, number>();
 
   constructor(options: SimulationOptions) {
     this.#options = options;
@@ -104,7 +114,14 @@
   run(): SimulationOutcome {
     const { durationMs, load } = this.#options;
     this.#scheduleArrival();
-    this.#repeatEvery(LOAD_EXCHANGE_MS, () => this.#exchangeLoad());
+    const info = this.#options.loadInfo ?? SMALL_FLEET_INFO;
+    const exchange = new LoadExchange({
+      events: this.#events,
+      hosts: this.#hosts,
+      info,
+      random: this.#random,
+    });
+    this.#repeatEvery(info.intervalMs, () => exchange.exchange());
     this.#repeatEvery(
       DISPATCH_INTERVAL_MS,
       () => this.#hosts.forEach(({ queue }) => queue.dispatch()),
@@ -114,7 +131,10 @@
       this.#events.after(atMs, () => this.#failTargets(ids));
     }
     this.#events.runUntil(durationMs + 30_000);
-    return summarize(this.#requests, durationMs);
+    return summarize(this.#requests, {
+      durationMs,
+      sendsByFirst: this.#sendsByFirst,
+    });
   }
 
   #makeHost(domain: string): SimulatedHost {
@@ -126,6 +146,7 @@
       domain,
       hosts: () => this.#options.hosts,
       random: this.#random,
+      spread: (hosts) => ({ ...choiceSpread(hosts), ...this.#options.spread }),
     });
     return {
       targetTable,
@@ -144,22 +165,6 @@
     runAndReschedule();
   }
 
-  /** Sets the peer load of every target at every host. */
-  #exchangeLoad(): void {
-    for (const host of this.#hosts) {
-      for (const target of host.targetTable.all()) {
-        const sum = { streams: 0, tokenLayers: 0 };
-        for (const { targetTable } of this.#hosts) {
-          if (targetTable === host.targetTable) continue;
-          const ownLoad = targetTable.get(target.id)?.ownLoad;
-          sum.streams += ownLoad?.streams ?? 0;
-          sum.tokenLayers += ownLoad?.tokenLayers ?? 0;
-        }
-        target.peerLoad = sum;
-      }
-    }
-  }
-
   #scheduleArrival(): void {
     const { load, durationMs } = this.#options;
     const nowMs = this.#events.nowMs();
@@ -186,7 +191,8 @@
     }
     host.queue.add({
       rank: queueWay === "ranked" ? request.rank : 0,
-      untilMs: this.#events.nowMs() + MAX_WAIT_MS,
+      untilMs: this.#events.nowMs() +
+        (this.#options.maxWaitMs ?? MAX_WAIT_MS),
       tryStart,
       refuse: reject,
     });
@@ -219,8 +225,18 @@
       isFinished: false,
     };
     this.#streams.add(stream);
+    const firstId = path.stages[0].targetId;
+    this.#sendsByFirst.set(firstId, (this.#sendsByFirst.get(firstId) ?? 0) + 1);
+    const sentMs = this.#events.nowMs();
     this.#targets.prefill(path.stages, request.promptTokens, [], () => {
       const eventMs = this.#targets.tokenMs(stream.stages) * TOKENS_PER_EVENT;
+      this.#events.after(eventMs, () => path.recordFirstEvent());
+      if (path.firstEventMs > 0) {
+        request.estimate = {
+          estimatedMs: path.firstEventMs,
+          observedMs: this.#events.nowMs() + eventMs - sentMs,
+        };
+      }
       request.firstEventMs = this.#events.nowMs() + eventMs - request.startMs;
       if (request.firstEventMs > FIRST_EVENT_GOAL_MS) stream.isLate = true;
       const leftTokens = request.answerTokens - TOKENS_PER_EVENT;
@@ -236,6 +252,7 @@
     return this.#findPath(host, {
       tokens: request.promptTokens +
         RESERVED_ANSWER_SHARE * request.expectedTokens,
+      promptTokens: request.promptTokens,
       excluded: request.rejectedBy,
     });
   }
@@ -251,7 +268,7 @@
     const { figures, pathPolicy: pathWay } = this.#options;
     if (pathWay !== "cost") {
       const stages = this.#baselinePaths.next(host.targetTable);
-      return stages && { stages, msPerToken: 0, release: () => {} };
+      return stages && reserveCopy(host, stages);
     }
     return host.chooser.choose({ service: SERVICE, figures, ...demand });
   }
@@ -320,8 +337,30 @@
     stream.release = next.release;
     const startMs = this.#events.nowMs() - DETECTION_DELAY_MS;
     this.#targets.prefill(next.stages, tokens, current ?? [], () => {
+      next.recordFirstEvent();
       const gapMs = this.#events.nowMs() - startMs;
       if (gapMs > EVENT_GAP_GOAL_MS) stream.isLate = true;
     });
   }
 }
+
+/** Counts the streams of a copy, which some baselines select by. */
+function reserveCopy(
+  { targetTable }: SimulatedHost,
+  stages: readonly PathStage[],
+): ReservedPath {
+  const count = (change: 1 | -1): void => {
+    for (const { targetId } of stages) {
+      const target = targetTable.get(targetId);
+      if (target !== undefined) target.ownLoad.streams += change;
+    }
+  };
+  count(1);
+  return {
+    stages,
+    firstEventMs: 0,
+    msPerToken: 0,
+    recordFirstEvent: () => undefined,
+    release: () => count(-1),
+  };
+}
--- a/measure/placed/outcome.ts
+++ b/measure/placed/outcome.ts
@@ -13,7 +13,11 @@
 
 export function summarize(
   requests: readonly SimulatedRequest[],
-  durationMs: number,
+  { durationMs, sendsByFirst }: {
+    readonly durationMs: number;
+    /** Sends by their first target. */
+    readonly sendsByFirst: ReadonlyMap<string, number>;
+  },
 ): SimulationOutcome {
   const shareOf = (end: SimulatedRequest["end"]) =>
     requests.filter((request) => request.end === end).length / requests.length;
@@ -39,10 +43,26 @@
     worstWindow: Math.min(...windows),
     firstP50Ms: quantileOf(firstEventsMs, 0.5),
     firstP95Ms: quantileOf(firstEventsMs, 0.95),
+    estimateErrorP50: quantileOf(
+      requests.flatMap(({ estimate }) =>
+        estimate === undefined
+          ? []
+          : Math.abs(estimate.estimatedMs - estimate.observedMs) /
+            estimate.observedMs
+      ),
+      0.5,
+    ),
+    busiestFirst: busiestOf([...sendsByFirst.values()]),
     windows,
   };
 }
 
+/** The largest count relative to the mean. */
+function busiestOf(counts: readonly number[]): number {
+  const sum = counts.reduce((a, b) => a + b, 0);
+  return sum === 0 ? 0 : Math.max(...counts) * counts.length / sum;
+}
+
 function worstShareOf(
   requests: readonly SimulatedRequest[],
   groupOf: (request: SimulatedRequest) => string,
--- a/measure/placed/request_source.ts
+++ b/measure/placed/request_source.ts
@@ -47,5 +47,6 @@
     expectedTokens,
     end: undefined,
     firstEventMs: undefined,
+    estimate: undefined,
   };
 }
--- a/measure/placed/types.ts
+++ b/measure/placed/types.ts
@@ -5,6 +5,7 @@
  */
 
 import type { WaitQueue } from "../../src/admission/wait_queue.ts";
+import type { ChoiceSpread } from "../../src/paths/choice_spread.ts";
 import type { PathChooser } from "../../src/paths/path_chooser.ts";
 import type { TargetTable } from "../../src/paths/target_table.ts";
 import type { PlannedOrder, PlanTarget } from "../../src/placement/types.ts";
@@ -20,7 +21,23 @@
 export type QueuePolicy = "ranked" | "first-come" | "none";
 
 /** How hosts select paths; all but `cost` are baselines. */
-export type PathPolicy = "cost" | "round-robin" | "random";
+export type PathPolicy =
+  | "cost"
+  | "round-robin"
+  | "random"
+  | "least-loaded"
+  | "two-choices"
+  | "by-speed";
+
+/** What hosts know of each other's load, and how old it is. */
+export interface LoadInfo {
+  readonly intervalMs: number;
+  /** Each host's view is delayed by a fixed time between these. */
+  readonly minDelayMs: number;
+  readonly maxDelayMs: number;
+  /** Whether hosts report the prefill work that they have in progress. */
+  readonly hasPrefillReports: boolean;
+}
 
 export interface LoadProfile {
   readonly name: string;
@@ -45,6 +62,12 @@
   readonly load: LoadProfile;
   readonly hosts: number;
   readonly durationMs: number;
+  /** By default that of a small fleet: every 250 ms, without delay. */
+  readonly loadInfo?: LoadInfo;
+  /** Replaces parts of the product's way to spread choices. */
+  readonly spread?: Partial<ChoiceSpread>;
+  /** Longest time that a request waits for capacity; by default the product's. */
+  readonly maxWaitMs?: number;
 }
 
 export interface SimulatedRequest {
@@ -61,6 +84,8 @@
   readonly expectedTokens: number;
   end: "in-time" | "late" | "refused" | undefined;
   firstEventMs: number | undefined;
+  /** Estimated and observed time from the send to the first event. */
+  estimate: { estimatedMs: number; observedMs: number } | undefined;
 }
 
 /** Shares of all requests, and times to the first event. */
@@ -75,6 +100,10 @@
   readonly worstWindow: number;
   readonly firstP50Ms: number;
   readonly firstP95Ms: number;
+  /** Median of the estimate's error relative to the observed time. */
+  readonly estimateErrorP50: number;
+  /** Requests of the busiest first target relative to the mean of all used ones. */
+  readonly busiestFirst: number;
   /** Share in time of each 2 s window, in order. */
   readonly windows: readonly number[];
 }
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -20,6 +20,7 @@
 import { delegateStream } from "./delegated_stream.ts";
 import type { Exchange } from "./exchange.ts";
 import { waitForPath } from "./path_wait.ts";
+import { recordFirstEvent } from "./first_event.ts";
 import { checkHead } from "./response.ts";
 import { SendHistory } from "./send_history.ts";
 import { type SendResult, toSendResult } from "./send_result.ts";
@@ -157,6 +158,9 @@
       service: this.#plan.service.name,
       figures: this.#profile,
       tokens: this.#tokens,
+      promptTokens: this.#history.sends === 0
+        ? this.#exchange.metadata.promptTokens
+        : undefined,
       excluded: this.#history.excluded,
       allowedFirstTargets: this.#history.allowedReceivers,
     };
@@ -263,6 +267,7 @@
       content: this.#plan.contentId,
       send: this.#history.sends,
       path: describePath(path.stages),
+      firstEventMs: Math.round(path.firstEventMs),
       msPerToken: Math.round(path.msPerToken * 100) / 100,
       tokens: Math.round(this.#tokens),
       lastEventId: this.#response.lastEventId,
@@ -321,6 +326,7 @@
     const result = await relay.run(outcome, {
       lastEventId: response.lastEventId,
       onEvents: (bytes, lastId) => {
+        recordFirstEvent(this.#path, this.#context.metrics);
         if (lastId !== undefined) this.#losses.recordProgress(lastId);
         return response.forwardEvents(answer, bytes, lastId);
       },
--- a/src/paths/path_chooser.ts
+++ b/src/paths/path_chooser.ts
@@ -8,6 +8,17 @@
 
 import type { Clock } from "../common/clock.ts";
 import type { EngineProfile, PathStage, Span } from "../ports/types.ts";
+import {
+  AMORTIZATION_TOKENS,
+  estimatedCosts,
+  expectedCosts,
+  type TargetCosts,
+} from "./candidate_costs.ts";
+import {
+  type ChoiceSpread,
+  choiceSpread,
+  EXPECTED_WORK,
+} from "./choice_spread.ts";
 import { DomainLinks, tokenTransferMs } from "./domain_links.ts";
 import {
   findPath,
@@ -15,22 +26,20 @@
   type PathCandidate,
   type PathSearch,
 } from "./path_finder.ts";
+import { type ReservedPath, reservePath } from "./path_reservation.ts";
 import type { Target } from "./target.ts";
-import {
-  expectedLayerMs,
-  freeTokenLayers,
-  prefillLayerMs,
-} from "./target_cost.ts";
+import { freeTokenLayers, prefillLayerMs } from "./target_cost.ts";
 import type { TargetLimits } from "./target_limits.ts";
 import type { TargetTable } from "./target_table.ts";
+import {
+  layersToPrefill,
+  pathTimes,
+  runsLayer,
+  type TimedRequest,
+} from "./target_times.ts";
+
+export type { ReservedPath } from "./path_reservation.ts";
 
-/**
- * Relative random noise on costs, so that hosts don't all choose the same path
- * at once. Above `COST_NOISE_BASE_HOSTS` it grows with the number of hosts,
- * since their knowledge of each other then covers less of the load.
- */
-const COST_NOISE_SHARE = 1;
-const COST_NOISE_BASE_HOSTS = 9;
 /** Time per token for a hop between failure domains, without the link's own load. */
 const CROSS_DOMAIN_DELAY_MS = 2;
 /**
@@ -40,9 +49,6 @@
 const MAX_LINK_WAIT_MS = 1_000;
 /** Failure domains of which the best path is taken. */
 const MAX_COMPARED_DOMAINS = 3;
-/** Tokens over which a one-time delay is amortized, about half an answer. */
-const AMORTIZATION_TOKENS = 100;
-
 export interface PathChooserOptions {
   readonly targetTable: TargetTable;
   readonly clock: Clock;
@@ -50,6 +56,8 @@
   /** Number of hosts that choose paths, including this one. */
   readonly hosts?: () => number;
   readonly random?: () => number;
+  /** How the choices of hosts are spread; other values are for experiments. */
+  readonly spread?: (hosts: number) => ChoiceSpread;
   /** Limits that targets name for their requests; none by default. */
   readonly limits?: Pick<
     TargetLimits,
@@ -63,6 +71,8 @@
   readonly figures: EngineProfile;
   /** Estimated number of prompt and answer tokens. */
   readonly tokens: number;
+  /** Tokens to prefill; by default all. */
+  readonly promptTokens?: number;
   /** Targets that may run the first stage; undefined for any. */
   readonly allowedFirstTargets?: ReadonlySet<string>;
   readonly excluded?: ReadonlySet<string>;
@@ -70,6 +80,16 @@
   readonly current?: readonly PathStage[];
 }
 
+/** Costs where only the existence of a path matters. */
+const EQUAL_COSTS: TargetCosts = { msPerLayer: 1, entryMs: 0 };
+
+/** A demand with what its choice depends on. */
+interface Choice {
+  readonly demand: PathDemand;
+  readonly timed: TimedRequest;
+  readonly search: Omit<PathSearch, "candidates">;
+}
+
 /** Why a target takes no new request. */
 export type Exclusion =
   | "not-ready"
@@ -79,22 +99,21 @@
   | "paused"
   | "full";
 
-/** A path with its memory reserved until `release` is called. */
-export interface ReservedPath extends FoundPath {
-  release(): void;
-}
-
 export class PathChooser {
   readonly #targetTable: TargetTable;
   readonly #domain: string;
   readonly #hosts: () => number;
   readonly #links: DomainLinks;
   readonly #random: () => number;
+  readonly #clock: Clock;
+  readonly #spread: (hosts: number) => ChoiceSpread;
   readonly #limits: PathChooserOptions["limits"];
 
   constructor(options: PathChooserOptions) {
     this.#hosts = options.hosts ?? (() => 1);
     this.#links = new DomainLinks({ clock: options.clock, hosts: this.#hosts });
+    this.#clock = options.clock;
+    this.#spread = options.spread ?? choiceSpread;
     this.#targetTable = options.targetTable;
     this.#domain = options.domain;
     this.#random = options.random ?? Math.random;
@@ -104,18 +123,49 @@
   /** Returns undefined if no path has capacity now. */
   choose(demand: PathDemand): ReservedPath | undefined {
     const { figures, current } = demand;
-    const candidates = this.#candidates(demand);
-    const search = {
-      layers: figures.layers,
-      domain: this.#domain,
-      firstStage: current?.[0],
-      extraLayerMs: current && this.#prefillCost(demand, current),
-      crossDomainHopMs: (from: string, to: string) =>
-        this.#crossDomainHopMs(from, to, demand),
+    const choice: Choice = {
+      demand,
+      timed: this.#timedRequest(demand),
+      search: {
+        layers: figures.layers,
+        domain: this.#domain,
+        firstStage: current?.[0],
+        extraLayerMs: current && this.#prefillCost(demand, current),
+        crossDomainHopMs: (from: string, to: string) =>
+          this.#crossDomainHopMs(from, to, demand),
+      },
+    };
+    const found = this.#findAmongDrawn(choice) ?? this.#findAmongAll(choice);
+    return found && this.#reserve(found, choice);
+  }
+
+  /** Searches a random part of the targets, if choices are spread so. */
+  #findAmongDrawn(choice: Choice): FoundPath | undefined {
+    const share = choice.timed.spread.candidateShare;
+    if (share >= 1 || !usesEstimate(choice)) return undefined;
+    return this.#findWithinOneDomain(
+      this.#candidates(choice, share),
+      choice.search,
+    );
+  }
+
+  #findAmongAll(choice: Choice): FoundPath | undefined {
+    const candidates = this.#candidates(choice);
+    return this.#findWithinOneDomain(candidates, choice.search) ??
+      findPath({ ...choice.search, candidates });
+  }
+
+  #timedRequest(demand: PathDemand): TimedRequest {
+    const hosts = this.#hosts();
+    return {
+      figures: demand.figures,
+      promptTokens: demand.promptTokens ?? demand.tokens,
+      spread: this.#spread(hosts),
+      isReported: hosts === 1 ||
+        this.#targetTable.ofService(demand.service).some(({ peerLoad }) =>
+          peerLoad.prefillTokenLayers !== undefined
+        ),
     };
-    const found = this.#findWithinOneDomain(candidates, search) ??
-      findPath({ ...search, candidates });
-    return found && this.#reserve(found, demand);
   }
 
   /**
@@ -182,7 +232,7 @@
   hasPath(service: string, figures: EngineProfile): boolean {
     const candidates = this.#targetTable.ofService(service).flatMap((target) =>
       target.isReady && target.span !== undefined
-        ? [toCandidate(target, 1, true)]
+        ? [toCandidate(target, { costs: EQUAL_COSTS, canBeFirst: true })]
         : []
     );
     return findPath({
@@ -218,29 +268,30 @@
     return freeTokenLayers(target, figures) < needed ? "full" : undefined;
   }
 
-  #candidates(demand: PathDemand): PathCandidate[] {
+  /** Candidates, of which a random share is drawn. */
+  #candidates(choice: Choice, share = 1): PathCandidate[] {
+    const { demand, timed } = choice;
     const { service, figures, excluded, current } = demand;
     const onPath = new Set(current?.map(({ targetId }) => targetId));
     const candidates: PathCandidate[] = [];
-    const noiseRange = COST_NOISE_SHARE *
-      Math.max(1, this.#hosts() / COST_NOISE_BASE_HOSTS);
+    const costsOf = usesEstimate(choice)
+      ? estimatedCosts(timed, this.#random)
+      : expectedCosts(figures, { hosts: this.#hosts(), random: this.#random });
     for (const target of this.#targetTable.ofService(service)) {
       const { span } = target;
+      if (share < 1 && this.#random() >= share) continue;
       if (span === undefined || target.isRemoved || excluded?.has(target.id)) {
         continue;
       }
       if (!onPath.has(target.id)) {
         if (this.#exclusionOf(target, span, demand) !== undefined) continue;
       }
-      const noise = 1 + this.#random() * noiseRange;
       const canBeFirst = (demand.allowedFirstTargets?.has(target.id) ?? true) &&
         target.ownLoad.streams + target.peerLoad.streams < figures.slots &&
         (this.#limits?.canSend(target.id) ?? true);
-      const backlogMs = target.prefillBacklog.remainingMs /
-        AMORTIZATION_TOKENS /
-        (span.to - span.from);
-      const costMs = expectedLayerMs(target, figures) * noise + backlogMs;
-      candidates.push(toCandidate(target, costMs, canBeFirst));
+      candidates.push(
+        toCandidate(target, { costs: costsOf(target, span), canBeFirst }),
+      );
     }
     return candidates;
   }
@@ -263,26 +314,27 @@
   }
 
   #addPrefillWork(found: FoundPath, demand: PathDemand): void {
-    for (const { targetId, from, to } of found.stages) {
-      const target = this.#targetTable.get(targetId);
-      if (target === undefined) continue;
-      let layers = 0;
-      for (let layer = from; layer < to; layer++) {
-        if (!runsLayer(demand.current, targetId, layer)) layers++;
-      }
-      if (layers === 0) continue;
+    for (const stage of found.stages) {
+      const target = this.#targetTable.get(stage.targetId);
+      const layers = layersToPrefill(stage, demand.current);
+      if (target === undefined || layers === 0) continue;
       // The other hosts are assumed to send as much to this target.
       const workMs = layers * prefillLayerMs(target, demand);
       target.prefillBacklog.add(workMs * this.#hosts());
     }
   }
 
-  #reserve(found: FoundPath, demand: PathDemand): ReservedPath {
+  #reserve(found: FoundPath, { demand, timed }: Choice): ReservedPath {
     const { tokens } = demand;
     // The first target of a path in progress receives no further request.
     if (demand.current === undefined) {
       this.#limits?.recordSend(found.stages[0].targetId);
     }
+    const estimate = pathTimes(found.stages, {
+      targetTable: this.#targetTable,
+      request: { ...timed, spread: { ...timed.spread, ...EXPECTED_WORK } },
+      current: demand.current,
+    });
     this.#addPrefillWork(found, demand);
     this.#links.add({
       stages: found.stages,
@@ -290,51 +342,40 @@
       domainOf: (id) => this.#targetTable.get(id)?.record.domain,
       transferMs: tokens * tokenTransferMs(demand.figures),
     });
-    const reservations = found.stages.map((stage) => ({
-      target: this.#targetTable.get(stage.targetId),
-      tokenLayers: tokens * (stage.to - stage.from),
-    }));
-    for (const { target, tokenLayers } of reservations) {
-      if (target === undefined) continue;
-      target.ownLoad.streams++;
-      target.ownLoad.tokenLayers += tokenLayers;
-    }
-    let isReserved = true;
-    const release = (): void => {
-      if (!isReserved) return;
-      isReserved = false;
-      for (const { target, tokenLayers } of reservations) {
-        if (target === undefined) continue;
-        target.ownLoad.streams--;
-        target.ownLoad.tokenLayers -= tokenLayers;
-      }
-    };
-    return { ...found, release };
+    return reservePath({
+      ...estimate,
+      stages: found.stages,
+      current: demand.current,
+      tokens,
+      promptTokens: timed.promptTokens,
+      targetTable: this.#targetTable,
+      clock: this.#clock,
+    });
   }
 }
 
+/**
+ * Whether targets are compared by their estimated times. For a repath they are
+ * not: many requests leave a lost target at the same moment, before any report.
+ */
+function usesEstimate({ demand, timed }: Choice): boolean {
+  return demand.current === undefined && timed.isReported;
+}
+
 function toCandidate(
   target: Target,
-  msPerLayer: number,
-  canBeFirst: boolean,
+  { costs, canBeFirst }: {
+    readonly costs: TargetCosts;
+    readonly canBeFirst: boolean;
+  },
 ): PathCandidate {
   return {
     id: target.id,
     address: target.record.address,
     domain: target.record.domain,
     span: target.span ?? { from: 0, to: 0 },
-    msPerLayer,
+    msPerLayer: costs.msPerLayer,
+    entryMs: costs.entryMs,
     canBeFirst,
   };
 }
-
-/** Whether a stage of the path runs the layer on the target. */
-function runsLayer(
-  path: readonly PathStage[] | undefined,
-  targetId: string,
-  layer: number,
-): boolean {
-  return path?.some((stage) =>
-    stage.targetId === targetId && layer >= stage.from && layer < stage.to
-  ) ?? false;
-}
--- a/src/paths/path_finder.ts
+++ b/src/paths/path_finder.ts
@@ -34,6 +34,8 @@
   readonly span: Span;
   /** Expected time per token and layer. */
   readonly msPerLayer: number;
+  /** One-time cost of a path that enters the target, on the same scale. */
+  readonly entryMs?: number;
   readonly canBeFirst: boolean;
 }
 
@@ -125,9 +127,9 @@
     search.candidates[index].canBeFirst
   );
   const costsMs = eligible.map((index) => {
-    const { domain, msPerLayer, id } = search.candidates[index];
+    const { domain, msPerLayer, entryMs = 0, id } = search.candidates[index];
     const hopMs = domain === search.domain ? 0 : CROSS_DOMAIN_FIRST_STAGE_MS;
-    return msPerLayer + hopMs + (search.extraLayerMs?.(id, 0) ?? 0);
+    return msPerLayer + entryMs + hopMs + (search.extraLayerMs?.(id, 0) ?? 0);
   });
   return { holders: eligible, costsMs, previous: eligible.map(() => -1) };
 }
@@ -148,7 +150,7 @@
   const previous: number[] = [];
   let position = 0;
   for (const index of holders) {
-    const { id, msPerLayer } = candidates[index];
+    const { id, msPerLayer, entryMs = 0 } = candidates[index];
     // Its span was fixed when the request was sent.
     if (id === firstStage?.targetId) continue;
     // Both lists are in ascending order.
@@ -158,12 +160,15 @@
     const isSame = last.holders[position] === index;
     let bestMs = isSame ? last.costsMs[position] : Infinity;
     let from = index;
+    const stayMs = bestMs - entryMs;
+    let enterMs = stayMs;
     for (const { domain, holder, costMs } of cheapest) {
       const hopMs = costMs + domains.hopMs(domain, index);
-      if (hopMs >= bestMs) continue;
-      bestMs = hopMs;
+      if (hopMs >= enterMs) continue;
+      enterMs = hopMs;
       from = holder;
     }
+    if (enterMs < stayMs) bestMs = enterMs + entryMs;
     if (bestMs === Infinity) continue;
     reached.push(index);
     costsMs.push(bestMs + msPerLayer + (extraLayerMs?.(id, layer) ?? 0));
--- a/src/paths/target.ts
+++ b/src/paths/target.ts
@@ -21,11 +21,19 @@
 /** Weight of the newest duration in its average. */
 const NEWEST_DURATION_WEIGHT = 0.2;
 
+/** Time constant of the mean prefill work of the other hosts. */
+const PEER_PREFILL_MEAN_MS = 2_700;
+
 /** Load that requests of this host or of the other hosts place on a target. */
 export interface TargetLoad {
   streams: number;
   /** Memory reserved for requests, in tokens x layers. */
   tokenLayers: number;
+  /**
+   * Prefill work that was sent and whose first event has not arrived, in tokens
+   * x layers. Undefined if hosts of earlier versions do not report it.
+   */
+  prefillTokenLayers?: number;
 }
 
 export interface TargetOptions {
@@ -43,9 +51,11 @@
   /** When a stream over the target last made progress. */
   activeMs = -Infinity;
   /** Load of this host's own requests in progress. */
-  readonly ownLoad: TargetLoad = { streams: 0, tokenLayers: 0 };
-  /** Load of the other hosts, summed over their last updates. */
-  peerLoad: TargetLoad = { streams: 0, tokenLayers: 0 };
+  readonly ownLoad: Required<TargetLoad> = {
+    streams: 0,
+    tokenLayers: 0,
+    prefillTokenLayers: 0,
+  };
   /** When this host itself found the target unresponsive. */
   noResponseSinceMs: number | undefined;
   /** New work is withheld until then, because a refused request named this target. */
@@ -61,6 +71,9 @@
   /** Whether the process has said that it leaves, also if its record does not. */
   isLeaving = false;
   readonly #clock: Clock;
+  #peerLoad: TargetLoad = { streams: 0, tokenLayers: 0 };
+  #peerLoadMs = -Infinity;
+  #meanPeerPrefill = 0;
   #failureRate = 0;
   #failureAtMs = -Infinity;
   #meanDurationMs = 0;
@@ -76,6 +89,26 @@
     return this.record.id;
   }
 
+  /** Load of the other hosts, summed over their last updates. */
+  get peerLoad(): TargetLoad {
+    return this.#peerLoad;
+  }
+
+  set peerLoad(load: TargetLoad) {
+    const nowMs = this.#clock.nowMs();
+    const weight = 1 -
+      Math.exp((this.#peerLoadMs - nowMs) / PEER_PREFILL_MEAN_MS);
+    this.#meanPeerPrefill += weight *
+      ((load.prefillTokenLayers ?? 0) - this.#meanPeerPrefill);
+    this.#peerLoad = load;
+    this.#peerLoadMs = nowMs;
+  }
+
+  /** Mean prefill work of the other hosts over the last seconds, in tokens x layers. */
+  get meanPeerPrefill(): number {
+    return this.#meanPeerPrefill;
+  }
+
   /** Whether the target's state permits new work. */
   get isReady(): boolean {
     return !this.isRemoved && !this.isLeaving && this.record.state === "ready";
--- a/src/paths/target_cost.ts
+++ b/src/paths/target_cost.ts
@@ -15,6 +15,8 @@
 const MEMORY_HEADROOM_SHARE = 0.06;
 /** Additional relative cost of a full target compared with an empty one. */
 const FULLNESS_WEIGHT = 1.0;
+/** Additional relative cost of a target of which all requests fail. */
+export const FAILURE_WEIGHT = 4;
 /**
  * Share of a target's streams that are in its batch at a time; the others are
  * at another stage.
@@ -71,13 +73,23 @@
   const readMs = read * figures.typicalPromptTokens /
     figures.prefillTokensPerMs /
     Math.max(1, figures.typicalAnswerTokens);
+  return (stepMs + readMs) / figures.layers *
+    fullnessFactor(target, figures, FULLNESS_WEIGHT) *
+    (1 + target.failureRate * FAILURE_WEIGHT);
+}
+
+/** Relative cost of a target by its memory in use; 1 + `weight` if it is full. */
+export function fullnessFactor(
+  target: Target,
+  figures: EngineProfile,
+  weight: number,
+): number {
+  if (weight === 0) return 1;
   const total = totalTokenLayers(target, figures);
   const fullness = total === 0
     ? 1
     : 1 - freeTokenLayers(target, figures) / total;
-  return (stepMs + readMs) / figures.layers *
-    (1 + FULLNESS_WEIGHT * Math.max(0, fullness) ** 2) *
-    (1 + target.failureRate * 4);
+  return 1 + weight * Math.max(0, fullness) ** 2;
 }
 
 /** Time to prefill one layer with the context of a request. */
--- a/src/peers/peer_state.ts
+++ b/src/peers/peer_state.ts
@@ -14,6 +14,8 @@
   readonly targetId: string;
   readonly streams: number;
   readonly tokenLayers: number;
+  /** Prefill work whose first event has not arrived, in tokens x layers. */
+  readonly prefillTokenLayers?: number;
 }
 
 /** State that a host broadcasts. */
