--- a/src/forward/call_path_wait.ts
+++ b/src/forward/call_path_wait.ts
@@ -74,6 +74,9 @@
       service: plan.service.name,
       figures: this.#options.profile,
       tokens: this.tokens,
+      promptTokens: isResumed
+        ? undefined
+        : this.#options.exchange.metadata.promptTokens,
       excluded: history.excluded,
       allowedFirstTargets: history.allowedReceivers,
     };
--- a/src/forward/path_wait_test.ts
+++ b/src/forward/path_wait_test.ts
@@ -10,7 +10,13 @@
   waitForPath,
 } from "./path_wait.ts";
 
-const PATH: ReservedPath = { stages: [], msPerToken: 1, release: () => {} };
+const PATH: ReservedPath = {
+  stages: [],
+  msPerToken: 1,
+  firstEventMs: 0,
+  recordFirstEvent: () => undefined,
+  release: () => {},
+};
 
 /** A host without capacity, until a test sets `path`. */
 class Host {
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -20,6 +20,7 @@
 import { type CallContext, type CallPlan, recordRequest } from "./context.ts";
 import { delegateStream } from "./delegated_stream.ts";
 import type { Exchange } from "./exchange.ts";
+import { recordFirstEvent } from "./first_event.ts";
 import { checkHead } from "./response.ts";
 import { SendHistory } from "./send_history.ts";
 import { type SendResult, toSendResult } from "./send_result.ts";
@@ -234,6 +235,7 @@
       content: this.#plan.contentId,
       send: this.#history.sends,
       path: describePath(path.stages),
+      firstEventMs: Math.round(path.firstEventMs),
       msPerToken: Math.round(path.msPerToken * 100) / 100,
       tokens: Math.round(this.#wait.tokens),
       lastEventId: this.#response.lastEventId,
@@ -286,6 +288,7 @@
     const result = await relay.run(outcome, {
       lastEventId: response.lastEventId,
       onEvents: (bytes, lastId) => {
+        recordFirstEvent(this.#path, this.#context.metrics);
         if (lastId !== undefined) this.#losses.recordProgress(lastId);
         if (!response.isHeadSent) this.#wait.recordFirstEvent();
         return response.forwardEvents(answer, bytes, lastId);
