Hold requests at a starting host until its configuration is confirmed

Cause: a host opens its port before it has read the configuration. The balancer uses hosts that are not ready if none is, as after a loss of all. Ruled out: the store, which answers; hosts become ready within a second. A running host refuses at once, as before.

--- a/src/entry/call_context.ts
+++ b/src/entry/call_context.ts
@@ -5,15 +5,18 @@
  */
 
 import type { CallContext } from "../forward/context.ts";
+import { DelegateChooser } from "../forward/delegate_chooser.ts";
 import { LossDetector } from "../forward/loss_detector.ts";
 import { StageChecker } from "../paths/stage_checker.ts";
 import type { HostSettings } from "../ports/types.ts";
+import type { PeerExchange } from "./peer_exchange.ts";
 import type { ServiceLimits } from "./service_limits.ts";
 
 export interface CallContextOptions extends
   Omit<
     CallContext,
     | "checker"
+    | "delegates"
     | "lossDetector"
     | "domain"
     | "outgoingIp"
@@ -22,10 +25,11 @@
   > {
   readonly settings: Pick<HostSettings, "domain" | "outgoingIp">;
   readonly serviceLimits: ServiceLimits;
+  readonly peers: Pick<PeerExchange, "delegates" | "domainHostCount">;
 }
 
 export function createCallContext(options: CallContextOptions): CallContext {
-  const { settings, serviceLimits, ...shared } = options;
+  const { settings, serviceLimits, peers, ...shared } = options;
   const { clock, targets, control, reachability } = shared;
   return {
     ...shared,
@@ -42,6 +46,12 @@
       localAddress: settings.outgoingIp,
       metrics: shared.metrics,
     }),
+    delegates: new DelegateChooser({
+      domain: settings.domain,
+      hosts: (service) => peers.delegates(service),
+      domainHostCount: () => peers.domainHostCount,
+      random: shared.random,
+    }),
     domain: settings.domain,
     outgoingIp: settings.outgoingIp,
     budgetOf: (service) => serviceLimits.budgetOf(service),
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -13,11 +13,10 @@
 import { Supervisor } from "../common/supervisor.ts";
 import { EraTracker } from "../feeds/era_tracker.ts";
 import { createCallContext } from "./call_context.ts";
-import { readConfigVersion } from "../forward/delegation.ts";
 import { RequestHandler } from "../forward/request_handler.ts";
+import { StartupGate } from "../forward/startup_gate.ts";
 import { StreamMonitor } from "../forward/stream_monitor.ts";
 import { KeepAliveAgent } from "../common/keep_alive_agent.ts";
-import { DelegateChooser } from "../forward/delegate_chooser.ts";
 import { PathChooser } from "../paths/path_chooser.ts";
 import { LimitedTargetControl } from "../paths/limited_target_control.ts";
 import { TargetReachability } from "../paths/target_reachability.ts";
@@ -34,6 +33,7 @@
 } from "../ports/services.ts";
 import type { Endpoint, HostSettings } from "../ports/types.ts";
 import { ConfigTracker } from "./config_tracker.ts";
+import { broadcastUrgentChanges } from "./urgent_changes.ts";
 import { DemandExchange } from "./demand_exchange.ts";
 import { drainHost } from "./host_drain.ts";
 import { registerGauges } from "./host_gauges.ts";
@@ -53,6 +53,7 @@
 const CONFIG_AGE_MARGIN_MS = 600;
 /** Maximum wait for tasks to end. */
 const TASK_STOP_TIMEOUT_MS = 100;
+
 export interface EntryHostOptions {
   readonly settings: HostSettings;
   readonly configLog: IKeyedLog;
@@ -101,6 +102,7 @@
   constructor(options: EntryHostOptions) {
     this.#options = options;
     const { settings, clock, log, decoder, registry } = options;
+    const { hostId, domain } = settings;
     this.#metrics = options.metrics ?? new BucketMetrics();
     this.#random = options.random ?? Math.random;
     this.#supervisor = new Supervisor({
@@ -116,7 +118,7 @@
       clock,
       log,
       targets: this.#targets,
-      hostId: settings.hostId,
+      hostId,
       otherHosts: () => this.#peers.otherHostIds(),
     });
     const control = new LimitedTargetControl({
@@ -138,7 +140,7 @@
     this.#chooser = new PathChooser({
       targetTable: this.#targets,
       clock,
-      domain: settings.domain,
+      domain,
       hosts: () => this.#peers.hostCount,
       random: this.#random,
       limits: this.#targetLimits,
@@ -159,7 +161,6 @@
       admission: (service) => this.#admission.of(service),
       knownHosts: () => this.#link.knownCount,
     });
-    const { hostId } = settings;
     this.#quarantine = new ContentQuarantine({ clock, hostId });
     this.#eras = options.eras ?? new EraTracker({ clock, log });
     this.#feeds = new StoreFeeds({
@@ -220,11 +221,11 @@
       link: this.#link,
       peers: this.#peers,
     });
-    this.#watch = new StreamMonitor({
-      clock,
-      onTick: () => this.#limits.tick(),
-    });
+    const onTick = (): void => this.#limits.tick();
+    this.#watch = new StreamMonitor({ clock, onTick });
     this.#agent = createTargetAgent(log);
+    const startupGate = new StartupGate({ clock });
+    this.#feeds.config.onWatermark(() => startupGate.open());
     this.#core = new RequestHandler({
       context: createCallContext({
         settings,
@@ -238,18 +239,14 @@
         chooser: this.#chooser,
         control,
         reachability: this.#reachability,
-        delegates: new DelegateChooser({
-          domain: settings.domain,
-          hosts: (service) => this.#peers.delegates(service),
-          domainHostCount: () => this.#peers.domainHostCount,
-          random: this.#random,
-        }),
+        peers: this.#peers,
         agent: this.#agent,
         hostAgent: this.#hostAgent,
         quarantine: this.#quarantine,
         monitor: this.#watch,
         serviceLimits: this.#limits,
       }),
+      startupGate,
       routes: () => this.#config.table,
       isConfigFresh: () => this.#isFresh(),
       configAgeMs: () => this.#feeds.config.ageMs,
@@ -259,22 +256,16 @@
     const readiness = new HostReadiness({
       log,
       isStopping: () => this.#isStopping,
-      hasConfig: () => this.#config.table !== undefined,
-      configAgeMs: () => this.#feeds.config.ageMs,
-      isConfigSourceReachable: () => this.#feeds.config.isSourceReachable,
-      targetCount: () => this.#targets.all().length,
+      config: this.#config,
+      feed: this.#feeds.config,
+      targets: this.#targets,
     });
     this.#listeners = new HostListeners({
       settings,
-      onRequest: (request, response) =>
-        void this.#core.serve(request, response),
+      onRequest: (...exchange) => void this.#core.serve(...exchange),
       onDelegated: (request, response) => {
-        const { transfer } = this.#feeds;
-        // A delegated request has a caller's path and headers.
-        const isQuery = readConfigVersion(request.headers) === undefined &&
-          transfer.handles(request);
-        if (isQuery) transfer.serve(request, response);
-        else void this.#core.serve(request, response, "host");
+        if (this.#feeds.transfer.tryServe(request, response)) return;
+        void this.#core.serve(request, response, "host");
       },
       isReady: () => readiness.isReady(),
       renderMetrics: () => this.#metrics.render(),
@@ -301,10 +292,8 @@
     const peers = this.#peers;
     this.#supervisor.start("peers", (signal) => peers.runSender(signal));
     this.#supervisor.start("registry", (signal) => peers.runRegistry(signal));
-    log.info("host started", {
-      domain: settings.domain,
-      frontend: settings.frontend,
-    });
+    const { domain, frontend } = settings;
+    log.info("host started", { domain, frontend });
   }
 
   /** Where other hosts send datagrams, and requests that they delegate. */
@@ -355,10 +344,8 @@
   /** Handles a change of the settings file; a running host keeps its settings. */
   reload(): void {
     const configVersion = this.#config.table?.config.version;
-    this.#options.log.info(
-      "reload requested; a running host keeps its settings",
-      { configVersion },
-    );
+    const event = "reload requested; a running host keeps its settings";
+    this.#options.log.info(event, { configVersion });
   }
 
   #wire(): void {
@@ -377,26 +364,25 @@
     this.#feeds.targets.onBatch((batch) => feed.apply(batch));
     this.#targets.onChange(() => this.#limits.scheduleDispatch());
     this.#reachability.onChange(({ isCutOff }) => {
-      this.#peers.scheduleBroadcast();
       if (!isCutOff) void this.#prober.probeAll();
     });
-    this.#targetLimits.onChange(() => this.#peers.scheduleBroadcast());
+    broadcastUrgentChanges({
+      peers: this.#peers,
+      reachability: this.#reachability,
+      limits: this.#targetLimits,
+      quarantine: this.#quarantine,
+    });
     const configVersion = (): number | undefined =>
       this.#config.table?.config.version;
     const configAgeMs = (): number => this.#feeds.config.ageMs;
-    const shared = { metrics: this.#metrics, log, configVersion, configAgeMs };
-    reportEraChanges({ ...shared, eras: this.#eras });
-    this.#quarantine.losses.onLoss(() => this.#peers.scheduleBroadcast());
-    this.#quarantine.onTrial(() => this.#peers.scheduleBroadcast());
-    this.#quarantine.breaks.onLoss(({ totalLosses }) => {
-      // A first one, of many, can wait for the next periodic broadcast.
-      if (totalLosses > 1) this.#peers.scheduleBroadcast();
-    });
-    registerGauges(this.#metrics, {
+    const metrics = this.#metrics;
+    const eras = this.#eras;
+    reportEraChanges({ metrics, log, configVersion, configAgeMs, eras });
+    registerGauges(metrics, {
       active: () => this.#core.active,
       configAgeMs,
       configVersion: () => configVersion() ?? 0,
-      era: () => this.#eras.current ?? 0,
+      era: () => eras.current ?? 0,
       targets: this.#targets,
       cutOffServices: () => this.#reachability.cutOffServices().length,
       limits: this.#targetLimits,
--- a/src/entry/host_readiness.ts
+++ b/src/entry/host_readiness.ts
@@ -5,6 +5,9 @@
  */
 
 import type { ILog } from "../common/logging.ts";
+import type { KeyedFollower } from "../feeds/keyed_follower.ts";
+import type { TargetTable } from "../paths/target_table.ts";
+import type { ConfigTracker } from "./config_tracker.ts";
 
 /**
  * At this configuration age the host becomes not ready, so that the load
@@ -15,10 +18,10 @@
 export interface HostReadinessOptions {
   readonly log: ILog;
   readonly isStopping: () => boolean;
-  readonly hasConfig: () => boolean;
-  readonly configAgeMs: () => number;
-  readonly isConfigSourceReachable: () => boolean;
-  readonly targetCount: () => number;
+  readonly config: Pick<ConfigTracker, "table">;
+  /** Follows the log of configurations. */
+  readonly feed: Pick<KeyedFollower, "ageMs" | "isSourceReachable">;
+  readonly targets: Pick<TargetTable, "all">;
 }
 
 export class HostReadiness {
@@ -31,16 +34,16 @@
 
   /** Logs changes since the last call. */
   isReady(): boolean {
-    const options = this.#options;
-    const configAgeMs = options.configAgeMs();
-    const targets = options.targetCount();
+    const { feed, config, log, ...options } = this.#options;
+    const configAgeMs = feed.ageMs;
+    const targets = options.targets.all().length;
     const isStopping = options.isStopping();
-    const isReady = !isStopping && options.hasConfig() &&
-      options.isConfigSourceReachable() &&
-      configAgeMs < MAX_READY_CONFIG_AGE_MS && targets > 0;
+    const isReady = !isStopping && config.table !== undefined &&
+      feed.isSourceReachable && configAgeMs < MAX_READY_CONFIG_AGE_MS &&
+      targets > 0;
     if (isReady !== this.#wasReady) {
       this.#wasReady = isReady;
-      options.log.info(isReady ? "host ready" : "host not ready", {
+      log.info(isReady ? "host ready" : "host not ready", {
         isStopping,
         configAgeMs: Math.round(configAgeMs),
         targets,
--- a/src/entry/store_feeds.ts
+++ b/src/entry/store_feeds.ts
@@ -14,6 +14,7 @@
   type KeyedFollowerOptions,
 } from "../feeds/keyed_follower.ts";
 import type { KeepAliveAgent } from "../common/keep_alive_agent.ts";
+import { readConfigVersion } from "../forward/delegation.ts";
 import { LogTransfer } from "../peers/log_transfer.ts";
 import { LogResponder } from "../peers/log_responder.ts";
 import type { PeerLink } from "../peers/peer_link.ts";
@@ -65,7 +66,12 @@
     const { configLog, targetLog, clock, link } = options;
     const { log, hostAgent: agent } = options;
     const responder = this.#responder = new LogResponder({ clock });
-    this.transfer = new LogTransfer({ responder, agent, log });
+    this.transfer = new LogTransfer({
+      responder,
+      agent,
+      log,
+      isDelegated: (headers) => readConfigVersion(headers) !== undefined,
+    });
     this.#configLog = this.#share("config", configLog, READ_WAIT_MS);
     // Target heartbeats would end each wait at once, so reads do not wait.
     this.#targetLog = this.#share("targets", targetLog, 0);
--- a/src/forward/request_handler.ts
+++ b/src/forward/request_handler.ts
@@ -19,6 +19,7 @@
 import { Exchange } from "./exchange.ts";
 import { PlainCall } from "./plain_call.ts";
 import type { RouteTable } from "./route_table.ts";
+import type { StartupGate } from "./startup_gate.ts";
 import { StreamCall } from "./stream_call.ts";
 
 /** Retry time while this host has no contact with the store. */
@@ -37,6 +38,8 @@
   /** Whether the configuration is known to be recent enough to accept API keys. */
   readonly isConfigFresh: () => boolean;
   readonly configAgeMs: () => number;
+  /** Holds callers' requests until the first configuration is confirmed. */
+  readonly startupGate?: Pick<StartupGate, "pass">;
   /** Whether connections are closed after each response. */
   readonly isStopping: () => boolean;
   /** Whether new requests are refused, since they might outlast this host. */
@@ -102,6 +105,12 @@
   }
 
   async #serve(exchange: Exchange, origin: RequestOrigin): Promise<void> {
+    if (origin === "caller") {
+      await this.#options.startupGate?.pass({
+        waitMs: exchange.metadata.waitMs,
+        signal: exchange.signal,
+      });
+    }
     const admission = origin === "host"
       ? await this.#admitDelegated(exchange)
       : this.#admit(exchange);
--- a/src/forward/stream_relay.ts
+++ b/src/forward/stream_relay.ts
@@ -7,15 +7,14 @@
  * @module
  */
 
-import type { PathStage, StalledRequest } from "../ports/types.ts";
+import type { PathStage } from "../ports/types.ts";
 import { describePath } from "../paths/describe_path.ts";
 import type { ReservedPath } from "../paths/path_chooser.ts";
 import type { EngineProfile, OrderOutcome } from "../ports/types.ts";
 import type { Target } from "../paths/target.ts";
-import { applyReport } from "../paths/apply_report.ts";
-import { QUERY_INTERVAL_MS } from "../paths/stage_checker.ts";
 import type { CallContext } from "./context.ts";
 import { EventPace, SUSPECT_OVERDUE_MS } from "./event_pace.ts";
+import { findStalledStage, REPORT_TIMEOUT_MS } from "./stalled_stage.ts";
 import {
   EventForwarder,
   type EventSink,
@@ -39,7 +38,6 @@
 const AVOID_AFTER_REFUSAL_MS = 600;
 /** Delay between attempts to leave a stage that still works. */
 const LEAVE_RETRY_INTERVAL_MS = 500;
-const REPORT_TIMEOUT_MS = 300;
 /** Gap after which a send is abandoned; callers disconnect after two seconds. */
 const ABANDON_AFTER_MS = 1_500;
 /** A stage this much slower than its kind is avoided if events are late. */
@@ -268,53 +266,26 @@
     return stage && { stage, fault: "stalled" };
   }
 
-  /** Searches the report of the first target for the stage that is waited for. */
   async #findStalled(
     gapMs: number,
   ): Promise<PathStage | "unchecked" | undefined> {
-    const { context } = this.#options;
-    const { targets, control, monitor, clock } = context;
     const [first] = this.#path.stages;
-    const known = targets.get(first.targetId);
-    const isRecent = known !== undefined &&
-      known.noResponseSinceMs === undefined &&
-      known.reportedMs > clock.nowMs() - QUERY_INTERVAL_MS;
-    if (isRecent) {
-      // The report may be older than the stall, and name an earlier one.
-      if (known.reportedMs <= this.#pace.progressMs) return "unchecked";
-      return this.#stalledStage(known.report?.stalled ?? []) ?? "unchecked";
-    }
-    if (!monitor.budget.tryAcquire()) return "unchecked";
-    const report = await control.report(
-      { id: first.targetId, address: first.address },
-      REPORT_TIMEOUT_MS,
-      { purpose: "stalled-request" },
+    const { requestId, context } = this.#options;
+    const found = await findStalledStage({
+      context,
+      requestId,
+      stages: this.#path.stages,
+      progressMs: this.#pace.progressMs,
+      isDone: () => this.#isDone,
+    });
+    if (found !== "silent") return found;
+    await context.reachability.reportSilent(first.targetId, {
+      askedForMs: REPORT_TIMEOUT_MS,
+    });
+    this.#abandon(
+      `first target unresponsive, no event for ${Math.round(gapMs)} ms`,
     );
-    if (this.#isDone || report === "withheld") return undefined;
-    if (report === undefined) {
-      await context.reachability.reportSilent(first.targetId, {
-        askedForMs: REPORT_TIMEOUT_MS,
-      });
-      this.#abandon(
-        `first target unresponsive, no event for ${Math.round(gapMs)} ms`,
-      );
-      return undefined;
-    }
-    const firstTarget = targets.get(first.targetId);
-    if (firstTarget !== undefined) applyReport(firstTarget, report, targets);
-    return this.#stalledStage(report.stalled);
-  }
-
-  #stalledStage(entries: readonly StalledRequest[]): PathStage | undefined {
-    const { context: { targets }, requestId } = this.#options;
-    const stalled = entries.find((entry) => entry.requestId === requestId);
-    if (stalled === undefined) return undefined;
-    const target = targets.byAddress(stalled.address);
-    if (target !== undefined) {
-      const waitedForBy = this.#path.stages[0].targetId;
-      targets.markUnresponsive(target.id, { waitedForBy });
-    }
-    return this.#path.stages.find(({ address }) => address === stalled.address);
+    return undefined;
   }
 
   async #repath(
--- a/src/peers/log_transfer.ts
+++ b/src/peers/log_transfer.ts
@@ -6,7 +6,11 @@
  * @module
  */
 
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type {
+  IncomingHttpHeaders,
+  IncomingMessage,
+  ServerResponse,
+} from "node:http";
 import { gunzipSync, gzipSync } from "node:zlib";
 import { callHttp } from "../common/http_call.ts";
 import type { KeepAliveAgent } from "../common/keep_alive_agent.ts";
@@ -36,6 +40,8 @@
   readonly responder: LogResponder;
   readonly agent: KeepAliveAgent;
   readonly log: ILog;
+  /** Whether a request between hosts is that of a caller. */
+  readonly isDelegated: (headers: IncomingHttpHeaders) => boolean;
 }
 
 /** Compressed records, for the hosts that are at the same offset. */
@@ -52,12 +58,17 @@
     this.#options = options;
   }
 
-  /** Whether a request between hosts asks for records. */
-  handles({ url, headers }: IncomingMessage): boolean {
-    return url === PATH && headers[QUERY_HEADER] !== undefined;
+  /** Answers a request between hosts if it asks for records; else returns false. */
+  tryServe(request: IncomingMessage, response: ServerResponse): boolean {
+    const { url, headers } = request;
+    // A delegated request has a caller's path and headers.
+    const isQuery = url === PATH && headers[QUERY_HEADER] !== undefined &&
+      !this.#options.isDelegated(headers);
+    if (isQuery) this.#serve(request, response);
+    return isQuery;
   }
 
-  serve(request: IncomingMessage, response: ServerResponse): void {
+  #serve(request: IncomingMessage, response: ServerResponse): void {
     request.resume();
     const query = parseQuery(request.headers[QUERY_HEADER]);
     if (query === undefined) {
--- a/src/peers/log_transfer_test.ts
+++ b/src/peers/log_transfer_test.ts
@@ -8,7 +8,7 @@
 import { silentLog } from "../common/logging.ts";
 import type { KeyedBatch, KeyedFollower } from "../feeds/keyed_follower.ts";
 import { LogResponder } from "./log_responder.ts";
-import type { LogAnswer } from "./log_messages.ts";
+import { encodeLogQuery, type LogAnswer } from "./log_messages.ts";
 import { LogTransfer } from "./log_transfer.ts";
 
 const LARGE_VALUE = Buffer.from("route ".repeat(20_000));
@@ -41,10 +41,14 @@
   apply(1, Buffer.from("small"), true);
   apply(2, LARGE_VALUE, false);
   const agent = new KeepAliveAgent();
-  const transfer = new LogTransfer({ responder, agent, log: silentLog });
+  const transfer = new LogTransfer({
+    responder,
+    agent,
+    log: silentLog,
+    isDelegated: (headers) => headers["delegated"] !== undefined,
+  });
   const server = createServer((request, response) => {
-    if (transfer.handles(request)) transfer.serve(request, response);
-    else response.writeHead(418).end();
+    if (!transfer.tryServe(request, response)) response.writeHead(418).end();
   });
   await new Promise<void>((resolve) => {
     server.listen(0, "127.0.0.1", resolve);
@@ -115,3 +119,19 @@
   const endpoint = { ip: "127.0.0.1", port };
   expect(await transfer.fetch(endpoint, QUERY, 5_000)).toBeUndefined();
 });
+
+test("a caller's request that another host delegates never gets records", async () => {
+  const { endpoint } = await startHost();
+  const { status } = await callHttp({
+    endpoint,
+    method: "GET",
+    path: "/log-records",
+    headers: {
+      "log-query": encodeLogQuery({ ...QUERY, id: 0 }).toString(),
+      delegated: "1",
+    },
+    timeoutMs: 5_000,
+    agent: false,
+  });
+  expect(status).toBe(418);
+});
