--- a/src/placement/placement_plan.ts
+++ b/src/placement/placement_plan.ts
@@ -26,30 +26,10 @@
  */
 const REQUEST_MEMORY_RATIO = 0.6;
 
-/**
- * Share of the slots of a replica's first stage for which it has memory. Requests
- * must not be refused while less than half of them are in use.
- */
-const USED_SLOTS_SHARE = 0.5;
-/** Lower bound of the ratio: requests differ from the typical one. */
-const MIN_REQUEST_MEMORY_RATIO = 0.2;
-
-/**
- * Tokens of context for which each replica has memory. Where a token takes
- * little memory, the first stage has too few slots for the ratio; the memory
- * then allows more replicas, each with fewer stages. Compared in
- * docs/design/17-placement-demand.md.
- */
+/** Tokens of context for which each replica has memory. */
 function tokensPerReplica(figures: EngineProfile): number {
   const bytesPerLayer = figures.kvBytesPerToken / figures.layers;
-  const tokensAtRatio = (ratio: number): number =>
-    ratio * figures.layerMb * 1_000_000 / bytesPerLayer;
-  const slotTokens = USED_SLOTS_SHARE * figures.slots *
-    (figures.typicalPromptTokens + figures.typicalAnswerTokens);
-  return Math.min(
-    tokensAtRatio(REQUEST_MEMORY_RATIO),
-    Math.max(tokensAtRatio(MIN_REQUEST_MEMORY_RATIO), slotTokens),
-  );
+  return REQUEST_MEMORY_RATIO * figures.layerMb * 1_000_000 / bytesPerLayer;
 }
 
 /** Returns the first placement, or what to add to the current one. */
