Hold no request at a start while the store may lack records

Change: no request is held while the era is unsettled, since no read confirms the configuration then, and none later than 1.5 s after the start of the host.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -224,7 +224,7 @@
     const onTick = (): void => this.#limits.tick();
     this.#watch = new StreamMonitor({ clock, onTick });
     this.#agent = createTargetAgent(log);
-    const startupGate = new StartupGate({ clock });
+    const startupGate = new StartupGate({ clock, eras: this.#eras });
     this.#feeds.config.onWatermark(() => startupGate.open());
     this.#core = new RequestHandler({
       context: createCallContext({
--- a/src/forward/startup_gate_test.ts
+++ b/src/forward/startup_gate_test.ts
@@ -17,7 +17,7 @@
 
 test("requests that arrive at a starting host pass when its configuration is confirmed", async () => {
   const clock = new ManualClock();
-  const gate = new StartupGate({ clock });
+  const gate = new StartupGate({ clock, eras: { isSettled: true } });
   const { arrive, passedMs } = arrivals(gate, clock);
   const startMs = clock.nowMs();
   for (let i = 0; i < 3; i++) arrive({ waitMs: 20_000 });
@@ -33,7 +33,7 @@
 
 test("without a configuration, requests are held for a second or a third of their time", async () => {
   const clock = new ManualClock();
-  const gate = new StartupGate({ clock });
+  const gate = new StartupGate({ clock, eras: { isSettled: true } });
   const { arrive, passedMs } = arrivals(gate, clock);
   const startMs = clock.nowMs();
   arrive({ waitMs: 20_000 });
@@ -42,9 +42,31 @@
   expect(passedMs).toEqual([startMs + 400, startMs + 1_000]);
 });
 
+test("a host that has no configuration 1.5 s after its start refuses at once", async () => {
+  const clock = new ManualClock();
+  const gate = new StartupGate({ clock, eras: { isSettled: true } });
+  const { arrive, passedMs } = arrivals(gate, clock);
+  await clock.advance(1_400);
+  const nowMs = clock.nowMs();
+  arrive({ waitMs: 20_000 });
+  await clock.advance(100);
+  arrive({ waitMs: 20_000 });
+  await clock.advance(0);
+  expect(passedMs).toEqual([nowMs + 100, nowMs + 100]);
+});
+
+test("while the store may lack records, requests are refused at once", async () => {
+  const clock = new ManualClock();
+  const gate = new StartupGate({ clock, eras: { isSettled: false } });
+  const { arrive, passedMs } = arrivals(gate, clock);
+  arrive({ waitMs: 20_000 });
+  await clock.advance(0);
+  expect(passedMs).toHaveLength(1);
+});
+
 test("a caller that disconnects, and one too many, is not held", async () => {
   const clock = new ManualClock();
-  const gate = new StartupGate({ clock });
+  const gate = new StartupGate({ clock, eras: { isSettled: true } });
   const { arrive, passedMs } = arrivals(gate, clock);
   const caller = new AbortController();
   arrive({ signal: caller.signal });
