Let the soak overload the model servers

Cause: no seed of the soak sent more than the servers have room for, so the overload handling of docs/hard-load.md was not played with the other faults.

Change: each seed draws, from an offset of its own, a burst of 5 to 7 s that starts 6 to 9 s after the first request: 80 to 120 requests a second of the new route "bulk", one rank behind "briefs", and one in twelve of "briefs". Prompts are eight times as long and the servers four times as slow meanwhile, so that memory lasts for about 15 streams. Checked: every 503 carries Retry-After, and "briefs" is served no less often than "bulk" with 5 in 100 allowed, unless hosts are cut off from the servers or fewer than 20 requests of a route were sent. That a refused request never runs, and that all is served after the recovery time, the existing checks say.

--- a/soak/back_ends.ts
+++ b/soak/back_ends.ts
@@ -18,6 +18,7 @@
 import { LoopbackProxy } from "../standins/loopback_proxy.ts";
 import {
   BOUNDS,
+  BURST_ROUTE,
   CRASH_RESTART_MS,
   CRASHING_PART,
   CRASHING_TEXT,
@@ -25,9 +26,10 @@
   DOMAINS,
   MODEL_SERVER_COUNT,
   PLAIN_SERVER_COUNT,
+  URGENT_ROUTE,
 } from "./settings.ts";
 import type { DrawnLimit } from "./request_limits.ts";
-import type { Interval, LimitedServer } from "./types.ts";
+import type { Execution, Interval, LimitedServer } from "./types.ts";
 
 /** Interval at which servers rewrite their target records. */
 const HEARTBEAT_MS = 500;
@@ -109,6 +111,16 @@
     );
   }
 
+  get executions(): Execution[] {
+    return this.servers.flatMap(({ server }) =>
+      server.executions.map(({ requestId, serverId, atMs }) => ({
+        attemptId: requestId,
+        serverId,
+        atMs,
+      }))
+    );
+  }
+
   /** Lets a server name a limit for its requests until the end of the run. */
   limitRequests({ index, limitPerS }: DrawnLimit): void {
     const { server } = this.servers[index];
@@ -127,8 +139,17 @@
     const keys = Object.entries(CUSTOMER_KEYS).filter(([name]) =>
       name !== "second" || this.#revokedAtMs === undefined
     );
+    const config = defaultConfig(this.#version++);
+    const routes = config.routes as Record<string, unknown>[];
+    const urgent = routes.find(({ name }) => name === URGENT_ROUTE);
     this.#config = {
-      ...defaultConfig(this.#version++),
+      ...config,
+      routes: [...routes, {
+        ...urgent,
+        name: BURST_ROUTE,
+        "path-prefix": `/${BURST_ROUTE}/`,
+        priority: Number(urgent?.priority) + 1,
+      }],
       tenants: keys.map(([name, key]) => ({
         name,
         "api-keys": [key],
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -9,6 +9,7 @@
 import { Agent, get, type IncomingMessage, request } from "node:http";
 import type { Random } from "../src/common/random.ts";
 import {
+  BURST_ROUTE,
   CRASHING_PART,
   CRASHING_TEXT,
   CUSTOMER_KEYS,
@@ -16,6 +17,7 @@
   HOST_NAME,
   SHARED_PART,
   UNKNOWN_KEY,
+  URGENT_ROUTE,
 } from "./settings.ts";
 import type { HostProcess } from "./host_process.ts";
 import type { Attempt, RouteName } from "./types.ts";
@@ -32,7 +34,12 @@
 const MAX_DISCONNECT_DELAY_MS = 300;
 /** Interval between requests with the same crashing content. */
 const CRASHING_INTERVAL_MS = 250;
+/** Connections to one host; a burst to a paused host takes over a hundred. */
+const MAX_SOCKETS = 512;
+/** One request of a burst in this many is urgent, so that enough are compared. */
+const REQUESTS_PER_URGENT = 12;
 const CONTENT = "a body";
+const PROMPT_TOKENS = 100;
 const ROUTES: readonly RouteName[] = [
   "briefs",
   "slips",
@@ -66,11 +73,15 @@
   readonly #pending = new Set<Promise<void>>();
   #timers: NodeJS.Timeout[] = [];
   #crashing: NodeJS.Timeout[] = [];
+  #promptTokens = PROMPT_TOKENS;
 
   constructor(options: CallersOptions) {
     this.#options = options;
     for (const host of options.hosts) {
-      this.#agents.set(host, new Agent({ keepAlive: true, maxSockets: 64 }));
+      this.#agents.set(
+        host,
+        new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS }),
+      );
     }
   }
 
@@ -115,6 +126,30 @@
     }, CRASHING_INTERVAL_MS));
   }
 
+  /** Until disposed, also sends the burst route, and all prompts are as long. */
+  startBurst({ intervalMs, promptTokens, random }: {
+    readonly intervalMs: number;
+    readonly promptTokens: number;
+    readonly random: Random;
+  }): { dispose(): void } {
+    let requests = 0;
+    const timer = setInterval(() => {
+      const host = this.#pickHost(random);
+      if (host === undefined) return;
+      const isUrgent = ++requests % REQUESTS_PER_URGENT === 0;
+      const route = isUrgent ? URGENT_ROUTE : BURST_ROUTE;
+      this.#startAttempt({ host, route, content: CONTENT });
+    }, intervalMs);
+    this.#timers.push(timer);
+    this.#promptTokens = promptTokens;
+    return {
+      dispose: () => {
+        clearInterval(timer);
+        this.#promptTokens = PROMPT_TOKENS;
+      },
+    };
+  }
+
   stopCrashing(): void {
     for (const timer of this.#crashing) clearInterval(timer);
     this.#crashing = [];
@@ -219,7 +254,7 @@
           authorization: `Token ${CUSTOMER_KEYS[attempt.key] ?? UNKNOWN_KEY}`,
           "jackdawshift-attempt-id": attempt.id,
           "jackdawshift-deadline-ms": String(DEADLINE_MS),
-          "jackdawshift-token-usage": "100,20",
+          "jackdawshift-token-usage": `${this.#promptTokens},20`,
           ...(this.#options.sendsPromptParts === true
             ? { "jackdawshift-prefix-hash": promptParts(attempt) }
             : {}),
@@ -256,6 +291,7 @@
   attempt.isNotExecuted = REJECT_STATUSES.has(answer.statusCode ?? 0);
   attempt.echoedId = headerOf(answer, "jackdawshift-attempt-id");
   attempt.signature = headerOf(answer, "jackdawshift-server-signature");
+  attempt.retryAfter = headerOf(answer, "retry-after");
   answer.on("data", (chunk) => attempt.body += chunk);
   answer.on("error", () => {});
   answer.on("close", () => {
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -5,9 +5,10 @@
  */
 
 import { checkLinkCuts } from "./link_cuts.ts";
+import { checkOverload } from "./overload.ts";
 import { checkPauses } from "./pauses.ts";
 import { checkRequestLimits } from "./request_limits.ts";
-import { CRASHING_PART, CRASHING_TEXT } from "./settings.ts";
+import { BURST_ROUTE, CRASHING_PART, CRASHING_TEXT } from "./settings.ts";
 import type { Attempt, Bounds, Execution, History } from "./types.ts";
 
 /** Tolerance between timestamps of one machine, which differ by scheduling delays. */
@@ -31,6 +32,7 @@
     ...checkRequestLimits(history, bounds),
     ...checkLinkCuts(history, bounds),
     ...checkPauses(history, bounds),
+    ...checkOverload(history),
     ...checkRecovery(history, bounds),
     ...history.leakedStreams === 0 ? [] : [
       `${history.leakedStreams} streams still executing after their callers had finished`,
@@ -45,6 +47,7 @@
 ): string[] {
   const { id, route, status } = attempt;
   const violations: string[] = [];
+  const isStream = route === "briefs" || route === BURST_ROUTE;
   const isCompleteAnswer = attempt.isWhole && status === 200;
   if (route === "slips" && executions.length > 1) {
     violations.push(
@@ -69,7 +72,7 @@
   if (status === 200 && attempt.echoedId !== id) {
     violations.push(`${id}: received the answer of ${attempt.echoedId}`);
   }
-  if (isCompleteAnswer && route !== "briefs") {
+  if (isCompleteAnswer && !isStream) {
     const server = /^answer of (\S+)$/.exec(attempt.body)?.[1];
     if (server === undefined || attempt.signature !== `signed.${server}`) {
       violations.push(
@@ -77,7 +80,7 @@
       );
     }
   }
-  if (route === "briefs" && status === 200) {
+  if (isStream && status === 200) {
     violations.push(...checkEvents(attempt, bounds));
   }
   return violations;
--- a/soak/invariants_test.ts
+++ b/soak/invariants_test.ts
@@ -44,6 +44,7 @@
     absences: [],
     linkCuts: [],
     pauses: [],
+    bursts: [],
     storeFaults: [],
     hostFaults: [],
     limits: [],
@@ -68,6 +69,7 @@
   expect(violations({ attempts: [stream(truncated)] })).toEqual([]);
 });
 
+const refused = { status: 503, retryAfter: "0.7" };
 const place = { op: "place", from: 0, to: 2, expect: 0 };
 const revocations = [{ startMs: 1_000, endMs: 9_000 }];
 const absences = [{ startMs: 1_000, endMs: 9_000, serverId: "plain-1" }];
@@ -81,7 +83,7 @@
     executions: [execution(), execution(), execution()],
   }],
   ["an executed request is answered as not executed", {
-    attempts: [attempt({ status: 503, isNotExecuted: true })],
+    attempts: [attempt({ ...refused, isNotExecuted: true })],
   }],
   ["a request is answered without an execution", { executions: [] }],
   ["an answer belongs to another request", {
@@ -122,7 +124,7 @@
     leakedStreams: 1,
   }],
   ["a request fails after the recovery time", {
-    attempts: [attempt({ status: 503, startMs: 1_001 + BOUNDS.recoveryMs })],
+    attempts: [attempt({ ...refused, startMs: 1_001 + BOUNDS.recoveryMs })],
     faultsEndMs: 1_000,
   }],
 ])("%s", (_name, overrides) => {
--- a/soak/settings.ts
+++ b/soak/settings.ts
@@ -17,6 +17,10 @@
 export const UNKNOWN_KEY = "key-of-nobody";
 export const DEADLINE_MS = 3_000;
 
+/** Streaming routes of the model service; the second is less urgent. */
+export const URGENT_ROUTE: RouteName = "briefs";
+export const BURST_ROUTE: RouteName = "bulk";
+
 /** A request whose body contains this ends the server that executes it. */
 export const CRASHING_TEXT = "ends its server";
 export const CRASHING_ROUTES: readonly RouteName[] = [
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -19,6 +19,7 @@
 import { findViolations } from "./invariants.ts";
 import { drawEndings, type DrawnEndings } from "./endings.ts";
 import { cutLinks } from "./link_cuts.ts";
+import { describeBursts, sendBurst } from "./overload.ts";
 import { askForPause, collectPauses } from "./pauses.ts";
 import { drawLimit } from "./request_limits.ts";
 import { drawSchedule } from "./schedule.ts";
@@ -61,6 +62,7 @@
   readonly violations: readonly string[];
   readonly attempts: number;
   readonly complete: number;
+  readonly bursts: readonly string[];
   /** Settings and logs of the hosts; deleted if there are no violations. */
   readonly folder: string;
 }
@@ -72,6 +74,7 @@
   readonly #hosts: HostProcess[] = [];
   readonly #storeFaults: Interval[] = [];
   readonly #linkCuts: LinkCut[] = [];
+  readonly #bursts: Interval[] = [];
   readonly #hostFaults: (Interval & { readonly host: string })[] = [];
   #storeFaultStartMs = 0;
   #drills = Promise.resolve();
@@ -123,6 +126,8 @@
           end: (server) => this.#endFault(server),
         }),
         this.#sendCrashingPart(callers),
+        sendBurst(seed, callers, servers)
+          .then((burst) => this.#bursts.push(burst)),
       ]);
       this.#backEnds.restoreKey();
       const faultsEndMs = performance.now();
@@ -144,6 +149,7 @@
         complete: callers.attempts.filter(({ status, isWhole }) =>
           status === 200 && isWhole
         ).length,
+        bursts: describeBursts(history),
         folder: this.#folder,
       };
     } finally {
@@ -367,13 +373,7 @@
     const { servers, revocations, absences, limits } = this.#backEnds;
     return {
       attempts: callers.attempts,
-      executions: servers.flatMap(({ server }) =>
-        server.executions.map(({ requestId, serverId, atMs }) => ({
-          attemptId: requestId,
-          serverId,
-          atMs,
-        }))
-      ),
+      executions: this.#backEnds.executions,
       orders: servers.flatMap(({ server }) =>
         server.orders.map((order) => ({ serverId: server.id, order }))
       ),
@@ -383,6 +383,7 @@
       hostFaults: this.#hostFaults,
       limits,
       linkCuts: this.#linkCuts,
+      bursts: this.#bursts,
       pauses: collectPauses(servers, this.#hosts),
       faultsEndMs,
       leakedStreams,
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -49,7 +49,7 @@
   readonly plainServers: number;
 }
 
-export type RouteName = "briefs" | "slips" | "acks";
+export type RouteName = "briefs" | "slips" | "acks" | "bulk";
 
 /** One request as its caller observed it. */
 export interface Attempt {
@@ -69,6 +69,8 @@
   hasDisconnected: boolean;
   echoedId: string | undefined;
   signature: string | undefined;
+  /** The header of the answer as it was received. */
+  retryAfter?: string;
   body: string;
 }
 
@@ -136,6 +138,8 @@
   readonly linkCuts:
     readonly (Interval & { readonly hosts: readonly string[] })[];
   readonly pauses: readonly AskedPause[];
+  /** When more requests of `BURST_ROUTE` were sent than servers had room for. */
+  readonly bursts: readonly Interval[];
   /** When the last fault ended; undefined if the run ended before that. */
   readonly faultsEndMs: number | undefined;
   /** Streams that servers still executed after all callers had finished. */
--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -60,6 +60,8 @@
   rejectNextCount = 0;
   /** Pause after the third event of a stream. */
   pauseMs = 0;
+  /** Factor on the gaps between the events of its streams. */
+  slowness = 1;
   /** Address that a rejection names in `at-server`; empty for this server. */
   rejectingAddress = "";
   /** Requests a second that its responses name as its limit; undefined for none. */
@@ -341,12 +343,11 @@
       readonly crashAfter: number;
     },
   ): void {
-    const last = request.headers["last-event-id"];
     response.writeHead(200, {
       ...this.#answerHeaders(requestId),
       "content-type": "text/event-stream",
     });
-    const next = last === undefined ? 0 : Number(last) + 1;
+    const next = Number(request.headers["last-event-id"] ?? -1) + 1;
     const stream: RunningStream = {
       response,
       requestId,
@@ -386,7 +387,7 @@
     stream.response.write(`id: ${stream.next}\ndata: piece ${stream.next}\n\n`);
     stream.next++;
     const waitMs = stream.next === 3 ? this.pauseMs || eventGapMs : eventGapMs;
-    setTimeout(() => this.#emit(stream), waitMs);
+    setTimeout(() => this.#emit(stream), waitMs * this.slowness);
   }
 
   #answerHeaders(requestId: string): Record<string, string> {
