--- a/measure/placed/sites.ts
+++ b/measure/placed/sites.ts
@@ -30,7 +30,9 @@
 /** 93 targets, as in deployment A. */
 const LARGE_SITE = { north: [4, 9, 18], middle: [4, 9, 18], south: [4, 9, 18] };
 /** Factors of deployment A by kind; memory as at the reference site. */
-const LARGE_SITE_FACTORS: Readonly<Record<string, [number, number]>> = {
+const LARGE_SITE_FACTORS: Readonly<
+  Partial<Record<string, [number, number]>>
+> = {
   large: [2.4, 3.2],
   middle: [5.3, 7.9],
   small: [16, 8.2],
@@ -39,7 +41,10 @@
   ...SITE_PROFILE,
   kinds: new Map(
     [...SITE_PROFILE.kinds].map(([name, kind]) => {
-      const [decodeTimeFactor, prefillTimeFactor] = LARGE_SITE_FACTORS[name];
+      const factors = LARGE_SITE_FACTORS[name];
+      // The other kinds have their own factors, and none of their targets is here.
+      if (factors === undefined) return [name, kind];
+      const [decodeTimeFactor, prefillTimeFactor] = factors;
       return [name, { ...kind, decodeTimeFactor, prefillTimeFactor }];
     }),
   ),
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -44,7 +44,6 @@
 const REWRITE_DELAY_MS = 800;
 /** Time in which servers must cancel the streams of callers that disconnected. */
 const CANCEL_TIMEOUT_MS = 1_000;
-
 /** Offset of the seed, so that a seed draws the same faults as without it. */
 const PART_SEED_OFFSET = 4_000_037;
 
