--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -19,6 +19,7 @@
 import { findViolations } from "./invariants.ts";
 import { drawEndings, type DrawnEndings } from "./endings.ts";
 import { cutLinks } from "./link_cuts.ts";
+import { describeBursts, sendBurst } from "./overload.ts";
 import { askForPause, collectPauses } from "./pauses.ts";
 import { drawLimit } from "./request_limits.ts";
 import { drawSchedule } from "./schedule.ts";
@@ -43,7 +44,6 @@
 const REWRITE_DELAY_MS = 800;
 /** Time in which servers must cancel the streams of callers that disconnected. */
 const CANCEL_TIMEOUT_MS = 1_000;
-
 /** Offset of the seed, so that a seed draws the same faults as without it. */
 const PART_SEED_OFFSET = 4_000_037;
 
@@ -61,6 +61,7 @@
   readonly violations: readonly string[];
   readonly attempts: number;
   readonly complete: number;
+  readonly bursts: readonly string[];
   /** Settings and logs of the hosts; deleted if there are no violations. */
   readonly folder: string;
 }
@@ -72,6 +73,7 @@
   readonly #hosts: HostProcess[] = [];
   readonly #storeFaults: Interval[] = [];
   readonly #linkCuts: LinkCut[] = [];
+  readonly #bursts: Interval[] = [];
   readonly #hostFaults: (Interval & { readonly host: string })[] = [];
   #storeFaultStartMs = 0;
   #drills = Promise.resolve();
@@ -123,6 +125,8 @@
           end: (server) => this.#endFault(server),
         }),
         this.#sendCrashingPart(callers),
+        sendBurst(seed, callers, servers)
+          .then((burst) => this.#bursts.push(burst)),
       ]);
       this.#backEnds.restoreKey();
       const faultsEndMs = performance.now();
@@ -144,6 +148,7 @@
         complete: callers.attempts.filter(({ status, isWhole }) =>
           status === 200 && isWhole
         ).length,
+        bursts: describeBursts(history),
         folder: this.#folder,
       };
     } finally {
@@ -367,13 +372,7 @@
     const { servers, revocations, absences, limits } = this.#backEnds;
     return {
       attempts: callers.attempts,
-      executions: servers.flatMap(({ server }) =>
-        server.executions.map(({ requestId, serverId, atMs }) => ({
-          attemptId: requestId,
-          serverId,
-          atMs,
-        }))
-      ),
+      executions: this.#backEnds.executions,
       orders: servers.flatMap(({ server }) =>
         server.orders.map((order) => ({ serverId: server.id, order }))
       ),
@@ -383,6 +382,7 @@
       hostFaults: this.#hostFaults,
       limits,
       linkCuts: this.#linkCuts,
+      bursts: this.#bursts,
       pauses: collectPauses(servers, this.#hosts),
       faultsEndMs,
       leakedStreams,
--- a/src/peers/fleet_view.ts
+++ b/src/peers/fleet_view.ts
@@ -10,7 +10,9 @@
 import type { HostRecord } from "../ports/types.ts";
 import type { DomainDigest } from "./domain_digest.ts";
 import type { Peer, PeerLink } from "./peer_link.ts";
+import type { AgedDemand, ReceivedDemand } from "./demand_codec.ts";
 import type { PeerUse } from "./peer_state.ts";
+import { addUse } from "./use_sums.ts";
 
 /** Relays of a failure domain: its oldest live hosts. */
 const RELAYS_PER_DOMAIN = 2;
@@ -29,6 +31,11 @@
  */
 const DISCOVERY_HOSTS = 3;
 const DISCOVERY_MS = 800;
+/**
+ * The demand of a host leaves the sums when its last state is older, shortly
+ * before the host counts as down, as sums are not made all the time.
+ */
+const MAX_DEMAND_AGE_MS = 1_400;
 /** How long the grouping of hosts by domain is used for further queries. */
 const GROUPING_TTL_MS = 20;
 
@@ -187,6 +194,28 @@
     return sums;
   }
 
+  /**
+   * Demand at the other hosts: of a domain known by its digest, one for the
+   * domain, else one for each host. Of hosts that send none, none.
+   */
+  demands(): ReceivedDemand[] {
+    const nowMs = this.#options.clock.nowMs();
+    const ownDomain = this.#options.link.host.domain;
+    return [...this.#domains()].flatMap(([domain, { direct, digest }]) => {
+      if (digest === undefined) {
+        return direct.flatMap(({ state, lastReceivedMs }) => {
+          const { demand } = state ?? {};
+          const ageMs = nowMs - lastReceivedMs;
+          if (demand === undefined || ageMs > MAX_DEMAND_AGE_MS) return [];
+          return [{ demand, ageMs, includesOwn: false }];
+        });
+      }
+      const demand = agedDemand(digest, nowMs);
+      if (demand === undefined) return [];
+      return [{ ...demand, includesOwn: domain === ownDomain }];
+    });
+  }
+
   /** Records the load that this host told others; digests contain it. */
   recordSentUses(uses: readonly PeerUse[]): void {
     this.#sentUses = uses;
@@ -198,7 +227,8 @@
     return [...this.#domains()].flatMap(([domain, { digest }]) => {
       if (digest === undefined || domain === own) return [];
       const { members, uses } = digest;
-      return [{ ...digest.digest, members, uses }];
+      const demand = agedDemand(digest, this.#options.clock.nowMs());
+      return [{ ...digest.digest, members, uses, demand }];
     });
   }
 
@@ -332,6 +362,14 @@
   }
 }
 
+/** The demand of a digest with its age now. */
+function agedDemand(
+  { digest: { demand }, receivedMs }: ReceivedDigest,
+  nowMs: number,
+): AgedDemand | undefined {
+  return demand && { ...demand, ageMs: demand.ageMs + nowMs - receivedMs };
+}
+
 /** Whether a digest tells more than what is known of its relay. */
 function isNewer(
   { relay, sequenceNumber, uses }: DomainDigest,
@@ -358,16 +396,3 @@
   return [...hosts].sort((a, b) => isBefore(a, b) ? -1 : 1)
     .slice(0, RELAYS_PER_DOMAIN);
 }
-
-function addUse(
-  sums: Map<string, PeerUse>,
-  { targetId, streams, tokenLayers }: PeerUse,
-  sign: 1 | -1 = 1,
-): void {
-  const sum = sums.get(targetId);
-  sums.set(targetId, {
-    targetId,
-    streams: Math.max(0, (sum?.streams ?? 0) + sign * streams),
-    tokenLayers: Math.max(0, (sum?.tokenLayers ?? 0) + sign * tokenLayers),
-  });
-}
--- a/src/placement/placement_plan.ts
+++ b/src/placement/placement_plan.ts
@@ -33,8 +33,14 @@
 }
 
 /** Returns the first placement, or what to add to the current one. */
-export function planPlacement(options: PlacementOptions): PlannedOrder[] {
-  const isFirst = options.targets.every(({ span }) => span === undefined);
+export function planPlacement(
+  { figures, targets }: PlacementOptions,
+): PlannedOrder[] {
+  // Sums of capacity differ in the last digit with the order of their terms,
+  // which decides between spans of equal value.
+  const sorted = [...targets].sort((a, b) => a.id < b.id ? -1 : 1);
+  const options = { figures, targets: sorted };
+  const isFirst = sorted.every(({ span }) => span === undefined);
   return isFirst ? planFirst(options) : planAdditions(options);
 }
 
@@ -100,17 +106,28 @@
   let group: PlanTarget[] = [];
   for (const target of [...targets].sort(bySpeed)) {
     group.push(target);
-    if (sumMemory(group) < replicaMb) continue;
+    if (sumMemory(group) < replicaMb || !holdsAllLayers(group, figures)) {
+      continue;
+    }
     groups.push(group);
     group = [];
   }
-  const limit = group.reduce(
+  if (sumMemory(group) >= minMb && holdsAllLayers(group, figures)) {
+    groups.push(group);
+  } else return { groups, rest: group };
+  return { groups, rest: [] };
+}
+
+/** Whether all layers fit, which whole layers may not although their sum does. */
+function holdsAllLayers(
+  group: readonly PlanTarget[],
+  figures: EngineProfile,
+): boolean {
+  const layers = group.reduce(
     (sum, target) => sum + maxLayers(target, figures),
     0,
   );
-  if (sumMemory(group) >= minMb && limit >= figures.layers) groups.push(group);
-  else return { groups, rest: group };
-  return { groups, rest: [] };
+  return layers >= figures.layers;
 }
 
 /**
@@ -225,6 +242,7 @@
   let best: { target: PlanTarget; remainingTokens: number } | undefined;
   for (const target of targets) {
     if (!target.canAcceptOrder || target.span === undefined) continue;
+    if (maxLayers(target, figures) < 1) continue;
     // Each layer of the moved target must keep another holder.
     const remainingTokens = minCapacityWithout(target, capacity, figures);
     if (remainingTokens <= 0) continue;
@@ -276,9 +294,11 @@
   capacity: LayerCapacity,
   figures: EngineProfile,
 ): Span | undefined {
+  const limit = Math.min(figures.layers, maxLayers(target, figures));
+  // An order for no layers would count as a placement without an effect.
+  if (limit < 1) return undefined;
   const length = Math.min(
-    figures.layers,
-    maxLayers(target, figures),
+    limit,
     Math.max(
       1,
       Math.floor(
