--- a/src/placement/placement_plan_test.ts
+++ b/src/placement/placement_plan_test.ts
@@ -5,7 +5,6 @@
   SITE_PROFILE,
   siteTargets,
 } from "../../test/reference_site.ts";
-import type { EngineProfile } from "../ports/types.ts";
 import { planPlacement } from "./placement_plan.ts";
 import type { PlannedOrder, PlanTarget } from "./types.ts";
 
