--- a/src/paths/path_chooser.ts
+++ b/src/paths/path_chooser.ts
@@ -85,7 +85,7 @@
 /**
  * In larger fleets hosts hear of each other too late for the estimate: on a fleet
  * of 79 hosts it gave 1.1 to 1.9 s at the 99th percentile of the first event
- * where the costs with noise gave 0.2 to 0.4 s, although virtual days favour it.
+ * where the costs with noise gave 0.2 to 0.6 s, although virtual days favour it.
  */
 const MAX_ESTIMATED_HOSTS = 12;
 
