entry: wait for a port that is in use at the start, or serve without it

Operators saw hosts that did not start: exit code 2 at once if the metrics port, the first peer port (TCP or UDP) or the frontend's was taken, by the process before or by a short connection, although fifteen other peer ports were free and nobody needs the metrics to serve. A supervisor that restarts at once runs into the same port again.

Cause: every failed bind was final, and of `port-range` only the first port was read.

Ruled out: SO_REUSEADDR, which Node.js sets for TCP. Other listeners looked at: src/daemon/host_servers.ts, whose ports are chosen by its operator, unchanged.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -10,7 +10,7 @@
 import type { Clock } from "../common/clock.ts";
 import { BucketMetrics } from "../common/bucket_metrics.ts";
 import type { ILog } from "../common/logging.ts";
-import { Supervisor } from "../common/supervisor.ts";
+import { Supervisor, type Task } from "../common/supervisor.ts";
 import { EraTracker } from "../feeds/era_tracker.ts";
 import { createCallContext } from "./call_context.ts";
 import { RequestHandler } from "../forward/request_handler.ts";
@@ -41,6 +41,7 @@
 import { hostRecord } from "./host_record.ts";
 import { HostReadiness } from "./host_readiness.ts";
 import { HostListeners, type HostPorts } from "./host_listeners.ts";
+import { openHostPorts, openMetricsPort } from "./host_ports.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { TargetProber } from "./target_prober.ts";
 import { ServiceLimits } from "./service_limits.ts";
@@ -273,25 +274,27 @@
     this.#wire();
   }
 
-  /** Opens the ports and starts all tasks. Rejects if a port is in use. */
+  /** Opens the ports and starts all tasks. Rejects if a port stays in use. */
   async start(): Promise<void> {
-    const { settings, log } = this.#options;
-    await this.#link.open();
-    await this.#listeners.open(this.#link.host.port);
-    const tasks = {
+    const { settings, clock, log } = this.#options;
+    const [link, listeners] = [this.#link, this.#listeners];
+    const ports = { settings, link, listeners, clock, log };
+    await openHostPorts(ports);
+    const peers = this.#peers;
+    const tasks: Readonly<Record<string, { readonly run: Task }>> = {
       config: this.#feeds.config,
       targets: this.#feeds.targets,
       placement: this.#placement,
       reachability: this.#reachability,
       prober: this.#prober,
       watch: this.#watch,
+      metrics: { run: (signal) => openMetricsPort(ports, signal) },
+      peers: { run: (signal) => peers.runSender(signal) },
+      registry: { run: (signal) => peers.runRegistry(signal) },
     };
     for (const [name, task] of Object.entries(tasks)) {
       this.#supervisor.start(name, (signal) => task.run(signal));
     }
-    const peers = this.#peers;
-    this.#supervisor.start("peers", (signal) => peers.runSender(signal));
-    this.#supervisor.start("registry", (signal) => peers.runRegistry(signal));
     const { domain, frontend } = settings;
     log.info("host started", { domain, frontend });
   }
@@ -342,8 +345,8 @@
 
   /** Handles a change of the settings file; a running host keeps its settings. */
   reload(): void {
-    const configVersion = this.#config.table?.config.version;
     const event = "reload requested; a running host keeps its settings";
+    const configVersion = this.#config.table?.config.version;
     this.#options.log.info(event, { configVersion });
   }
 
--- a/src/entry/host_listeners.ts
+++ b/src/entry/host_listeners.ts
@@ -18,12 +18,11 @@
 /** Callers' headers, which are limited at the frontend, and those of hosts. */
 const MAX_DELEGATED_HEADER_BYTES = 256 * 1024;
 
+/** Ports that the settings name. */
+export type SettingsPort = "frontend" | "readiness" | "metrics";
+
 /** Ports on which the host listens; 0 while closed. */
-export interface HostPorts {
-  readonly frontend: number;
-  readonly readiness: number;
-  readonly metrics: number;
-}
+export type HostPorts = Readonly<Record<SettingsPort, number>>;
 
 export interface HostListenersOptions {
   readonly settings: HostSettings;
@@ -36,74 +35,67 @@
 
 export class HostListeners {
   readonly #settings: HostSettings;
-  readonly #frontend: Server;
-  readonly #delegation: Server;
-  readonly #readiness: Server;
-  readonly #metrics: Server;
+  readonly #servers: Readonly<Record<SettingsPort | "delegation", Server>>;
 
   constructor(options: HostListenersOptions) {
     this.#settings = options.settings;
-    this.#frontend = createServer({
+    const frontend = createServer({
       keepAlive: true,
       connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS,
       // The deadline of the request limits the time for its body.
       requestTimeout: 0,
     }, options.onRequest);
-    this.#delegation = createServer({
+    const delegation = createServer({
       keepAlive: true,
       keepAliveTimeout: HOST_IDLE_MS,
       connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS,
       maxHeaderSize: MAX_DELEGATED_HEADER_BYTES,
       requestTimeout: 0,
     }, options.onDelegated);
-    this.#readiness = createServer((_request, response) => {
+    const readiness = createServer((_request, response) => {
       const status = options.isReady() ? 200 : 503;
       response.writeHead(status, { "content-length": "0" }).end();
     });
-    this.#metrics = createServer((_request, response) => {
+    const metrics = createServer((_request, response) => {
       response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
       response.end(options.renderMetrics());
     });
+    this.#servers = { frontend, delegation, readiness, metrics };
   }
 
   get ports(): HostPorts {
     return {
-      frontend: portOf(this.#frontend),
-      readiness: portOf(this.#readiness),
-      metrics: portOf(this.#metrics),
+      frontend: portOf(this.#servers.frontend),
+      readiness: portOf(this.#servers.readiness),
+      metrics: portOf(this.#servers.metrics),
     };
   }
 
   /**
-   * Opens all ports; rejects if one is in use. Other hosts pass requests on to
-   * `hostPort`.
+   * Opens one port; rejects if it is in use, and may be retried. The settings
+   * name all ports but that of the delegation, to which other hosts pass
+   * requests on.
    */
-  async open(hostPort: number): Promise<void> {
-    const { ip } = this.#settings;
-    await listen(this.#delegation, { ip, port: hostPort });
-    await listen(this.#frontend, this.#settings.frontend);
-    await listen(this.#readiness, this.#settings.readiness);
-    await listen(this.#metrics, this.#settings.metrics);
+  open(name: SettingsPort): Promise<void> {
+    return listen(this.#servers[name], this.#settings[name]);
+  }
+
+  openDelegation(port: number): Promise<void> {
+    return listen(this.#servers.delegation, { ip: this.#settings.ip, port });
   }
 
   /** Sets the limits that apply from the next connection or request on. */
   applyLimits(limits: CallerLimits): void {
-    this.#frontend.keepAliveTimeout = limits.idleMs;
-    this.#frontend.headersTimeout = limits.headerMs;
+    const { frontend } = this.#servers;
+    frontend.keepAliveTimeout = limits.idleMs;
+    frontend.headersTimeout = limits.headerMs;
     // Node.js passes this limit to the parser of each new connection.
-    (this.#frontend as { maxHeaderSize?: number }).maxHeaderSize =
-      limits.headerBytes;
+    (frontend as { maxHeaderSize?: number }).maxHeaderSize = limits.headerBytes;
   }
 
   /** Closes all ports and connections. */
   dispose(): void {
-    const servers = [
-      this.#frontend,
-      this.#delegation,
-      this.#readiness,
-      this.#metrics,
-    ];
-    for (const server of servers) {
+    for (const server of Object.values(this.#servers)) {
       server.close();
       server.closeAllConnections();
     }
@@ -112,11 +104,16 @@
 
 function listen(server: Server, { ip, port }: Endpoint): Promise<void> {
   return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen({ host: ip, port, backlog: BACKLOG }, () => {
-      server.off("error", reject);
+    const onError = (error: Error): void => {
+      server.off("listening", onListening);
+      reject(error);
+    };
+    const onListening = (): void => {
+      server.off("error", onError);
       resolve();
-    });
+    };
+    server.once("error", onError).once("listening", onListening);
+    server.listen({ host: ip, port, backlog: BACKLOG });
   });
 }
 
--- a/src/peers/peer_link.ts
+++ b/src/peers/peer_link.ts
@@ -97,16 +97,20 @@
     return this.#host;
   }
 
-  /** Binds the socket; rejects if the address is in use. */
-  open(): Promise<void> {
+  /** Binds the socket; rejects if the address is in use, and may be retried. */
+  open(port = this.#options.host.port): Promise<void> {
     const { host, log } = this.#options;
     const socket = this.#options.createSocket?.() ?? createSocket("udp4");
-    this.#socket = socket;
     socket.on("message", (message, sender) => this.#receive(message, sender));
     return new Promise((resolve, reject) => {
-      socket.once("error", reject);
-      socket.bind(host.port, host.ip, () => {
-        socket.off("error", reject);
+      const onBindError = (error: Error): void => {
+        socket.close();
+        reject(error);
+      };
+      socket.once("error", onBindError);
+      socket.bind(port, host.ip, () => {
+        socket.off("error", onBindError);
+        this.#socket = socket;
         this.#host = { ...host, port: socket.address().port };
         socket.on(
           "error",
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -354,6 +354,12 @@
   readonly era?: number;
 }
 
+/** Both ports belong to the range; port 0 leaves the choice to the system. */
+export interface PortRange {
+  readonly first: number;
+  readonly last: number;
+}
+
 /** The deployment settings that the core uses. */
 export interface HostSettings {
   readonly hostId: string;
@@ -362,7 +368,8 @@
   readonly frontend: Endpoint;
   readonly readiness: Endpoint;
   readonly metrics: Endpoint;
-  readonly peerPort: number;
+  /** Ports of which the host uses one for other hosts, over UDP and TCP. */
+  readonly peerPorts: PortRange;
   /** Local address of connections to targets; by default, the system's choice. */
   readonly outgoingIp?: string;
   /** No process ran on this host before, as the whole system starts first. */
--- a/standins/users_platform/deployment.ts
+++ b/standins/users_platform/deployment.ts
@@ -212,7 +212,7 @@
     frontend: local,
     readiness: local,
     metrics: local,
-    peerPort: PEER_PORT,
+    peerPorts: { first: PEER_PORT, last: PEER_PORT },
     isFirstStart: true,
     bounds: {
       revokeMs: 5_000,
