--- a/test/platform_start_wait_test.ts
+++ b/test/platform_start_wait_test.ts
@@ -1,6 +1,6 @@
 /**
- * Starts of the platform's program while a port cannot be used for a moment, as a
- * process.
+ * Starts of the platform's program while its settings file or a port cannot be
+ * used for a moment, as a process.
  *
  * @module
  */
@@ -86,6 +86,25 @@
   holders.push(() => socket.close());
 }
 
+test.each([
+  ["missing", undefined],
+  ["empty", ""],
+  ["half written", SETTINGS.slice(0, SETTINGS.length / 2)],
+  ["without members", "{}"],
+])(
+  "a settings file that is %s for a moment does not end the process",
+  async (_name, content) => {
+    if (content !== undefined) writeFileSync(file, content);
+    const { lines, until } = startHost();
+    setTimeout(() => writeFileSync(file, SETTINGS), 600);
+    expect(await until("host started")).toBe(true);
+    const notes = lines.filter(({ event }) =>
+      event === "settings file was unusable at first"
+    );
+    expect(notes).toHaveLength(1);
+  },
+);
+
 test.each([["TCP", holdTcp], ["UDP", holdUdp]])(
   "a first peer port that is taken over %s does not end the process",
   async (_name, hold) => {
