entry: apply changed bounds to a running host

Operators saw that a host ignores a changed settings file: SIGHUP logged "a running host keeps its settings", so a shorter limit for revoked keys, another grace or another retry budget was in force only after a restart, and a change without a signal was never noticed.

Cause: the settings were read once, and each part kept the bounds that it was built with.

Now `LiveSettings` reads the file each second and at SIGHUP, off the event loop. Changed bounds (revoke, drain, grace, retry ratio and slack, stall) are in force at once; an invalid one keeps its present value, a file that cannot be used changes nothing and is told once, and one line names each changed value and those that need a restart (addresses, ports, names, the retry window, in whose slices retries are counted). Of the bounds this program reads revoke, grace and the retry limits; drain and stall are only reported.

The gauges take the parts they read, which keeps entry_host.ts short.

--- a/src/admission/service_retry_budget.ts
+++ b/src/admission/service_retry_budget.ts
@@ -11,13 +11,16 @@
 /** Number of slices of the window in which requests are counted. */
 const SLICES = 20;
 
-export interface ServiceRetryBudgetOptions {
-  readonly clock: Clock;
-  readonly windowMs: number;
+export interface RetryLimits {
   /** Retries allowed per request. */
   readonly ratio: number;
   /** Retries allowed beyond the ratio, for all hosts together. */
   readonly slack: number;
+}
+
+export interface ServiceRetryBudgetOptions extends RetryLimits {
+  readonly clock: Clock;
+  readonly windowMs: number;
   /** An upper bound on the number of hosts. */
   readonly hostLimit: () => number;
   /**
@@ -42,9 +45,16 @@
   );
   /** Times of the retries in the window, oldest first; as many as the limit at most. */
   #retriesAtMs: number[] = [];
+  #limits: RetryLimits;
 
   constructor(options: ServiceRetryBudgetOptions) {
     this.#options = options;
+    this.#limits = options;
+  }
+
+  /** Replaces the limits; the retries of the window still count. */
+  setLimits(limits: RetryLimits): void {
+    this.#limits = limits;
   }
 
   recordRequest(): void {
@@ -60,18 +70,19 @@
 
   /** Whether a retry could be acquired now. */
   hasRetry(): boolean {
-    const { clock, windowMs, ratio } = this.#options;
+    const { clock, windowMs } = this.#options;
     const nowMs = clock.nowMs();
     this.#retriesAtMs = this.#retriesAtMs.filter((atMs) =>
       atMs > nowMs - windowMs
     );
-    const limit = this.#countRequests() * ratio + this.#slackAt(nowMs);
+    const limit = this.#countRequests() * this.#limits.ratio +
+      this.#slackAt(nowMs);
     return this.#retriesAtMs.length + 1 <= limit;
   }
 
   #slackAt(nowMs: number): number {
-    const { slack, hostLimit, slackFromMs = -Infinity } = this.#options;
-    return nowMs < slackFromMs ? 0 : slack / hostLimit();
+    const { hostLimit, slackFromMs = -Infinity } = this.#options;
+    return nowMs < slackFromMs ? 0 : this.#limits.slack / hostLimit();
   }
 
   #countRequests(): number {
--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -29,6 +29,7 @@
   IHostRegistry,
   IKeyedLog,
   IRecordDecoder,
+  ISettingsSource,
   ITargetControl,
 } from "../ports/services.ts";
 import type { Endpoint, HostSettings } from "../ports/types.ts";
@@ -42,6 +43,7 @@
 import { HostReadiness } from "./host_readiness.ts";
 import { HostListeners, type HostPorts } from "./host_listeners.ts";
 import { openHostPorts, openMetricsPort } from "./host_ports.ts";
+import { LiveSettings } from "./live_settings.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { TargetProber } from "./target_prober.ts";
 import { ServiceLimits } from "./service_limits.ts";
@@ -57,6 +59,8 @@
 
 export interface EntryHostOptions {
   readonly settings: HostSettings;
+  /** By default, the settings never change. */
+  readonly settingsSource?: ISettingsSource;
   readonly configLog: IKeyedLog;
   readonly targetLog: IKeyedLog;
   readonly registry: IHostRegistry;
@@ -73,6 +77,7 @@
 
 export class EntryHost {
   readonly #options: EntryHostOptions;
+  readonly #settings: LiveSettings;
   readonly #metrics: BucketMetrics;
   readonly #random: () => number;
   readonly #supervisor: Supervisor;
@@ -104,6 +109,7 @@
     this.#options = options;
     const { settings, clock, log, decoder, registry } = options;
     const { hostId, domain } = settings;
+    this.#settings = new LiveSettings(options);
     this.#metrics = options.metrics ?? new BucketMetrics();
     this.#random = options.random ?? Math.random;
     this.#supervisor = new Supervisor({
@@ -288,6 +294,7 @@
       reachability: this.#reachability,
       prober: this.#prober,
       watch: this.#watch,
+      settings: this.#settings,
       metrics: { run: (signal) => openMetricsPort(ports, signal) },
       peers: { run: (signal) => peers.runSender(signal) },
       registry: { run: (signal) => peers.runRegistry(signal) },
@@ -319,11 +326,11 @@
 
   async #stop(): Promise<void> {
     this.#isStopping = true;
-    const { clock, log, settings } = this.#options;
+    const { clock, log } = this.#options;
     await drainHost({
       clock,
       log,
-      graceMs: settings.bounds.graceMs,
+      graceMs: this.#settings.bounds.graceMs,
       activeRequests: () => this.#core.active,
       rejectNew: () => this.#isClosed = true,
     });
@@ -343,11 +350,10 @@
     void this.#supervisor.stop();
   }
 
-  /** Handles a change of the settings file; a running host keeps its settings. */
+  /** Reads the settings file at once, as the operator asked for. */
   reload(): void {
-    const event = "reload requested; a running host keeps its settings";
-    const configVersion = this.#config.table?.config.version;
-    this.#options.log.info(event, { configVersion });
+    this.#options.log.info("reload requested");
+    void this.#settings.check();
   }
 
   #wire(): void {
@@ -359,6 +365,7 @@
       sinceRecoveryMs: () => this.#feeds.targets.sinceRecoveryMs,
       isEraSettled: () => this.#eras.isSettled,
     });
+    this.#settings.onBounds((bounds) => this.#limits.applyBounds(bounds));
     this.#config.onChange(({ config }) =>
       this.#listeners.applyLimits(config.limits)
     );
@@ -368,34 +375,27 @@
     this.#reachability.onChange(({ isCutOff }) => {
       if (!isCutOff) void this.#prober.probeAll();
     });
-    broadcastUrgentChanges({
-      peers: this.#peers,
-      reachability: this.#reachability,
-      limits: this.#targetLimits,
-      quarantine: this.#quarantine,
-    });
-    const configVersion = (): number | undefined =>
-      this.#config.table?.config.version;
-    const configAgeMs = (): number => this.#feeds.config.ageMs;
-    const metrics = this.#metrics;
-    const eras = this.#eras;
-    reportEraChanges({ metrics, log, configVersion, configAgeMs, eras });
-    registerGauges(metrics, {
-      active: () => this.#core.active,
-      configAgeMs,
-      configVersion: () => configVersion() ?? 0,
-      era: () => eras.current ?? 0,
+    const parts = {
+      log,
+      metrics: this.#metrics,
+      core: this.#core,
+      feeds: this.#feeds,
+      config: this.#config,
+      eras: this.#eras,
       targets: this.#targets,
-      cutOffServices: () => this.#reachability.cutOffServices().length,
+      reachability: this.#reachability,
       limits: this.#targetLimits,
-      hostCount: () => this.#peers.hostCount,
+      peers: this.#peers,
       quarantine: this.#quarantine,
       admission: this.#admission,
-    });
+    };
+    broadcastUrgentChanges(parts);
+    reportEraChanges(parts);
+    registerGauges(this.#metrics, parts);
   }
 
   #isFresh(): boolean {
-    const { revokeMs } = this.#options.settings.bounds;
+    const { revokeMs } = this.#settings.bounds;
     return this.#feeds.config.ageMs < revokeMs - CONFIG_AGE_MARGIN_MS;
   }
 }
--- a/src/entry/era_report.ts
+++ b/src/entry/era_report.ts
@@ -7,18 +7,19 @@
 import type { IMetrics } from "../common/bucket_metrics.ts";
 import type { ILog } from "../common/logging.ts";
 import type { EraTracker } from "../feeds/era_tracker.ts";
+import type { ConfigTracker } from "./config_tracker.ts";
+import type { StoreFeeds } from "./store_feeds.ts";
 
 export interface EraReportOptions {
   readonly eras: Pick<EraTracker, "onAdvance">;
   readonly metrics: Pick<IMetrics, "count">;
   readonly log: ILog;
-  /** Version in force at this host; undefined before the first. */
-  readonly configVersion: () => number | undefined;
-  readonly configAgeMs: () => number;
+  readonly config: Pick<ConfigTracker, "table">;
+  readonly feeds: Pick<StoreFeeds, "config">;
 }
 
 export function reportEraChanges(
-  { eras, metrics, log, configVersion, configAgeMs }: EraReportOptions,
+  { eras, metrics, log, config, feeds }: EraReportOptions,
 ): void {
   eras.onAdvance(({ from, to, source }) => {
     if (from === undefined) {
@@ -30,8 +31,8 @@
       from,
       to,
       source,
-      configVersion: configVersion(),
-      configAgeMs: Math.round(configAgeMs()),
+      configVersion: config.table?.config.version,
+      configAgeMs: Math.round(feeds.config.ageMs),
     });
   });
 }
--- a/src/entry/host_gauges.ts
+++ b/src/entry/host_gauges.ts
@@ -6,22 +6,25 @@
 
 import type { ContentQuarantine } from "../admission/content_quarantine.ts";
 import type { BucketMetrics } from "../common/bucket_metrics.ts";
+import type { EraTracker } from "../feeds/era_tracker.ts";
+import type { RequestHandler } from "../forward/request_handler.ts";
 import type { TargetLimits } from "../paths/target_limits.ts";
+import type { TargetReachability } from "../paths/target_reachability.ts";
 import type { TargetTable } from "../paths/target_table.ts";
+import type { ConfigTracker } from "./config_tracker.ts";
 import type { DemandExchange } from "./demand_exchange.ts";
+import type { PeerExchange } from "./peer_exchange.ts";
+import type { StoreFeeds } from "./store_feeds.ts";
 
 export interface GaugeSources {
-  /** Requests in progress. */
-  readonly active: () => number;
-  readonly configAgeMs: () => number;
-  readonly configVersion: () => number;
-  readonly era: () => number;
+  readonly core: Pick<RequestHandler, "active">;
+  readonly feeds: Pick<StoreFeeds, "config">;
+  readonly config: Pick<ConfigTracker, "table">;
+  readonly eras: Pick<EraTracker, "current">;
   readonly targets: TargetTable;
-  /** Number of services from whose targets the host is cut off. */
-  readonly cutOffServices: () => number;
+  readonly reachability: Pick<TargetReachability, "cutOffServices">;
   readonly limits: TargetLimits;
-  /** Live hosts, this one included. */
-  readonly hostCount: () => number;
+  readonly peers: Pick<PeerExchange, "hostCount">;
   readonly quarantine: ContentQuarantine;
   readonly admission: DemandExchange;
 }
@@ -32,12 +35,18 @@
 ): void {
   const { targets, limits, quarantine } = sources;
   const gauges: [string, () => number][] = [
-    ["jackdawshift_requests_active", sources.active],
-    ["jackdawshift_config_age_ms", sources.configAgeMs],
-    ["jackdawshift_config_version", sources.configVersion],
-    ["jackdawshift_store_era", sources.era],
+    ["jackdawshift_requests_active", () => sources.core.active],
+    ["jackdawshift_config_age_ms", () => sources.feeds.config.ageMs],
+    [
+      "jackdawshift_config_version",
+      () => sources.config.table?.config.version ?? 0,
+    ],
+    ["jackdawshift_store_era", () => sources.eras.current ?? 0],
     ["jackdawshift_targets_known", () => targets.all().length],
-    ["jackdawshift_services_cut_off", sources.cutOffServices],
+    [
+      "jackdawshift_services_cut_off",
+      () => sources.reachability.cutOffServices().length,
+    ],
     [
       "jackdawshift_targets_unresponsive",
       () =>
@@ -49,7 +58,7 @@
       () => targets.all().filter((one) => one.isSuspect).length,
     ],
     ["jackdawshift_targets_limited", () => limits.limitedCount],
-    ["jackdawshift_peers_live", () => sources.hostCount() - 1],
+    ["jackdawshift_peers_live", () => sources.peers.hostCount - 1],
     [
       "jackdawshift_contents_quarantined",
       () => quarantine.losses.quarantinedCount,
--- a/src/entry/service_limits.ts
+++ b/src/entry/service_limits.ts
@@ -5,10 +5,13 @@
  * @module
  */
 
-import { ServiceRetryBudget } from "../admission/service_retry_budget.ts";
+import {
+  type RetryLimits,
+  ServiceRetryBudget,
+} from "../admission/service_retry_budget.ts";
 import { WaitQueue, type WaitQueueOptions } from "../admission/wait_queue.ts";
 import type { Clock } from "../common/clock.ts";
-import type { HostSettings } from "../ports/types.ts";
+import type { HostBounds, HostSettings } from "../ports/types.ts";
 
 /** Requests of a service that may wait for a path; a stream uses about 100 KB. */
 const MAX_QUEUED_REQUESTS = 400;
@@ -40,11 +43,13 @@
   readonly #budgets = new Map<string, ServiceRetryBudget>();
   readonly #queues = new Map<string, WaitQueue>();
   readonly #slackFromMs: number;
+  #bounds: HostBounds;
   #ticksSinceDispatch = 0;
   #isDispatchDue = false;
 
   constructor(options: ServiceLimitsOptions) {
     this.#options = options;
+    this.#bounds = options.settings.bounds;
     const { clock, settings: { bounds, isFirstStart } } = options;
     this.#slackFromMs = isFirstStart
       ? -Infinity
@@ -54,12 +59,11 @@
   budgetOf(service: string): ServiceRetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
-      const { clock, settings: { bounds }, knownHosts } = this.#options;
+      const { clock, knownHosts } = this.#options;
       budget = new ServiceRetryBudget({
         clock,
-        windowMs: bounds.retryWindowMs,
-        ratio: bounds.retryRatio,
-        slack: bounds.retrySlack,
+        windowMs: this.#bounds.retryWindowMs,
+        ...retryLimits(this.#bounds),
         slackFromMs: this.#slackFromMs,
         hostLimit: () =>
           Math.max(MIN_HOSTS, knownHosts() + 1 + UNDISCOVERED_HOSTS),
@@ -69,6 +73,14 @@
     return budget;
   }
 
+  /** Uses changed retry limits from the next retry on. */
+  applyBounds(bounds: HostBounds): void {
+    this.#bounds = bounds;
+    for (const budget of this.#budgets.values()) {
+      budget.setLimits(retryLimits(bounds));
+    }
+  }
+
   queueOf(service: string): WaitQueue {
     let queue = this.#queues.get(service);
     if (queue === undefined) {
@@ -106,3 +118,7 @@
     this.#ticksSinceDispatch = 0;
   }
 }
+
+function retryLimits({ retryRatio, retrySlack }: HostBounds): RetryLimits {
+  return { ratio: retryRatio, slack: retrySlack };
+}
--- a/src/entry/service_limits_test.ts
+++ b/src/entry/service_limits_test.ts
@@ -80,3 +80,17 @@
   expect(started).toEqual(["open"]);
   expect(offered).toEqual(["open 1", "held 1"]);
 });
+
+test("a changed slack limits the retries of a service that is in use", () => {
+  const limits = new ServiceLimits({
+    clock: new ManualClock(),
+    settings: { bounds: BOUNDS, isFirstStart: true },
+    knownHosts: () => 8,
+  });
+  const budget = limits.budgetOf("s");
+  expect(budget.tryAcquire()).toBe(true);
+  limits.applyBounds({ ...BOUNDS, retrySlack: 0 });
+  expect(budget.hasRetry()).toBe(false);
+  limits.applyBounds(BOUNDS);
+  expect(budget.hasRetry()).toBe(true);
+});
--- a/src/ports/services.ts
+++ b/src/ports/services.ts
@@ -7,8 +7,10 @@
 
 import type { Event } from "../common/emitter.ts";
 import type {
+  DecodedSettings,
   DelegationMetadata,
   ForwardMetadata,
+  HostBounds,
   HostRecord,
   KeyedRead,
   KeyedSnapshot,
@@ -46,6 +48,17 @@
   writeSettledEra(era: number): Promise<void>;
 }
 
+/** The settings file of this host. */
+export interface ISettingsSource {
+  /** Rejects if the file cannot be read. */
+  read(): Promise<string>;
+  /**
+   * Throws if the text cannot be used. An invalid bound keeps the present one
+   * and is named in `faults`.
+   */
+  decode(text: string, present: HostBounds): DecodedSettings;
+}
+
 /**
  * Decodes records written by operators and targets. Returns an error message
  * for a malformed value.
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -377,6 +377,12 @@
   readonly bounds: HostBounds;
 }
 
+export interface DecodedSettings {
+  readonly host: HostSettings;
+  /** Error messages of invalid members, each replaced by a default. */
+  readonly faults: readonly string[];
+}
+
 /** Limits set by the deployment. */
 export interface HostBounds {
   /** Maximum time for which a revoked key may still be accepted. */
