daemon: handle signals before the program is imported

The same cause as on the platform: `jackdawshiftd` handled SIGTERM and SIGINT only after its start, so either ended it by the signal while it loaded or opened its ports, and SIGHUP ended it at any time.

src/daemon/main.ts now installs handlers and imports src/daemon/program.ts, the code of before. A first SIGTERM or SIGINT before the start ends the daemon with code 0 and one line; SIGHUP is one line, as the daemon has nothing to reload. A second signal to a stopping daemon still ends it at once with code 130. The last line of both programs is one function (src/common/exit_after_line.ts) that ends the process also if nobody reads the line.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,76 +1,22 @@
 #!/usr/bin/env node
 /**
- * The daemon `jackdawshiftd`: checks the settings, runs one host and shuts it
- * down at the first signal. A second signal ends the process at once.
+ * Entry point of the daemon `jackdawshiftd`. It handles signals before it
+ * imports the program, which takes most of the time of a start.
  *
  * @module
  */
 
 import process from "node:process";
-import { Cli } from "clipanion";
-import { createDaemonCommand, type Flags } from "./command.ts";
-import type { Host } from "./host.ts";
-import { readSettings, SettingError, type Settings } from "./settings.ts";
+import { EarlySignals } from "../common/early_signals.ts";
+import { exitAfterLine } from "../common/exit_after_line.ts";
 
-const EXIT_FORCED = 130;
-const EXIT_USAGE = 2;
-
-const cli = new Cli({
-  binaryName: "jackdawshiftd",
-  binaryLabel: "jackdawshift daemon",
+const signals = new EarlySignals({
+  source: process,
+  onStop: (signal) =>
+    exitAfterLine(
+      process.stderr,
+      `jackdawshiftd: stopped before the host started (${signal})`,
+    ),
 });
-cli.register(createDaemonCommand(runDaemon));
-const cliArguments = process.argv.slice(2);
-if (cliArguments.includes("--help") || cliArguments.includes("-h")) {
-  const [command] = cli.definitions();
-  process.stdout.write(`${cli.usage(null, { detailed: true })}\n`);
-  if (command === undefined) process.exitCode = EXIT_USAGE;
-} else {
-  process.exitCode = await cli.run(cliArguments, Cli.defaultContext);
-}
-
-async function runDaemon(flags: Flags): Promise<number> {
-  const settings = readCheckedSettings(flags);
-  if (settings === undefined) return EXIT_USAGE;
-  const host = await createHost(settings);
-  const addresses = await host.start();
-  process.stdout.write(
-    `${JSON.stringify({ ready: true, host: host.name, ...addresses })}\n`,
-  );
-  await waitForSignal();
-  await host.stop();
-  process.exit(0);
-}
-
-/**
- * Imports the rest of the program after the settings were checked. Deprecation
- * warnings are off meanwhile, since a dependency of restify uses
- * `process.binding` and the warning is of no use to operators.
- */
-async function createHost(settings: Settings): Promise<Host> {
-  process.noDeprecation = true;
-  const { Host } = await import("./host.ts");
-  process.noDeprecation = false;
-  return new Host({ settings });
-}
-
-function readCheckedSettings(flags: Flags): Settings | undefined {
-  try {
-    return readSettings({ flags, environment: process.env });
-  } catch (error) {
-    if (!(error instanceof SettingError)) throw error;
-    process.stderr.write(`jackdawshiftd: ${error.message}\n`);
-    return undefined;
-  }
-}
-
-function waitForSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    for (const name of ["SIGTERM", "SIGINT"] as const) {
-      process.once(name, () => {
-        process.on(name, () => process.exit(EXIT_FORCED));
-        resolve();
-      });
-    }
-  });
-}
+const { runCommandLine } = await import("./program.ts");
+await runCommandLine(signals);
--- a/test/platform_signals_test.ts
+++ b/test/platform_signals_test.ts
@@ -5,16 +5,19 @@
  */
 
 import { type ChildProcess, execFileSync, spawn } from "node:child_process";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { open } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
+import {
+  type ProcessEnd,
+  waitForEnd,
+  waitForHandlers,
+} from "./early_handlers.ts";
 
-const SIGHUP_MASK = 1n;
-const POLL_INTERVAL_MS = 1;
 /** Loopback addresses that no other run on this machine uses. */
 const SUBNET = `127.${64 + (process.pid >> 8) % 64}.${process.pid % 256}`;
 
@@ -42,7 +45,7 @@
 interface Start {
   readonly child: ChildProcess;
   readonly events: () => unknown[];
-  readonly ended: Promise<{ code: number | null; signal: string | null }>;
+  readonly ended: Promise<ProcessEnd>;
 }
 
 function start(file: string): Start {
@@ -55,11 +58,7 @@
   child.stdout!.on("data", (chunk) => output += chunk);
   const events = () =>
     output.split("\n").slice(0, -1).map((line) => JSON.parse(line).event);
-  const ended = new Promise<{ code: number | null; signal: string | null }>(
-    (resolve) =>
-      child.once("close", (code, signal) => resolve({ code, signal })),
-  );
-  return { child, events, ended };
+  return { child, events, ended: waitForEnd(child) };
 }
 
 function writeSettings(ip: string): string {
@@ -75,16 +74,6 @@
   return file;
 }
 
-/** Resolves when the process handles SIGHUP; the runtime itself does not. */
-async function waitForHandlers({ child }: Start): Promise<void> {
-  while (child.exitCode === null && child.signalCode === null) {
-    const status = readFileSync(`/proc/${child.pid}/status`, "utf8");
-    const caught = BigInt(`0x${/SigCgt:\s*(\w+)/.exec(status)![1]}`);
-    if ((caught & SIGHUP_MASK) !== 0n) return;
-    await sleep(POLL_INTERVAL_MS);
-  }
-}
-
 test.each(
   [
     ["SIGTERM", ["SIGTERM"]],
@@ -99,7 +88,7 @@
     // Opened for both, as then opening waits neither here nor in the program.
     const pipe = await open(file, "r+");
     const host = start(file);
-    await waitForHandlers(host);
+    await waitForHandlers(host.child);
     for (const signal of signals) host.child.kill(signal);
     await pipe.writeFile(settings(`${SUBNET}.1`));
     await pipe.close();
@@ -129,7 +118,7 @@
 test("signals at any moment after the handlers leave the end to the program", async () => {
   const ends = Array.from({ length: 4 }, async (_, index) => {
     const host = start(writeSettings(`${SUBNET}.${index + 1}`));
-    await waitForHandlers(host);
+    await waitForHandlers(host.child);
     await sleep(Math.random() * 400);
     host.child.kill("SIGHUP");
     await sleep(Math.random() * 100);
