soak: each end of a host's process has a signal before it

The soak restarted what it ended and never asked how a process ended: a host that ended by itself was started again by the next fault, or stayed away, and looked like one that a fault had stopped.

Each start, signal and end of a host is now kept. An end without a signal that asks for it is a violation with its code or signal, the signals so far and the last lines of its log; one after SIGTERM has code 0 and comes within the grace, without the time for which the process was frozen. A process that ends by itself is started again, as the platform does. Hosts run with the flags of deploy/system.toml, so that the limit of the heap is in force.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -173,8 +173,10 @@
       timeout: PROBE_INTERVAL_MS,
     }, (answer) => {
       answer.resume();
-      if (answer.statusCode === 200) this.#ready.add(host);
-      else this.#ready.delete(host);
+      if (answer.statusCode === 200) {
+        this.#ready.add(host);
+        host.confirmReady();
+      } else this.#ready.delete(host);
     });
     probe.on("timeout", () => probe.destroy());
     probe.on("error", () => this.#ready.delete(host));
--- /dev/null
+++ b/soak/host_faults.ts
@@ -0,0 +1,35 @@
+/**
+ * Injects the scheduled faults of hosts: signals to their processes.
+ *
+ * @module
+ */
+
+import type { HostProcess } from "./host_process.ts";
+import type { Fault, History } from "./types.ts";
+
+/** Resolves with when the host was not itself, once the fault has ended. */
+export async function injectHostFault(
+  host: HostProcess,
+  { kind, endMs }: Fault,
+  waitUntil: (atMs: number) => Promise<void>,
+): Promise<History["hostFaults"]> {
+  const startMs = performance.now();
+  if (kind === "host-reload") {
+    host.signal("SIGHUP");
+    return [];
+  }
+  if (kind === "host-clock-jump") host.signal("SIGUSR2");
+  else if (kind === "host-pause") {
+    host.signal("SIGSTOP");
+    await waitUntil(endMs);
+    host.signal("SIGCONT");
+  } else {
+    host.signal(kind === "host-kill" ? "SIGKILL" : "SIGTERM");
+    // A paused process handles SIGTERM only after SIGCONT.
+    host.signal("SIGCONT");
+    await host.waitForExit();
+    await waitUntil(endMs);
+    if (!host.isRunning) host.start();
+  }
+  return [{ host: host.name, startMs, endMs: performance.now() }];
+}
--- a/soak/host_process.ts
+++ b/soak/host_process.ts
@@ -5,17 +5,23 @@
  */
 
 import { type ChildProcess, spawn } from "node:child_process";
-import { openSync, writeFileSync } from "node:fs";
+import { fstatSync, openSync, readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
+import { parse } from "smol-toml";
+import { asFields, asString } from "../platform/fields.ts";
 import { SETTINGS_VARIABLE } from "../platform/settings.ts";
+import type { HostLife, SentSignal } from "./types.ts";
 
 const FRONTEND_PORT = 8_080;
 const READINESS_PORT = 8_081;
 const PEER_PORT = 7_340;
 /** The compiled tree that this module is part of. */
 const OWN_BUILD = new URL("../", import.meta.url);
+const DEPLOY_FILE = "deploy/system.toml";
+const ROLE = "entry-host";
+const LAST_LINES = 5;
 
 export interface HostProcessOptions {
   readonly name: string;
@@ -28,13 +34,19 @@
   readonly bounds: Readonly<Record<string, number>>;
   /** The compiled tree that the host runs; by default that of this module. */
   readonly build?: URL;
+  /** Restarts a process that ends by itself after this time; by default never. */
+  readonly restartMs?: number;
 }
 
 export class HostProcess {
   readonly #options: HostProcessOptions;
   readonly #settingsPath: string;
+  readonly #logPath: string;
   readonly #logFile: number;
+  /** Processes of this host, the present one last. */
+  readonly lives: HostLife[] = [];
   #child: ChildProcess | undefined;
+  #isDisposed = false;
   /** Entry point of the next start; undefined for this build. */
   program: string | undefined;
 
@@ -42,7 +54,8 @@
     this.#options = options;
     const { name, ip, domain, folder, storeAddress, bounds } = options;
     this.#settingsPath = join(folder, `${name}.json`);
-    this.#logFile = openSync(join(folder, `${name}.log`), "a");
+    this.#logPath = join(folder, `${name}.log`);
+    this.#logFile = openSync(this.#logPath, "a");
     writeFileSync(
       this.#settingsPath,
       JSON.stringify({
@@ -84,21 +97,51 @@
   }
 
   start(): void {
-    const { build = OWN_BUILD } = this.#options;
+    const { build = OWN_BUILD, name } = this.#options;
     const program = fileURLToPath(new URL("platform/main.js", build));
     const shiftedClock = new URL("soak/shifted_clock.js", build).href;
-    this.#child = spawn(
+    const flags = ["--import", shiftedClock, ...readDeployedFlags()];
+    const logStart = fstatSync(this.#logFile).size;
+    const child = spawn(
       process.execPath,
-      ["--import", shiftedClock, this.program ?? program],
+      [...flags, this.program ?? program],
       {
         env: { ...process.env, [SETTINGS_VARIABLE]: this.#settingsPath },
         stdio: ["ignore", this.#logFile, this.#logFile],
       },
     );
+    const signals: SentSignal[] = [];
+    const life: HostLife = {
+      host: name,
+      startMs: performance.now(),
+      signals,
+      readyMs: undefined,
+      end: undefined,
+    };
+    this.#child = child;
+    this.lives.push(life);
+    child.once("exit", (code, signal) => {
+      const lastLines = this.#isDisposed ? [] : this.#readLastLines(logStart);
+      life.end = { atMs: performance.now(), code, signal, lastLines };
+      const { restartMs } = this.#options;
+      if (restartMs === undefined || isAskedToEnd(signals)) return;
+      setTimeout(() => {
+        if (!this.isRunning && !this.#isDisposed) this.start();
+      }, restartMs);
+    });
   }
 
   signal(name: NodeJS.Signals): void {
-    if (this.isRunning) this.#child?.kill(name);
+    if (!this.isRunning) return;
+    const signals = this.lives.at(-1)?.signals as SentSignal[];
+    signals.push({ name, atMs: performance.now() });
+    this.#child?.kill(name);
+  }
+
+  /** Takes note that the process has answered that it is ready. */
+  confirmReady(): void {
+    const life = this.lives.at(-1);
+    if (life !== undefined) life.readyMs ??= performance.now();
   }
 
   /** Resolves when the process has exited, at once if it is not running. */
@@ -107,4 +150,28 @@
     if (child === undefined || !this.isRunning) return Promise.resolve();
     return new Promise((resolve) => child.once("exit", () => resolve()));
   }
+
+  /** Kills the process for good; resolves when it has exited. */
+  async dispose(): Promise<void> {
+    this.#isDisposed = true;
+    this.signal("SIGKILL");
+    await this.waitForExit();
+  }
+
+  #readLastLines(fromByte: number): readonly string[] {
+    const text = readFileSync(this.#logPath).subarray(fromByte).toString();
+    return text.trimEnd().split("\n").slice(-LAST_LINES);
+  }
+}
+
+function isAskedToEnd(signals: readonly SentSignal[]): boolean {
+  return signals.some(({ name }) => name === "SIGTERM" || name === "SIGKILL");
+}
+
+/** The options of Node.js with which the platform starts a host. */
+function readDeployedFlags(): string[] {
+  const deploy = parse(readFileSync(DEPLOY_FILE, "utf8"));
+  const role = asFields(asFields(deploy["roles"])?.[ROLE]) ?? {};
+  const words = (asString(role["run"]) ?? "").split(" ");
+  return words.filter((word) => word.startsWith("--"));
 }
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -4,6 +4,12 @@
  * @module
  */
 
+import { checkLives } from "./host_lives.ts";
+import {
+  remainingMs,
+  TIMESTAMP_TOLERANCE_MS,
+  withReconnection,
+} from "./intervals.ts";
 import { checkLinkCuts } from "./link_cuts.ts";
 import { checkOverload } from "./overload.ts";
 import { checkPauses } from "./pauses.ts";
@@ -11,12 +17,6 @@
 import { BURST_ROUTE, CRASHING_PART, CRASHING_TEXT } from "./settings.ts";
 import type { Attempt, Bounds, Execution, History } from "./types.ts";
 
-/** Tolerance between timestamps of one machine, which differ by scheduling delays. */
-const TIMESTAMP_TOLERANCE_MS = 250;
-
-/** Time after a store outage in which hosts repeat calls that were in progress. */
-const STORE_RECONNECT_MS = 1_500;
-
 /** Returns one readable line for each violation. */
 export function findViolations(history: History, bounds: Bounds): string[] {
   const executions = groupExecutions(history.executions);
@@ -34,6 +34,7 @@
     ...checkPauses(history, bounds),
     ...checkOverload(history),
     ...checkRecovery(history, bounds),
+    ...checkLives(history, bounds),
     ...history.invalidCalls.map((call) => `malformed call: ${call}`),
     ...history.leakedStreams === 0 ? [] : [
       `${history.leakedStreams} streams still executing after their callers had finished`,
@@ -127,6 +128,7 @@
 function checkAbsences(history: History, bounds: Bounds): string[] {
   const { drainMs, stableWindowMs } = bounds;
   const hosts = new Map(history.attempts.map(({ id, host }) => [id, host]));
+  const outages = withReconnection(history.storeFaults);
   return history.executions.flatMap(({ attemptId, serverId, atMs }) => {
     // The host may not have learnt yet what happened during its fault.
     const isUnstable = history.hostFaults.some(({ host, startMs, endMs }) =>
@@ -136,7 +138,7 @@
     if (isUnstable) return [];
     const absence = history.absences.find((one) =>
       one.serverId === serverId && atMs < one.endMs &&
-      storeHealthyMs(history, one.startMs, atMs) >
+      remainingMs(one.startMs, atMs, outages) >
         drainMs + TIMESTAMP_TOLERANCE_MS
     );
     return absence === undefined ? [] : [
@@ -145,22 +147,6 @@
   });
 }
 
-/** Time within an interval in which hosts could read the store. */
-function storeHealthyMs(
-  { storeFaults }: History,
-  fromMs: number,
-  untilMs: number,
-): number {
-  let sumMs = 0;
-  let atMs = fromMs;
-  const faults = [...storeFaults].sort((a, b) => a.startMs - b.startMs);
-  for (const { startMs, endMs } of faults) {
-    sumMs += Math.max(0, Math.min(startMs, untilMs) - atMs);
-    atMs = Math.max(atMs, endMs + STORE_RECONNECT_MS);
-  }
-  return sumMs + Math.max(0, untilMs - atMs);
-}
-
 function checkOrders(history: History, { maxLayers }: Bounds): string[] {
   return history.orders.flatMap(({ serverId, order }) => {
     if (order.op !== "place") return [];
--- a/soak/settings.ts
+++ b/soak/settings.ts
@@ -45,6 +45,8 @@
   revokeMs: 5_000,
   drainMs: 2_000,
   recoveryMs: 15_000,
+  graceMs: 8_000,
+  startupMs: 12_000,
   retryRatio: 0.2,
   retryWindowMs: 10_000,
   retrySlack: 24,
@@ -60,6 +62,8 @@
 
 /** How long requests continue after the recovery time. */
 export const CHECKED_RECOVERY_MS = 3_000;
+/** The platform starts a process that has ended again after this time. */
+export const HOST_RESTART_MS = 300;
 /** Time in which a new deployment must become ready. */
 export const STARTUP_TIMEOUT_MS = 20_000;
 
@@ -67,7 +71,7 @@
 export const HOST_BOUNDS: Readonly<Record<string, number>> = {
   "revoke-ms": BOUNDS.revokeMs,
   "drain-ms": BOUNDS.drainMs,
-  "grace-s": 8,
+  "grace-s": BOUNDS.graceMs / 1_000,
   "retry-ratio": BOUNDS.retryRatio,
   "retry-window-s": BOUNDS.retryWindowMs / 1_000,
   "retry-slack": BOUNDS.retrySlack,
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -11,11 +11,12 @@
 import { join } from "node:path";
 import { systemClock } from "../src/common/clock.ts";
 import { seededRandom } from "../src/common/random.ts";
-import { hostIp } from "../standins/loopback_address.ts";
 import { type BackEnd, BackEnds } from "./back_ends.ts";
 import { Callers } from "./callers.ts";
 import { SERVER_MODES, STORE_FAULTS } from "./fault_modes.ts";
-import { HostProcess } from "./host_process.ts";
+import { injectHostFault } from "./host_faults.ts";
+import type { HostProcess } from "./host_process.ts";
+import { startHosts } from "./hosts.ts";
 import { findViolations } from "./invariants.ts";
 import { drawEndings, type DrawnEndings } from "./endings.ts";
 import { cutLinks } from "./link_cuts.ts";
@@ -29,8 +30,6 @@
   CHECKED_RECOVERY_MS,
   CRASH_RESTART_MS,
   CRASHING_ROUTES,
-  DOMAINS,
-  HOST_BOUNDS,
   HOST_COUNT,
   MODEL_SERVER_COUNT,
   PLAIN_SERVER_COUNT,
@@ -105,7 +104,11 @@
     });
     const endings = drawEndings(seed);
     await this.#backEnds.start(endings);
-    this.#startHosts();
+    this.#hosts.push(...startHosts({
+      folder: this.#folder,
+      storeAddress: this.#backEnds.storeProxy.address,
+      otherProgram,
+    }));
     const callers = new Callers({
       hosts: this.#hosts,
       random: seededRandom(seed),
@@ -171,22 +174,6 @@
     callers.startCrashingPart(random);
   }
 
-  #startHosts(): void {
-    for (let i = 0; i < HOST_COUNT; i++) {
-      const host = new HostProcess({
-        name: `host-${i}`,
-        domain: DOMAINS[i % DOMAINS.length],
-        ip: hostIp(i + 1),
-        storeAddress: this.#backEnds.storeProxy.address,
-        folder: this.#folder,
-        bounds: HOST_BOUNDS,
-      });
-      if (i % 2 === 0) host.program = this.#options.otherProgram;
-      host.start();
-      this.#hosts.push(host);
-    }
-  }
-
   async #waitUntilReady(callers: Callers): Promise<void> {
     const endMs = performance.now() + STARTUP_TIMEOUT_MS;
     while (!this.#backEnds.isModelPlaced || callers.readyHosts < HOST_COUNT) {
@@ -221,7 +208,12 @@
       const route = CRASHING_ROUTES[fault.index % CRASHING_ROUTES.length];
       callers.startCrashing(`content ${fault.startMs}`, route);
     } else if (fault.kind.startsWith("host-")) {
-      await this.#injectHostFault(this.#hosts[fault.index], fault, waitUntil);
+      const absences = await injectHostFault(
+        this.#hosts[fault.index],
+        fault,
+        waitUntil,
+      );
+      this.#hostFaults.push(...absences);
     } else if (fault.kind.startsWith("server-")) {
       const backEnd = this.#backEnds.servers[fault.index];
       if (fault.kind === "server-leaves") {
@@ -233,36 +225,6 @@
     } else await this.#injectStoreFault(fault, waitUntil);
   }
 
-  async #injectHostFault(
-    host: HostProcess,
-    { kind, endMs }: Fault,
-    waitUntil: (atMs: number) => Promise<void>,
-  ): Promise<void> {
-    const startMs = performance.now();
-    if (kind === "host-reload") {
-      host.signal("SIGHUP");
-      return;
-    }
-    if (kind === "host-clock-jump") host.signal("SIGUSR2");
-    else if (kind === "host-pause") {
-      host.signal("SIGSTOP");
-      await waitUntil(endMs);
-      host.signal("SIGCONT");
-    } else {
-      host.signal(kind === "host-kill" ? "SIGKILL" : "SIGTERM");
-      // A paused process handles SIGTERM only after SIGCONT.
-      host.signal("SIGCONT");
-      await host.waitForExit();
-      await waitUntil(endMs);
-      if (!host.isRunning) host.start();
-    }
-    this.#hostFaults.push({
-      host: host.name,
-      startMs,
-      endMs: performance.now(),
-    });
-  }
-
   async #injectServerFault(
     { server, proxy }: BackEnd,
     { kind, endMs }: Fault,
@@ -374,17 +336,16 @@
       hostFaults: this.#hostFaults,
       linkCuts: this.#linkCuts,
       bursts: this.#bursts,
+      lives: this.#hosts.flatMap(({ lives }) => lives),
       pauses: collectPauses(servers, this.#hosts),
       faultsEndMs,
       leakedStreams,
+      untilMs: performance.now(),
     };
   }
 
   async #dispose(): Promise<void> {
-    for (const host of this.#hosts) {
-      host.signal("SIGKILL");
-      await host.waitForExit();
-    }
+    for (const host of this.#hosts) await host.dispose();
     this.#backEnds.dispose();
   }
 }
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -93,6 +93,31 @@
   readonly endMs: number;
 }
 
+export interface SentSignal {
+  readonly name: NodeJS.Signals;
+  readonly atMs: number;
+}
+
+/** One process of a host, from its start to its end. */
+export interface HostLife {
+  readonly host: string;
+  readonly startMs: number;
+  /** Signals from the soak, in order. */
+  readonly signals: readonly SentSignal[];
+  /** When it first answered that it is ready. */
+  readyMs: number | undefined;
+  /** Undefined while it runs. */
+  end: ProcessEnd | undefined;
+}
+
+export interface ProcessEnd {
+  readonly atMs: number;
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+  /** The end of its log. */
+  readonly lastLines: readonly string[];
+}
+
 /** A server that named a limit for its requests, from `startMs` on. */
 export interface LimitedServer {
   readonly serverId: string;
@@ -133,6 +158,7 @@
   readonly storeFaults: readonly Interval[];
   /** When hosts were stopped, killed, paused or had their clocks set. */
   readonly hostFaults: readonly (Interval & { readonly host: string })[];
+  readonly lives: readonly HostLife[];
   readonly limits: readonly LimitedServer[];
   /** When hosts were cut off from all servers. */
   readonly linkCuts:
@@ -146,6 +172,8 @@
   readonly leakedStreams: number;
   /** Calls of hosts that the store or a server refused as malformed. */
   readonly invalidCalls: readonly string[];
+  /** When the observations end. */
+  readonly untilMs: number;
 }
 
 /** Limits that a run is configured with and checked against. */
@@ -153,6 +181,10 @@
   readonly revokeMs: number;
   readonly drainMs: number;
   readonly recoveryMs: number;
+  /** Time that a process has to end after SIGTERM. */
+  readonly graceMs: number;
+  /** Time in which a process becomes ready if it reaches the store and servers. */
+  readonly startupMs: number;
   readonly retryRatio: number;
   readonly retryWindowMs: number;
   readonly retrySlack: number;
