soak: processor time, memory and descriptors of each host are checked

A host that burns a core without serving, outgrows its memory or keeps descriptors looked sound to the soak as long as its callers were served by the others.

A run takes 3.5 s longer.

--- a/soak/host_lives_test.ts
+++ b/soak/host_lives_test.ts
@@ -11,6 +11,7 @@
   signals: [],
   readyMs: 2_000,
   end: undefined,
+  samples: [],
   ...overrides,
 });
 
--- a/soak/host_process.ts
+++ b/soak/host_process.ts
@@ -96,6 +96,11 @@
       this.#child.signalCode === null;
   }
 
+  /** Undefined if it is not running. */
+  get pid(): number | undefined {
+    return this.isRunning ? this.#child?.pid : undefined;
+  }
+
   start(): void {
     const { build = OWN_BUILD, name } = this.#options;
     const program = fileURLToPath(new URL("platform/main.js", build));
@@ -117,6 +122,7 @@
       signals,
       readyMs: undefined,
       end: undefined,
+      samples: [],
     };
     this.#child = child;
     this.lives.push(life);
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -13,6 +13,7 @@
 import { checkLinkCuts } from "./link_cuts.ts";
 import { checkOverload } from "./overload.ts";
 import { checkPauses } from "./pauses.ts";
+import { checkSamples } from "./process_samples.ts";
 import { checkRequestLimits } from "./request_limits.ts";
 import { BURST_ROUTE, CRASHING_PART, CRASHING_TEXT } from "./settings.ts";
 import type { Attempt, Bounds, Execution, History } from "./types.ts";
@@ -35,6 +36,7 @@
     ...checkOverload(history),
     ...checkRecovery(history, bounds),
     ...checkLives(history, bounds),
+    ...checkSamples(history, bounds),
     ...history.invalidCalls.map((call) => `malformed call: ${call}`),
     ...history.leakedStreams === 0 ? [] : [
       `${history.leakedStreams} streams still executing after their callers had finished`,
--- a/soak/invariants_test.ts
+++ b/soak/invariants_test.ts
@@ -48,6 +48,7 @@
     storeFaults: [],
     hostFaults: [],
     lives: [],
+    rests: [],
     limits: [],
     untilMs: 0,
     faultsEndMs: undefined,
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -79,6 +79,7 @@
       `${schedule.length} faults, ${violations.length} violations; servers end ` +
       `as ${ending} after ${crashAfterEvents.join(", ") || "no"} events`,
   );
+  console.log(`  ${outcome.usage}`);
   for (const line of outcome.bursts) console.log(`  ${line}`);
   if (!showsSchedule && violations.length === 0) return;
   for (const { kind, index, startMs, endMs } of schedule) {
--- a/soak/settings.ts
+++ b/soak/settings.ts
@@ -47,6 +47,8 @@
   recoveryMs: 15_000,
   graceMs: 8_000,
   startupMs: 12_000,
+  restingCores: 0.1,
+  residentBytes: 350e6,
   retryRatio: 0.2,
   retryWindowMs: 10_000,
   retrySlack: 24,
@@ -64,6 +66,9 @@
 export const CHECKED_RECOVERY_MS = 3_000;
 /** The platform starts a process that has ended again after this time. */
 export const HOST_RESTART_MS = 300;
+/** Time after the last request until hosts are at rest, and how long that is judged. */
+export const SETTLING_MS = 1_000;
+export const REST_MS = 2_000;
 /** Time in which a new deployment must become ready. */
 export const STARTUP_TIMEOUT_MS = 20_000;
 
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -22,6 +22,7 @@
 import { cutLinks } from "./link_cuts.ts";
 import { describeBursts, sendBurst } from "./overload.ts";
 import { askForPause, collectPauses } from "./pauses.ts";
+import { describeSamples, startSampling } from "./process_samples.ts";
 import { drawLimit } from "./request_limits.ts";
 import { replaceHosts } from "./other_build.ts";
 import { drawSchedule } from "./schedule.ts";
@@ -33,6 +34,8 @@
   HOST_COUNT,
   MODEL_SERVER_COUNT,
   PLAIN_SERVER_COUNT,
+  REST_MS,
+  SETTLING_MS,
   STARTUP_TIMEOUT_MS,
 } from "./settings.ts";
 import type { Fault, History, Interval, LinkCut } from "./types.ts";
@@ -65,6 +68,8 @@
   readonly attempts: number;
   readonly complete: number;
   readonly bursts: readonly string[];
+  /** What the hosts used. */
+  readonly usage: string;
   /** Settings and logs of the hosts; deleted if there are no violations. */
   readonly folder: string;
 }
@@ -77,6 +82,7 @@
   readonly #storeFaults: Interval[] = [];
   readonly #linkCuts: LinkCut[] = [];
   readonly #bursts: Interval[] = [];
+  readonly #rests: Interval[] = [];
   readonly #hostFaults: (Interval & { readonly host: string })[] = [];
   #storeFaultStartMs = 0;
   #drills = Promise.resolve();
@@ -109,6 +115,7 @@
       storeAddress: this.#backEnds.storeProxy.address,
       otherProgram,
     }));
+    const sampling = startSampling(this.#hosts);
     const callers = new Callers({
       hosts: this.#hosts,
       random: seededRandom(seed),
@@ -117,6 +124,7 @@
     try {
       callers.startProbing();
       await this.#waitUntilReady(callers);
+      await this.#rest();
       callers.start();
       const startMs = performance.now();
       const { servers } = this.#backEnds;
@@ -145,6 +153,8 @@
       await systemClock.sleep(CRASH_RESTART_MS + CHECKED_RECOVERY_MS);
       await callers.stop();
       const leakedStreams = await this.#waitUntilCancelled();
+      await systemClock.sleep(SETTLING_MS);
+      await this.#rest();
       const history = this.#collectHistory(callers, faultsEndMs, leakedStreams);
       const violations = findViolations(history, BOUNDS);
       if (violations.length === 0) rmSync(this.#folder, { recursive: true });
@@ -158,9 +168,11 @@
           status === 200 && isWhole
         ).length,
         bursts: describeBursts(history),
+        usage: describeSamples(history),
         folder: this.#folder,
       };
     } finally {
+      sampling.dispose();
       await callers.stop();
       await this.#dispose();
     }
@@ -184,8 +196,13 @@
       }
       await systemClock.sleep(POLL_INTERVAL_MS);
     }
-    // Hosts must have read the target records that contain the placement.
-    await systemClock.sleep(1_500);
+  }
+
+  /** Hosts have also read the target records that contain the placement then. */
+  async #rest(): Promise<void> {
+    const startMs = performance.now();
+    await systemClock.sleep(REST_MS);
+    this.#rests.push({ startMs, endMs: performance.now() });
   }
 
   async #waitUntilCancelled(): Promise<number> {
@@ -336,6 +353,7 @@
       hostFaults: this.#hostFaults,
       linkCuts: this.#linkCuts,
       bursts: this.#bursts,
+      rests: this.#rests,
       lives: this.#hosts.flatMap(({ lives }) => lives),
       pauses: collectPauses(servers, this.#hosts),
       faultsEndMs,
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -108,6 +108,16 @@
   readyMs: number | undefined;
   /** Undefined while it runs. */
   end: ProcessEnd | undefined;
+  /** What it used, in order. */
+  readonly samples: ProcessSample[];
+}
+
+export interface ProcessSample {
+  readonly atMs: number;
+  /** Processor time since its start. */
+  readonly processorMs: number;
+  readonly residentBytes: number;
+  readonly descriptors: number;
 }
 
 export interface ProcessEnd {
@@ -159,6 +169,8 @@
   /** When hosts were stopped, killed, paused or had their clocks set. */
   readonly hostFaults: readonly (Interval & { readonly host: string })[];
   readonly lives: readonly HostLife[];
+  /** When no caller sent: before the requests, and after them. */
+  readonly rests: readonly Interval[];
   readonly limits: readonly LimitedServer[];
   /** When hosts were cut off from all servers. */
   readonly linkCuts:
@@ -185,6 +197,10 @@
   readonly graceMs: number;
   /** Time in which a process becomes ready if it reaches the store and servers. */
   readonly startupMs: number;
+  /** Cores that a process may use while no caller sends. */
+  readonly restingCores: number;
+  /** Limit of the memory of a process. */
+  readonly residentBytes: number;
   readonly retryRatio: number;
   readonly retryWindowMs: number;
   readonly retrySlack: number;
