soak: drawn surroundings of the hosts' processes

The soak disturbed hosts, servers and the store, never what surrounds a process: no signal came in the first moments of a start, settings were whole, ports free, outputs good, and nobody else wrote to the topics that hosts read.

Five surroundings are drawn for each seed, from an offset of their own, so that its other faults are the same as before: records of another writer in each run, in the topics of the servers, of the configuration and of the hosts (nested 200,000 deep, 1e999, port 70000, layers 0 to 1e15, no text, and others), and four of these: SIGHUP and SIGTERM, one or two, at any of the first 500 ms of a process; settings half written, gone, or rewritten in place, at a start or a reload; the metrics port, or the first port of the range, held by others while a host starts; an output that is full, whose reader goes away and comes back, or stalls. A process that outlives its grace by a second is killed, as the platform does. Limits of descriptors are not drawn.

--- a/soak/host_faults.ts
+++ b/soak/host_faults.ts
@@ -24,10 +24,8 @@
     await waitUntil(endMs);
     host.signal("SIGCONT");
   } else {
-    host.signal(kind === "host-kill" ? "SIGKILL" : "SIGTERM");
-    // A paused process handles SIGTERM only after SIGCONT.
-    host.signal("SIGCONT");
-    await host.waitForExit();
+    if (kind === "host-kill") host.signal("SIGKILL");
+    await host.stop();
     await waitUntil(endMs);
     if (!host.isRunning) host.start();
   }
--- a/soak/host_lives.ts
+++ b/soak/host_lives.ts
@@ -31,28 +31,29 @@
 ): string[] {
   const { host, startMs, signals, end } = life;
   const asked = signals.find(({ name }) => name === "SIGTERM");
-  const isKilled = signals.some(({ name }) => name === "SIGKILL") &&
-    end?.signal === "SIGKILL";
-  if (isKilled) return [];
-  if (asked === undefined && end === undefined) return [];
   const lastLines = (end?.lastLines ?? []).map((line) => `\n    ${line}`);
-  if (asked === undefined || (end !== undefined && end.code !== 0)) {
-    const ageMs = Math.round((end?.atMs ?? untilMs) - startMs);
-    const others = signals.map(({ name, atMs }) =>
-      `${name} at ${Math.round(atMs - startMs)} ms`
-    );
+  const tookMs = asked === undefined
+    ? 0
+    : remainingMs(asked.atMs, end?.atMs ?? untilMs, pauses(life));
+  if (tookMs > graceMs + TIMESTAMP_TOLERANCE_MS) {
     return [
-      `${host}: ended ${ageMs} ms after its start with ${
-        end?.signal ?? `code ${end?.code}`
-      }, after ${others.join(", ") || "no signal"}${lastLines.join("")}`,
+      `${host}: ${end === undefined ? "still runs" : "ended"} ${
+        Math.round(tookMs)
+      } ms after SIGTERM, at most ${graceMs} allowed${lastLines.join("")}`,
     ];
   }
-  const tookMs = remainingMs(asked.atMs, end?.atMs ?? untilMs, pauses(life));
-  if (tookMs <= graceMs + TIMESTAMP_TOLERANCE_MS) return [];
+  const isAsked = end === undefined ||
+    (asked !== undefined && end.code === 0) ||
+    (end.signal === "SIGKILL" &&
+      signals.some(({ name }) => name === "SIGKILL"));
+  if (isAsked) return [];
+  const sent = signals.map(({ name, atMs }) =>
+    `${name} at ${Math.round(atMs - startMs)} ms`
+  );
   return [
-    `${host}: ${end === undefined ? "still runs" : "ended"} ${
-      Math.round(tookMs)
-    } ms after SIGTERM, at most ${graceMs} allowed${lastLines.join("")}`,
+    `${host}: ended ${Math.round(end.atMs - startMs)} ms after its start with ${
+      end.signal ?? `code ${end.code}`
+    }, after ${sent.join(", ") || "no signal"}${lastLines.join("")}`,
   ];
 }
 
--- a/soak/host_lives_test.ts
+++ b/soak/host_lives_test.ts
@@ -75,6 +75,10 @@
     signals: [term],
     end: ended({ atMs: 24_000 }),
   }, "ended 9000 ms after SIGTERM"],
+  ["is killed at the end of its grace", {
+    signals: [term, { ...kill, atMs: 24_000 }],
+    end: { ...killed, atMs: 24_000 },
+  }, "ended 9000 ms after SIGTERM"],
   ["outlives its grace", { signals: [term] }, "still runs 45000 ms"],
   ["becomes ready too late", { readyMs: 14_000 }, "ready 13000 ms"],
   ["never becomes ready", { readyMs: undefined }, "not ready 59000 ms"],
--- a/soak/host_process.ts
+++ b/soak/host_process.ts
@@ -12,6 +12,7 @@
 import { parse } from "smol-toml";
 import { asFields, asString } from "../platform/fields.ts";
 import { SETTINGS_VARIABLE } from "../platform/settings.ts";
+import { BOUNDS } from "./settings.ts";
 import type { HostLife, SentSignal } from "./types.ts";
 
 const FRONTEND_PORT = 8_080;
@@ -22,6 +23,8 @@
 const DEPLOY_FILE = "deploy/system.toml";
 const ROLE = "entry-host";
 const LAST_LINES = 5;
+/** A process that outlives its grace by a second is killed. */
+export const KILL_AFTER_MS = BOUNDS.graceMs + 1_000;
 
 export interface HostProcessOptions {
   readonly name: string;
@@ -40,8 +43,10 @@
 
 export class HostProcess {
   readonly #options: HostProcessOptions;
-  readonly #settingsPath: string;
-  readonly #logPath: string;
+  readonly settingsPath: string;
+  /** Content of the settings file. */
+  readonly settings: string;
+  readonly logPath: string;
   readonly #logFile: number;
   /** Processes of this host, the present one last. */
   readonly lives: HostLife[] = [];
@@ -49,30 +54,30 @@
   #isDisposed = false;
   /** Entry point of the next start; undefined for this build. */
   program: string | undefined;
+  /** Descriptor of the output of processes from now on; by default the log file. */
+  output: number | undefined;
 
   constructor(options: HostProcessOptions) {
     this.#options = options;
     const { name, ip, domain, folder, storeAddress, bounds } = options;
-    this.#settingsPath = join(folder, `${name}.json`);
-    this.#logPath = join(folder, `${name}.log`);
-    this.#logFile = openSync(this.#logPath, "a");
-    writeFileSync(
-      this.#settingsPath,
-      JSON.stringify({
-        ip,
-        // Servers and proxies tell hosts apart by their addresses.
-        "outgoing-ip": ip,
-        "node-name": name,
-        zone: domain,
-        listen: {
-          frontend: `${ip}:${FRONTEND_PORT}`,
-          readiness: `${ip}:${READINESS_PORT}`,
-        },
-        platform: { address: storeAddress },
-        "port-range": [PEER_PORT, PEER_PORT + 9],
-        bounds,
-      }),
-    );
+    this.settingsPath = join(folder, `${name}.json`);
+    this.logPath = join(folder, `${name}.log`);
+    this.#logFile = openSync(this.logPath, "a");
+    this.settings = JSON.stringify({
+      ip,
+      // Servers and proxies tell hosts apart by their addresses.
+      "outgoing-ip": ip,
+      "node-name": name,
+      zone: domain,
+      listen: {
+        frontend: `${ip}:${FRONTEND_PORT}`,
+        readiness: `${ip}:${READINESS_PORT}`,
+      },
+      platform: { address: storeAddress },
+      "port-range": [PEER_PORT, PEER_PORT + 9],
+      bounds,
+    });
+    writeFileSync(this.settingsPath, this.settings);
   }
 
   get name(): string {
@@ -101,7 +106,7 @@
     return this.isRunning ? this.#child?.pid : undefined;
   }
 
-  start(): void {
+  start(output = this.output ?? this.#logFile): void {
     const { build = OWN_BUILD, name } = this.#options;
     const program = fileURLToPath(new URL("platform/main.js", build));
     const shiftedClock = new URL("soak/shifted_clock.js", build).href;
@@ -111,8 +116,8 @@
       process.execPath,
       [...flags, this.program ?? program],
       {
-        env: { ...process.env, [SETTINGS_VARIABLE]: this.#settingsPath },
-        stdio: ["ignore", this.#logFile, this.#logFile],
+        env: { ...process.env, [SETTINGS_VARIABLE]: this.settingsPath },
+        stdio: ["ignore", output, output],
       },
     );
     const signals: SentSignal[] = [];
@@ -150,11 +155,30 @@
     if (life !== undefined) life.readyMs ??= performance.now();
   }
 
-  /** Resolves when the process has exited, at once if it is not running. */
-  waitForExit(): Promise<void> {
+  /** Asks the process to end, as the platform does; resolves when it has. */
+  stop(): Promise<void> {
+    this.signal("SIGTERM");
+    // A paused process handles SIGTERM only after SIGCONT.
+    this.signal("SIGCONT");
+    return this.waitForExit(KILL_AFTER_MS);
+  }
+
+  /**
+   * Resolves when the process has exited, at once if it is not running. It is
+   * killed after `killAfterMs`, by default never.
+   */
+  waitForExit(killAfterMs?: number): Promise<void> {
     const child = this.#child;
     if (child === undefined || !this.isRunning) return Promise.resolve();
-    return new Promise((resolve) => child.once("exit", () => resolve()));
+    const timer = killAfterMs === undefined ? undefined : setTimeout(() => {
+      if (this.#child === child) this.signal("SIGKILL");
+    }, killAfterMs);
+    return new Promise((resolve) =>
+      child.once("exit", () => {
+        clearTimeout(timer);
+        resolve();
+      })
+    );
   }
 
   /** Kills the process for good; resolves when it has exited. */
@@ -165,8 +189,8 @@
   }
 
   #readLastLines(fromByte: number): readonly string[] {
-    const text = readFileSync(this.#logPath).subarray(fromByte).toString();
-    return text.trimEnd().split("\n").slice(-LAST_LINES);
+    const text = readFileSync(this.logPath).subarray(fromByte).toString();
+    return text.split("\n").filter((line) => line !== "").slice(-LAST_LINES);
   }
 }
 
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -85,6 +85,7 @@
   for (const { kind, index, startMs, endMs } of schedule) {
     console.log(`  ${startMs} to ${endMs} ms: ${kind} ${index}`);
   }
+  for (const line of outcome.surroundings) console.log(`  ${line}`);
   for (const line of violations) console.log(`  BROKEN ${line}`);
   if (violations.length > 0) console.log(`  logs in ${folder}`);
 }
--- a/soak/other_build.ts
+++ b/soak/other_build.ts
@@ -53,10 +53,7 @@
     for (const host of hosts) {
       const startMs = performance.now();
       host.program = program;
-      host.signal("SIGTERM");
-      // A paused process handles SIGTERM only after SIGCONT.
-      host.signal("SIGCONT");
-      await host.waitForExit();
+      await host.stop();
       if (!host.isRunning) host.start();
       absences.push({ host: host.name, startMs, endMs: performance.now() });
     }
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -38,6 +38,8 @@
   SETTLING_MS,
   STARTUP_TIMEOUT_MS,
 } from "./settings.ts";
+import { surround } from "./surround.ts";
+import { describeSurrounding, drawSurroundings } from "./surroundings.ts";
 import type { Fault, History, Interval, LinkCut } from "./types.ts";
 
 const SLOW_DELAY_MS = 40;
@@ -64,6 +66,7 @@
   readonly seed: number;
   readonly schedule: readonly Fault[];
   readonly endings: DrawnEndings;
+  readonly surroundings: readonly string[];
   readonly violations: readonly string[];
   readonly attempts: number;
   readonly complete: number;
@@ -109,6 +112,11 @@
       plainServers: PLAIN_SERVER_COUNT,
     });
     const endings = drawEndings(seed);
+    const surroundings = drawSurroundings({
+      seed,
+      faultPhaseMs,
+      hosts: HOST_COUNT,
+    });
     await this.#backEnds.start(endings);
     this.#hosts.push(...startHosts({
       folder: this.#folder,
@@ -142,6 +150,11 @@
         this.#sendCrashingPart(callers),
         replaceHosts(this.#hosts, otherProgram)
           .then((absences) => this.#hostFaults.push(...absences)),
+        surround({
+          drawn: surroundings,
+          hosts: this.#hosts,
+          store: this.#backEnds.store,
+        }).then((absences) => this.#hostFaults.push(...absences)),
         sendBurst(seed, callers, servers)
           .then((burst) => this.#bursts.push(burst)),
       ]);
@@ -162,6 +175,7 @@
         seed,
         schedule,
         endings,
+        surroundings: surroundings.map(describeSurrounding),
         violations,
         attempts: callers.attempts.length,
         complete: callers.attempts.filter(({ status, isWhole }) =>
