--- a/soak/main.ts
+++ b/soak/main.ts
@@ -79,11 +79,13 @@
       `${schedule.length} faults, ${violations.length} violations; servers end ` +
       `as ${ending} after ${crashAfterEvents.join(", ") || "no"} events`,
   );
+  console.log(`  ${outcome.usage}`);
   for (const line of outcome.bursts) console.log(`  ${line}`);
   if (!showsSchedule && violations.length === 0) return;
   for (const { kind, index, startMs, endMs } of schedule) {
     console.log(`  ${startMs} to ${endMs} ms: ${kind} ${index}`);
   }
+  for (const line of outcome.surroundings) console.log(`  ${line}`);
   for (const line of violations) console.log(`  BROKEN ${line}`);
   if (violations.length > 0) console.log(`  logs in ${folder}`);
 }
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -11,16 +11,18 @@
 import { join } from "node:path";
 import { systemClock } from "../src/common/clock.ts";
 import { seededRandom } from "../src/common/random.ts";
-import { hostIp } from "../standins/loopback_address.ts";
 import { type BackEnd, BackEnds } from "./back_ends.ts";
 import { Callers } from "./callers.ts";
 import { SERVER_MODES, STORE_FAULTS } from "./fault_modes.ts";
-import { HostProcess } from "./host_process.ts";
+import { injectHostFault } from "./host_faults.ts";
+import type { HostProcess } from "./host_process.ts";
+import { startHosts } from "./hosts.ts";
 import { findViolations } from "./invariants.ts";
 import { drawEndings, type DrawnEndings } from "./endings.ts";
 import { cutLinks } from "./link_cuts.ts";
 import { describeBursts, sendBurst } from "./overload.ts";
 import { askForPause, collectPauses } from "./pauses.ts";
+import { describeSamples, startSampling } from "./process_samples.ts";
 import { drawLimit } from "./request_limits.ts";
 import { replaceHosts } from "./other_build.ts";
 import { drawSchedule } from "./schedule.ts";
@@ -29,13 +31,15 @@
   CHECKED_RECOVERY_MS,
   CRASH_RESTART_MS,
   CRASHING_ROUTES,
-  DOMAINS,
-  HOST_BOUNDS,
   HOST_COUNT,
   MODEL_SERVER_COUNT,
   PLAIN_SERVER_COUNT,
+  REST_MS,
+  SETTLING_MS,
   STARTUP_TIMEOUT_MS,
 } from "./settings.ts";
+import { surround } from "./surround.ts";
+import { describeSurrounding, drawSurroundings } from "./surroundings.ts";
 import type { Fault, History, Interval, LinkCut } from "./types.ts";
 
 const SLOW_DELAY_MS = 40;
@@ -62,10 +66,13 @@
   readonly seed: number;
   readonly schedule: readonly Fault[];
   readonly endings: DrawnEndings;
+  readonly surroundings: readonly string[];
   readonly violations: readonly string[];
   readonly attempts: number;
   readonly complete: number;
   readonly bursts: readonly string[];
+  /** What the hosts used. */
+  readonly usage: string;
   /** Settings and logs of the hosts; deleted if there are no violations. */
   readonly folder: string;
 }
@@ -78,6 +85,7 @@
   readonly #storeFaults: Interval[] = [];
   readonly #linkCuts: LinkCut[] = [];
   readonly #bursts: Interval[] = [];
+  readonly #rests: Interval[] = [];
   readonly #hostFaults: (Interval & { readonly host: string })[] = [];
   #storeFaultStartMs = 0;
   #drills = Promise.resolve();
@@ -104,8 +112,18 @@
       plainServers: PLAIN_SERVER_COUNT,
     });
     const endings = drawEndings(seed);
+    const surroundings = drawSurroundings({
+      seed,
+      faultPhaseMs,
+      hosts: HOST_COUNT,
+    });
     await this.#backEnds.start(endings);
-    this.#startHosts();
+    this.#hosts.push(...startHosts({
+      folder: this.#folder,
+      storeAddress: this.#backEnds.storeProxy.address,
+      otherProgram,
+    }));
+    const sampling = startSampling(this.#hosts);
     const callers = new Callers({
       hosts: this.#hosts,
       random: seededRandom(seed),
@@ -114,6 +132,7 @@
     try {
       callers.startProbing();
       await this.#waitUntilReady(callers);
+      await this.#rest();
       callers.start();
       const startMs = performance.now();
       const { servers } = this.#backEnds;
@@ -131,6 +150,11 @@
         this.#sendCrashingPart(callers),
         replaceHosts(this.#hosts, otherProgram)
           .then((absences) => this.#hostFaults.push(...absences)),
+        surround({
+          drawn: surroundings,
+          hosts: this.#hosts,
+          store: this.#backEnds.store,
+        }).then((absences) => this.#hostFaults.push(...absences)),
         sendBurst(seed, callers, servers)
           .then((burst) => this.#bursts.push(burst)),
       ]);
@@ -142,6 +166,8 @@
       await systemClock.sleep(CRASH_RESTART_MS + CHECKED_RECOVERY_MS);
       await callers.stop();
       const leakedStreams = await this.#waitUntilCancelled();
+      await systemClock.sleep(SETTLING_MS);
+      await this.#rest();
       const history = this.#collectHistory(callers, faultsEndMs, leakedStreams);
       const violations = findViolations(history, BOUNDS);
       if (violations.length === 0) rmSync(this.#folder, { recursive: true });
@@ -149,15 +175,18 @@
         seed,
         schedule,
         endings,
+        surroundings: surroundings.map(describeSurrounding),
         violations,
         attempts: callers.attempts.length,
         complete: callers.attempts.filter(({ status, isWhole }) =>
           status === 200 && isWhole
         ).length,
         bursts: describeBursts(history),
+        usage: describeSamples(history),
         folder: this.#folder,
       };
     } finally {
+      sampling.dispose();
       await callers.stop();
       await this.#dispose();
     }
@@ -171,22 +200,6 @@
     callers.startCrashingPart(random);
   }
 
-  #startHosts(): void {
-    for (let i = 0; i < HOST_COUNT; i++) {
-      const host = new HostProcess({
-        name: `host-${i}`,
-        domain: DOMAINS[i % DOMAINS.length],
-        ip: hostIp(i + 1),
-        storeAddress: this.#backEnds.storeProxy.address,
-        folder: this.#folder,
-        bounds: HOST_BOUNDS,
-      });
-      if (i % 2 === 0) host.program = this.#options.otherProgram;
-      host.start();
-      this.#hosts.push(host);
-    }
-  }
-
   async #waitUntilReady(callers: Callers): Promise<void> {
     const endMs = performance.now() + STARTUP_TIMEOUT_MS;
     while (!this.#backEnds.isModelPlaced || callers.readyHosts < HOST_COUNT) {
@@ -197,8 +210,13 @@
       }
       await systemClock.sleep(POLL_INTERVAL_MS);
     }
-    // Hosts must have read the target records that contain the placement.
-    await systemClock.sleep(1_500);
+  }
+
+  /** Hosts have also read the target records that contain the placement then. */
+  async #rest(): Promise<void> {
+    const startMs = performance.now();
+    await systemClock.sleep(REST_MS);
+    this.#rests.push({ startMs, endMs: performance.now() });
   }
 
   async #waitUntilCancelled(): Promise<number> {
@@ -221,7 +239,12 @@
       const route = CRASHING_ROUTES[fault.index % CRASHING_ROUTES.length];
       callers.startCrashing(`content ${fault.startMs}`, route);
     } else if (fault.kind.startsWith("host-")) {
-      await this.#injectHostFault(this.#hosts[fault.index], fault, waitUntil);
+      const absences = await injectHostFault(
+        this.#hosts[fault.index],
+        fault,
+        waitUntil,
+      );
+      this.#hostFaults.push(...absences);
     } else if (fault.kind.startsWith("server-")) {
       const backEnd = this.#backEnds.servers[fault.index];
       if (fault.kind === "server-leaves") {
@@ -233,36 +256,6 @@
     } else await this.#injectStoreFault(fault, waitUntil);
   }
 
-  async #injectHostFault(
-    host: HostProcess,
-    { kind, endMs }: Fault,
-    waitUntil: (atMs: number) => Promise<void>,
-  ): Promise<void> {
-    const startMs = performance.now();
-    if (kind === "host-reload") {
-      host.signal("SIGHUP");
-      return;
-    }
-    if (kind === "host-clock-jump") host.signal("SIGUSR2");
-    else if (kind === "host-pause") {
-      host.signal("SIGSTOP");
-      await waitUntil(endMs);
-      host.signal("SIGCONT");
-    } else {
-      host.signal(kind === "host-kill" ? "SIGKILL" : "SIGTERM");
-      // A paused process handles SIGTERM only after SIGCONT.
-      host.signal("SIGCONT");
-      await host.waitForExit();
-      await waitUntil(endMs);
-      if (!host.isRunning) host.start();
-    }
-    this.#hostFaults.push({
-      host: host.name,
-      startMs,
-      endMs: performance.now(),
-    });
-  }
-
   async #injectServerFault(
     { server, proxy }: BackEnd,
     { kind, endMs }: Fault,
@@ -374,17 +367,17 @@
       hostFaults: this.#hostFaults,
       linkCuts: this.#linkCuts,
       bursts: this.#bursts,
+      rests: this.#rests,
+      lives: this.#hosts.flatMap(({ lives }) => lives),
       pauses: collectPauses(servers, this.#hosts),
       faultsEndMs,
       leakedStreams,
+      untilMs: performance.now(),
     };
   }
 
   async #dispose(): Promise<void> {
-    for (const host of this.#hosts) {
-      host.signal("SIGKILL");
-      await host.waitForExit();
-    }
+    for (const host of this.#hosts) await host.dispose();
     this.#backEnds.dispose();
   }
 }
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -93,6 +93,41 @@
   readonly endMs: number;
 }
 
+export interface SentSignal {
+  readonly name: NodeJS.Signals;
+  readonly atMs: number;
+}
+
+/** One process of a host, from its start to its end. */
+export interface HostLife {
+  readonly host: string;
+  readonly startMs: number;
+  /** Signals from the soak, in order. */
+  readonly signals: readonly SentSignal[];
+  /** When it first answered that it is ready. */
+  readyMs: number | undefined;
+  /** Undefined while it runs. */
+  end: ProcessEnd | undefined;
+  /** What it used, in order. */
+  readonly samples: ProcessSample[];
+}
+
+export interface ProcessSample {
+  readonly atMs: number;
+  /** Processor time since its start. */
+  readonly processorMs: number;
+  readonly residentBytes: number;
+  readonly descriptors: number;
+}
+
+export interface ProcessEnd {
+  readonly atMs: number;
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+  /** The end of its log. */
+  readonly lastLines: readonly string[];
+}
+
 /** A server that named a limit for its requests, from `startMs` on. */
 export interface LimitedServer {
   readonly serverId: string;
@@ -133,6 +168,9 @@
   readonly storeFaults: readonly Interval[];
   /** When hosts were stopped, killed, paused or had their clocks set. */
   readonly hostFaults: readonly (Interval & { readonly host: string })[];
+  readonly lives: readonly HostLife[];
+  /** When no caller sent: before the requests, and after them. */
+  readonly rests: readonly Interval[];
   readonly limits: readonly LimitedServer[];
   /** When hosts were cut off from all servers. */
   readonly linkCuts:
@@ -146,6 +184,8 @@
   readonly leakedStreams: number;
   /** Calls of hosts that the store or a server refused as malformed. */
   readonly invalidCalls: readonly string[];
+  /** When the observations end. */
+  readonly untilMs: number;
 }
 
 /** Limits that a run is configured with and checked against. */
@@ -153,6 +193,14 @@
   readonly revokeMs: number;
   readonly drainMs: number;
   readonly recoveryMs: number;
+  /** Time that a process has to end after SIGTERM. */
+  readonly graceMs: number;
+  /** Time in which a process becomes ready if it reaches the store and servers. */
+  readonly startupMs: number;
+  /** Cores that a process may use while no caller sends. */
+  readonly restingCores: number;
+  /** Limit of the memory of a process. */
+  readonly residentBytes: number;
   readonly retryRatio: number;
   readonly retryWindowMs: number;
   readonly retrySlack: number;
