stop: accept only what a stopping host can end

Callers of a host in a planned stop with a short grace had requests taken, passed on and then cut with no answer, calls that may not be repeated among them.

The cause are constants: requests were accepted for 2.6 s whatever they take and whatever the grace is, judged by their heads, and the host ended 0.9 s before the grace, far from the last sixth of a short one, by closing connections. That the host is killed was ruled out: it ended by itself at 2.1 s.

StopAdmission decides from the grace, the reaction of the load balancer, the time that requests of the route take (a decayed quantile of whole responses) and the request's own time limit, once the whole request has been read. Streams that wait for a path are refused when a start would be too late. Refused requests have never been sent. What still runs in the last sixth is cancelled: calls and streams that have not begun get 502 or 503, streams that have begun are broken off and resume at another host. Passing requests on to another host gains nothing, since the response would still end with this host.

The fixture of path_wait_test.ts gains the new dependency; its checks stay.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -7,6 +7,7 @@
  */
 
 import { ContentQuarantine } from "../admission/content_quarantine.ts";
+import { StopAdmission } from "../admission/stop_admission.ts";
 import type { Clock } from "../common/clock.ts";
 import { BucketMetrics } from "../common/bucket_metrics.ts";
 import type { ILog } from "../common/logging.ts";
@@ -95,9 +96,8 @@
   readonly #limits: ServiceLimits;
   readonly #admission: DemandExchange;
   readonly #listeners: HostListeners;
-  #isStopping = false;
+  readonly #stopAdmission: StopAdmission;
   #stopped: Promise<void> | undefined;
-  #isClosed = false;
 
   constructor(options: EntryHostOptions) {
     this.#options = options;
@@ -146,6 +146,9 @@
       limits: this.#targetLimits,
     });
     this.#config = new ConfigTracker({ decoder, log });
+    const stopAdmission = new StopAdmission({ clock });
+    this.#stopAdmission = stopAdmission;
+    const isStopping = (): boolean => stopAdmission.isStopping;
     const host = hostRecord(settings, clock);
     this.#link = new PeerLink({ host, clock, log });
     this.#admission = new DemandExchange({
@@ -203,10 +206,10 @@
       limits: this.#targetLimits,
       clock,
       log,
-      canLead: () => !this.#isStopping && this.#isFresh(),
+      canLead: () => !isStopping() && this.#isFresh(),
       cutOffServices: () => this.#reachability.cutOffServices(),
-      acceptsDelegated: () => !this.#isStopping,
-      canRead: () => !this.#isStopping && this.#feeds.isStoreReachable,
+      acceptsDelegated: () => !isStopping(),
+      canRead: () => !isStopping() && this.#feeds.isStoreReachable,
       slowTargets: () => this.#placement.slowTargets(),
       onPeerLoad: () => this.#limits.scheduleDispatch(),
     });
@@ -245,17 +248,16 @@
         quarantine: this.#quarantine,
         monitor: this.#watch,
         serviceLimits: this.#limits,
+        stopAdmission,
       }),
       startupGate,
       routes: () => this.#config.table,
       isConfigFresh: () => this.#isFresh(),
       configAgeMs: () => this.#feeds.config.ageMs,
-      isStopping: () => this.#isStopping,
-      isRejectingNew: () => this.#isClosed,
     });
     const readiness = new HostReadiness({
       log,
-      isStopping: () => this.#isStopping,
+      isStopping,
       config: this.#config,
       feed: this.#feeds.config,
       targets: this.#targets,
@@ -306,8 +308,8 @@
   }
 
   /**
-   * Drains within the grace period: accepts no new requests and lets active ones
-   * end. Resolves when the host may exit, also if called again meanwhile.
+   * Drains within the grace period: accepts what can end in time and lets active
+   * requests end. Resolves when the host may exit, also if called again meanwhile.
    */
   stop(): Promise<void> {
     this.#stopped ??= this.#stop();
@@ -315,14 +317,13 @@
   }
 
   async #stop(): Promise<void> {
-    this.#isStopping = true;
     const { clock, log, settings } = this.#options;
     await drainHost({
       clock,
       log,
       graceMs: settings.bounds.graceMs,
-      activeRequests: () => this.#core.active,
-      rejectNew: () => this.#isClosed = true,
+      admission: this.#stopAdmission,
+      requests: this.#core,
     });
     this.dispose();
     // A task may be waiting for the store, so the wait for its end is limited.
--- a/src/entry/host_drain.ts
+++ b/src/entry/host_drain.ts
@@ -1,49 +1,52 @@
 /**
- * The planned stop of a host: requests are accepted for a while, then rejected,
+ * The planned stop of a host: requests are accepted while they can end in time,
  * and those in progress end within the grace period.
  *
  * @module
  */
 
+import type { StopAdmission } from "../admission/stop_admission.ts";
 import type { Clock } from "../common/clock.ts";
 import type { ILog } from "../common/logging.ts";
+import type { RequestHandler } from "../forward/request_handler.ts";
 
-/**
- * A stopping host accepts requests for this long: a stream takes some seconds,
- * and the load balancer reacts within two.
- */
-const STOP_LINGER_MS = 2_600;
-/** Then requests on kept-alive connections are rejected for this long. */
-const STOP_REFUSE_MS = 1_000;
-/** A stopping host exits this long before it would be killed. */
-const STOP_MARGIN_MS = 900;
+/** Longest wait for the responses of cancelled requests. */
+const CANCEL_TIMEOUT_MS = 100;
 /** Interval for checking whether requests are still in progress. */
-const STOP_POLL_INTERVAL_MS = 50;
+const POLL_INTERVAL_MS = 50;
+const CANCEL_POLL_INTERVAL_MS = 5;
 
 export interface HostDrainOptions {
   readonly clock: Clock;
   readonly log: ILog;
   /** Time from the start of the stop until the host would be killed. */
   readonly graceMs: number;
-  readonly activeRequests: () => number;
-  /** Called when new requests are to be rejected from now on. */
-  readonly rejectNew: () => void;
+  readonly admission: Pick<StopAdmission, "begin">;
+  readonly requests: Pick<RequestHandler, "active" | "cancelActive">;
 }
 
 /** Resolves when the host may exit. */
 export async function drainHost(options: HostDrainOptions): Promise<void> {
-  const { clock, log, graceMs, activeRequests, rejectNew } = options;
+  const { clock, log, graceMs, admission, requests } = options;
   const startedMs = clock.nowMs();
-  const endMs = startedMs + Math.max(0, graceMs - STOP_MARGIN_MS);
-  log.info("host stopping", { active: activeRequests() });
-  await clock.sleep(Math.min(STOP_LINGER_MS, endMs - startedMs));
-  rejectNew();
-  await clock.sleep(Math.min(STOP_REFUSE_MS, endMs - clock.nowMs()));
-  while (clock.nowMs() < endMs && activeRequests() > 0) {
-    await clock.sleep(STOP_POLL_INTERVAL_MS);
-  }
+  const { idleExitMs, cancelMs } = admission.begin(graceMs);
+  log.info("host stopping", { active: requests.active, graceMs });
+  await clock.sleep(idleExitMs - startedMs);
+  const waitUntil = async (
+    endMs: number,
+    intervalMs: number,
+  ): Promise<void> => {
+    while (clock.nowMs() < endMs && requests.active > 0) {
+      await clock.sleep(Math.min(intervalMs, endMs - clock.nowMs()));
+    }
+  };
+  await waitUntil(cancelMs, POLL_INTERVAL_MS);
+  const cancelled = requests.active;
+  requests.cancelActive();
+  await waitUntil(cancelMs + CANCEL_TIMEOUT_MS, CANCEL_POLL_INTERVAL_MS);
   log.info("host stopped", {
-    active: activeRequests(),
+    active: requests.active,
+    cancelled,
     durationMs: Math.round(clock.nowMs() - startedMs),
   });
 }
--- a/src/forward/call_path_wait.ts
+++ b/src/forward/call_path_wait.ts
@@ -20,7 +20,7 @@
 export interface CallPathWaitOptions {
   readonly context: Pick<
     CallContext,
-    "clock" | "chooser" | "queueOf" | "reachability"
+    "clock" | "chooser" | "queueOf" | "reachability" | "stopAdmission"
   >;
   readonly exchange: Pick<Exchange, "metadata" | "receivedMs">;
   readonly plan: Pick<
@@ -88,6 +88,8 @@
       rank: isResumed ? RESUME_RANK : plan.rank,
       needs: isResumed ? undefined : requestNeeds(this.#options),
       deadlineMs: plan.deadlineMs,
+      latestStartMs: () =>
+        isResumed ? Infinity : context.stopAdmission.latestStartMs(plan),
       signal,
       onRefusal: (refusal) => this.#refusal = refusal,
     });
--- a/src/forward/conclude_stream.ts
+++ b/src/forward/conclude_stream.ts
@@ -7,7 +7,14 @@
 
 import type { Refusal } from "../admission/wait_queue.ts";
 import type { CallLosses } from "./call_losses.ts";
-import { type CallContext, type CallPlan, jitterRetryMs } from "./context.ts";
+import {
+  type CallContext,
+  type CallPlan,
+  jitterRetryMs,
+  STOPPING_REASON,
+  stoppingRetryMs,
+} from "./context.ts";
+import { DECLINED_STATUS } from "./delegation.ts";
 import { refuseCutOff } from "./cut_off_refusal.ts";
 import type { Exchange } from "./exchange.ts";
 import type { SendResult } from "./send_result.ts";
@@ -19,7 +26,13 @@
 export interface StreamConclusion {
   readonly context: Pick<
     CallContext,
-    "log" | "metrics" | "queueOf" | "random" | "reachability"
+    | "clock"
+    | "log"
+    | "metrics"
+    | "queueOf"
+    | "random"
+    | "reachability"
+    | "stopAdmission"
   >;
   readonly exchange: Exchange;
   readonly plan: CallPlan;
@@ -86,6 +99,11 @@
   targetRetryMs: number | undefined,
 ): number {
   const { context, exchange, plan, losses } = conclusion;
+  if (context.clock.nowMs() >= context.stopAdmission.latestStartMs(plan)) {
+    const status = plan.isDelegated ? DECLINED_STATUS : 503;
+    exchange.refuse(status, STOPPING_REASON, stoppingRetryMs(context.random));
+    return status;
+  }
   if (context.reachability.isCutOff(plan.service.name)) {
     return refuseCutOff(context, exchange, {
       ...plan,
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -6,6 +6,7 @@
 
 import type { ContentQuarantine } from "../admission/content_quarantine.ts";
 import type { ServiceRetryBudget } from "../admission/service_retry_budget.ts";
+import type { StopAdmission } from "../admission/stop_admission.ts";
 import type { WaitQueue } from "../admission/wait_queue.ts";
 import type { Clock } from "../common/clock.ts";
 import type { IMetrics } from "../common/bucket_metrics.ts";
@@ -41,6 +42,8 @@
   readonly lossDetector: LossDetector;
   readonly quarantine: ContentQuarantine;
   readonly monitor: StreamMonitor;
+  /** Which requests may start while the host stops. */
+  readonly stopAdmission: StopAdmission;
   readonly domain: string;
   /** Local address of connections to targets; by default, the system's choice. */
   readonly outgoingIp?: string;
@@ -87,6 +90,15 @@
 /** Spreads the callers of a held content, which all come back after its hold. */
 const HOLD_JITTER_MS = 500;
 
+/** Retry time while this host shuts down; another host serves the retry. */
+const STOPPING_RETRY_MS = 20;
+export const STOPPING_REASON = "host is shutting down";
+
+/** Retry time of a request that has not run since this host shuts down. */
+export function stoppingRetryMs(random: () => number): number {
+  return jitterRetryMs(STOPPING_RETRY_MS, random);
+}
+
 /** Adds jitter to the time for which a content is held. */
 export function jitterHoldMs(forMs: number, random: () => number): number {
   return forMs + random() * HOLD_JITTER_MS;
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -1,6 +1,6 @@
 /**
  * One caller's request and its response. The response is written once; the
- * signal aborts if the caller disconnects before it is complete.
+ * signal aborts if the caller disconnects before it is complete, or the host ends.
  *
  * @module
  */
@@ -23,6 +23,7 @@
   | { readonly kind: "complete"; readonly body: Buffer | undefined }
   | { readonly kind: "too-large" }
   | { readonly kind: "timed-out" }
+  | { readonly kind: "cancelled" }
   | { readonly kind: "disconnected" };
 
 export class Exchange {
@@ -34,6 +35,7 @@
   readonly #clock: Clock;
   readonly #isClosing: () => boolean;
   readonly #abort = new AbortController();
+  #isDisconnected = false;
 
   constructor(options: ExchangeOptions) {
     this.request = options.request;
@@ -42,19 +44,31 @@
     this.#clock = options.clock;
     this.#isClosing = options.isClosing;
     this.receivedMs = options.clock.nowMs();
+    const onDisconnect = (): void => {
+      this.#isDisconnected = true;
+      this.#abort.abort();
+    };
     this.response.on("close", () => {
-      if (!this.response.writableFinished) this.#abort.abort();
+      if (!this.response.writableFinished) onDisconnect();
     });
-    this.response.on("error", () => this.#abort.abort());
+    this.response.on("error", onDisconnect);
   }
 
-  /** Aborts if the caller disconnects before the response is complete. */
+  /**
+   * Aborts if the caller disconnects before the response is complete, or if the
+   * request is cancelled.
+   */
   get signal(): AbortSignal {
     return this.#abort.signal;
   }
 
   get isDisconnected(): boolean {
-    return this.#abort.signal.aborted;
+    return this.#isDisconnected;
+  }
+
+  /** Called when the host ends: what the caller has not got by now it won't get. */
+  cancel(): void {
+    this.#abort.abort();
   }
 
   get ageMs(): number {
@@ -87,6 +101,12 @@
         this.body = hasBody ? Buffer.concat(chunks, sizeBytes) : undefined;
         resolve({ kind: "complete", body: this.body });
       });
+      const onAbort = (): void => {
+        clearTimeout(timer);
+        resolve({ kind: this.isDisconnected ? "disconnected" : "cancelled" });
+      };
+      if (this.signal.aborted) onAbort();
+      this.signal.addEventListener("abort", onAbort, { once: true });
       request.on("error", () => resolve({ kind: "disconnected" }));
       request.on("close", () => resolve({ kind: "disconnected" }));
     });
--- a/src/forward/path_wait.ts
+++ b/src/forward/path_wait.ts
@@ -32,6 +32,11 @@
   /** Undefined for a stream that resumes, which is compared by rank only. */
   readonly needs: RequestNeeds | undefined;
   readonly deadlineMs: number;
+  /**
+   * Time on the host's clock after which a start is too late for a host that
+   * stops; by default, none.
+   */
+  readonly latestStartMs?: () => number;
   /** Aborts when the caller disconnects or the request times out. */
   readonly signal: AbortSignal;
   /** Called if the queue refuses the request. */
@@ -48,14 +53,17 @@
   const { context, demand, signal } = options;
   const queue = context.queueOf(demand.service);
   if (signal.aborted) return Promise.resolve(undefined);
+  const untilMs = Math.min(
+    context.clock.nowMs() + MAX_WAIT_MS,
+    options.deadlineMs,
+  );
   return new Promise((resolve) => {
     const waiter: Waiter = {
       rank: options.rank,
       needs: options.needs,
-      untilMs: Math.min(
-        context.clock.nowMs() + MAX_WAIT_MS,
-        options.deadlineMs,
-      ),
+      get untilMs() {
+        return Math.min(untilMs, options.latestStartMs?.() ?? Infinity);
+      },
       tryStart: () => {
         const path = context.chooser.choose(demand);
         if (path === undefined) return false;
--- a/src/forward/path_wait_test.ts
+++ b/src/forward/path_wait_test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from "vitest";
 import { ManualClock } from "../../test/manual_clock.ts";
 import { SITE_PROFILE } from "../../test/reference_site.ts";
+import { StopAdmission } from "../admission/stop_admission.ts";
 import { type Refusal, WaitQueue } from "../admission/wait_queue.ts";
 import type { ReservedPath } from "../paths/path_chooser.ts";
 import { concludeStream, type StreamConclusion } from "./conclude_stream.ts";
@@ -24,6 +25,8 @@
   readonly queue = new WaitQueue({ clock: this.clock, maxWaiting: 2 });
   readonly lines: [string, Readonly<Record<string, unknown>>][] = [];
   readonly refused: number[] = [];
+  /** Of the refusals since the host stops. */
+  readonly statuses: number[] = [];
   refusal: Refusal | undefined;
   path: ReservedPath | undefined;
   readonly context = {
@@ -40,6 +43,7 @@
         this.lines.push([message, fields]),
     },
     random: () => 0.5,
+    stopAdmission: new StopAdmission({ clock: this.clock }),
   };
 
   plan(requestId: string, rank = 16): StreamConclusion["plan"] {
@@ -85,6 +89,8 @@
       needs: this.needs(requestId),
       deadlineMs: this.clock.nowMs() + 60_000,
       signal,
+      latestStartMs: () =>
+        this.context.stopAdmission.latestStartMs(this.plan(requestId)),
       onRefusal: (refusal) => this.refusal = refusal,
     });
   }
@@ -96,6 +102,7 @@
         isDisconnected: false,
         receivedMs: this.clock.nowMs(),
         ageMs: 0,
+        refuse: (status: number) => this.statuses.push(status),
       } as unknown as StreamConclusion["exchange"],
       plan: this.plan(requestId),
       response: { isHeadSent: false } as StreamConclusion["response"],
@@ -112,6 +119,21 @@
   }
 }
 
+test("a stream that a stopping host could not end waits no longer, and has not run", async () => {
+  const host = new Host();
+  host.context.stopAdmission.recordRun("brief", 2_000);
+  const wait = host.wait("r1");
+  host.context.stopAdmission.begin(3_000);
+  await host.clock.advance(200);
+  host.queue.expire();
+  expect(host.refusal).toBeUndefined();
+  await host.clock.advance(300);
+  host.queue.expire();
+  expect(await wait).toBeUndefined();
+  host.conclude("r1");
+  expect(host.statuses).toEqual([503]);
+});
+
 test("a request whose caller has left or whose deadline has passed waits no longer", async () => {
   const host = new Host();
   const abort = new AbortController();
--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -67,7 +67,8 @@
   }
 
   async run(): Promise<void> {
-    const { clock } = this.#context;
+    const { clock, stopAdmission } = this.#context;
+    const startedMs = clock.nowMs();
     const cancel = (): void => this.#abort.abort();
     this.#exchange.signal.addEventListener("abort", cancel, { once: true });
     const timer = setTimeout(
@@ -81,6 +82,10 @@
         : undefined;
       this.#isDecided = answer?.kind === "answer";
       if (!this.#exchange.isDisconnected) this.#finish(answer);
+      if (answer?.kind === "answer") {
+        const { name } = this.#plan.route;
+        stopAdmission.recordRun(name, clock.nowMs() - startedMs);
+      }
     } finally {
       clearTimeout(timer);
       this.#losses.release();
@@ -138,12 +143,14 @@
   /** Prepares the next send; undefined if none is allowed. */
   #nextAttempt(): (() => Promise<Attempt>) | undefined {
     const { route, service, deadlineMs, isDelegated } = this.#plan;
-    const { clock, reachability } = this.#context;
+    const { clock, reachability, stopAdmission } = this.#context;
     if (this.#abort.signal.aborted || this.#sends >= route.maxAttempts) {
       return undefined;
     }
     if (this.#losses.heldForMs > 0) return undefined;
     if (deadlineMs - clock.nowMs() < MIN_REMAINING_MS) return undefined;
+    const isLate = clock.nowMs() > stopAdmission.latestStartMs(this.#plan);
+    if (isLate && !this.#mayHaveRun) return undefined;
     if (reachability.isCutOff(service.name)) {
       const host = isDelegated ? undefined : this.#nextHost();
       return host && (() => this.#delegate(host));
@@ -292,7 +299,7 @@
     if (attempt.kind === "may-have-run" && !this.#isDecided) {
       const check = this.#losses.recordFailure(send, {
         ...failure,
-        isAbandoned: this.#exchange.isDisconnected,
+        isAbandoned: this.#exchange.signal.aborted,
       });
       if (mayRetry && !this.#abort.signal.aborted) await check;
     }
--- a/src/forward/request_handler.ts
+++ b/src/forward/request_handler.ts
@@ -14,6 +14,8 @@
   type CallPlan,
   jitterHoldMs,
   jitterRetryMs,
+  STOPPING_REASON,
+  stoppingRetryMs,
 } from "./context.ts";
 import { DECLINED_STATUS, readConfigVersion } from "./delegation.ts";
 import { Exchange } from "./exchange.ts";
@@ -24,8 +26,6 @@
 
 /** Retry time while this host has no contact with the store. */
 const STALE_CONFIG_RETRY_MS = 500;
-/** Retry time while this host shuts down; another host serves the retry. */
-const STOPPING_RETRY_MS = 20;
 /**
  * A customer's priority outweighs any priority of a route. Customers without one
  * rank behind those with one.
@@ -40,10 +40,6 @@
   readonly configAgeMs: () => number;
   /** Holds callers' requests until the first configuration is confirmed. */
   readonly startupGate?: Pick<StartupGate, "pass">;
-  /** Whether connections are closed after each response. */
-  readonly isStopping: () => boolean;
-  /** Whether new requests are refused, since they might outlast this host. */
-  readonly isRejectingNew: () => boolean;
 }
 
 /** Who sent a request to this host. */
@@ -80,13 +76,13 @@
     response: ServerResponse,
     origin: RequestOrigin = "caller",
   ): Promise<void> {
-    const { context, isStopping } = this.#options;
+    const { context } = this.#options;
     const exchange = new Exchange({
       request,
       response,
       metadata: context.codec.request(request.rawHeaders),
       clock: context.clock,
-      isClosing: isStopping,
+      isClosing: () => context.stopAdmission.isStopping,
     });
     this.#active.add(exchange);
     try {
@@ -104,6 +100,11 @@
     }
   }
 
+  /** Ends the requests in progress, each with a response unless it has begun. */
+  cancelActive(): void {
+    for (const exchange of this.#active) exchange.cancel();
+  }
+
   /** Breaks off the responses in progress. */
   abortActive(): void {
     for (const exchange of this.#active) exchange.abortResponse();
@@ -127,7 +128,22 @@
     const limitBytes = this.#options.routes()?.config.limits.bodyBytes ?? 0;
     const outcome = await exchange.readBody(limitBytes, deadlineMs);
     if (outcome.kind === "disconnected") return;
-    if (outcome.kind !== "complete") {
+    const { context } = this.#options;
+    const isComplete = outcome.kind === "complete";
+    // The time left counts from the last byte of the request.
+    if (
+      outcome.kind === "cancelled" ||
+      (isComplete && !context.stopAdmission.accepts(admission.plan))
+    ) {
+      this.#refuse(exchange, {
+        kind: "refuse",
+        status: origin === "host" ? DECLINED_STATUS : 503,
+        reason: STOPPING_REASON,
+        retryAfterMs: stoppingRetryMs(context.random),
+      });
+      return;
+    }
+    if (!isComplete) {
       const refusal = outcome.kind === "timed-out"
         ? {
           status: 408,
@@ -137,7 +153,6 @@
       this.#refuse(exchange, { kind: "refuse", ...refusal });
       return;
     }
-    const { context } = this.#options;
     const { method, url } = exchange.request;
     const plan: CallPlan = {
       ...admission.plan,
@@ -208,14 +223,6 @@
       };
     }
     const { request, metadata } = exchange;
-    if (this.#options.isRejectingNew()) {
-      return {
-        kind: "refuse",
-        status: 503,
-        reason: "host is shutting down",
-        retryAfterMs: jitterRetryMs(STOPPING_RETRY_MS, context.random),
-      };
-    }
     const route = table.find(request.headers.host ?? "", request.url ?? "/");
     if (route === undefined) {
       return {
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -89,7 +89,8 @@
   }
 
   async run(): Promise<void> {
-    const { clock } = this.#context;
+    const { clock, stopAdmission } = this.#context;
+    const startedMs = clock.nowMs();
     const cancel = (): void => this.#abort.abort();
     this.#exchange.signal.addEventListener("abort", cancel, { once: true });
     const timer = setTimeout(() => {
@@ -117,6 +118,11 @@
       this.#abort.abort();
     }
     this.#finish(result);
+    if (result.kind !== "done") return;
+    stopAdmission.recordRun(
+      this.#plan.route.name,
+      clock.nowMs() - startedMs - this.#wait.waitedMs,
+    );
   }
 
   /** Prepares the next send; resolves with undefined if none is possible. */
@@ -255,7 +261,7 @@
   ): Promise<void> {
     // A stream that is still running at its deadline has not failed.
     if (this.#isExpired && hasEvents) return;
-    const isAbandoned = this.#exchange.isDisconnected;
+    const isAbandoned = this.#exchange.signal.aborted;
     const failure = { ...this.#failureAt(first), isAbandoned };
     await this.#losses.recordFailure(marked, failure);
   }
--- a/standins/users_platform/model_server.ts
+++ b/standins/users_platform/model_server.ts
@@ -250,7 +250,9 @@
     const headers = this.#answerHeaders(
       mode === "foreign" ? "another" : requestId,
     );
-    answerPlainly({ request, response, headers, mode, serverId: this.id });
+    const answer = { request, response, headers, mode, serverId: this.id };
+    if (this.answerDelayMs === 0) answerPlainly(answer);
+    else setTimeout(() => answerPlainly(answer), this.answerDelayMs);
   }
 
   #refuseInvalid(call: string, response: ServerResponse): void {
--- a/standins/users_platform/server_behaviour.ts
+++ b/standins/users_platform/server_behaviour.ts
@@ -35,6 +35,8 @@
   rejectNextCount = 0;
   /** Pause after the third event of a stream. */
   pauseMs = 0;
+  /** Time from the receipt of a plain call to its answer. */
+  answerDelayMs = 0;
   /** Factor on the gaps between the events of its streams. */
   slowness = 1;
   /** Address that a rejection names in `at-server`; empty for this server. */
