forward: end each observation of a failed send at its own time

Callers saw nothing at first.

Cause: sends that failed at one process share a watch, and each further failure put off the end of the watch by 6 s. Each send waits for the watch's one promise, and its reaction holds the call with its plan. At a target that fails at least once in 6 s the watch never ended. Also wrong: a target that ended a minute later counted as lost for sends that had failed a minute before.

The new test fails before: no observation had ended after 10 s.

Each observation now has its own end, in the order of their times, and the watch ends with its last one. Looked at for the same cause: stage_checker (one promise for each check in progress), target_reachability, peer_link's queries, the claims of content_quarantine: all end at a time that later calls do not put off.

--- a/src/forward/loss_detector.ts
+++ b/src/forward/loss_detector.ts
@@ -73,16 +73,25 @@
   readonly metrics?: Pick<IMetrics, "count">;
 }
 
+/** One failed send that waits for evidence. */
+interface Observer {
+  readonly untilMs: number;
+  readonly evidence: Deferred<EndEvidence | undefined>;
+}
+
 interface Watch {
   readonly process: TargetProcess;
-  readonly evidence: Deferred<EndEvidence | undefined>;
-  untilMs: number;
+  /** In the order of their times. */
+  readonly observers: Observer[];
   /** Aborts the pauses before the next checks of the port. */
   pauses: AbortController;
   pendingCheck: Promise<PortState> | undefined;
 }
 
-/** Observations of the same process share their evidence and connections. */
+/**
+ * Observations of the same process share their evidence and connections. Each ends
+ * at its own time, also at a target that goes on failing.
+ */
 export class LossDetector {
   readonly #clock: Clock;
   readonly #targets: TargetTable;
@@ -114,7 +123,7 @@
         evidence: Promise.resolve("port-refuses"),
       };
     }
-    const watch = this.#watch(process);
+    const { watch, observer } = this.#watch(process);
     const firstCheck = checksPort
       ? this.#checkPort(watch)
       : Promise.resolve(undefined);
@@ -122,7 +131,7 @@
       this.#resolve(watch, "deregistered");
     }
     for (const target of this.#targets.all()) this.#compare(watch, target);
-    return { firstCheck, evidence: watch.evidence.promise };
+    return { firstCheck, evidence: observer.evidence.promise };
   }
 
   /** Another process than this one responded at its address. */
@@ -131,29 +140,39 @@
     if (watch !== undefined) this.#resolve(watch, "address-reused");
   }
 
-  #watch(process: TargetProcess): Watch {
-    const untilMs = this.#clock.nowMs() + OBSERVATION_MS;
+  #watch(
+    process: TargetProcess,
+  ): { readonly watch: Watch; readonly observer: Observer } {
+    const observer: Observer = {
+      untilMs: this.#clock.nowMs() + OBSERVATION_MS,
+      evidence: deferred(),
+    };
     const key = watchKey(process);
     const known = this.#watches.get(key);
     if (known !== undefined) {
-      known.untilMs = untilMs;
-      return known;
+      known.observers.push(observer);
+      return { watch: known, observer };
     }
     const watch: Watch = {
       process,
-      evidence: deferred(),
-      untilMs,
+      observers: [observer],
       pauses: new AbortController(),
       pendingCheck: undefined,
     };
     this.#watches.set(key, watch);
     void this.#expire(watch);
-    return watch;
+    return { watch, observer };
   }
 
+  /** Ends each observation at its time, and the watch with the last one. */
   async #expire(watch: Watch): Promise<void> {
-    while (this.#isOpen(watch) && this.#clock.nowMs() < watch.untilMs) {
-      await this.#clock.sleep(watch.untilMs - this.#clock.nowMs());
+    const { observers } = watch;
+    while (this.#isOpen(watch) && observers.length > 0) {
+      await this.#clock.sleep(observers[0].untilMs - this.#clock.nowMs());
+      const nowMs = this.#clock.nowMs();
+      while (observers.length > 0 && observers[0].untilMs <= nowMs) {
+        observers.shift()?.evidence.resolve(undefined);
+      }
     }
     if (this.#isOpen(watch)) this.#resolve(watch, undefined);
   }
@@ -172,7 +191,8 @@
 
   #resolve(watch: Watch, evidence: EndEvidence | undefined): void {
     watch.pauses.abort();
-    watch.evidence.resolve(evidence);
+    for (const observer of watch.observers) observer.evidence.resolve(evidence);
+    watch.observers.length = 0;
     if (this.#isOpen(watch)) this.#watches.delete(watchKey(watch.process));
   }
 
--- a/src/forward/loss_detector_test.ts
+++ b/src/forward/loss_detector_test.ts
@@ -139,3 +139,23 @@
   expect(await observe().firstCheck).toBe("refuses");
   expect(checks).toBe(2);
 });
+
+test("failed sends are not held for as long as their target goes on failing", async () => {
+  const endedMs: (number | undefined)[] = [];
+  const found: (string | undefined)[] = [];
+  const startMs = clock.nowMs();
+  for (let i = 0; i < 10; i++) {
+    void observe().evidence.then((evidence) => {
+      found[i] = evidence;
+      endedMs[i] = clock.nowMs() - startMs;
+    });
+    await clock.advance(1_000);
+  }
+  expect(endedMs).toEqual([6_000, 7_000, 8_000, 9_000, 10_000]);
+  targets.put({ ...record, bornMs: 2_000 });
+  await clock.advance(1);
+  expect(found).toEqual([
+    ...Array(5).fill(undefined),
+    ...Array(5).fill("restarted"),
+  ]);
+});
