--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -34,6 +34,7 @@
   ITargetControl,
 } from "../ports/services.ts";
 import type { Endpoint, HostSettings } from "../ports/types.ts";
+import { isConfigFresh } from "./config_freshness.ts";
 import { ConfigTracker } from "./config_tracker.ts";
 import { broadcastUrgentChanges } from "./urgent_changes.ts";
 import { DemandExchange } from "./demand_exchange.ts";
@@ -53,8 +54,6 @@
 import { createTargetAgent } from "./target_agent.ts";
 import { TargetFeed } from "./target_feed.ts";
 
-/** Keys are rejected this long before the configuration's age reaches the limit. */
-const CONFIG_AGE_MARGIN_MS = 600;
 /** Maximum wait for tasks to end. */
 const TASK_STOP_TIMEOUT_MS = 100;
 
@@ -153,9 +152,8 @@
       limits: this.#targetLimits,
     });
     this.#config = new ConfigTracker({ decoder, log });
-    const stopAdmission = new StopAdmission({ clock });
-    this.#stopAdmission = stopAdmission;
-    const isStopping = (): boolean => stopAdmission.isStopping;
+    this.#stopAdmission = new StopAdmission({ clock });
+    const isStopping = (): boolean => this.#stopAdmission.isStopping;
     const host = hostRecord(settings, clock);
     this.#link = new PeerLink({ host, clock, log });
     this.#admission = new DemandExchange({
@@ -231,8 +229,10 @@
       link: this.#link,
       peers: this.#peers,
     });
-    const onTick = (): void => this.#limits.tick();
-    this.#watch = new StreamMonitor({ clock, onTick });
+    this.#watch = new StreamMonitor({
+      clock,
+      onTick: () => this.#limits.tick(),
+    });
     this.#agent = createTargetAgent(log);
     const startupGate = new StartupGate({ clock, eras: this.#eras });
     this.#feeds.config.onWatermark(() => startupGate.open());
@@ -255,7 +255,7 @@
         quarantine: this.#quarantine,
         monitor: this.#watch,
         serviceLimits: this.#limits,
-        stopAdmission,
+        stopAdmission: this.#stopAdmission,
       }),
       startupGate,
       routes: () => this.#config.table,
@@ -284,9 +284,9 @@
 
   /** Opens the ports and starts all tasks. Rejects if a port stays in use. */
   async start(): Promise<void> {
-    const { settings, clock, log } = this.#options;
+    const { settings: { domain, frontend }, log } = this.#options;
     const [link, listeners] = [this.#link, this.#listeners];
-    const ports = { settings, link, listeners, clock, log };
+    const ports = { ...this.#options, link, listeners };
     await openHostPorts(ports);
     const peers = this.#peers;
     const tasks: Readonly<Record<string, { readonly run: Task }>> = {
@@ -304,7 +304,6 @@
     for (const [name, task] of Object.entries(tasks)) {
       this.#supervisor.start(name, (signal) => task.run(signal));
     }
-    const { domain, frontend } = settings;
     log.info("host started", { domain, frontend });
   }
 
@@ -396,7 +395,6 @@
   }
 
   #isFresh(): boolean {
-    const { revokeMs } = this.#settings.bounds;
-    return this.#feeds.config.ageMs < revokeMs - CONFIG_AGE_MARGIN_MS;
+    return isConfigFresh(this.#feeds.config.ageMs, this.#settings.bounds);
   }
 }
