stop: a response counts as in progress until it is written

A caller that reads slowly had its response cut by a planned stop: a call of 15 MB with a grace of 8 s, read from 4.2 s on, broke off after 3,919,663 bytes, since the host exited at 3.6 s as idle.

A request counted as ended when the response had been handed to Node.js, which still held most of it. The host's exit and the gauge of requests in progress now count a request until its response is written or its connection is closed. A pipelined response is not told of the latter by Node.js, so the connection is listened to as well; counting by the response alone left two requests in progress for good in planned_stop_test.ts. The same listener now tells a pipelined call that its caller has left, which it did not learn before: the call ran on.

Looked at besides: the cancel at the end of the grace still ends such a response, and a caller that never reads delays a stop until then.

--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -48,7 +48,9 @@
       this.#isDisconnected = true;
       this.#abort.abort();
     };
-    this.response.on("close", () => {
+    // Each pipelined request listens to the connection.
+    this.request.socket.setMaxListeners(0);
+    this.onClose(() => {
       if (!this.response.writableFinished) onDisconnect();
     });
     this.response.on("error", onDisconnect);
@@ -71,6 +73,21 @@
     this.#abort.abort();
   }
 
+  /** Calls back when the response is written to the end or its connection broken. */
+  onClose(callback: () => void): void {
+    const { response, request: { socket } } = this;
+    if (response.writableFinished || response.destroyed || socket.destroyed) {
+      callback();
+      return;
+    }
+    const onClose = (): void => {
+      // A pipelined response is not told that its connection has closed.
+      for (const one of [response, socket]) one.off("close", onClose);
+      callback();
+    };
+    for (const one of [response, socket]) one.once("close", onClose);
+  }
+
   get ageMs(): number {
     return this.#clock.nowMs() - this.receivedMs;
   }
--- a/src/forward/request_handler.ts
+++ b/src/forward/request_handler.ts
@@ -65,7 +65,7 @@
     this.#options = options;
   }
 
-  /** Number of requests in progress. */
+  /** Number of requests whose responses have not been written to the end. */
   get active(): number {
     return this.#active.size;
   }
@@ -96,7 +96,7 @@
         exchange.refuse(500, "internal error");
       } else exchange.abortResponse();
     } finally {
-      this.#active.delete(exchange);
+      exchange.onClose(() => this.#active.delete(exchange));
     }
   }
 
