log: lines that cannot be written cost lines, not the host

Operators saw a host that used a whole core and opened no port while its standard output was /dev/full or a pipe without a reader; a host whose reader went away under load answered no further call. SIGTERM did not end it, as its stop waits on promises.

Cause: the output's error had no listener and became an uncaughtException, whose handler logged it to the same output. That error is emitted in a tick again, so each run of the tick queue threw before its microtasks: 5,600,725 uncaught errors in about ten minutes, all of them ENOSPC of a write, 1,740 turns of a timer and 1 continuation of a promise. The log's bound did not end it, since a failed write leaves nothing in the buffer (0 bytes at each look). Ruled out: a blocked event loop (timers ran); a reader that stalls and closed descriptors, which harmed nothing before.

LineWriter listens to the output's errors, drops and counts lines by cause, writes nothing while the output fails and tries it once a second with a line that tells what was lost, behind a line break as the line before may be torn. A stalled output is told the same way without a further line. Fields that cannot be serialized no longer throw at the caller of the log.

A file that hangs instead of failing still blocks the process: writes to files are synchronous in the runtime.

--- a/src/common/bounded_log.ts
+++ b/src/common/bounded_log.ts
@@ -1,64 +1,60 @@
 /**
  * Non-blocking structured log: one JSON object per line, written through a
- * bounded buffer. Lines are dropped while the buffer is full, and the number
- * of dropped lines is logged before the next line that is written.
+ * bounded buffer. Lines are dropped while the buffer is full or the output fails,
+ * and the number of dropped lines is logged once lines are written again.
  *
  * @module
  */
 
 import type { Writable } from "node:stream";
+import { type DroppedLines, LineWriter } from "./line_writer.ts";
 import type { ILog } from "./logging.ts";
 
-/** Limits the memory used while the reader of the output is stalled. */
-const DEFAULT_MAX_BUFFERED_BYTES = 256 * 1024;
-
 export interface BoundedLogOptions {
   readonly host: string;
   readonly output: Writable;
   readonly wallMs?: () => number;
   /** Lines are dropped while more than this many bytes are buffered. */
   readonly bufferBytes?: number;
-  /** Called for each dropped line. */
-  readonly onDrop?: () => void;
+  /** Called for each dropped line with its cause: an error code or `stalled`. */
+  readonly onDrop?: (cause: string) => void;
 }
 
-/** Creates a log that never blocks its caller; debug lines are discarded. */
+/**
+ * Creates a log that never throws and never blocks its caller; debug lines are
+ * discarded.
+ */
 export function createBoundedLog(options: BoundedLogOptions): ILog {
-  const { output, host } = options;
+  const { output, host, bufferBytes, onDrop } = options;
   const wallMs = options.wallMs ?? Date.now;
-  const maxBufferedBytes = options.bufferBytes ?? DEFAULT_MAX_BUFFERED_BYTES;
-  let dropped = 0;
+  const writer = new LineWriter({ output, bufferBytes, onDrop, formatNotice });
 
-  function write(
+  function formatNotice(dropped: DroppedLines): string {
+    return format("warn", "log lines dropped", {
+      count: Object.values(dropped).reduce((sum, count) => sum + count, 0),
+      causes: dropped,
+    });
+  }
+
+  function format(
     level: string,
-    message: string,
+    event: string,
     fields: Readonly<Record<string, unknown>> = {},
-  ): void {
-    if (output.writableLength > maxBufferedBytes) {
-      dropped++;
-      options.onDrop?.();
-      return;
-    }
-    if (dropped > 0) {
-      const dropNotice = {
-        at: wallMs(),
-        level: "warn",
-        host,
-        event: "log lines dropped",
-        count: dropped,
-      };
-      dropped = 0;
-      output.write(`${JSON.stringify(dropNotice)}\n`);
+  ): string {
+    const head = { at: wallMs(), level, host, event };
+    try {
+      return `${JSON.stringify({ ...head, ...fields }, serializeError)}\n`;
+    } catch (error) {
+      const unserializable = String(error);
+      return `${JSON.stringify({ ...head, unserializable })}\n`;
     }
-    const line = { at: wallMs(), level, host, event: message, ...fields };
-    output.write(`${JSON.stringify(line, serializeError)}\n`);
   }
 
   return {
     debug: () => {},
-    info: (message, fields) => write("info", message, fields),
-    warn: (message, fields) => write("warn", message, fields),
-    error: (message, fields) => write("error", message, fields),
+    info: (event, fields) => writer.write(format("info", event, fields)),
+    warn: (event, fields) => writer.write(format("warn", event, fields)),
+    error: (event, fields) => writer.write(format("error", event, fields)),
   };
 }
 
