platform: don't evaluate all of node:process before the handlers

What remained of the window in which a signal ends the process was longer than it need be.

No test holds a time. test/platform_signals_test.ts takes its addresses from standins/loopback_address.ts now, as other tests do; its checks are the same.

--- a/src/common/early_signals.ts
+++ b/src/common/early_signals.ts
@@ -7,7 +7,6 @@
  */
 
 import type { EventEmitter } from "node:events";
-import { setImmediate } from "node:timers/promises";
 
 const STOP_SIGNALS = ["SIGINT", "SIGTERM"] as const;
 const RELOAD_SIGNAL = "SIGHUP";
@@ -39,7 +38,9 @@
    */
   async settle(): Promise<void> {
     // The first may come in the turn that read the events before these signals.
-    for (let turn = 0; turn < 2; turn++) await setImmediate();
+    for (let turn = 0; turn < 2; turn++) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
   }
 
   /**
--- a/src/common/exit_after_line.ts
+++ b/src/common/exit_after_line.ts
@@ -4,7 +4,6 @@
  * @module
  */
 
-import process from "node:process";
 import type { Writable } from "node:stream";
 
 /** Maximum wait for the reader of the output. */
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -6,7 +6,6 @@
  * @module
  */
 
-import process from "node:process";
 import { EarlySignals } from "../common/early_signals.ts";
 import { exitAfterLine } from "../common/exit_after_line.ts";
 
--- a/test/platform_signals_test.ts
+++ b/test/platform_signals_test.ts
@@ -12,15 +12,13 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
+import { hostIp } from "../standins/loopback_address.ts";
 import {
   type ProcessEnd,
   waitForEnd,
   waitForHandlers,
 } from "./early_handlers.ts";
 
-/** Loopback addresses that no other run on this machine uses. */
-const SUBNET = `127.${64 + (process.pid >> 8) % 64}.${process.pid % 256}`;
-
 let folder: string;
 const children: ChildProcess[] = [];
 
@@ -90,7 +88,7 @@
     const host = start(file);
     await waitForHandlers(host.child);
     for (const signal of signals) host.child.kill(signal);
-    await pipe.writeFile(settings(`${SUBNET}.1`));
+    await pipe.writeFile(settings(hostIp(1)));
     await pipe.close();
     expect(await host.ended).toEqual({ code: 0, signal: null });
     expect(host.events()).toEqual(["stopped before the host started"]);
@@ -103,7 +101,7 @@
   // Resolves when the program opens it for reading.
   const writer = await open(file, "w");
   for (const _ of [1, 2]) host.child.kill("SIGHUP");
-  await writer.writeFile(settings(`${SUBNET}.1`));
+  await writer.writeFile(settings(hostIp(1)));
   await writer.close();
   await expect.poll(host.events, { timeout: 20_000 }).toEqual(
     expect.arrayContaining([
@@ -117,7 +115,7 @@
 
 test("signals at any moment after the handlers leave the end to the program", async () => {
   const ends = Array.from({ length: 4 }, async (_, index) => {
-    const host = start(writeSettings(`${SUBNET}.${index + 1}`));
+    const host = start(writeSettings(hostIp(index + 1)));
     await waitForHandlers(host.child);
     await sleep(Math.random() * 400);
     host.child.kill("SIGHUP");
