peers: a record of any size among the hosts' does not part the hosts

What operators would see: after another writer leaves one entry of a quarantine with thousands of companions in the hosts' topic, each host that has read it counts no live peer: each reads the store itself, may lead and give orders, and knows nothing of the others' load.

Cause: hosts share what they know of contents that ended targets in their periodic state, one datagram, whatever its size. An entry of the store is taken over with all its companions (and, when first read, its processes); the state passes 65,507 bytes, the socket refuses it, and only a debug line says so.

Both tests failed before.

Change: losses and breaks take at most 16 KiB of a state each; entries that do not fit are left out, those after them are not. Every host reads such an entry from the store anyway. Builds understand each other as before. Looked at besides: ids of targets in the state are keys of the store, of 255 bytes at most; lists of demand and prefill have limits of their own.

--- a/src/peers/peer_state.ts
+++ b/src/peers/peer_state.ts
@@ -14,6 +14,8 @@
   type ServiceDemand,
 } from "./demand_codec.ts";
 
+/** Hosts learn of larger entries, which only another writer makes, from the log. */
+const MAX_LOSSES_BYTES = 16 * 1024;
 /** A longer list is malformed. */
 const MAX_COMPANIONS = 16;
 
@@ -93,8 +95,8 @@
     r: state.isReader ? 1 : 0,
     a: state.acceptsDelegated ? 1 : 0,
     x: state.cutOffServices,
-    c: state.losses.map(encodeLosses),
-    b: state.breaks.map(encodeLosses),
+    c: encodeLosses(state.losses),
+    b: encodeLosses(state.breaks),
     m: state.limits.map(encodeLimit),
     e: encodeEra(state),
     d: state.wantsDigests ? 1 : 0,
@@ -183,7 +185,18 @@
   }];
 }
 
-export function encodeLosses(entry: LossEntry): unknown[] {
+/** Entries that do not fit into a datagram beside the others are left out. */
+export function encodeLosses(entries: readonly LossEntry[]): unknown[][] {
+  let remainingBytes = MAX_LOSSES_BYTES;
+  return entries.map(encodeLoss).filter((fields) => {
+    const bytes = Buffer.byteLength(JSON.stringify(fields));
+    if (bytes > remainingBytes) return false;
+    remainingBytes -= bytes;
+    return true;
+  });
+}
+
+function encodeLoss(entry: LossEntry): unknown[] {
   const { contentId, clearCount, losses, lossEventId, totalLosses, processes } =
     entry;
   const fields = [
--- a/src/peers/peer_state_test.ts
+++ b/src/peers/peer_state_test.ts
@@ -3,6 +3,7 @@
 import { decodeDatagram } from "./datagram.ts";
 import { encodePeerState } from "./peer_state.ts";
 
+const MAX_UDP_BYTES = 65_507;
 const HOST = { id: "h", domain: "a", ip: "10.0.0.1", port: 7340, bornMs: 5 };
 const STATE = {
   sequenceNumber: 3,
@@ -38,6 +39,30 @@
   });
 });
 
+// The state of a host that had read one such record reached no other host.
+test.each(["losses", "breaks"] as const)(
+  "%s of any size leave the state small enough for a datagram, with the others",
+  (list) => {
+    const names = Array.from({ length: 5_000 }, (_, i) => `process ${i}`);
+    const [sound] = STATE.losses;
+    const entries = [
+      { ...sound, processes: names },
+      sound,
+      { ...sound, processes: [], companions: names },
+      ...Array(200).fill({ ...sound, contentId: "x".repeat(255) }),
+    ];
+    const datagram = encodePeerState(HOST, { ...STATE, [list]: entries });
+    expect(datagram.length).toBeLessThan(MAX_UDP_BYTES / 2);
+    expect(decodeDatagram(datagram)).toMatchObject({
+      received: { host: HOST, state: { uses: STATE.uses } },
+    });
+    const decoded = JSON.parse(datagram.toString())[
+      list === "losses" ? "c" : "b"
+    ];
+    expect(decoded[0][0]).toBe(sound.contentId);
+  },
+);
+
 test("malformed bytes are rejected or decode to a host with a valid port", () => {
   const sent = JSON.parse(encodePeerState(HOST, STATE).toString());
   const datagrams = fc.oneof(
