forward: bound the memory of callers' request bodies

Callers that send large bodies at the same moment ended a host: each body is kept until its request is answered, and nothing bounded their sum. Both deployments allow bodies of 4 MiB (max-body-bytes 4,194,304) and 350 MB of memory, so that some sixty callers within all limits pass the memory limit of a host, which the platform then kills ("memory over the limit counts").

Bodies now reserve their announced length, or what has arrived of those in chunks: 24 MiB for all, up to 40 MiB for those of 64 KiB or less, and one body that is alone always fits. What has no room is read to its end without being kept, so that its caller reads the refusal, and refused with 503 and a time to come back, as it has not run. New gauges tell the heap, its limit, what lies outside of it and the bodies, which tells an abort of the heap from a passed limit.

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -379,6 +379,7 @@
     reportEraChanges({ metrics, log, configVersion, configAgeMs, eras });
     registerGauges(metrics, {
       active: () => this.#core.active,
+      bodyBytes: () => this.#core.bodyBytes,
       configAgeMs,
       configVersion: () => configVersion() ?? 0,
       era: () => eras.current ?? 0,
--- a/src/entry/host_gauges.ts
+++ b/src/entry/host_gauges.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { getHeapStatistics } from "node:v8";
 import type { ContentQuarantine } from "../admission/content_quarantine.ts";
 import type { BucketMetrics } from "../common/bucket_metrics.ts";
 import type { TargetLimits } from "../paths/target_limits.ts";
@@ -13,6 +14,8 @@
 export interface GaugeSources {
   /** Requests in progress. */
   readonly active: () => number;
+  /** Memory that the bodies of requests take. */
+  readonly bodyBytes: () => number;
   readonly configAgeMs: () => number;
   readonly configVersion: () => number;
   readonly era: () => number;
@@ -63,7 +66,17 @@
       "jackdawshift_fleet_waiting_requests",
       () => sources.admission.fleetWaiting(),
     ],
+    ["jackdawshift_request_body_bytes", sources.bodyBytes],
     ["jackdawshift_resident_bytes", () => process.memoryUsage.rss()],
+    ["jackdawshift_heap_used_bytes", () => getHeapStatistics().used_heap_size],
+    [
+      "jackdawshift_heap_limit_bytes",
+      () => getHeapStatistics().heap_size_limit,
+    ],
+    [
+      "jackdawshift_external_bytes",
+      () => getHeapStatistics().external_memory,
+    ],
   ];
   for (const [name, read] of gauges) metrics.gauge(name, read);
 }
--- /dev/null
+++ b/src/forward/body_budget.ts
@@ -0,0 +1,53 @@
+/**
+ * Limits the memory that the bodies of callers' requests take at a host. Each
+ * body is kept until its request has been answered, since it may be sent again.
+ *
+ * @module
+ */
+
+/** All bodies; beyond it, only small ones are accepted. */
+const MAX_BYTES = 24 * 1024 * 1024;
+/** All bodies, small ones included. */
+const MAX_TOTAL_BYTES = 40 * 1024 * 1024;
+const SMALL_BODY_BYTES = 64 * 1024;
+
+export interface BodyBudgetOptions {
+  readonly maxBytes?: number;
+  readonly maxTotalBytes?: number;
+}
+
+export class BodyBudget {
+  readonly #maxBytes: number;
+  readonly #maxTotalBytes: number;
+  #usedBytes = 0;
+
+  constructor(options: BodyBudgetOptions = {}) {
+    this.#maxBytes = options.maxBytes ?? MAX_BYTES;
+    this.#maxTotalBytes = options.maxTotalBytes ?? MAX_TOTAL_BYTES;
+  }
+
+  /** Bytes of the bodies that are kept or being received. */
+  get usedBytes(): number {
+    return this.#usedBytes;
+  }
+
+  /**
+   * Reserves `bytes` more for a body that then has `bodyBytes`; returns false if
+   * there is no room. A body that is alone always has room, so that no limit of
+   * a configuration is out of reach.
+   */
+  tryReserve(bytes: number, bodyBytes: number): boolean {
+    const usedBytes = this.#usedBytes + bytes;
+    const maxBytes = bodyBytes <= SMALL_BODY_BYTES
+      ? this.#maxTotalBytes
+      : this.#maxBytes;
+    const isAlone = usedBytes === bodyBytes;
+    if (usedBytes > maxBytes && !isAlone) return false;
+    this.#usedBytes = usedBytes;
+    return true;
+  }
+
+  release(bytes: number): void {
+    this.#usedBytes -= bytes;
+  }
+}
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -8,6 +8,10 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "../common/clock.ts";
 import type { RequestMetadata } from "../ports/types.ts";
+import { BodyBudget } from "./body_budget.ts";
+
+/** Longest wait for the end of a body that is not kept. */
+const DISCARD_TIMEOUT_MS = 500;
 
 export interface ExchangeOptions {
   readonly request: IncomingMessage;
@@ -16,12 +20,16 @@
   readonly clock: Clock;
   /** Whether the connection is closed after the response. */
   readonly isClosing: () => boolean;
+  /** Shared by all requests of a host; by default, its own. */
+  readonly bodies?: BodyBudget;
 }
 
 /** Result of reading a request body. */
 export type BodyOutcome =
   | { readonly kind: "complete"; readonly body: Buffer | undefined }
   | { readonly kind: "too-large" }
+  /** The host keeps as many bodies as it can. */
+  | { readonly kind: "no-room" }
   | { readonly kind: "timed-out" }
   | { readonly kind: "disconnected" };
 
@@ -34,6 +42,8 @@
   readonly #clock: Clock;
   readonly #isClosing: () => boolean;
   readonly #abort = new AbortController();
+  readonly #bodies: BodyBudget;
+  #reservedBytes = 0;
 
   constructor(options: ExchangeOptions) {
     this.request = options.request;
@@ -41,8 +51,10 @@
     this.metadata = options.metadata;
     this.#clock = options.clock;
     this.#isClosing = options.isClosing;
+    this.#bodies = options.bodies ?? new BodyBudget();
     this.receivedMs = options.clock.nowMs();
     this.response.on("close", () => {
+      this.#releaseBody();
       if (!this.response.writableFinished) this.#abort.abort();
     });
     this.response.on("error", () => this.#abort.abort());
@@ -72,18 +84,30 @@
     return new Promise((resolve) => {
       const chunks: Buffer[] = [];
       let sizeBytes = 0;
+      let hasRoom = this.#reserve(declared, declared);
       const timer = setTimeout(
-        () => resolve({ kind: "timed-out" }),
-        deadlineMs - this.#clock.nowMs(),
+        () => resolve({ kind: hasRoom ? "timed-out" : "no-room" }),
+        hasRoom ? deadlineMs - this.#clock.nowMs() : DISCARD_TIMEOUT_MS,
       );
       request.on("close", () => clearTimeout(timer));
       request.on("data", (chunk: Buffer) => {
         sizeBytes += chunk.length;
-        if (sizeBytes > limitBytes) resolve({ kind: "too-large" });
-        else chunks.push(chunk);
+        if (sizeBytes > limitBytes) {
+          resolve({ kind: "too-large" });
+          return;
+        }
+        // The size of a body in chunks is not known before.
+        const addedBytes = Math.max(0, sizeBytes - this.#reservedBytes);
+        hasRoom &&= this.#reserve(addedBytes, sizeBytes);
+        if (hasRoom) chunks.push(chunk);
+        else chunks.length = 0;
       });
       request.on("end", () => {
         clearTimeout(timer);
+        if (!hasRoom) {
+          resolve({ kind: "no-room" });
+          return;
+        }
         this.body = hasBody ? Buffer.concat(chunks, sizeBytes) : undefined;
         resolve({ kind: "complete", body: this.body });
       });
@@ -92,6 +116,22 @@
     });
   }
 
+  /** Without room, gives back what the body has. */
+  #reserve(bytes: number, bodyBytes: number): boolean {
+    if (bytes === 0) return true;
+    if (!this.#bodies.tryReserve(bytes, bodyBytes)) {
+      this.#releaseBody();
+      return false;
+    }
+    this.#reservedBytes += bytes;
+    return true;
+  }
+
+  #releaseBody(): void {
+    this.#bodies.release(this.#reservedBytes);
+    this.#reservedBytes = 0;
+  }
+
   /** Responds with an error of this host, as JSON. */
   refuse(status: number, reason: string, retryAfterMs?: number): void {
     const body = JSON.stringify({ error: reason });
--- a/src/forward/request_handler.ts
+++ b/src/forward/request_handler.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Customer } from "../ports/types.ts";
 import { quarantineIds } from "../admission/quarantine_ids.ts";
+import { BodyBudget } from "./body_budget.ts";
 import { contentId } from "./content_id.ts";
 import {
   type CallContext,
@@ -26,6 +27,8 @@
 const STALE_CONFIG_RETRY_MS = 500;
 /** Retry time while this host shuts down; another host serves the retry. */
 const STOPPING_RETRY_MS = 20;
+/** Retry time while this host keeps as many request bodies as it can. */
+const NO_ROOM_RETRY_MS = 300;
 /**
  * A customer's priority outweighs any priority of a route. Customers without one
  * rank behind those with one.
@@ -54,16 +57,19 @@
     readonly kind: "admit";
     readonly plan: Omit<CallPlan, "contentId" | "sharedPromptParts">;
   }
-  | {
-    readonly kind: "refuse";
-    readonly status: number;
-    readonly reason: string;
-    readonly retryAfterMs?: number;
-  };
+  | Refusal;
+
+interface Refusal {
+  readonly kind: "refuse";
+  readonly status: number;
+  readonly reason: string;
+  readonly retryAfterMs?: number;
+}
 
 export class RequestHandler {
   readonly #options: RequestHandlerOptions;
   readonly #active = new Set<Exchange>();
+  readonly #bodies = new BodyBudget();
 
   constructor(options: RequestHandlerOptions) {
     this.#options = options;
@@ -74,6 +80,11 @@
     return this.#active.size;
   }
 
+  /** Memory that the bodies of requests take. */
+  get bodyBytes(): number {
+    return this.#bodies.usedBytes;
+  }
+
   /** Serves a request of a caller, or one that another host passes on. */
   async serve(
     request: IncomingMessage,
@@ -87,6 +98,7 @@
       metadata: context.codec.request(request.rawHeaders),
       clock: context.clock,
       isClosing: isStopping,
+      bodies: this.#bodies,
     });
     this.#active.add(exchange);
     try {
@@ -128,13 +140,7 @@
     const outcome = await exchange.readBody(limitBytes, deadlineMs);
     if (outcome.kind === "disconnected") return;
     if (outcome.kind !== "complete") {
-      const refusal = outcome.kind === "timed-out"
-        ? {
-          status: 408,
-          reason: "request body not received before the deadline",
-        }
-        : { status: 413, reason: "request body exceeds the configured limit" };
-      this.#refuse(exchange, { kind: "refuse", ...refusal });
+      this.#refuse(exchange, this.#bodyRefusal(outcome.kind));
       return;
     }
     const { context } = this.#options;
@@ -168,6 +174,21 @@
       }).run();}
   }
 
+  #bodyRefusal(kind: "too-large" | "timed-out" | "no-room"): Refusal {
+    switch (kind) {
+      case "too-large":
+        return toRefusal(413, "request body exceeds the configured limit");
+      case "timed-out":
+        return toRefusal(408, "request body not received before the deadline");
+      case "no-room":
+        return toRefusal(
+          503,
+          "no memory for the request body",
+          jitterRetryMs(NO_ROOM_RETRY_MS, this.#options.context.random),
+        );
+    }
+  }
+
   /** What this host does not admit another one may, so it is declined. */
   async #admitDelegated(exchange: Exchange): Promise<Admission> {
     const decline = (reason: string): Admission => ({
@@ -267,7 +288,7 @@
 
   #refuse(
     exchange: Exchange,
-    refusal: Exclude<Admission, { readonly kind: "admit" }>,
+    refusal: Refusal,
   ): void {
     const { context, configAgeMs, routes } = this.#options;
     const { request } = exchange;
@@ -287,6 +308,14 @@
   }
 }
 
+function toRefusal(
+  status: number,
+  reason: string,
+  retryAfterMs?: number,
+): Refusal {
+  return { kind: "refuse", status, reason, retryAfterMs };
+}
+
 function rankOf(customer: Customer | undefined, routePriority: number): number {
   return (customer?.priority ?? RANKS_PER_PRIORITY) * RANKS_PER_PRIORITY +
     routePriority;
