forward: refuse heads that cannot be passed on; no stream ends by an uncaught error

Callers of a stream whose server's head had a field name that is no token ("X A: 1", ": 1") got an empty answer of status 200 that looked complete, without the server's signature. Callers of a head with status 000 or 099 got 500, "internal error".

Cause: Node.js reads such heads (its parser takes a blank in a field name and any three digits) but does not write them, and throws. In a stream it throws in the handler of an event of the response, outside of any promise: an uncaught error, after which the stream counted its head as sent, read on to its end and ended the caller's response, which by then had a default head and no body.

Evidence: a host as a process, heads written byte by byte by a server, 55 forms of odd heads and bodies for plain calls and 28 for streams: two uncaught errors, both this one.

A head that cannot be written is now an invalid response like others that are not the request's. What throws while events are passed on rejects the forwarder's promise, so that the request ends with it, and a head counts as sent only after it was written.

Looked at for errors thrown in handlers: reading of bodies (no writes), the exchange's handlers, calls to the store and datagrams (parsers that return undefined), the checks of ports. An orderly 101 and heads with bytes from 0x80 on are served or refused as before.

--- a/src/forward/event_forwarder.ts
+++ b/src/forward/event_forwarder.ts
@@ -56,12 +56,12 @@
     this.#options.outcome.answer.resume();
   }
 
-  /** Resolves when the response has ended, whole or not. */
+  /** Resolves when the response has ended, whole or not; rejects if the sink throws. */
   run(): Promise<ForwardResult> {
     const { outcome: { answer, hasFailed }, sink, onProgress } = this.#options;
     const reader = new EventReader();
     let lastId = sink.lastEventId;
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       const fail = (reason: string): void => {
         this.#isStopped = true;
         resolve({ kind: "broken", reason });
@@ -82,7 +82,13 @@
       answer.on("data", (chunk: Buffer) => {
         if (this.#isStopped) return;
         const batch = reader.push(chunk);
-        if (batch !== undefined) forward(batch);
+        try {
+          if (batch !== undefined) forward(batch);
+        } catch (error) {
+          this.#isStopped = true;
+          reject(error);
+          answer.destroy();
+        }
         if (reader.isOversized) fail("event exceeds the maximum size");
       });
       answer.on("end", () => {
--- a/src/forward/event_forwarder_test.ts
+++ b/src/forward/event_forwarder_test.ts
@@ -115,3 +115,28 @@
   expect(text).toBe(body);
   expect(result.kind).toBe("complete");
 });
+
+test("an event that cannot be forwarded ends the request, not as an uncaught error", async () => {
+  const answer = new PassThrough();
+  const forwarder = new EventForwarder({
+    outcome: {
+      kind: "answer",
+      answer: Object.assign(answer, {
+        complete: true,
+      }) as unknown as IncomingMessage,
+      hasFailed: () => false,
+      isNewConnection: true,
+    },
+    sink: {
+      lastEventId: undefined,
+      onEvents: () => {
+        throw new Error("head cannot be written");
+      },
+    },
+    onProgress: () => {},
+  });
+  const result = forwarder.run();
+  answer.end(eventsTo(2));
+  await expect(result).rejects.toThrow("head cannot be written");
+  expect(answer.destroyed).toBe(true);
+});
--- a/src/forward/response.ts
+++ b/src/forward/response.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { validateHeaderName } from "node:http";
 import type { ResponseMetadata } from "../ports/types.ts";
 import { TARGET_HEADER } from "./answer_signals.ts";
 import type { SendOutcome } from "./upstream.ts";
@@ -98,12 +99,29 @@
   if (metadata.requestId !== requestId || !metadata.isSigned) {
     return invalid("response id or signature invalid");
   }
+  const headFault = unforwardableHead(answer);
+  if (headFault !== undefined) return invalid(headFault);
   if (answer.headers["content-encoding"] !== undefined) {
     return invalid("response has a content-encoding");
   }
   return undefined;
 }
 
+/** Why Node.js, which reads heads that it does not write, cannot pass a head on. */
+function unforwardableHead(
+  { statusCode = 0, rawHeaders }: UpstreamResponse["answer"],
+): string | undefined {
+  if (statusCode < 200) return `status ${statusCode} is not final`;
+  for (let i = 0; i < rawHeaders.length; i += 2) {
+    try {
+      validateHeaderName(rawHeaders[i]);
+    } catch {
+      return `header name ${JSON.stringify(rawHeaders[i])} is not a token`;
+    }
+  }
+  return undefined;
+}
+
 /**
  * Whether a response says nothing about the request, as a late copy of another
  * request's response does. Without an id, only the first response on a connection
--- a/src/forward/stream_response.ts
+++ b/src/forward/stream_response.ts
@@ -61,10 +61,10 @@
     if (this.#exchange.isDisconnected) return true;
     this.#progressMs = this.#exchange.ageMs;
     if (!this.#isHeadSent) {
-      this.#isHeadSent = true;
-      this.#firstEventMs = this.#progressMs;
       // Without a length, the body is chunked, whatever framing the target used.
       this.#exchange.writeHead(200, this.#headersOf(answer));
+      this.#isHeadSent = true;
+      this.#firstEventMs = this.#progressMs;
     }
     this.#lastEventId = lastId;
     return this.#exchange.response.write(bytes);
