--- a/src/entry/host_gauges.ts
+++ b/src/entry/host_gauges.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { getHeapStatistics } from "node:v8";
 import type { ContentQuarantine } from "../admission/content_quarantine.ts";
 import type { BucketMetrics } from "../common/bucket_metrics.ts";
 import type { EraTracker } from "../feeds/era_tracker.ts";
@@ -17,7 +18,7 @@
 import type { StoreFeeds } from "./store_feeds.ts";
 
 export interface GaugeSources {
-  readonly core: Pick<RequestHandler, "active">;
+  readonly core: Pick<RequestHandler, "active" | "bodyBytes">;
   readonly feeds: Pick<StoreFeeds, "config">;
   readonly config: Pick<ConfigTracker, "table">;
   readonly eras: Pick<EraTracker, "current">;
@@ -72,7 +73,17 @@
       "jackdawshift_fleet_waiting_requests",
       () => sources.admission.fleetWaiting(),
     ],
+    ["jackdawshift_request_body_bytes", () => sources.core.bodyBytes],
     ["jackdawshift_resident_bytes", () => process.memoryUsage.rss()],
+    ["jackdawshift_heap_used_bytes", () => getHeapStatistics().used_heap_size],
+    [
+      "jackdawshift_heap_limit_bytes",
+      () => getHeapStatistics().heap_size_limit,
+    ],
+    [
+      "jackdawshift_external_bytes",
+      () => getHeapStatistics().external_memory,
+    ],
   ];
   for (const [name, read] of gauges) metrics.gauge(name, read);
 }
