listeners: a request whose listener fails has an end

Callers, the balancer and scrapes would have waited for their time-outs where a defect met a request outside RequestHandler's own try: while its headers were decoded, while it was refused after another defect, in the readiness check or while metrics were rendered. The error reached the process as one that no code handled, and nothing ended the request. An error event of a server that already listens had no listener and went the same way, once a turn while accept fails.

Each listener now answers 500, or breaks the connection off after the head, with one line; errors of listening sockets are logged once in 10 s with their count.

Looked at: the frontend, the port for other hosts, readiness, metrics, the datagram socket (its listener logs).

--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -262,10 +262,11 @@
     });
     this.#listeners = new HostListeners({
       settings,
-      onRequest: (...exchange) => void this.#core.serve(...exchange),
+      log,
+      onRequest: (...exchange) => this.#core.serve(...exchange),
       onDelegated: (request, response) => {
         if (this.#feeds.transfer.tryServe(request, response)) return;
-        void this.#core.serve(request, response, "host");
+        return this.#core.serve(request, response, "host");
       },
       isReady: () => readiness.isReady(),
       renderMetrics: () => this.#metrics.render(),
--- a/src/entry/host_listeners.ts
+++ b/src/entry/host_listeners.ts
@@ -5,7 +5,14 @@
  * @module
  */
 
-import { createServer, type RequestListener, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { ILog } from "../common/logging.ts";
 import type { CallerLimits, Endpoint, HostSettings } from "../ports/types.ts";
 
 /** Maximum number of connections that wait in the kernel to be accepted. */
@@ -18,6 +25,15 @@
 /** Callers' headers, which are limited at the frontend, and those of hosts. */
 const MAX_DELEGATED_HEADER_BYTES = 256 * 1024;
 
+/** A failing socket may report an error each turn; */
+const ERROR_LOG_INTERVAL_MS = 10_000;
+
+/** Serves one request; resolves when it has ended. */
+export type Serve = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void | Promise<void>;
+
 /** Ports on which the host listens; 0 while closed. */
 export interface HostPorts {
   readonly frontend: number;
@@ -27,15 +43,17 @@
 
 export interface HostListenersOptions {
   readonly settings: HostSettings;
-  readonly onRequest: RequestListener;
+  readonly log: ILog;
+  readonly onRequest: Serve;
   /** Serves a request that another host passes on. */
-  readonly onDelegated: RequestListener;
+  readonly onDelegated: Serve;
   readonly isReady: () => boolean;
   readonly renderMetrics: () => string;
 }
 
 export class HostListeners {
   readonly #settings: HostSettings;
+  readonly #log: ILog;
   readonly #frontend: Server;
   readonly #delegation: Server;
   readonly #readiness: Server;
@@ -43,27 +61,30 @@
 
   constructor(options: HostListenersOptions) {
     this.#settings = options.settings;
+    const { log } = options;
+    this.#log = log;
     this.#frontend = createServer({
       keepAlive: true,
       connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS,
       // The deadline of the request limits the time for its body.
       requestTimeout: 0,
-    }, options.onRequest);
+    }, answering(options.onRequest, log));
     this.#delegation = createServer({
       keepAlive: true,
       keepAliveTimeout: HOST_IDLE_MS,
       connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS,
       maxHeaderSize: MAX_DELEGATED_HEADER_BYTES,
       requestTimeout: 0,
-    }, options.onDelegated);
-    this.#readiness = createServer((_request, response) => {
+    }, answering(options.onDelegated, log));
+    this.#readiness = createServer(answering((_request, response) => {
       const status = options.isReady() ? 200 : 503;
       response.writeHead(status, { "content-length": "0" }).end();
-    });
-    this.#metrics = createServer((_request, response) => {
+    }, log));
+    this.#metrics = createServer(answering((_request, response) => {
+      const metrics = options.renderMetrics();
       response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
-      response.end(options.renderMetrics());
-    });
+      response.end(metrics);
+    }, log));
   }
 
   get ports(): HostPorts {
@@ -84,6 +105,7 @@
     await listen(this.#frontend, this.#settings.frontend);
     await listen(this.#readiness, this.#settings.readiness);
     await listen(this.#metrics, this.#settings.metrics);
+    for (const server of this.#servers) logErrors(server, this.#log);
   }
 
   /** Sets the limits that apply from the next connection or request on. */
@@ -97,17 +119,52 @@
 
   /** Closes all ports and connections. */
   dispose(): void {
-    const servers = [
-      this.#frontend,
-      this.#delegation,
-      this.#readiness,
-      this.#metrics,
-    ];
-    for (const server of servers) {
+    for (const server of this.#servers) {
       server.close();
       server.closeAllConnections();
     }
   }
+
+  get #servers(): Server[] {
+    return [this.#frontend, this.#delegation, this.#readiness, this.#metrics];
+  }
+}
+
+/** A request whose listener fails gets 500, or its connection is broken off. */
+function answering(serve: Serve, log: ILog): RequestListener {
+  const run = async (
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> => {
+    try {
+      await serve(request, response);
+    } catch (error) {
+      log.error("request listener failed", { reason: error });
+      if (response.headersSent) response.destroy();
+      else {
+        const headers = { "content-length": "0", "connection": "close" };
+        response.writeHead(500, headers).end();
+      }
+    }
+  };
+  return (request, response) => void run(request, response);
+}
+
+/** Without a listener, an error of a server would be one that no code handled. */
+function logErrors(server: Server, log: ILog): void {
+  let errors = 0;
+  let loggedMs = -Infinity;
+  server.on("error", (error) => {
+    errors++;
+    const nowMs = performance.now();
+    if (nowMs - loggedMs < ERROR_LOG_INTERVAL_MS) return;
+    loggedMs = nowMs;
+    log.warn("listening socket error", {
+      port: portOf(server),
+      reason: String(error),
+      count: errors,
+    });
+  });
 }
 
 function listen(server: Server, { ip, port }: Endpoint): Promise<void> {
