forward: a plain call whose attempt meets a defect is answered

A caller of a plain route waited without an answer until it gave up when an attempt threw: the promise that decides the call heard only of attempts that end, and the error was an unhandled rejection. The deadline did not help; it cancels sends, and none was in progress. Now the error reaches the handler, which logs it and answers 500.

A defect is injected by a log that throws at one line. Before: 2 of 6 cases red (/acks/ and /slips/ at "request sent": no answer in 2 s, 3 unhandled rejections). After: 6 of 6. Streams and the ends of plain calls had an answer before.

--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -94,7 +94,7 @@
    */
   #serve(): Promise<Attempt | undefined> {
     const isIdempotent = this.#plan.route.retryPolicy === "idempotent";
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       const launch = (): void => {
         const attempt = this.#nextAttempt();
         if (attempt === undefined) {
@@ -106,7 +106,7 @@
           this.#running--;
           if (this.#isFinal(attempt, isIdempotent)) resolve(attempt);
           else launch();
-        });
+        }).catch(reject);
       };
       launch();
       // A content that may end its targets runs on one of them at a time.
