daemon: standard error or output that fails does not end the process

Operators of jackdawshiftd lost the whole host when its log could not be written: standard error and output had no error listeners, so the first line that failed (EPIPE, ENOSPC) ended the process with code 1 and cut its requests. Its log had no bound either while the reader stalled.

The log of the daemon writes through LineWriter, as the platform's host does: lines lost are counted by cause and told once the output works again. A ready line that cannot be written is a warning.

Not changed: an error that no code handled still ends the daemon.

--- a/src/common/logging.ts
+++ b/src/common/logging.ts
@@ -8,6 +8,7 @@
 import process from "node:process";
 import type { ServiceIdentifier } from "inversify";
 import { type ILogObj, Logger } from "tslog";
+import { LineWriter } from "./line_writer.ts";
 
 const LEVELS = [
   "silly",
@@ -50,11 +51,13 @@
   readonly level: LogLevel;
   /** Receives each formatted line; standard error by default. */
   readonly write?: (line: string) => void;
+  /** Called for each line lost to standard error, with an error code or `stalled`. */
+  readonly onDrop?: (cause: string) => void;
 }
 
 /** Creates a log based on tslog. */
 export function createLog(options: LogOptions): ILog {
-  const write = options.write ?? ((line) => process.stderr.write(line));
+  const write = options.write ?? standardErrorWriter(options);
   const logger = new Logger<ILogObj>({
     type: "hidden",
     minLevel: LEVELS.indexOf(options.level),
@@ -70,6 +73,22 @@
   };
 }
 
+function standardErrorWriter(
+  { host, onDrop }: LogOptions,
+): (line: string) => void {
+  const writer = new LineWriter({
+    output: process.stderr,
+    onDrop,
+    formatNotice: (causes) => {
+      const at = new Date().toISOString();
+      const message = "log lines dropped";
+      const line = { at, level: "warn", host, message, causes };
+      return `${JSON.stringify(line)}\n`;
+    },
+  });
+  return (line) => writer.write(line);
+}
+
 /** Discards all lines; for tests and defaults. */
 export const silentLog: ILog = {
   debug: () => {},
--- a/src/daemon/container.ts
+++ b/src/daemon/container.ts
@@ -32,8 +32,14 @@
   container: Container,
   { settings, hostName }: ContainerOptions,
 ): void {
-  container.bind(ILog).toDynamicValue(() => {
-    return createLog({ host: hostName, level: settings.logLevel });
+  container.bind(ILog).toDynamicValue((context) => {
+    return createLog({
+      host: hostName,
+      level: settings.logLevel,
+      onDrop: (cause) =>
+        context.get(IMetrics)
+          .count("jackdawshift_log_lines_dropped_total", { cause }),
+    });
   });
   container.bind(IMetrics).toDynamicValue(() => new Metrics());
 }
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -101,6 +101,10 @@
     return addresses;
   }
 
+  /** Logs that standard output, which only gets the ready line, failed. */
+  readonly reportOutputError = (error: Error): void =>
+    this.#container.get(ILog).warn("ready line not written", { error });
+
   /** Shuts down gracefully; aborts requests in flight only after `stopWithinMs`. */
   stop(): Promise<void> {
     this.#stopped ??= this.#stop();
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -34,6 +34,7 @@
   if (settings === undefined) return EXIT_USAGE;
   const host = await createHost(settings);
   const addresses = await host.start();
+  process.stdout.on("error", host.reportOutputError);
   process.stdout.write(
     `${JSON.stringify({ ready: true, host: host.name, ...addresses })}\n`,
   );
