--- a/src/common/line_writer.ts
+++ b/src/common/line_writer.ts
@@ -112,7 +112,8 @@
   }
 }
 
-function causeOf(error: Error): string {
+/** Under which cause lines that an error lost are counted. */
+export function causeOf(error: Error): string {
   return (error as NodeJS.ErrnoException).code ?? error.name;
 }
 
--- a/test/log_sinks_process_test.ts
+++ b/test/log_sinks_process_test.ts
@@ -62,17 +62,22 @@
   readonly settings?: string;
   /** Largest size of a file that the host writes, in units of 512 or 1,024 bytes. */
   readonly fileSizeLimitBlocks?: number;
+  /** Module that the process runs before the program. */
+  readonly preload?: string;
 }
 
 /** Starts a host whose standard output and error are `sink`, closed if undefined. */
 function startHost(sink: number | undefined, options: StartOptions = {}): void {
   const file = join(folder, "settings.json");
   writeFileSync(file, options.settings ?? soundSettings());
+  const preload = options.preload === undefined
+    ? ""
+    : `--import "${options.preload}"`;
   const commands = [
     options.fileSizeLimitBlocks === undefined
       ? ""
       : `ulimit -f ${options.fileSizeLimitBlocks};`,
-    `exec "${process.execPath}" dist/platform/main.js`,
+    `exec "${process.execPath}" ${preload} dist/platform/main.js`,
     sink === undefined ? ">&- 2>&-" : "",
   ];
   host = spawn("sh", ["-c", commands.join(" ")], {
@@ -308,6 +313,20 @@
   expect(code).toBe(2);
 });
 
+test("warnings of the runtime that cannot be written harm nothing", async () => {
+  const preload = join(folder, "warnings.mjs");
+  writeFileSync(
+    preload,
+    `setInterval(() => {
+       if (process.listenerCount("uncaughtException") === 0) return;
+       process.emitWarning(String(Math.random()));
+     }, 20);`,
+  );
+  startHost(openSink("/dev/full", "w"), { preload });
+  expect(await isReady()).toBe(true);
+  await expectUnharmed();
+});
+
 test("a host whose standard output and error are closed serves", async () => {
   startHost(undefined);
   expect(await isReady()).toBe(true);
