supervisor: a failed task is restarted although a listener throws

A task that failed was never started again if a listener of the failure threw, a log that cannot serialize a field for example: the error left the loop that restarts. A host would have gone on without reading its configuration. The listener's error is now an unhandled rejection of its own.

Test: one run of the task before, more than three in a second after.

--- a/src/common/supervisor.ts
+++ b/src/common/supervisor.ts
@@ -81,6 +81,15 @@
     await Promise.all(this.#running);
   }
 
+  /** A listener that throws is an error of its own, not the end of the task. */
+  #report(failure: TaskFailure): void {
+    try {
+      this.#onFailure.fire(failure);
+    } catch (error) {
+      void Promise.reject(error);
+    }
+  }
+
   async #runTask(path: string, task: Task): Promise<void> {
     const signal = this.#abort.signal;
     let backOffMs = FIRST_BACK_OFF_MS;
@@ -91,7 +100,7 @@
       if (this.#clock.nowMs() - startedMs >= BACK_OFF_RESET_MS) {
         backOffMs = FIRST_BACK_OFF_MS;
       }
-      this.#onFailure.fire({ task: path, error, backOffMs });
+      this.#report({ task: path, error, backOffMs });
       await this.#clock.sleep(backOffMs * (0.5 + this.#random() / 2), signal);
       backOffMs = Math.min(MAX_BACK_OFF_MS, backOffMs * 2);
     }
--- a/src/common/supervisor_test.ts
+++ b/src/common/supervisor_test.ts
@@ -1,3 +1,4 @@
+import process from "node:process";
 import { expect, test } from "vitest";
 import { ManualClock } from "../../test/manual_clock.ts";
 import { Supervisor } from "./supervisor.ts";
@@ -26,3 +27,28 @@
   await clock.advance(60_000);
   expect(backOffs.length).toBe(failures);
 });
+
+test("a task is restarted although a listener of its failures throws", async () => {
+  const clock = new ManualClock();
+  const supervisor = new Supervisor({ name: "root", clock, random: () => 0.5 });
+  const listeners = process.listeners("unhandledRejection");
+  const unhandled: unknown[] = [];
+  process.removeAllListeners("unhandledRejection");
+  process.on("unhandledRejection", (error) => unhandled.push(error));
+  supervisor.onFailure(() => {
+    throw new Error("a listener");
+  });
+  let runs = 0;
+  supervisor.start("failing", () => {
+    runs++;
+    return Promise.reject(new Error("no"));
+  });
+  await clock.advance(1_000);
+  await clock.runUntil(supervisor.stop());
+  process.removeAllListeners("unhandledRejection");
+  for (const listener of listeners) {
+    process.on("unhandledRejection", listener);
+  }
+  expect(runs).toBeGreaterThan(3);
+  expect(unhandled.map(String)).toContain("Error: a listener");
+});
