tool: output that cannot be written does not change the exit code

`jackdawshift config apply … | head`, or with output on a full disk, applied the change and ended with code 1, which tells scripts that nothing was changed: the output's error had no listener and ended the process.

Test with the tool as a process on /dev/full: code 1 and version 1 applied before (both checked), code 0 and version 1 after. A reader that has gone is no news; other errors are one line on standard error. Looked at: both entry points of the tool go through runTool.

--- a/src/tool/run_tool.ts
+++ b/src/tool/run_tool.ts
@@ -54,6 +54,7 @@
   for (const command of [...COMMANDS, ...additionalCommands]) {
     cli.register(command);
   }
+  keepExitCode(context);
   let command: Command;
   try {
     command = cli.process([...args], context);
@@ -63,3 +64,15 @@
   }
   return await cli.run(command, context);
 }
+
+/**
+ * The exit code tells what became of a change, so output that nobody reads, or
+ * for which there is no room, must not end the process with another one.
+ */
+function keepExitCode({ stdout, stderr }: Partial<BaseContext>): void {
+  stdout?.on("error", ({ code, message }: NodeJS.ErrnoException) => {
+    if (code !== "EPIPE") stderr?.write(`output lost: ${message}\n`);
+  });
+  // Nobody is left to tell.
+  stderr?.on("error", () => {});
+}
--- a/src/tool/run_tool_test.ts
+++ b/src/tool/run_tool_test.ts
@@ -1,5 +1,8 @@
+import { spawn } from "node:child_process";
+import { closeSync, openSync } from "node:fs";
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import process from "node:process";
 import { Writable } from "node:stream";
 import { afterEach, beforeEach, expect, test } from "vitest";
 import { applyPatch } from "../config/patch.ts";
@@ -109,6 +112,26 @@
   });
 });
 
+test("output that cannot be written does not change the exit code of an apply", async () => {
+  const { port } = server.address() as AddressInfo;
+  const sink = openSync("/dev/full", "w");
+  const tool = spawn(
+    process.execPath,
+    ["dist/src/tool/main.js", "config", "apply", "examples/demo"],
+    {
+      env: {
+        ...process.env,
+        JACKDAWSHIFT_OPERATOR_URL: `http://127.0.0.1:${port}`,
+        JACKDAWSHIFT_OPERATOR_TOKEN: TOKEN,
+      },
+      stdio: ["ignore", sink, sink],
+    },
+  );
+  closeSync(sink);
+  expect(await new Promise((resolve) => tool.once("exit", resolve))).toBe(0);
+  expect(version).toBe(1);
+});
+
 test("draining a target changes the configuration", async () => {
   await run(["config", "apply", "examples/demo"]);
   const drained = await run(["drain", "target", "etapa-b"]);
