--- a/src/daemon/program.ts
+++ b/src/daemon/program.ts
@@ -42,6 +42,7 @@
   const host = await createHost(settings);
   await signals.settle();
   const addresses = await host.start();
+  process.stdout.on("error", host.reportOutputError);
   process.stdout.write(
     `${JSON.stringify({ ready: true, host: host.name, ...addresses })}\n`,
   );
