--- a/test/early_handlers.ts
+++ b/test/early_handlers.ts
@@ -9,7 +9,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 
 const SIGHUP_MASK = 1n;
-const POLL_INTERVAL_MS = 1;
+const DEFAULT_POLL_INTERVAL_MS = 1;
 
 export interface ProcessEnd {
   readonly code: number | null;
@@ -20,12 +20,15 @@
  * Resolves when the process handles SIGHUP, which the runtime itself does not,
  * or when it has ended.
  */
-export async function waitForHandlers(child: ChildProcess): Promise<void> {
+export async function waitForHandlers(
+  child: ChildProcess,
+  pollIntervalMs = DEFAULT_POLL_INTERVAL_MS,
+): Promise<void> {
   while (child.exitCode === null && child.signalCode === null) {
     const status = readFileSync(`/proc/${child.pid}/status`, "utf8");
     const caught = /SigCgt:\s*(\w+)/.exec(status)?.[1] ?? "0";
     if ((BigInt(`0x${caught}`) & SIGHUP_MASK) !== 0n) return;
-    await sleep(POLL_INTERVAL_MS);
+    await sleep(pollIntervalMs);
   }
 }
 
