--- a/src/entry/host_listeners_test.ts
+++ b/src/entry/host_listeners_test.ts
@@ -29,7 +29,10 @@
     renderMetrics: () => "",
     ...options,
   });
-  await listeners.open(0);
+  await listeners.openDelegation(0);
+  for (const port of ["frontend", "readiness", "metrics"] as const) {
+    await listeners.open(port);
+  }
   return { ports: listeners.ports, events };
 }
 
