soak: a log's reader may stay away, and records may be long

Half of them now stay away; the draws are the same. Odd records may also be 200,000 brackets that nothing closes, which fit into a record of the platform, or names of as many characters.

--- a/soak/odd_records.ts
+++ b/soak/odd_records.ts
@@ -25,12 +25,16 @@
 const DEPTH = 200_000;
 /** Nothing listens there. */
 const ADDRESS = "127.0.0.1:9";
-const NESTED = "[".repeat(DEPTH) + "]".repeat(DEPTH);
+const UNCLOSED = "[".repeat(DEPTH);
+const NESTED = UNCLOSED + "]".repeat(DEPTH);
+const LONG = `"${"x".repeat(DEPTH)}"`;
 const NO_TEXT = Buffer.from([0xff, 0xfe, 0x00, 0xc3, 0x28, 0x80, 0x7b]);
 
 /** In any topic. */
 const DOCUMENTS = [
   NESTED,
+  UNCLOSED,
+  LONG,
   `{"odd":${NESTED}}`,
   "1e999",
   "null",
@@ -58,6 +62,9 @@
   `"zone":"odd"`,
   `"state":"odd"`,
   `"service":${NESTED}`,
+  `"service":${LONG}`,
+  `"zone":${LONG}`,
+  `"route-kind":${LONG}`,
 ];
 
 /** Keys and records in the topic of the hosts. */
@@ -66,6 +73,7 @@
   ["odd", `{"ip":"999.1.1.1","port":7340,"zone":"a","born":1}`],
   ["odd", `{"ip":"0.0.0.0","port":1,"zone":"a","born":1e15}`],
   ["odd", `{"ip":"127.0.0.1","port":1e999,"zone":"a"}`],
+  ["odd", `{"ip":"127.0.0.1","port":9,"zone":${LONG},"born":1}`],
   ["era/settled", `{"era":1e15}`],
   ["era/settled", `{"era":1e999}`],
   ["quarantine/odd", `{"clears":0,"losses":1e15,"event":-1}`],
--- a/soak/surround.ts
+++ b/soak/surround.ts
@@ -128,7 +128,7 @@
 
 async function disturbPipe(
   host: HostProcess,
-  { kind, lengthMs, signalDelayMs }: Surrounding,
+  { kind, lengthMs, signalDelayMs, isStart }: Surrounding,
 ): Promise<void> {
   const pipe = new LogPipe(
     `${host.logPath}.pipe-${host.lives.length}`,
@@ -141,7 +141,7 @@
   else pipe.dispose();
   await systemClock.sleep(lengthMs);
   // A stalled reader stays so.
-  if (kind === "log-reader-gone") pipe.read();
+  if (kind === "log-reader-gone" && isStart) pipe.read();
 }
 
 async function putOddRecords(
--- a/soak/surroundings.ts
+++ b/soak/surroundings.ts
@@ -60,7 +60,10 @@
   readonly port: number;
   /** Share of the settings that is written. */
   readonly writtenShare: number;
-  /** Whether the process is started then, and else only told to reload. */
+  /**
+   * Of settings, whether a process is started with them, and else only told to
+   * reload; of a log, whether its reader comes back.
+   */
   readonly isStart: boolean;
   /** Indices of `ODD_RECORDS`. */
   readonly records: readonly number[];
@@ -104,6 +107,7 @@
       Math.round(drawn.signalDelayMs)
     } ms after a start`,
     "port-taken": `port ${drawn.port}`,
+    "log-reader-gone": drawn.isStart ? "comes back" : "stays away",
     "odd-records": drawn.records.map((index) => {
       const { topic, value } = ODD_RECORDS[index];
       return `${topic} ${JSON.stringify(value.toString("utf8", 0, 160))}`;
