peers: a date in the future does not keep a host out of its fleet

What operators would see: while the hosts' topic has a record under a live host's key whose start lies later, as another writer may leave it, the others drop that host and ignore all it sends: its load, its word on targets, its place as reader and leader, which another one takes beside it. The same for a minute after a restart of a host whose clock had gone back.

Cause: a process counts as later by the time of day of its start alone, however long the other one has been silent, and a record of the registry replaces a host that is heard.

Evidence: three hosts in one process with such a record for one of them: two of the three count one live peer instead of two.

Datagrams of a process that has ended are ignored as before while its successor is heard.

--- a/src/peers/peer_link.ts
+++ b/src/peers/peer_link.ts
@@ -119,14 +119,17 @@
 
   /**
    * Adds hosts from the registry, which also lists hosts that are down. A known
-   * host is replaced only by a later start of its process.
+   * host is replaced only by a later start of its process, and not while it is
+   * heard.
    */
   addHosts(hosts: readonly HostRecord[]): void {
     const lastKnownMs = this.#options.clock.nowMs();
     for (const host of hosts) {
       const known = this.#peers.get(host.id);
       if (host.id === this.#options.host.id) continue;
-      if (known !== undefined && known.host.bornMs >= host.bornMs) continue;
+      const isReplaced = known === undefined ||
+        (known.host.bornMs < host.bornMs && !this.#isHeard(known));
+      if (!isReplaced) continue;
       this.#peers.set(host.id, {
         host,
         state: undefined,
@@ -149,10 +152,12 @@
 
   /** Hosts from which a state arrived within the timeout. */
   live(): Peer[] {
-    const sinceMs = this.#options.clock.nowMs() - PEER_TIMEOUT_MS;
-    return [...this.#peers.values()].filter((peer) =>
-      peer.state !== undefined && peer.lastReceivedMs >= sinceMs
-    );
+    return [...this.#peers.values()].filter((peer) => this.#isHeard(peer));
+  }
+
+  #isHeard({ state, lastReceivedMs }: Peer): boolean {
+    return state !== undefined &&
+      lastReceivedMs >= this.#options.clock.nowMs() - PEER_TIMEOUT_MS;
   }
 
   /** Number of known hosts, live or not. */
@@ -274,7 +279,10 @@
   #handleState({ host, state }: ReceivedState): void {
     const known = this.#peers.get(host.id);
     if (host.id === this.#options.host.id) return;
-    if (known !== undefined && known.host.bornMs > host.bornMs) return;
+    // The clock of a later process may have gone back before its start.
+    const isOutdated = known !== undefined &&
+      known.host.bornMs > host.bornMs && this.#isHeard(known);
+    if (isOutdated) return;
     if (
       known?.state !== undefined && known.host.bornMs === host.bornMs &&
       known.state.sequenceNumber >= state.sequenceNumber
