test: one fixture for a link to other hosts

The tests of the link, of two builds and of the exchange between hosts each made the same fake socket, or the same empty state. What they check is unchanged.

--- a/src/entry/peer_exchange_test.ts
+++ b/src/entry/peer_exchange_test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from "vitest";
+import { EMPTY_STATE } from "../../test/fake_link.ts";
 import { ManualClock } from "../../test/manual_clock.ts";
 import { ContentQuarantine } from "../admission/content_quarantine.ts";
 import { Emitter } from "../common/emitter.ts";
@@ -19,22 +20,7 @@
 }
 
 function peerOf(host: HostRecord, isReader: boolean): Peer {
-  const state: PeerState = {
-    sequenceNumber: 1,
-    uses: [],
-    unresponsiveTargets: [],
-    slowTargets: undefined,
-    canLead: true,
-    isReader,
-    acceptsDelegated: true,
-    cutOffServices: [],
-    losses: [],
-    breaks: [],
-    limits: [],
-    era: undefined,
-    isEraSettled: false,
-    wantsDigests: false,
-  };
+  const state: PeerState = { ...EMPTY_STATE, isReader };
   return { host, state, lastReceivedMs: 0, lastKnownMs: 0 };
 }
 
--- a/src/peers/two_builds_test.ts
+++ b/src/peers/two_builds_test.ts
@@ -6,15 +6,12 @@
  */
 
 import fc from "fast-check";
-import { EventEmitter } from "node:events";
-import type { Socket } from "node:dgram";
 import { expect, test } from "vitest";
-import { ManualClock } from "../../test/manual_clock.ts";
-import { type ILog, silentLog } from "../common/logging.ts";
+import { listen } from "../../test/fake_link.ts";
+import { silentLog } from "../common/logging.ts";
 import { type Datagram, decodeDatagram } from "./datagram.ts";
 import { packDigests } from "./domain_digest.ts";
 import { encodeLogAnswer, encodeLogQuery } from "./log_messages.ts";
-import { PeerLink } from "./peer_link.ts";
 import { encodePeerState } from "./peer_state.ts";
 
 const SEED = 20261205;
@@ -114,30 +111,9 @@
   },
 );
 
-/** A link whose socket receives what a test emits. */
-function listen(log: ILog) {
-  const clock = new ManualClock();
-  const socket = Object.assign(new EventEmitter(), {
-    bind: (_port: number, _ip: string, done: () => void) => done(),
-    address: () => ({ port: 1 }),
-    close: () => {},
-    send: () => {},
-  });
-  const link = new PeerLink({
-    host: { ...HOST, id: "self" },
-    clock,
-    log,
-    createSocket: () => socket as unknown as Socket,
-  });
-  void link.open();
-  const receive = (bytes: Buffer) =>
-    socket.emit("message", bytes, { address: "10.0.0.9", port: 9 });
-  return { clock, link, receive };
-}
-
 test("bytes that are no message change nothing, and are logged at a bounded rate", async () => {
   const lines: unknown[] = [];
-  const { clock, link, receive } = listen({
+  const { clock, link, receive } = listen({ ...HOST, id: "self" }, {
     ...silentLog,
     warn: (event, fields) => void lines.push([event, fields]),
   });
