--- a/soak/host_faults.ts
+++ b/soak/host_faults.ts
@@ -4,7 +4,9 @@
  * @module
  */
 
+import { constants } from "node:os";
 import type { HostProcess } from "./host_process.ts";
+import { handlesSignal } from "./process_samples.ts";
 import type { Fault, History } from "./types.ts";
 
 /** Resolves with when the host was not itself, once the fault has ended. */
@@ -18,8 +20,13 @@
     host.signal("SIGHUP");
     return [];
   }
-  if (kind === "host-clock-jump") host.signal("SIGUSR2");
-  else if (kind === "host-pause") {
+  if (kind === "host-clock-jump") {
+    // It would end a process that has not loaded the handler of the soak yet.
+    const hasHandler = host.pid !== undefined &&
+      handlesSignal(host.pid, constants.signals.SIGUSR2);
+    if (!hasHandler) return [];
+    host.signal("SIGUSR2");
+  } else if (kind === "host-pause") {
     host.signal("SIGSTOP");
     await waitUntil(endMs);
     host.signal("SIGCONT");
--- a/soak/process_samples.ts
+++ b/soak/process_samples.ts
@@ -63,6 +63,18 @@
   }
 }
 
+/** Whether the process has a handler of a signal, by its number. */
+export function handlesSignal(pid: number, signal: number): boolean {
+  try {
+    const status = readFileSync(`/proc/${pid}/status`, "utf8");
+    const mask = /^SigCgt:\s+([0-9a-f]+)$/m.exec(status)?.[1] ?? "0";
+    return (BigInt(`0x${mask}`) >> BigInt(signal - 1) & 1n) === 1n;
+  } catch (error) {
+    if ((error as NodeJS.ErrnoException).code === "ENOENT") return false;
+    throw error;
+  }
+}
+
 export function checkSamples(history: Observed, bounds: Bounds): string[] {
   return history.lives.flatMap((life) => [
     ...history.rests.flatMap((rest) => checkRest(life, rest, bounds)),
--- a/soak/process_samples_test.ts
+++ b/soak/process_samples_test.ts
@@ -1,6 +1,7 @@
+import { constants } from "node:os";
 import process from "node:process";
 import { expect, test } from "vitest";
-import { checkSamples, readSample } from "./process_samples.ts";
+import { checkSamples, handlesSignal, readSample } from "./process_samples.ts";
 import { BOUNDS } from "./settings.ts";
 import type { HostLife, ProcessSample } from "./types.ts";
 
@@ -75,3 +76,13 @@
   expect(after?.descriptors).toBeGreaterThan(3);
   expect(readSample(2 ** 22 + 1)).toBeUndefined();
 });
+
+test("a handler of a signal is seen once it is installed", () => {
+  const { pid } = process;
+  const { SIGUSR2 } = constants.signals;
+  const handler = () => {};
+  expect(handlesSignal(pid, SIGUSR2)).toBe(false);
+  process.on("SIGUSR2", handler);
+  expect(handlesSignal(pid, SIGUSR2)).toBe(true);
+  process.off("SIGUSR2", handler);
+});
