feeds: pause between reads of a log that brings nothing at once

A store that answers reads at once, though nothing is new and the read asked to wait, made each host that reads it do so without a pause: calls to the store and a third of a core, without end. So did one that expires each offset. Nine hosts would ask it for more than the 2,000 reads a second that it serves.

Cause: the reads of the configuration pace themselves by the store's wait alone.

Reads in sequence that bring no record and have not waited, or expire, are now followed by pauses of 25 to 600 ms from the third one on; the longest is the one after failures, so that the age of the proof stays within what an outage allows. Reads relayed by other hosts are not paced: the other host answers when it has proven a newer moment.

--- a/src/feeds/keyed_follower.ts
+++ b/src/feeds/keyed_follower.ts
@@ -32,6 +32,11 @@
 const MIN_WAIT_MS = 100;
 /** Minimum delay between reads that do not wait at the store. */
 const CATCH_UP_PAUSE_MS = 10;
+/**
+ * Pauses after reads in sequence that brought nothing although they did not wait,
+ * or whose offset had expired. The first two are not unusual.
+ */
+const FRUITLESS_PAUSES_MS = [0, 0, 0, 25, 50, 100, 200, 400, 600];
 /** Spreads the snapshots that all hosts read when the era rises. */
 const REBUILD_JITTER_MS = 200;
 /** Consecutive failures that count as an outage; a single one may be a lost packet. */
@@ -95,6 +100,9 @@
   /** Era in which the watermark was last renewed. */
   #watermarkEra: number | undefined;
   #failures = 0;
+  /** Reads in sequence after which there was no reason to read again at once. */
+  #fruitlessReads = 0;
+  #isAfterSnapshot = false;
   #invalidCalls = 0;
   #recoveredMs = -Infinity;
 
@@ -156,6 +164,7 @@
       const answeredMs = Math.max(
         answer === "relayed" ? 0 : pauseMs,
         isQuick ? CATCH_UP_PAUSE_MS : 0,
+        this.#fruitlessPauseMs,
       );
       const isFailed = answer === "failed";
       await clock.sleep(isFailed ? this.#retryMs() : answeredMs, signal);
@@ -197,10 +206,13 @@
   async #fetch(signal: AbortSignal): Promise<FetchResult | undefined> {
     this.#dropOutdatedPosition();
     const position = this.#position;
+    this.#isAfterSnapshot = position === undefined;
     if (position === undefined) return await this.#fetchSnapshot(signal);
-    const { source, waitMs, log, name } = this.#options;
+    const { source, clock } = this.#options;
+    const waitMs = Math.min(this.#options.waitMs, this.#maxWaitMs);
+    const startedMs = clock.nowMs();
     const read = await this.#untilEraChanges(
-      source.read(position.offset, Math.min(waitMs, this.#maxWaitMs)),
+      source.read(position.offset, waitMs),
     );
     if (read === undefined) return undefined;
     this.#requireCurrent(read.era);
@@ -208,14 +220,14 @@
     // The era rose while the read was on its way.
     if (position.era !== undefined && era !== position.era) return undefined;
     if (read.kind === "expired") {
-      log.warn("store offset expired; reading a new snapshot", {
-        feed: name,
-        offset: position.offset,
-      });
-      this.#position = undefined;
+      this.#recordExpired(position);
       return undefined;
     }
     const { records, nextOffset, isComplete, relay } = read;
+    const hasWaited = clock.nowMs() - startedMs >= waitMs / 2;
+    const isUseful = nextOffset > position.offset || (isComplete && hasWaited);
+    if (isUseful || relay !== undefined) this.#fruitlessReads = 0;
+    else this.#fruitlessReads++;
     this.#position = { era, offset: nextOffset };
     const isRewritten = this.#settlesInMs > 0 &&
       records.some((record) => this.#options.isRewritten?.(record));
@@ -226,6 +238,24 @@
     };
   }
 
+  #recordExpired({ offset }: Position): void {
+    const { log, name } = this.#options;
+    this.#position = undefined;
+    const count = ++this.#fruitlessReads;
+    if (count !== 1 && count % LOGGED_FAILURES !== 0) return;
+    log.warn("store offset expired; reading a new snapshot", {
+      feed: name,
+      offset,
+    });
+  }
+
+  /** A snapshot is read on from at once. */
+  get #fruitlessPauseMs(): number {
+    if (this.#isAfterSnapshot) return 0;
+    const last = FRUITLESS_PAUSES_MS.length - 1;
+    return FRUITLESS_PAUSES_MS[Math.min(last, this.#fruitlessReads)];
+  }
+
   /** Time until reads in the present era prove which records are the newest. */
   get #settlesInMs(): number {
     const { eras } = this.#options;
--- a/src/feeds/keyed_follower_test.ts
+++ b/src/feeds/keyed_follower_test.ts
@@ -289,3 +289,33 @@
   expect(follower.ageMs).toBeLessThan(2 * WAIT_MS);
   stop.abort();
 });
+
+test.each([
+  ["has nothing new", () => records(0)],
+  ["never reaches its end", () => records(0, false)],
+  ["expires each offset", (): KeyedRead => ({ kind: "expired" })],
+])(
+  "a log that answers at once and %s is not read in a loop without pauses",
+  async (_name, answer) => {
+    const source = new Source();
+    const { follower, stop } = follow(source);
+    await source.clock.advance(50);
+    source.read = async (from, waitMs) => {
+      source.reads.push({ from, waitMs });
+      await source.clock.sleep(2);
+      return answer();
+    };
+    await source.clock.advance(WAIT_MS);
+    source.reads.length = 0;
+    await source.clock.advance(10_000);
+    expect(source.reads.length).toBeLessThan(50);
+    source.read = async (from, waitMs) => {
+      source.reads.push({ from, waitMs });
+      await source.clock.sleep(waitMs);
+      return records(1);
+    };
+    await source.clock.advance(WAIT_MS);
+    expect(follower.ageMs).toBeLessThan(2 * WAIT_MS);
+    stop.abort();
+  },
+);
