forward: a connection that fails at once has sent nothing

Callers of a request that may not be repeated got 502, "may have run", where no byte had left the host: its descriptors were used up (EMFILE) or the network could not be reached (ENETUNREACH). Such a request could have gone to another target, or been refused with a time to come back. Its content was counted as one that breaks sends, and held after three of them.

Cause: Node.js reports the socket in the next tick. One that the system refused at once is destroyed by then and no longer connecting, which was taken for an open one.

Evidence: a host as a process with 256 descriptors, all used by idle callers: its log has sends that ended as "broken" with "EMFILE". In a script, EMFILE, ENETUNREACH and EADDRNOTAVAIL each give a socket with connecting false and destroyed true. The new test fails before, "may-have-run" instead of "not-run", on connections of its own and on kept ones.

A destroyed socket now counts as never connected. The daemon's client did this already (clients/send_tracker.ts). A kept connection that breaks after the request was written stays "may have run".

Ruled out in the same runs: a host without descriptors neither spins (0.02 to 0.07 of a core, 256 and 4,100 descriptors, all in use) nor ends, and serves again when callers leave. Open: callers' connections can use all descriptors, which leaves none for targets.

--- a/src/forward/upstream.ts
+++ b/src/forward/upstream.ts
@@ -83,6 +83,8 @@
       resolve({ kind: "failed", verdict, reason });
     }
     outgoing.on("socket", (socket) => {
+      // It could not be opened, or failed while idle: nothing was sent.
+      if (socket.destroyed) return;
       socket.setNoDelay(true);
       if (!socket.connecting) isConnected = true;
       else {
--- a/src/forward/upstream_test.ts
+++ b/src/forward/upstream_test.ts
@@ -38,6 +38,27 @@
   server.close();
 });
 
+test.each([true, false])(
+  "a request whose connection fails at once was not sent (kept connections: %s)",
+  async (mayReuse) => {
+    const agent = new KeepAliveAgent();
+    const outcome = await sendUpstream({
+      endpoint: { ip: "127.0.0.1", port: 9 },
+      method: "GET",
+      path: "/",
+      headers: ["Host", "target"],
+      body: undefined,
+      mayReuse,
+      signal: new AbortController().signal,
+      agent,
+      // No address of this machine, so that the system refuses at once.
+      localAddress: "192.0.2.1",
+    });
+    expect(outcome).toMatchObject({ kind: "failed", verdict: "not-run" });
+    agent.destroy();
+  },
+);
+
 // Guards against listeners that pile up on a kept connection.
 test("responses without a body leave no listeners on their connection", async () => {
   const server = createServer((_request, response) => {
