forward: collect bodies by their bytes, not by their chunks

Cause: each chunk was kept as a buffer of its own, which takes some 200 bytes of heap whatever it holds, until the body was complete. 12 MB of bodies took more than the whole heap.

Bodies are now copied into one buffer that grows by doubling, or has the announced length from the second piece on; a body in one piece is kept as it is. The same for the bodies of targets' answers and of the store's, which had the same cause. The daemon reads its bodies in http/body.ts, which has the same form; not changed here, as the platform does not run it.

Related: an event of 255 KB that arrives in chunks of one byte takes 5 s of processor time in forward/event_reader.ts, which joins and scans it anew with each chunk (8 KB: 39 ms); events are some hundred bytes.

--- a/src/common/http_call.ts
+++ b/src/common/http_call.ts
@@ -7,6 +7,7 @@
  */
 
 import { type Agent, type OutgoingHttpHeaders, request } from "node:http";
+import { ByteBuffer } from "./byte_buffer.ts";
 import { limitResponseHead } from "./response_head_limit.ts";
 
 /** Pages of the store are at most 2 MiB. */
@@ -69,12 +70,10 @@
     });
     clientRequest.on("error", reject);
     clientRequest.on("response", (response) => {
-      const chunks: Buffer[] = [];
-      let sizeBytes = 0;
+      const body = new ByteBuffer();
       response.on("data", (chunk: Buffer) => {
-        chunks.push(chunk);
-        sizeBytes += chunk.length;
-        if (sizeBytes > MAX_RESPONSE_BYTES) {
+        body.append(chunk);
+        if (body.length > MAX_RESPONSE_BYTES) {
           clientRequest.destroy(new Error("response body exceeds 8 MiB"));
         }
       });
@@ -83,7 +82,7 @@
         resolve({
           status: response.statusCode ?? 0,
           rawHeaders: response.rawHeaders,
-          body: Buffer.concat(chunks, sizeBytes),
+          body: body.view(),
         });
       });
     });
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -6,6 +6,7 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { ByteBuffer } from "../common/byte_buffer.ts";
 import type { Clock } from "../common/clock.ts";
 import type { RequestMetadata } from "../ports/types.ts";
 import { BodyBudget } from "./body_budget.ts";
@@ -82,7 +83,7 @@
       request.headers["transfer-encoding"] !== undefined ||
       request.headers["content-length"] !== undefined;
     return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
+      const body = new ByteBuffer({ expectedBytes: declared });
       let sizeBytes = 0;
       let hasRoom = this.#reserve(declared, declared);
       const timer = setTimeout(
@@ -99,8 +100,8 @@
         // The size of a body in chunks is not known before.
         const addedBytes = Math.max(0, sizeBytes - this.#reservedBytes);
         hasRoom &&= this.#reserve(addedBytes, sizeBytes);
-        if (hasRoom) chunks.push(chunk);
-        else chunks.length = 0;
+        if (hasRoom) body.append(chunk);
+        else body.clear();
       });
       request.on("end", () => {
         clearTimeout(timer);
@@ -108,7 +109,7 @@
           resolve({ kind: "no-room" });
           return;
         }
-        this.body = hasBody ? Buffer.concat(chunks, sizeBytes) : undefined;
+        this.body = hasBody ? body.view() : undefined;
         resolve({ kind: "complete", body: this.body });
       });
       request.on("error", () => resolve({ kind: "disconnected" }));
--- a/src/forward/response.ts
+++ b/src/forward/response.ts
@@ -5,6 +5,7 @@
  */
 
 import { validateHeaderName } from "node:http";
+import { ByteBuffer } from "../common/byte_buffer.ts";
 import type { ResponseMetadata } from "../ports/types.ts";
 import { TARGET_HEADER } from "./answer_signals.ts";
 import type { SendOutcome } from "./upstream.ts";
@@ -27,10 +28,10 @@
   { answer, hasFailed }: UpstreamResponse,
 ): Promise<Buffer | undefined> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const body = new ByteBuffer({ expectedBytes: announcedBytes(answer) });
     let sizeBytes = 0;
     answer.on("data", (chunk: Buffer) => {
-      chunks.push(chunk);
+      body.append(chunk);
       sizeBytes += chunk.length;
       bufferedBytes += chunk.length;
       const exceedsBudget = bufferedBytes > MAX_BUFFERED_BYTES &&
@@ -39,19 +40,23 @@
     });
     answer.on("end", () => {
       resolve(
-        answer.complete && !hasFailed()
-          ? Buffer.concat(chunks, sizeBytes)
-          : undefined,
+        answer.complete && !hasFailed() ? body.view() : undefined,
       );
     });
     answer.on("close", () => {
       bufferedBytes -= sizeBytes;
-      chunks.length = 0;
+      body.clear();
       resolve(undefined);
     });
   });
 }
 
+/** 0 if the length is not announced or too large. */
+function announcedBytes({ headers }: UpstreamResponse["answer"]): number {
+  const length = Number(headers["content-length"] ?? 0);
+  return length <= MAX_BODY_BYTES ? length : 0;
+}
+
 /** Reads the rest of an unwanted response, or closes its connection if it has no end. */
 export function discardBody(answer: UpstreamResponse["answer"]): void {
   let sizeBytes = 0;
