forward: a request whose socket fails at once has not run

While a host had no descriptors left, callers got 502 for requests that had never left it, non-idempotent ones were not tried elsewhere, and the failed sends counted as breaks of their content: the content was held at all hosts for 8 s after the descriptors had come back.

Cause: a socket that cannot be bound (or connected) fails before the request hears of it; it is then not "connecting", which was read as connected. The daemon's SendTracker has had the same guard for long.

Trial, real process with 128 descriptors, 192 idle connections for 3 s, a call each 100 ms. Before: 3 of 20 calls 502 (outcome may-have-run, reason "bind EMFILE"), 8 503, 9 reset; after the connections had gone 0 of 20 served. After: 11 503, 9 reset; then 20 of 20 served. The resets are connections that the runtime accepts and closes for lack of a descriptor. Test with an address that cannot be bound: may-have-run before, not-run after.

--- a/src/forward/upstream.ts
+++ b/src/forward/upstream.ts
@@ -83,6 +83,8 @@
       resolve({ kind: "failed", verdict, reason });
     }
     outgoing.on("socket", (socket) => {
+      // A socket that failed at once, for lack of a descriptor, sends nothing.
+      if (socket.destroyed) return;
       socket.setNoDelay(true);
       if (!socket.connecting) isConnected = true;
       else {
--- a/src/forward/upstream_test.ts
+++ b/src/forward/upstream_test.ts
@@ -70,3 +70,19 @@
   agent.destroy();
   server.close();
 });
+
+test("a request whose connection fails in this process has not run", async () => {
+  const outcome = await sendUpstream({
+    endpoint: { ip: "127.0.0.1", port: 1 },
+    method: "POST",
+    path: "/",
+    headers: ["Host", "target"],
+    body: Buffer.from("x"),
+    mayReuse: false,
+    signal: new AbortController().signal,
+    agent: new KeepAliveAgent(),
+    // No interface has this address, so that the socket cannot be bound.
+    localAddress: "192.0.2.1",
+  });
+  expect(outcome).toMatchObject({ kind: "failed", verdict: "not-run" });
+});
