--- a/src/entry/entry_host.ts
+++ b/src/entry/entry_host.ts
@@ -229,10 +229,8 @@
       link: this.#link,
       peers: this.#peers,
     });
-    this.#watch = new StreamMonitor({
-      clock,
-      onTick: () => this.#limits.tick(),
-    });
+    const onTick = (): void => this.#limits.tick();
+    this.#watch = new StreamMonitor({ clock, onTick });
     this.#agent = createTargetAgent(log);
     const startupGate = new StartupGate({ clock, eras: this.#eras });
     this.#feeds.config.onWatermark(() => startupGate.open());
--- a/src/forward/exchange_test.ts
+++ b/src/forward/exchange_test.ts
@@ -19,6 +19,7 @@
 test("a body in very small chunks takes no more memory than its bytes", async () => {
   const request = Object.assign(new EventEmitter(), {
     headers: { "transfer-encoding": "chunked" },
+    socket: new EventEmitter(),
   });
   const exchange = new Exchange({
     request: request as unknown as IncomingMessage,
