soak: a signal while the runtime starts may end the process

Trace: at that time the runtime had not run a line of the program; /proc/PID/status shows no handler of SIGHUP, and Node.js ends at any signal then. No program can change that.

A signal now carries whether it came in that window: no handler installed, and no more processor time used than twice what a start of the runtime with the same options takes here, measured once a run.

Unit test: such an end is no violation; without the mark it is one, as before.

--- a/soak/host_lives.ts
+++ b/soak/host_lives.ts
@@ -44,6 +44,9 @@
   }
   const isAsked = end === undefined ||
     (asked !== undefined && end.code === 0) ||
+    signals.some(({ name, isBeforeProgram }) =>
+      isBeforeProgram === true && name === end.signal
+    ) ||
     (end.signal === "SIGKILL" &&
       signals.some(({ name }) => name === "SIGKILL"));
   if (isAsked) return [];
--- a/soak/host_lives_test.ts
+++ b/soak/host_lives_test.ts
@@ -50,6 +50,11 @@
   ["became ready after an outage of the store", { readyMs: 20_000 }, {
     storeFaults: [{ startMs: 2_000, endMs: 12_000 }],
   }],
+  ["was ended by a signal while its runtime was starting", {
+    readyMs: undefined,
+    signals: [{ name: "SIGHUP", atMs: 1_040, isBeforeProgram: true }],
+    end: ended({ atMs: 1_045, code: null, signal: "SIGHUP" }),
+  }, {}],
   ["was killed before it was ready", {
     readyMs: undefined,
     signals: [{ ...kill, atMs: 3_000 }],
--- a/soak/host_process.ts
+++ b/soak/host_process.ts
@@ -12,6 +12,7 @@
 import { parse } from "smol-toml";
 import { asFields, asString } from "../platform/fields.ts";
 import { SETTINGS_VARIABLE } from "../platform/settings.ts";
+import { isRuntimeStarting, measureRuntimeStart } from "./runtime_start.ts";
 import { BOUNDS } from "./settings.ts";
 import type { HostLife, SentSignal } from "./types.ts";
 
@@ -48,6 +49,8 @@
   readonly settings: string;
   readonly logPath: string;
   readonly #logFile: number;
+  /** Options of Node.js. */
+  readonly #flags: readonly string[];
   /** Processes of this host, the present one last. */
   readonly lives: HostLife[] = [];
   #child: ChildProcess | undefined;
@@ -60,6 +63,10 @@
   constructor(options: HostProcessOptions) {
     this.#options = options;
     const { name, ip, domain, folder, storeAddress, bounds } = options;
+    const { build = OWN_BUILD } = options;
+    const shiftedClock = new URL("soak/shifted_clock.js", build).href;
+    this.#flags = ["--import", shiftedClock, ...readDeployedFlags()];
+    measureRuntimeStart(this.#flags);
     this.settingsPath = join(folder, `${name}.json`);
     this.logPath = join(folder, `${name}.log`);
     this.#logFile = openSync(this.logPath, "a");
@@ -109,8 +116,7 @@
   start(output = this.output ?? this.#logFile): void {
     const { build = OWN_BUILD, name } = this.#options;
     const program = fileURLToPath(new URL("platform/main.js", build));
-    const shiftedClock = new URL("soak/shifted_clock.js", build).href;
-    const flags = ["--import", shiftedClock, ...readDeployedFlags()];
+    const flags = this.#flags;
     const logStart = fstatSync(this.#logFile).size;
     const child = spawn(
       process.execPath,
@@ -143,9 +149,11 @@
   }
 
   signal(name: NodeJS.Signals): void {
-    if (!this.isRunning) return;
+    const { pid } = this;
+    if (pid === undefined) return;
     const signals = this.lives.at(-1)?.signals as SentSignal[];
-    signals.push({ name, atMs: performance.now() });
+    const isBeforeProgram = isRuntimeStarting(pid, this.#flags);
+    signals.push({ name, atMs: performance.now(), isBeforeProgram });
     this.#child?.kill(name);
   }
 
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -96,6 +96,8 @@
 export interface SentSignal {
   readonly name: NodeJS.Signals;
   readonly atMs: number;
+  /** Sent while the runtime was starting, which ends the process at any signal. */
+  readonly isBeforeProgram?: boolean;
 }
 
 /** One process of a host, from its start to its end. */
