--- a/standins/users_platform/stop_calls.ts
+++ b/standins/users_platform/stop_calls.ts
@@ -10,7 +10,8 @@
 import { type Answer, callHost } from "./caller.ts";
 import { type Deployment, HOST_NAME, KEY } from "./deployment.ts";
 
-const DEADLINE_MS = 20_000;
+/** Time that callers wait, beyond what any stop takes. */
+export const DEADLINE_MS = 20_000;
 
 /**
  * How a request ended for its caller: `cut` if the connection broke after the
