soak: surroundings of one host may overlap

Two pipes of a host that another fault had started could get one path. The removal takes a file that is gone, and pipes are numbered.

--- a/soak/surround.ts
+++ b/soak/surround.ts
@@ -20,6 +20,9 @@
 const RECORD_LENGTH_FACTOR = 4;
 const REWRITE_INTERVAL_MS = 30;
 
+/** Number of pipes so far. */
+let pipes = 0;
+
 export interface SurroundOptions {
   readonly drawn: readonly Surrounding[];
   readonly hosts: readonly HostProcess[];
@@ -112,7 +115,8 @@
   use: () => void,
 ): Promise<void> {
   const part = settings.slice(0, Math.floor(settings.length * writtenShare));
-  if (kind === "settings-gone") rmSync(settingsPath);
+  // Another one may have removed them.
+  if (kind === "settings-gone") rmSync(settingsPath, { force: true });
   else writeFileSync(settingsPath, part);
   use();
   const endMs = performance.now() + lengthMs;
@@ -130,10 +134,8 @@
   host: HostProcess,
   { kind, lengthMs, signalDelayMs, isStart }: Surrounding,
 ): Promise<void> {
-  const pipe = new LogPipe(
-    `${host.logPath}.pipe-${host.lives.length}`,
-    host.logPath,
-  );
+  const path = `${host.logPath}.pipe-${pipes++}`;
+  const pipe = new LogPipe(path, host.logPath);
   pipe.read();
   pipe.write((descriptor) => startIfDown(host, descriptor));
   await systemClock.sleep(signalDelayMs);
