forward: a route whose time limit exceeds a timer's range ends no request at once

A route with a `timeout-ms` (or a goal) above 2^31 ms, as an operator writes for "no limit", had every request without a shorter limit of its own answered 503 or 504 at once: `setTimeout` fires immediately beyond its range.

Cause: the deadline, the hedge and the mark of an overdue send each computed a delay that was handed to a timer as it was. The clock's sleep had the bound.

The delay of a timer is now bounded in one function beside that sleep. Looked at for the same cause: connect, discard and poll timers have constant delays; the frontend's idle and header limits are bounded by the runtime itself.

--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -23,6 +23,11 @@
 /** Largest delay of `setTimeout`; a larger one fires immediately. */
 const MAX_TIMER_MS = 2 ** 31 - 1;
 
+/** The delay of a timer for a wait of any length: after 24 days it fires early. */
+export function timerDelayMs(waitMs: number): number {
+  return Math.min(MAX_TIMER_MS, Math.max(0, waitMs));
+}
+
 async function sleepOnTimer(
   waitMs: number,
   signal?: AbortSignal,
@@ -38,7 +43,7 @@
 function waitOnTimer(waitMs: number, signal?: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
     if (signal?.aborted) return resolve();
-    const timer = setTimeout(finish, Math.max(0, waitMs));
+    const timer = setTimeout(finish, timerDelayMs(waitMs));
     signal?.addEventListener("abort", finish, { once: true });
     function finish(): void {
       clearTimeout(timer);
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -7,7 +7,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { ByteBuffer } from "../common/byte_buffer.ts";
-import type { Clock } from "../common/clock.ts";
+import { type Clock, timerDelayMs } from "../common/clock.ts";
 import type { RequestMetadata } from "../ports/types.ts";
 import { BodyBudget } from "./body_budget.ts";
 
@@ -119,7 +119,9 @@
       let hasRoom = this.#reserve(declared, declared);
       const timer = setTimeout(
         () => resolve({ kind: hasRoom ? "timed-out" : "no-room" }),
-        hasRoom ? deadlineMs - this.#clock.nowMs() : DISCARD_TIMEOUT_MS,
+        hasRoom
+          ? timerDelayMs(deadlineMs - this.#clock.nowMs())
+          : DISCARD_TIMEOUT_MS,
       );
       request.on("close", () => clearTimeout(timer));
       request.on("data", (chunk: Buffer) => {
--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { timerDelayMs } from "../common/clock.ts";
 import type { Target } from "../paths/target.ts";
 import type { HostRecord } from "../ports/types.ts";
 import { learnFromDelegate, targetHeader } from "./answer_signals.ts";
@@ -73,7 +74,7 @@
     this.#exchange.signal.addEventListener("abort", cancel, { once: true });
     const timer = setTimeout(
       cancel,
-      Math.max(0, this.#plan.deadlineMs - clock.nowMs()),
+      timerDelayMs(this.#plan.deadlineMs - clock.nowMs()),
     );
     recordRequest(this.#context, this.#plan);
     try {
@@ -118,7 +119,7 @@
       if (!isIdempotent || this.#losses.isSuspect) return;
       const hedge = setTimeout(() => {
         if (this.#running > 0 && !this.#losses.isSuspect) launch();
-      }, this.#plan.route.firstByteGoalMs * HEDGE_DELAY_FRACTION);
+      }, timerDelayMs(this.#plan.route.firstByteGoalMs * HEDGE_DELAY_FRACTION));
       this.#abort.signal.addEventListener("abort", () => clearTimeout(hedge), {
         once: true,
       });
@@ -268,7 +269,7 @@
     const failure = { targetId: target.id, lastEventId: undefined };
     const overdue = setTimeout(
       () => this.#losses.recordOverdue(send, failure),
-      this.#plan.route.firstByteGoalMs * OVERDUE_FACTOR,
+      timerDelayMs(this.#plan.route.firstByteGoalMs * OVERDUE_FACTOR),
     );
     const attempt = await this.#send(target, send);
     clearTimeout(overdue);
--- a/src/forward/stream_call.ts
+++ b/src/forward/stream_call.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { timerDelayMs } from "../common/clock.ts";
 import type { IncomingMessage } from "node:http";
 import { callerPatienceMs } from "../admission/refusal_cost.ts";
 import { describePath } from "../paths/describe_path.ts";
@@ -96,7 +97,7 @@
     const timer = setTimeout(() => {
       this.#isExpired = true;
       this.#abort.abort();
-    }, Math.max(0, this.#plan.deadlineMs - clock.nowMs()));
+    }, timerDelayMs(this.#plan.deadlineMs - clock.nowMs()));
     recordRequest(this.#context, this.#plan);
     let result: SendResult = {
       kind: "not-run",
