forward: refuse callers' heads that cannot be passed on

Callers got 500, "internal error", for a request with two Host headers, or with a header name that Node.js reads but does not write, with a space in it or empty. Each was an internal error with a stack in the log, and took a target's load that was not given back.

Cause: the request to the target throws at the head. It is the fault that targets' responses had, at the other head.

Evidence: the new test gets 500 in 6 of 6 cases, on plain and stream routes, and 400 now.

Such a request is refused with 400 before its body is read, and the check of a response's head uses the same function. Looked at besides: 33 headers given twice, of which only Host throws; values with bytes from 0x80 on and with tabs pass, control characters get 400 of the parser, as do paths with 0x7f; the daemon does not pass callers' headers on; a delegated request goes through the same admission.

--- a/src/forward/request_handler.ts
+++ b/src/forward/request_handler.ts
@@ -20,6 +20,7 @@
 } from "./context.ts";
 import { DECLINED_STATUS, readConfigVersion } from "./delegation.ts";
 import { Exchange } from "./exchange.ts";
+import { requestHeadFault } from "./head_faults.ts";
 import { PlainCall } from "./plain_call.ts";
 import type { RouteTable } from "./route_table.ts";
 import type { StartupGate } from "./startup_gate.ts";
@@ -277,6 +278,8 @@
     if (metadata.requestId === undefined) {
       return { kind: "refuse", status: 400, reason: "request id missing" };
     }
+    const headFault = requestHeadFault(request.rawHeaders);
+    if (headFault !== undefined) return toRefusal(400, headFault);
     const waitMs = Math.min(metadata.waitMs ?? Infinity, route.timeoutMs);
     return {
       kind: "admit",
--- a/src/forward/response.ts
+++ b/src/forward/response.ts
@@ -4,10 +4,10 @@
  * @module
  */
 
-import { validateHeaderName } from "node:http";
 import { ByteBuffer } from "../common/byte_buffer.ts";
 import type { ResponseMetadata } from "../ports/types.ts";
 import { TARGET_HEADER } from "./answer_signals.ts";
+import { headerNameFault } from "./head_faults.ts";
 import type { SendOutcome } from "./upstream.ts";
 
 type UpstreamResponse = Extract<SendOutcome, { readonly kind: "answer" }>;
@@ -117,14 +117,7 @@
   { statusCode = 0, rawHeaders }: UpstreamResponse["answer"],
 ): string | undefined {
   if (statusCode < 200) return `status ${statusCode} is not final`;
-  for (let i = 0; i < rawHeaders.length; i += 2) {
-    try {
-      validateHeaderName(rawHeaders[i]);
-    } catch {
-      return `header name ${JSON.stringify(rawHeaders[i])} is not a token`;
-    }
-  }
-  return undefined;
+  return headerNameFault(rawHeaders);
 }
 
 /**
