forward: announced bodies take room as they arrive

And a body that lost its room midway, in chunks and without an end, was answered only at its deadline.

Cause: the announced length was reserved before a byte had come, and the timer for bodies that are not kept was chosen once, at the start.

The memory that the buffer takes is reserved as it grows, up to the announced length; what a body announces still decides whether it counts as large. The timer for the rest of an unwanted body starts when its room is lost.

--- a/src/common/byte_buffer.ts
+++ b/src/common/byte_buffer.ts
@@ -12,7 +12,7 @@
   #bytes: Buffer = EMPTY;
   #length = 0;
 
-  /** `expectedBytes` saves copies if it is known how many bytes will arrive. */
+  /** `expectedBytes` saves memory if it is known how many bytes will arrive. */
   constructor({ expectedBytes = 0 }: { readonly expectedBytes?: number } = {}) {
     this.#expectedBytes = expectedBytes;
   }
@@ -21,16 +21,25 @@
     return this.#length;
   }
 
+  /** Memory that the buffer takes once a piece of this size is appended. */
+  capacityAfter(pieceBytes: number): number {
+    const length = this.#length + pieceBytes;
+    if (this.#length === 0) return pieceBytes;
+    if (length <= this.#bytes.length) return this.#bytes.length;
+    return length <= this.#expectedBytes
+      ? Math.min(2 * length, this.#expectedBytes)
+      : 2 * length;
+  }
+
   append(piece: Buffer): void {
-    const length = this.#length + piece.length;
     if (this.#length === 0) {
       // Most bodies come in one piece, which needs no copy.
       this.#bytes = piece;
     } else {
-      if (length > this.#bytes.length) this.#grow(length);
+      this.#grow(this.capacityAfter(piece.length));
       piece.copy(this.#bytes, this.#length);
     }
-    this.#length = length;
+    this.#length += piece.length;
   }
 
   /** The bytes so far; valid until the next call. */
@@ -43,8 +52,8 @@
     this.#length = 0;
   }
 
-  #grow(length: number): void {
-    const capacity = Math.max(length, this.#expectedBytes, 2 * this.#length);
+  #grow(capacity: number): void {
+    if (capacity === this.#bytes.length) return;
     const bytes = Buffer.allocUnsafe(capacity);
     this.#bytes.copy(bytes, 0, 0, this.#length);
     this.#bytes = bytes;
--- a/src/forward/body_budget.ts
+++ b/src/forward/body_budget.ts
@@ -11,6 +11,13 @@
 const MAX_TOTAL_BYTES = 40 * 1024 * 1024;
 const SMALL_BODY_BYTES = 64 * 1024;
 
+export interface BodySize {
+  /** Reserved for the body so far. */
+  readonly heldBytes: number;
+  /** What the body will have at least. */
+  readonly finalBytes: number;
+}
+
 export interface BodyBudgetOptions {
   readonly maxBytes?: number;
   readonly maxTotalBytes?: number;
@@ -32,16 +39,16 @@
   }
 
   /**
-   * Reserves `bytes` more for a body that then has `bodyBytes`; returns false if
-   * there is no room. A body that is alone always has room, so that no limit of
-   * a configuration is out of reach.
+   * Reserves `bytes` more for a body; returns false if there is no room. A body
+   * that is alone always has room, so that no limit of a configuration is out of
+   * reach.
    */
-  tryReserve(bytes: number, bodyBytes: number): boolean {
+  tryReserve(bytes: number, { heldBytes, finalBytes }: BodySize): boolean {
     const usedBytes = this.#usedBytes + bytes;
-    const maxBytes = bodyBytes <= SMALL_BODY_BYTES
+    const maxBytes = finalBytes <= SMALL_BODY_BYTES
       ? this.#maxTotalBytes
       : this.#maxBytes;
-    const isAlone = usedBytes === bodyBytes;
+    const isAlone = this.#usedBytes === heldBytes;
     if (usedBytes > maxBytes && !isAlone) return false;
     this.#usedBytes = usedBytes;
     return true;
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -116,13 +116,20 @@
     return new Promise((resolve) => {
       const body = new ByteBuffer({ expectedBytes: declared });
       let sizeBytes = 0;
-      let hasRoom = this.#reserve(declared, declared);
-      const timer = setTimeout(
-        () => resolve({ kind: hasRoom ? "timed-out" : "no-room" }),
-        hasRoom
-          ? timerDelayMs(deadlineMs - this.#clock.nowMs())
-          : DISCARD_TIMEOUT_MS,
+      let hasRoom = true;
+      let timer = setTimeout(
+        () => resolve({ kind: "timed-out" }),
+        timerDelayMs(deadlineMs - this.#clock.nowMs()),
       );
+      const giveUp = (): void => {
+        body.clear();
+        this.#releaseBody();
+        clearTimeout(timer);
+        timer = setTimeout(
+          () => resolve({ kind: "no-room" }),
+          DISCARD_TIMEOUT_MS,
+        );
+      };
       request.on("close", () => clearTimeout(timer));
       request.on("data", (chunk: Buffer) => {
         sizeBytes += chunk.length;
@@ -130,11 +137,12 @@
           resolve({ kind: "too-large" });
           return;
         }
-        // The size of a body in chunks is not known before.
-        const addedBytes = Math.max(0, sizeBytes - this.#reservedBytes);
-        hasRoom &&= this.#reserve(addedBytes, sizeBytes);
+        if (!hasRoom) return;
+        // Only what arrives is reserved: a caller may announce and send nothing.
+        const heldBytes = body.capacityAfter(chunk.length);
+        hasRoom = this.#reserve(heldBytes, Math.max(declared, sizeBytes));
         if (hasRoom) body.append(chunk);
-        else body.clear();
+        else giveUp();
       });
       request.on("end", () => {
         clearTimeout(timer);
@@ -156,14 +164,14 @@
     });
   }
 
-  /** Without room, gives back what the body has. */
-  #reserve(bytes: number, bodyBytes: number): boolean {
-    if (bytes === 0) return true;
-    if (!this.#bodies.tryReserve(bytes, bodyBytes)) {
-      this.#releaseBody();
+  /** Reserves what is missing to `bytes`; returns false if there is no room. */
+  #reserve(bytes: number, finalBytes: number): boolean {
+    const heldBytes = this.#reservedBytes;
+    const addedBytes = bytes - heldBytes;
+    if (!this.#bodies.tryReserve(addedBytes, { heldBytes, finalBytes })) {
       return false;
     }
-    this.#reservedBytes += bytes;
+    this.#reservedBytes = bytes;
     return true;
   }
 
--- a/src/forward/exchange_test.ts
+++ b/src/forward/exchange_test.ts
@@ -3,9 +3,10 @@
 import process from "node:process";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
-import { expect, test } from "vitest";
+import { expect, test, vi } from "vitest";
 import { systemClock } from "../common/clock.ts";
 import type { RequestMetadata } from "../ports/types.ts";
+import { BodyBudget } from "./body_budget.ts";
 import { Exchange } from "./exchange.ts";
 
 const PIECES = 300_000;
@@ -16,9 +17,13 @@
   (runInNewContext("gc") as () => void)();
 }
 
-test("a body in very small chunks takes no more memory than its bytes", async () => {
+/** An exchange whose request emits what a test makes it. */
+function createExchange(
+  headers: Record<string, string>,
+  bodies = new BodyBudget(),
+) {
   const request = Object.assign(new EventEmitter(), {
-    headers: { "transfer-encoding": "chunked" },
+    headers,
     socket: new EventEmitter(),
   });
   const exchange = new Exchange({
@@ -27,8 +32,49 @@
     metadata: {} as RequestMetadata,
     clock: systemClock,
     isClosing: () => false,
+    bodies,
+  });
+  const readBody = () =>
+    exchange.readBody(LIMIT_BYTES, systemClock.nowMs() + 60_000);
+  return { request, readBody };
+}
+
+test("bodies that are announced and never sent take no room from others", async () => {
+  const bodies = new BodyBudget();
+  for (let i = 0; i < 700; i++) {
+    void createExchange({ "content-length": "65536" }, bodies).readBody();
+  }
+  const { request, readBody } = createExchange(
+    { "content-length": "2" },
+    bodies,
+  );
+  const body = readBody();
+  request.emit("data", Buffer.from("{}"));
+  request.emit("end");
+  expect((await body).kind).toBe("complete");
+});
+
+test("a body that loses its room midway is refused although it never ends", async () => {
+  vi.useFakeTimers({ toFake: ["setTimeout"] });
+  const bodies = new BodyBudget({ maxBytes: 10, maxTotalBytes: 10 });
+  bodies.tryReserve(8, { heldBytes: 0, finalBytes: 8 });
+  const { request, readBody } = createExchange(
+    { "transfer-encoding": "chunked" },
+    bodies,
+  );
+  const body = readBody();
+  for (const piece of ["ab", "cd"]) request.emit("data", Buffer.from(piece));
+  expect(bodies.usedBytes).toBe(8);
+  await vi.advanceTimersByTimeAsync(5_000);
+  vi.useRealTimers();
+  expect((await body).kind).toBe("no-room");
+});
+
+test("a body in very small chunks takes no more memory than its bytes", async () => {
+  const { request, readBody } = createExchange({
+    "transfer-encoding": "chunked",
   });
-  const body = exchange.readBody(LIMIT_BYTES, systemClock.nowMs() + 60_000);
+  const body = readBody();
   collectGarbage();
   const before = process.memoryUsage().heapUsed;
   for (let i = 0; i < PIECES; i++) {
