forward: a host that stops or has no room declines what others passed to it

A host asked to serve for another answered 503 where it has no room for a body, or where a plain call did not start in time before its end. The host that asked takes 503 for the word of all and gives up, though a third host could serve; for callers of a stopping host, the reason was "no target available" with a wait of 0.7 s, while another host serves them at once.

Plain calls and streams now share refuseStopping, and a body without room is declined to a host. The tests of delegated requests, planned stops and bodies pass (36 with those of the files beside); no test of its own was written for these two lines.

--- a/src/forward/conclude_stream.ts
+++ b/src/forward/conclude_stream.ts
@@ -7,16 +7,10 @@
 
 import type { Refusal } from "../admission/wait_queue.ts";
 import type { CallLosses } from "./call_losses.ts";
-import {
-  type CallContext,
-  type CallPlan,
-  jitterRetryMs,
-  STOPPING_REASON,
-  stoppingRetryMs,
-} from "./context.ts";
-import { DECLINED_STATUS } from "./delegation.ts";
+import { type CallContext, type CallPlan, jitterRetryMs } from "./context.ts";
 import { refuseCutOff } from "./cut_off_refusal.ts";
 import type { Exchange } from "./exchange.ts";
+import { refuseStopping } from "./stopping_refusal.ts";
 import type { SendResult } from "./send_result.ts";
 import type { StreamResponse } from "./stream_response.ts";
 
@@ -100,9 +94,7 @@
 ): number {
   const { context, exchange, plan, losses } = conclusion;
   if (context.clock.nowMs() >= context.stopAdmission.latestStartMs(plan)) {
-    const status = plan.isDelegated ? DECLINED_STATUS : 503;
-    exchange.refuse(status, STOPPING_REASON, stoppingRetryMs(context.random));
-    return status;
+    return refuseStopping(context, exchange, plan);
   }
   if (context.reachability.isCutOff(plan.service.name)) {
     return refuseCutOff(context, exchange, {
--- a/src/forward/plain_call.ts
+++ b/src/forward/plain_call.ts
@@ -20,6 +20,7 @@
   tryAcquireRetry,
 } from "./context.ts";
 import { refuseCutOff } from "./cut_off_refusal.ts";
+import { refuseStopping } from "./stopping_refusal.ts";
 import { checkDelegateHead, sendToHost, unmarkedEnd } from "./delegation.ts";
 import type { Exchange } from "./exchange.ts";
 import {
@@ -348,7 +349,8 @@
   }
 
   #finish(attempt: Attempt | undefined): void {
-    const { log, metrics, random, clock, reachability } = this.#context;
+    const { log, metrics, random, clock, reachability, stopAdmission } =
+      this.#context;
     const exchange = this.#exchange;
     const answer = attempt?.kind === "answer" ? attempt : this.#fallback;
     let status: number;
@@ -358,6 +360,8 @@
     } else if (this.#mayHaveRun) {
       status = clock.nowMs() >= this.#plan.deadlineMs ? 504 : 502;
       exchange.refuse(status, "no valid response from a target");
+    } else if (clock.nowMs() >= stopAdmission.latestStartMs(this.#plan)) {
+      status = refuseStopping(this.#context, exchange, this.#plan);
     } else if (reachability.isCutOff(this.#plan.service.name)) {
       status = refuseCutOff(this.#context, exchange, {
         ...this.#plan,
--- a/src/forward/request_handler.ts
+++ b/src/forward/request_handler.ts
@@ -157,7 +157,7 @@
       return;
     }
     if (!isComplete) {
-      this.#refuse(exchange, this.#bodyRefusal(outcome.kind));
+      this.#refuse(exchange, this.#bodyRefusal(outcome.kind, origin));
       return;
     }
     const { method, url } = exchange.request;
@@ -190,7 +190,10 @@
       }).run();}
   }
 
-  #bodyRefusal(kind: "too-large" | "timed-out" | "no-room"): Refusal {
+  #bodyRefusal(
+    kind: "too-large" | "timed-out" | "no-room",
+    origin: RequestOrigin,
+  ): Refusal {
     switch (kind) {
       case "too-large":
         return toRefusal(413, "request body exceeds the configured limit");
@@ -198,7 +201,8 @@
         return toRefusal(408, "request body not received before the deadline");
       case "no-room":
         return toRefusal(
-          503,
+          // Another host may have room.
+          origin === "host" ? DECLINED_STATUS : 503,
           "no memory for the request body",
           jitterRetryMs(NO_ROOM_RETRY_MS, this.#options.context.random),
         );
