test: the moments of drawn signals can be drawn again

A red run of the test of signals at drawn moments could not be repeated, as its moments came from Math.random (found by a review). They come from a seed, which a failure names and SIGNALS_SEED sets.

--- a/test/platform_signals_test.ts
+++ b/test/platform_signals_test.ts
@@ -12,6 +12,7 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, expect, test } from "vitest";
+import { seededRandom } from "../src/common/random.ts";
 import { hostIp } from "../standins/loopback_address.ts";
 import {
   type ProcessEnd,
@@ -114,16 +115,19 @@
 });
 
 test("signals at any moment after the handlers leave the end to the program", async () => {
+  const seed = Number(process.env.SIGNALS_SEED ?? Date.now() % 2 ** 31);
+  const random = seededRandom(seed);
   const ends = Array.from({ length: 4 }, async (_, index) => {
+    const [firstMs, secondMs] = [random() * 400, random() * 100];
     const host = start(writeSettings(hostIp(index + 1)));
     await waitForHandlers(host.child);
-    await sleep(Math.random() * 400);
+    await sleep(firstMs);
     host.child.kill("SIGHUP");
-    await sleep(Math.random() * 100);
+    await sleep(secondMs);
     for (const _ of [1, 2]) host.child.kill("SIGTERM");
     return await host.ended;
   });
   for (const end of await Promise.all(ends)) {
-    expect(end).toEqual({ code: 0, signal: null });
+    expect(end, `SIGNALS_SEED=${seed}`).toEqual({ code: 0, signal: null });
   }
 });
